--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/clock/src/system.rs
@@ -0,0 +1,20 @@
+//! The operating system's clocks.
+
+use std::time::Instant;
+use std::time::SystemTime;
+
+use crate::Clock;
+
+/// [`Clock`] that reads the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Crate `limit`.
--- /dev/null
+++ b/crates/model/src/change.rs
@@ -0,0 +1,55 @@
+//! A proposed change of the declaration, signed by both owners.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::ChangeHash;
+use crate::ids::ConfigVersion;
+use crate::ids::OwnerKey;
+
+/// A whole new declaration, to replace the version it is based on.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ProposedChange {
+    /// Version that the change is based on.
+    pub base: ConfigVersion,
+    /// TOML text of the new declaration.
+    pub text: String,
+}
+
+impl ProposedChange {
+    /// Returns the hash that names the change and that the owners sign.
+    #[must_use]
+    pub fn hash(&self) -> ChangeHash {
+        let mut hasher = blake3::Hasher::new_derive_key("ragwortplank change v1");
+        hasher.update(&self.base.to_le_bytes());
+        hasher.update(self.text.as_bytes());
+        *hasher.finalize().as_bytes()
+    }
+}
+
+/// One owner's ed25519 signature over a [`ChangeHash`].
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct OwnerSignature {
+    /// The owner's public key.
+    pub owner: OwnerKey,
+    /// 64 bytes of signature.
+    pub signature: Vec<u8>,
+}
+
+/// Where a change stands.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum ChangeStatus {
+    /// One owner signed; the other's signature is missing.
+    Pending,
+    /// Both signed and it is committed under this version.
+    Accepted(ConfigVersion),
+    /// Another change on the same base was accepted first.
+    Conflict {
+        /// Version in force when it was refused.
+        current: ConfigVersion,
+    },
+    /// The text or a signature is not valid, with the reason.
+    Invalid(String),
+    /// No such change is known.
+    Unknown,
+}
--- /dev/null
+++ b/crates/model/src/declaration.rs
@@ -0,0 +1,115 @@
+//! What the owners declare: services, classes, routes, teams and keys.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::ClassName;
+use crate::ids::ConfigVersion;
+use crate::ids::KeyDigest;
+use crate::ids::OwnerKey;
+use crate::ids::RouteName;
+use crate::ids::ServiceName;
+use crate::ids::TeamName;
+
+/// The declared state in force, checked.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Declaration {
+    /// Version under which it was committed; 0 before the first change.
+    pub version: ConfigVersion,
+    /// The two owners.
+    pub owners: Vec<OwnerKey>,
+    /// Declared services.
+    pub services: Vec<ServiceSpec>,
+    /// Classes of work.
+    pub classes: Vec<ClassSpec>,
+    /// Routes by which requests reach services.
+    pub routes: Vec<RouteSpec>,
+    /// Teams with their rates.
+    pub teams: Vec<TeamSpec>,
+    /// Keys granted to teams.
+    pub keys: Vec<KeySpec>,
+}
+
+/// A service that backend servers announce themselves for.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ServiceSpec {
+    /// Name of the service.
+    pub name: ServiceName,
+}
+
+/// Order in which classes are refused under overload.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalOrder {
+    /// Refused before all others.
+    First,
+    /// Refused between the two others.
+    Middle,
+    /// Refused last: payments and confirmations.
+    Last,
+}
+
+/// A class of work with the target for how it is served.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClassSpec {
+    /// Name of the class.
+    pub name: ClassName,
+    /// When it is refused under overload.
+    pub refused: RefusalOrder,
+    /// Time within which the target share must be answered; also the deadline.
+    pub within: Duration,
+    /// Share of requests to answer in time, in thousandths (990 is 99%).
+    pub share_milli: u16,
+}
+
+/// A route: requests below a path prefix, for one service and class.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RouteSpec {
+    /// Name of the route.
+    pub name: RouteName,
+    /// Path prefix, matched by whole segments; the longest match is taken.
+    pub prefix: String,
+    /// Service that runs the requests.
+    pub service: ServiceName,
+    /// Class of requests that enter here.
+    pub class: ClassName,
+    /// Whether no key is needed.
+    pub open: bool,
+    /// Whether a repeated request does no harm, so that it may be retried.
+    pub idempotent: bool,
+    /// Whether a request must run at most once (needs an `Idempotency-Key`).
+    pub once: bool,
+}
+
+/// A team with its rate and burst over all instances together.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TeamSpec {
+    /// Name of the team.
+    pub name: TeamName,
+    /// Requests that enter per second, in thousandths.
+    pub rate_milli: u64,
+    /// Requests that may enter at once, in thousandths.
+    pub burst_milli: u64,
+}
+
+/// A key granted to a team; only its digest is kept.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KeySpec {
+    /// Name under which it is withdrawn.
+    pub name: String,
+    /// The team it belongs to.
+    pub team: TeamName,
+    /// Digest of the key.
+    pub digest: KeyDigest,
+}
+
+/// Difference between two versions of the declaration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DeclarationDelta {
+    /// Version that it applies to.
+    pub from: ConfigVersion,
+    /// Version that it leads to.
+    pub to: ConfigVersion,
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,10 @@
+//! Shared vocabulary: identifiers, declarations, verdicts, call context and messages.
+
+pub mod admin;
+pub mod change;
+pub mod context;
+pub mod declaration;
+pub mod exchange;
+pub mod ids;
+pub mod once;
+pub mod verdict;
--- /dev/null
+++ b/crates/model/src/verdict.rs
@@ -0,0 +1,122 @@
+//! Whether a request may have run: the one thing every error must say.
+
+use std::fmt;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Says whether a backend server ran a request.
+///
+/// See `docs/DESIGN.md`, "Verdict". Only [`RunVerdict::NotRun`] allows an
+/// automatic retry of a request that is not idempotent.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub enum RunVerdict {
+    /// No byte of the request reached a backend server.
+    #[display("not-run")]
+    NotRun,
+    /// The backend server answered.
+    #[display("ran")]
+    Ran,
+    /// The request reached a backend server and its answer was lost.
+    #[display("may-have-run")]
+    MayHaveRun,
+}
+
+/// Why a call was refused or failed; stable names for logs, metrics and answers.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[display(rename_all = "kebab-case")]
+pub enum FailureCause {
+    /// The caller showed no key, a malformed key or more than one.
+    BadCredentials,
+    /// The key is unknown or was withdrawn.
+    UnknownKey,
+    /// No declared route matches.
+    UnknownRoute,
+    /// The request is malformed or exceeds a size limit.
+    BadRequest,
+    /// The team's tokens are spent.
+    RateExceeded,
+    /// Load is above what can be served and this request ranks below the cut.
+    Overloaded,
+    /// The deadline passed, or cannot be met any more.
+    DeadlineExceeded,
+    /// The allowance of extra attempts is spent.
+    AllowanceSpent,
+    /// The call chain is deeper than allowed.
+    TooDeep,
+    /// The request is quarantined since it crashed backend servers.
+    Quarantined,
+    /// No backend server of the service takes new work.
+    NoBackend,
+    /// The node holds no lease, so its state may be stale.
+    NoLease,
+    /// The instance is stopping or draining.
+    Draining,
+    /// The parent call is not in flight on this node.
+    UnknownParent,
+    /// The idempotency key is missing, malformed or too old.
+    BadIdempotencyKey,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// An earlier attempt with the same idempotency key exists.
+    Duplicate,
+    /// No quorum of control instances could commit the record in time.
+    NoQuorum,
+    /// The connection to the backend server or the node beside it was lost.
+    ConnectionLost,
+    /// The caller hung up.
+    Cancelled,
+    /// The backend server itself refused before running (shed load).
+    Shed,
+    /// A fault of this software.
+    Internal,
+}
+
+/// A failed call: its cause and whether it may have run.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct CallFailure {
+    /// Whether a backend server may have run the request.
+    pub verdict: RunVerdict,
+    /// Why the call failed.
+    pub cause: FailureCause,
+    /// Milliseconds after which a retry makes sense, if any.
+    pub retry_after_ms: Option<u32>,
+}
+
+impl CallFailure {
+    /// Creates a failure of a request that did not run.
+    #[must_use]
+    pub const fn not_run(cause: FailureCause) -> Self {
+        Self {
+            verdict: RunVerdict::NotRun,
+            cause,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Creates a failure of a request that may have run.
+    #[must_use]
+    pub const fn may_have_run(cause: FailureCause) -> Self {
+        Self {
+            verdict: RunVerdict::MayHaveRun,
+            cause,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Adds the delay after which a retry makes sense, in milliseconds.
+    #[must_use]
+    pub const fn retry_after_ms(mut self, delay_ms: u32) -> Self {
+        self.retry_after_ms = Some(delay_ms);
+        self
+    }
+}
+
+impl fmt::Display for CallFailure {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "cause={} verdict={}", self.cause, self.verdict)
+    }
+}
+
+impl std::error::Error for CallFailure {}
--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,253 @@
+//! Reads a settings file and checks its values.
+
+use std::fmt::Display;
+use std::fs;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::ids::OwnerKey;
+
+use crate::ControlAddress;
+use crate::ControlSettings;
+use crate::LimitSettings;
+use crate::NodeSettings;
+use crate::SettingsError;
+use crate::TlsFiles;
+use crate::file::ControlFile;
+use crate::file::LimitFile;
+use crate::file::MemberFile;
+use crate::file::NodeFile;
+use crate::file::SettingsFile;
+use crate::file::TlsFile;
+
+/// Smallest and largest request head, in bytes.
+const HEAD_BYTES: RangeInclusive<usize> = 1_024..=262_144;
+/// Smallest and largest body, in bytes.
+const BODY_BYTES: RangeInclusive<usize> = 0..=67_108_864;
+/// Shortest and longest timeout, in milliseconds.
+const TIMEOUT_MS: RangeInclusive<u64> = 10..=600_000;
+/// Owners of a control group.
+const OWNER_COUNT: usize = 2;
+/// Most members of a control group.
+const GROUP_MAX: usize = 7;
+/// Bytes of an owner's public key.
+const OWNER_KEY_BYTES: usize = 32;
+
+/// Settings of either role, checked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CheckedSettings {
+    /// Settings of a node.
+    Node(NodeSettings),
+    /// Settings of a control instance.
+    Control(ControlSettings),
+}
+
+impl CheckedSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, is malformed or holds a value that
+    /// is not allowed; the error names file, key, value and what is allowed.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+            file: path.to_owned(),
+            source,
+        })?;
+        Self::parse(path, &text)
+    }
+
+    /// Checks the text of a settings file; `path` serves errors and relative paths.
+    ///
+    /// # Errors
+    ///
+    /// As [`CheckedSettings::load`].
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let file = toml::from_str(text).map_err(|source| SettingsError::Malformed {
+            file: path.to_owned(),
+            source: Box::new(source),
+        })?;
+        let checker = FileChecker { path };
+        match file {
+            SettingsFile::Node(file) => checker.node(file).map(Self::Node),
+            SettingsFile::Control(file) => checker.control(file).map(Self::Control),
+        }
+    }
+}
+
+/// Checks values and names the file in errors.
+struct FileChecker<'a> {
+    path: &'a Path,
+}
+
+impl FileChecker<'_> {
+    fn node(&self, file: NodeFile) -> Result<NodeSettings, SettingsError> {
+        let process = self.name("process", file.process)?;
+        let data_centre = self.name("data-centre", file.data_centre)?;
+        let local = self.loopback("listen.local", file.listen.local)?;
+        let control = self.members("control", file.control)?;
+        let tls = self.tls(file.tls);
+        let caller_tls = file
+            .caller_tls
+            .map_or_else(|| tls.clone(), |file| self.tls(file));
+        Ok(NodeSettings {
+            process,
+            data_centre: Arc::from(data_centre),
+            callers: file.listen.callers,
+            peers: file.listen.peers,
+            local,
+            admin: file.listen.admin,
+            control: control.iter().map(control_address).collect(),
+            tls,
+            caller_tls,
+            limits: self.limits(&file.limits)?,
+        })
+    }
+
+    fn control(&self, file: ControlFile) -> Result<ControlSettings, SettingsError> {
+        let process = self.name("process", file.process)?;
+        let data_centre = self.name("data-centre", file.data_centre)?;
+        let group = self.members("group", file.group)?;
+        let listed = group.iter().any(|member| member.instance == file.instance);
+        if !listed {
+            return Err(self.disallowed("instance", file.instance, "an instance of `group`"));
+        }
+        Ok(ControlSettings {
+            process,
+            data_centre: Arc::from(data_centre),
+            instance: file.instance,
+            listen: file.listen.quic,
+            admin: file.listen.admin,
+            data: self.relative(file.data),
+            group: group.iter().map(control_address).collect(),
+            join: file.join,
+            owners: self.owners(&file.owners)?,
+            tls: self.tls(file.tls),
+        })
+    }
+
+    fn limits(&self, file: &LimitFile) -> Result<LimitSettings, SettingsError> {
+        Ok(LimitSettings {
+            head_bytes: self.within("limits.head-bytes", file.head_bytes, HEAD_BYTES)?,
+            body_bytes: self.within("limits.body-bytes", file.body_bytes, BODY_BYTES)?,
+            head_timeout: self.timeout("limits.head-timeout-ms", file.head_timeout_ms)?,
+            body_timeout: self.timeout("limits.body-timeout-ms", file.body_timeout_ms)?,
+            drain_timeout: self.timeout("limits.drain-timeout-ms", file.drain_timeout_ms)?,
+        })
+    }
+
+    fn name(&self, key: &str, value: String) -> Result<String, SettingsError> {
+        let allowed = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+        if !value.is_empty() && value.chars().all(allowed) {
+            return Ok(value);
+        }
+        Err(self.disallowed(key, value, "letters, digits, `-`, `_` and `.`"))
+    }
+
+    fn loopback(&self, key: &str, value: SocketAddr) -> Result<SocketAddr, SettingsError> {
+        if value.ip().is_loopback() {
+            return Ok(value);
+        }
+        Err(self.disallowed(key, value, "a loopback address"))
+    }
+
+    fn members(
+        &self,
+        key: &str,
+        members: Vec<MemberFile>,
+    ) -> Result<Vec<MemberFile>, SettingsError> {
+        if members.is_empty() || members.len() > GROUP_MAX {
+            return Err(self.disallowed(key, members.len(), "1 to 7 instances"));
+        }
+        for (position, member) in members.iter().enumerate() {
+            let repeated = members[..position]
+                .iter()
+                .any(|earlier| earlier.instance == member.instance);
+            if repeated {
+                let key = format!("{key}[{position}].instance");
+                return Err(self.disallowed(&key, member.instance, "each instance once"));
+            }
+        }
+        Ok(members)
+    }
+
+    fn owners(&self, owners: &[String]) -> Result<Vec<OwnerKey>, SettingsError> {
+        if owners.len() != OWNER_COUNT || owners[0] == owners[1] {
+            return Err(self.disallowed("owners", owners.len(), "two different public keys"));
+        }
+        let parsed = owners.iter().enumerate().map(|(position, text)| {
+            parse_owner(text).ok_or_else(|| {
+                let key = format!("owners[{position}]");
+                self.disallowed(&key, text, "64 hexadecimal digits")
+            })
+        });
+        parsed.collect()
+    }
+
+    fn within(
+        &self,
+        key: &str,
+        value: usize,
+        range: RangeInclusive<usize>,
+    ) -> Result<usize, SettingsError> {
+        if range.contains(&value) {
+            return Ok(value);
+        }
+        let allowed = format!("{} to {}", range.start(), range.end());
+        Err(self.disallowed(key, value, &allowed))
+    }
+
+    fn timeout(&self, key: &str, value_ms: u64) -> Result<Duration, SettingsError> {
+        if TIMEOUT_MS.contains(&value_ms) {
+            return Ok(Duration::from_millis(value_ms));
+        }
+        let allowed = format!("{} to {}", TIMEOUT_MS.start(), TIMEOUT_MS.end());
+        Err(self.disallowed(key, value_ms, &allowed))
+    }
+
+    fn tls(&self, file: TlsFile) -> TlsFiles {
+        TlsFiles {
+            authority: self.relative(file.authority),
+            certificate: self.relative(file.certificate),
+            key: self.relative(file.key),
+        }
+    }
+
+    fn relative(&self, path: PathBuf) -> PathBuf {
+        match self.path.parent() {
+            Some(folder) => folder.join(path),
+            None => path,
+        }
+    }
+
+    fn disallowed(&self, key: &str, value: impl Display, allowed: &str) -> SettingsError {
+        SettingsError::Disallowed {
+            file: self.path.to_owned(),
+            key: key.to_owned(),
+            value: value.to_string(),
+            allowed: allowed.to_owned(),
+        }
+    }
+}
+
+fn control_address(member: &MemberFile) -> ControlAddress {
+    ControlAddress {
+        instance: member.instance,
+        address: member.address,
+    }
+}
+
+fn parse_owner(text: &str) -> Option<OwnerKey> {
+    if text.len() != 2 * OWNER_KEY_BYTES || !text.is_ascii() {
+        return None;
+    }
+    let mut key = [0; OWNER_KEY_BYTES];
+    for (position, byte) in key.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * position..2 * position + 2], 16).ok()?;
+    }
+    Some(key)
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,15 @@
+//! Settings files of the daemon: the file's shape, and the checked values made of it.
+
+mod check;
+mod control;
+mod error;
+mod file;
+mod node;
+
+pub use check::CheckedSettings;
+pub use control::ControlSettings;
+pub use error::SettingsError;
+pub use node::ControlAddress;
+pub use node::LimitSettings;
+pub use node::NodeSettings;
+pub use node::TlsFiles;
--- /dev/null
+++ b/crates/timeline/src/ring.rs
@@ -0,0 +1,125 @@
+//! Bounded store of recent events.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use clock::Clock;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::EventStamp;
+use crate::StampClock;
+
+/// One event of one process.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EventRecord {
+    /// When, in hybrid logical time.
+    pub stamp: EventStamp,
+    /// Which process, as its settings name it.
+    pub process: Arc<str>,
+    /// What happened, a stable kebab-case name.
+    pub kind: String,
+    /// Request that it belongs to, in hexadecimal, if any.
+    pub request: Option<String>,
+    /// Change that it belongs to, in hexadecimal, if any.
+    pub change: Option<String>,
+    /// Further `key=value` pairs, in order.
+    pub fields: Vec<EventField>,
+}
+
+/// One `key=value` pair of an event.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EventField {
+    /// Name of the field.
+    pub key: String,
+    /// Value as text.
+    pub value: String,
+}
+
+impl EventRecord {
+    /// Creates an event without fields; stamp and process are set when it is pushed.
+    #[must_use]
+    pub fn new(kind: &str) -> Self {
+        Self {
+            stamp: EventStamp::default(),
+            process: Arc::from(""),
+            kind: kind.to_owned(),
+            request: None,
+            change: None,
+            fields: Vec::new(),
+        }
+    }
+
+    /// Adds a field.
+    #[must_use]
+    pub fn field(mut self, key: &str, value: &impl ToString) -> Self {
+        self.fields.push(EventField {
+            key: key.to_owned(),
+            value: value.to_string(),
+        });
+        self
+    }
+
+    /// Names the request that the event belongs to.
+    #[must_use]
+    pub fn request(mut self, request: u128) -> Self {
+        self.request = Some(format!("{request:032x}"));
+        self
+    }
+
+    /// Names the change that the event belongs to.
+    #[must_use]
+    pub fn change(mut self, change: &impl ToString) -> Self {
+        self.change = Some(change.to_string());
+        self
+    }
+}
+
+/// The last events of this process; clones share the store.
+#[derive(Clone, Debug)]
+pub struct EventRing<C> {
+    process: Arc<str>,
+    capacity: usize,
+    clock: StampClock<C>,
+    events: Arc<Mutex<VecDeque<EventRecord>>>,
+}
+
+impl<C: Clock> EventRing<C> {
+    /// Creates a ring that keeps the last `capacity` events of `process`.
+    #[must_use]
+    pub fn new(process: &str, capacity: usize, clock: StampClock<C>) -> Self {
+        Self {
+            process: Arc::from(process),
+            capacity,
+            clock,
+            events: Arc::new(Mutex::new(VecDeque::with_capacity(capacity))),
+        }
+    }
+
+    /// Stamps and stores an event; the oldest one makes room.
+    pub fn push(&self, mut event: EventRecord) {
+        event.stamp = self.clock.stamp();
+        event.process = Arc::clone(&self.process);
+        let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+        if events.len() == self.capacity {
+            events.pop_front();
+        }
+        events.push_back(event);
+    }
+
+    /// Returns the stored events after `since`, oldest first.
+    #[must_use]
+    pub fn since(&self, since: EventStamp) -> Vec<EventRecord> {
+        let events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+        let later = events.iter().filter(|event| event.stamp > since);
+        later.cloned().collect()
+    }
+
+    /// Returns the clock that stamps the events, for messages to other processes.
+    #[must_use]
+    pub fn clock(&self) -> &StampClock<C> {
+        &self.clock
+    }
+}
--- /dev/null
+++ b/crates/timeline/src/stamp.rs
@@ -0,0 +1,91 @@
+//! Hybrid logical time.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::UNIX_EPOCH;
+
+use clock::Clock;
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Hybrid logical time of an event: wall time that never runs behind a stamp already seen.
+///
+/// Stamps travel with the messages between processes, so that an effect is
+/// always stamped after its cause, even when the clocks differ.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[display("{wall_ms}.{counter}")]
+pub struct EventStamp {
+    /// Milliseconds since the epoch.
+    pub wall_ms: u64,
+    /// Order among stamps of the same millisecond.
+    pub counter: u32,
+}
+
+/// Issues [`EventStamp`]s for one process; clones share their state.
+#[derive(Clone, Debug)]
+pub struct StampClock<C> {
+    clock: C,
+    last: Arc<Mutex<EventStamp>>,
+}
+
+impl<C: Clock> StampClock<C> {
+    /// Creates a stamp clock on top of `clock`.
+    #[must_use]
+    pub fn new(clock: C) -> Self {
+        Self {
+            clock,
+            last: Arc::new(Mutex::new(EventStamp::default())),
+        }
+    }
+
+    /// Returns a stamp for a local event or an outgoing message.
+    #[must_use]
+    pub fn stamp(&self) -> EventStamp {
+        self.advance(EventStamp::default())
+    }
+
+    /// Takes over the stamp of an incoming message and returns a later one.
+    pub fn observe(&self, seen: EventStamp) -> EventStamp {
+        self.advance(seen)
+    }
+
+    fn advance(&self, seen: EventStamp) -> EventStamp {
+        let wall_ms = self.wall_ms();
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let floor = (*last).max(seen);
+        *last = if wall_ms > floor.wall_ms {
+            EventStamp {
+                wall_ms,
+                counter: 0,
+            }
+        } else {
+            EventStamp {
+                wall_ms: floor.wall_ms,
+                counter: floor.counter + 1,
+            }
+        };
+        *last
+    }
+
+    fn wall_ms(&self) -> u64 {
+        let wall = self.clock.wall().duration_since(UNIX_EPOCH);
+        wall.map_or(0, |wall| {
+            u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/service.rs
@@ -0,0 +1,51 @@
+//! The tarpc services that control instances offer.
+
+use derive_more::Display;
+use derive_more::Error;
+use model::exchange::ExchangeReply;
+use model::exchange::ExchangeRequest;
+use model::ids::InstanceId;
+use model::once::ClaimOutcome;
+use model::once::OnceClaim;
+use model::once::OnceSettle;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Why a control instance did not do what a node asked for.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq, Serialize, Deserialize)]
+pub enum ControlError {
+    /// The message has another protocol version.
+    #[display("protocol version {offered} is not supported, this process speaks {supported}")]
+    ProtocolVersion {
+        /// Version of the message.
+        offered: u16,
+        /// Version that this process speaks.
+        supported: u16,
+    },
+    /// No quorum answered in time; nothing is known to have been committed.
+    #[display("no quorum answered in time")]
+    NoQuorum,
+    /// The instance is stopping.
+    #[display("the control instance is stopping")]
+    Stopping,
+}
+
+/// Offered to nodes by each control instance.
+#[tarpc::service]
+pub trait NodeControl {
+    /// Renews the lease and carries everything else that is periodic.
+    async fn exchange(request: ExchangeRequest) -> Result<ExchangeReply, ControlError>;
+
+    /// Claims the right to run a request for the first time.
+    async fn claim(claim: OnceClaim) -> Result<ClaimOutcome, ControlError>;
+
+    /// Ends an attempt.
+    async fn settle(settle: OnceSettle) -> Result<(), ControlError>;
+}
+
+/// Offered to each other by the control instances.
+#[tarpc::service]
+pub trait PeerControl {
+    /// Hands over messages of the replicated log, in order.
+    async fn deliver(from: InstanceId, messages: Vec<Vec<u8>>);
+}
