--- /dev/null
+++ b/crates/bench/src/group.rs
@@ -0,0 +1,1 @@
+//! Process groups.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,6 @@
-//! Crate `bench`.
+//! Proof: stand-ins for backend servers and callers, load and process groups.
+
+pub mod group;
+pub mod journal;
+pub mod load;
+pub mod standin;
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,126 @@
+//! Stand-in callers: load over real connections, and the check of every outcome.
+
+mod audit;
+mod caller;
+mod table;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use model::verdict::RunVerdict;
+use tokio::task::JoinSet;
+
+pub use audit::AuditReport;
+pub use audit::audit_runs;
+pub use caller::CallerClient;
+pub use table::OutcomeTable;
+
+/// One kind of request that callers send.
+#[derive(Clone, Debug)]
+pub struct CallerProfile {
+    /// Team that the key belongs to; only for the report.
+    pub team: String,
+    /// Key shown with each request; none for routes open to all.
+    pub key: Option<String>,
+    /// Class that the route belongs to; only for the report.
+    pub class: String,
+    /// Path asked for.
+    pub path: String,
+    /// Service that runs it first, as journals name it.
+    pub service: String,
+    /// Whether each request carries an `Idempotency-Key`.
+    pub once: bool,
+}
+
+/// A bounded load.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Caller listeners of the nodes.
+    pub nodes: Vec<SocketAddr>,
+    /// Authority that signed the nodes' certificates.
+    pub authority: PathBuf,
+    /// Kinds of requests, taken in turn.
+    pub profiles: Vec<CallerProfile>,
+    /// Callers that each send one request after the other.
+    pub callers: usize,
+    /// Requests that each caller sends.
+    pub requests: usize,
+    /// Pause of a caller between two requests.
+    pub pause: Duration,
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum CallOutcome {
+    /// The whole answer of its own request.
+    #[display("answered")]
+    Answered,
+    /// A refusal or failure with its cause and verdict.
+    #[display("{cause} ({verdict})")]
+    Failed {
+        /// Last part of the problem type.
+        cause: String,
+        /// The verdict as it was said.
+        verdict: String,
+    },
+    /// An answer that is not the one of this request, or not whole.
+    #[display("wrong answer")]
+    WrongAnswer,
+    /// The connection ended without an answer.
+    #[display("cut")]
+    Cut,
+}
+
+/// One request and what became of it.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Position of its profile in the settings.
+    pub profile: usize,
+    /// Marker that journals name it by.
+    pub marker: String,
+    /// What the caller was told.
+    pub outcome: CallOutcome,
+    /// Verdict told, if any.
+    pub verdict: Option<RunVerdict>,
+    /// Time from sending to the answer.
+    pub elapsed: Duration,
+}
+
+/// Runs a load to its end.
+///
+/// # Errors
+///
+/// Fails when the authority cannot be loaded or a caller panics.
+pub async fn run_load(settings: &LoadSettings) -> anyhow::Result<Vec<CallRecord>> {
+    let config = caller::client_config(&settings.authority)?;
+    let mut callers = JoinSet::new();
+    for position in 0..settings.callers {
+        let node = settings.nodes[position % settings.nodes.len()];
+        let client = CallerClient::new(node, Arc::clone(&config));
+        let settings = settings.clone();
+        callers.spawn(run_caller(position, client, settings));
+    }
+    let mut records = Vec::new();
+    while let Some(joined) = callers.join_next().await {
+        records.extend(joined?);
+    }
+    Ok(records)
+}
+
+async fn run_caller(
+    position: usize,
+    mut client: CallerClient,
+    settings: LoadSettings,
+) -> Vec<CallRecord> {
+    let mut records = Vec::with_capacity(settings.requests);
+    for turn in 0..settings.requests {
+        let profile = (position + turn) % settings.profiles.len();
+        let record = client.call(profile, &settings.profiles[profile]).await;
+        records.push(record);
+        tokio::time::sleep(settings.pause).await;
+    }
+    records
+}
--- /dev/null
+++ b/crates/bench/src/load/caller.rs
@@ -0,0 +1,194 @@
+//! One caller with one connection that it keeps alive.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Instant;
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use model::verdict::RunVerdict;
+use rustls::ClientConfig;
+use rustls::RootCertStore;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::ServerName;
+use rustls::pki_types::pem::PemObject;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio_rustls::TlsConnector;
+use uuid::Uuid;
+
+use crate::load::CallOutcome;
+use crate::load::CallRecord;
+use crate::load::CallerProfile;
+use crate::standin::MARKER_HEADER;
+
+/// Name that a node's certificate is valid for.
+const NODE_NAME: &str = "node.ragwortplank";
+/// Header that tells whether the request ran.
+const VERDICT_HEADER: &str = "ragwortplank-verdict";
+
+/// The part of a problem document that the load reads.
+#[derive(Deserialize)]
+struct ProblemKind {
+    #[serde(rename = "type")]
+    kind: String,
+}
+
+/// Loads the authority that a caller trusts.
+pub(crate) fn client_config(authority: &Path) -> anyhow::Result<Arc<ClientConfig>> {
+    let mut roots = RootCertStore::empty();
+    let certificates = CertificateDer::pem_file_iter(authority);
+    let certificates = certificates.with_context(|| authority.display().to_string())?;
+    for certificate in certificates {
+        roots.add(certificate?)?;
+    }
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    Ok(Arc::new(config))
+}
+
+/// A caller of one node.
+pub struct CallerClient {
+    node: SocketAddr,
+    connector: TlsConnector,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl CallerClient {
+    /// Creates a caller; it connects with its first request.
+    #[must_use]
+    pub fn new(node: SocketAddr, config: Arc<ClientConfig>) -> Self {
+        Self {
+            node,
+            connector: TlsConnector::from(config),
+            sender: None,
+        }
+    }
+
+    /// Sends one request and judges the answer.
+    pub async fn call(&mut self, position: usize, profile: &CallerProfile) -> CallRecord {
+        self.call_marked(position, profile, Uuid::now_v7()).await
+    }
+
+    /// Sends one request under a given marker, which is its idempotency key as well.
+    pub async fn call_marked(
+        &mut self,
+        position: usize,
+        profile: &CallerProfile,
+        marker: Uuid,
+    ) -> CallRecord {
+        let begun = Instant::now();
+        let (outcome, verdict) = match self.exchange(profile, marker).await {
+            Ok(judged) => judged,
+            Err(_) => (CallOutcome::Cut, None),
+        };
+        CallRecord {
+            profile: position,
+            marker: marker.to_string(),
+            outcome,
+            verdict,
+            elapsed: begun.elapsed(),
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        profile: &CallerProfile,
+        marker: Uuid,
+    ) -> anyhow::Result<(CallOutcome, Option<RunVerdict>)> {
+        let request = build(profile, marker)?;
+        let mut sender = self.take_sender().await?;
+        let response = sender.send_request(request).await?;
+        let closing = wants_close(&response);
+        let judged = judge(response, marker).await?;
+        if !closing {
+            self.sender = Some(sender);
+        }
+        Ok(judged)
+    }
+
+    async fn take_sender(&mut self) -> anyhow::Result<SendRequest<Full<Bytes>>> {
+        if let Some(mut sender) = self.sender.take()
+            && sender.ready().await.is_ok()
+        {
+            return Ok(sender);
+        }
+        let stream = TcpStream::connect(self.node).await?;
+        stream.set_nodelay(true)?;
+        let name = ServerName::try_from(NODE_NAME)?;
+        let stream = self.connector.connect(name, stream).await?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+}
+
+fn wants_close(response: &Response<Incoming>) -> bool {
+    let value = response.headers().get(http::header::CONNECTION);
+    value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+fn build(profile: &CallerProfile, marker: Uuid) -> http::Result<Request<Full<Bytes>>> {
+    let mut request = Request::post(&profile.path)
+        .header(http::header::HOST, NODE_NAME)
+        .header(MARKER_HEADER, marker.to_string());
+    if let Some(key) = &profile.key {
+        request = request.header(http::header::AUTHORIZATION, format!("Bearer {key}"));
+    }
+    if profile.once {
+        request = request.header("idempotency-key", marker.to_string());
+    }
+    request.body(Full::new(Bytes::from(marker.to_string())))
+}
+
+async fn judge(
+    response: Response<Incoming>,
+    marker: Uuid,
+) -> anyhow::Result<(CallOutcome, Option<RunVerdict>)> {
+    let status = response.status();
+    let told = response.headers().get(VERDICT_HEADER).cloned();
+    let told = told.as_ref().and_then(|value| value.to_str().ok());
+    let verdict = told.and_then(parse_verdict);
+    let body = response.into_body().collect().await?.to_bytes();
+    if status.is_success() {
+        let whole = body == marker.to_string().as_bytes();
+        let outcome = if whole {
+            CallOutcome::Answered
+        } else {
+            CallOutcome::WrongAnswer
+        };
+        return Ok((outcome, verdict));
+    }
+    let problem: Option<ProblemKind> = serde_json::from_slice(&body).ok();
+    let cause = problem.map_or_else(|| status.to_string(), |problem| last_part(&problem.kind));
+    let outcome = CallOutcome::Failed {
+        cause,
+        verdict: told.unwrap_or("none").to_owned(),
+    };
+    Ok((outcome, verdict))
+}
+
+fn last_part(kind: &str) -> String {
+    kind.rsplit(':').next().unwrap_or(kind).to_owned()
+}
+
+fn parse_verdict(text: &str) -> Option<RunVerdict> {
+    match text {
+        "not-run" => Some(RunVerdict::NotRun),
+        "ran" => Some(RunVerdict::Ran),
+        "may-have-run" => Some(RunVerdict::MayHaveRun),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/standin/server.rs
@@ -0,0 +1,168 @@
+//! Serves requests as a backend server would.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::standin::CRASH_HEADER;
+use crate::standin::MARKER_HEADER;
+use crate::standin::StandinSettings;
+use crate::standin::StandinState;
+use crate::standin::announce::announce;
+
+/// Header by which a call and its sub-calls are named.
+const CALL_HEADER: &str = "ragwortplank-call";
+/// Header by which the stand-in says that it ran nothing.
+const SHED_HEADER: &str = "ragwortplank-shed";
+/// Exit status of a stand-in that a marked request crashed.
+const CRASH_STATUS: i32 = 70;
+
+/// Client of the node's loopback listener.
+type NodeClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Runs a stand-in until the process ends.
+///
+/// # Errors
+///
+/// Fails when it cannot listen or open its journal.
+pub async fn run(settings: StandinSettings) -> anyhow::Result<()> {
+    let listener = TcpListener::bind(settings.listen).await;
+    let listener = listener.with_context(|| format!("listening on {}", settings.listen))?;
+    let address = listener.local_addr()?;
+    let state = StandinState::new(settings).context("opening the journal")?;
+    let client: NodeClient = Client::builder(TokioExecutor::new()).build_http();
+    tokio::spawn(announce(Arc::clone(&state), address, client.clone()));
+    loop {
+        let (stream, _) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let state = Arc::clone(&state);
+        let client = client.clone();
+        let service = service_fn(move |request| {
+            let state = Arc::clone(&state);
+            let client = client.clone();
+            async move { Ok::<_, Infallible>(answer(&state, &client, request).await) }
+        });
+        let serving = hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(serving);
+    }
+}
+
+async fn answer(
+    state: &StandinState,
+    client: &NodeClient,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    if let Some(rest) = request.uri().path().strip_prefix("/.standin/") {
+        return steer(state, rest);
+    }
+    if state.shedding.load(Ordering::Relaxed) {
+        return shed();
+    }
+    let call = request.headers().get(CALL_HEADER).cloned();
+    let marker = request.headers().get(MARKER_HEADER).cloned();
+    let crash = request.headers().contains_key(CRASH_HEADER);
+    if let Some(marker) = marker.as_ref().and_then(|marker| marker.to_str().ok()) {
+        let line = format!("{} {marker}", state.settings.service);
+        if state.journal.record(&line).is_err() {
+            return plain(StatusCode::INTERNAL_SERVER_ERROR, "journal");
+        }
+    }
+    if crash {
+        std::process::exit(CRASH_STATUS);
+    }
+    let Ok(body) = request.into_body().collect().await else {
+        return plain(StatusCode::BAD_REQUEST, "body");
+    };
+    work(state).await;
+    for path in &state.settings.calls {
+        let status = sub_call(state, client, path, call.as_ref(), marker.as_ref()).await;
+        if !status.is_success() {
+            return plain(StatusCode::BAD_GATEWAY, "sub-call failed");
+        }
+    }
+    let mut response = Response::new(Full::new(body.to_bytes()));
+    if let Some(marker) = marker {
+        response.headers_mut().insert(MARKER_HEADER, marker);
+    }
+    response
+}
+
+async fn work(state: &StandinState) {
+    let Ok(_slot) = state.slots.acquire().await else {
+        return;
+    };
+    let delay_ms = state.delay_ms.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+}
+
+async fn sub_call(
+    state: &StandinState,
+    client: &NodeClient,
+    path: &str,
+    call: Option<&HeaderValue>,
+    marker: Option<&HeaderValue>,
+) -> StatusCode {
+    let uri = format!("http://{}{path}", state.settings.node);
+    let mut request = Request::post(uri);
+    for (name, value) in [(CALL_HEADER, call), (MARKER_HEADER, marker)] {
+        if let Some(value) = value {
+            request = request.header(name, value);
+        }
+    }
+    let Ok(request) = request.body(Full::default()) else {
+        return StatusCode::INTERNAL_SERVER_ERROR;
+    };
+    match client.request(request).await {
+        Ok(response) => response.status(),
+        Err(_) => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Changes the stand-in's behaviour: `drain`, `ready`, `shed`, `serve`, `delay/MS`.
+fn steer(state: &StandinState, order: &str) -> Response<Full<Bytes>> {
+    match order.split_once('/') {
+        Some(("delay", text)) => match text.parse() {
+            Ok(delay_ms) => state.delay_ms.store(delay_ms, Ordering::Relaxed),
+            Err(_) => return plain(StatusCode::BAD_REQUEST, "delay"),
+        },
+        _ => match order {
+            "drain" => state.draining.store(true, Ordering::Relaxed),
+            "ready" => state.draining.store(false, Ordering::Relaxed),
+            "shed" => state.shedding.store(true, Ordering::Relaxed),
+            "serve" => state.shedding.store(false, Ordering::Relaxed),
+            _ => return plain(StatusCode::NOT_FOUND, "order"),
+        },
+    }
+    plain(StatusCode::OK, "done")
+}
+
+fn shed() -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "shed");
+    let value = HeaderValue::from_static("1");
+    response.headers_mut().insert(SHED_HEADER, value);
+    response
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/model/src/exchange.rs
+++ b/crates/model/src/exchange.rs
@@ -24,6 +24,7 @@
 /// State of a backend server as its node announces it.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
 #[display(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum ServerState {
     /// No backend server announced itself, or it went away.
     #[default]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,6 +1,7 @@
 //! Shared vocabulary: identifiers, declarations, verdicts, call context and messages.
 
 pub mod admin;
+pub mod announce;
 pub mod change;
 pub mod context;
 pub mod declaration;
--- /dev/null
+++ b/crates/node/src/backend.rs
@@ -0,0 +1,103 @@
+//! Calls to the backend server beside this node, over HTTP on loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use model::ids::CallId;
+use model::verdict::CallFailure;
+use model::verdict::FailureCause;
+
+use crate::call;
+use crate::call::CallAnswer;
+use crate::call::CallRequest;
+use crate::headers;
+
+/// Time to connect to the backend server, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Time for which an idle connection is kept, in milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 2_000;
+
+/// How a call to the backend server ended.
+#[derive(Debug)]
+pub enum BackendOutcome {
+    /// It answered.
+    Answered(CallAnswer),
+    /// It refused before it ran any of the request.
+    Shed,
+    /// It did not accept a connection; no byte was sent.
+    Unreachable,
+    /// The connection was lost after the request was sent.
+    Lost,
+    /// The answer is larger than allowed.
+    TooLarge,
+}
+
+impl BackendOutcome {
+    /// Returns the answer, or the failure that stands for this outcome.
+    pub fn into_result(self) -> Result<CallAnswer, CallFailure> {
+        match self {
+            Self::Answered(answer) => Ok(answer),
+            Self::Shed => Err(CallFailure::not_run(FailureCause::Shed)),
+            Self::Unreachable => Err(CallFailure::not_run(FailureCause::NoBackend)),
+            Self::Lost => Err(CallFailure::may_have_run(FailureCause::ConnectionLost)),
+            Self::TooLarge => Err(CallFailure::may_have_run(FailureCause::BadRequest)),
+        }
+    }
+}
+
+/// Client of the backend server.
+#[derive(Clone, Debug)]
+pub struct BackendClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    body_bytes_max: usize,
+}
+
+impl BackendClient {
+    /// Creates a client that accepts answers of up to `body_bytes_max` bytes.
+    pub fn new(body_bytes_max: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
+            .build(connector);
+        Self {
+            client,
+            body_bytes_max,
+        }
+    }
+
+    /// Runs a request as `call` and waits for the whole answer.
+    pub async fn run(
+        &self,
+        address: SocketAddr,
+        call: CallId,
+        request: &CallRequest,
+        time_left: Duration,
+    ) -> BackendOutcome {
+        let Ok(mut request) = request.to_http("http", &address.to_string()) else {
+            return BackendOutcome::Unreachable;
+        };
+        let head = request.headers_mut();
+        head.insert(headers::CALL, headers::call_value(call));
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return BackendOutcome::Unreachable,
+            Err(_) => return BackendOutcome::Lost,
+        };
+        if response.headers().contains_key(headers::SHED) {
+            return BackendOutcome::Shed;
+        }
+        let (head, body) = response.into_parts();
+        match call::collect(body, self.body_bytes_max, time_left).await {
+            Ok(body) => BackendOutcome::Answered(CallAnswer::new(head.status, head.headers, body)),
+            Err(call::BodyError::TooLarge) => BackendOutcome::TooLarge,
+            Err(_) => BackendOutcome::Lost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/call.rs
@@ -0,0 +1,153 @@
+//! Whole requests and answers as they pass a node.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Body;
+use model::ids::Fingerprint;
+use model::verdict::CallFailure;
+use model::verdict::FailureCause;
+
+use crate::headers;
+
+/// A request without the headers that must not pass.
+#[derive(Clone, Debug)]
+pub struct CallRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query, without scheme and authority.
+    pub target: String,
+    /// Headers, stripped.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// An answer of a backend server without the headers that must not pass.
+#[derive(Clone, Debug)]
+pub struct CallAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers, stripped.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Why a body could not be read whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyError {
+    /// It is larger than allowed.
+    TooLarge,
+    /// It did not arrive in time.
+    TooSlow,
+    /// The connection was lost.
+    Lost,
+}
+
+impl BodyError {
+    /// Returns the failure of a request whose body could not be read.
+    pub const fn failure(self) -> CallFailure {
+        match self {
+            Self::TooLarge | Self::TooSlow => CallFailure::not_run(FailureCause::BadRequest),
+            Self::Lost => CallFailure::not_run(FailureCause::Cancelled),
+        }
+    }
+}
+
+/// Reads a body whole, within a size and a time; trailers are dropped.
+pub async fn collect<B>(body: B, bytes_max: usize, timeout: Duration) -> Result<Bytes, BodyError>
+where
+    B: Body,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let collecting = Limited::new(body, bytes_max).collect();
+    match tokio::time::timeout(timeout, collecting).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
+        Ok(Err(_)) => Err(BodyError::Lost),
+        Err(_) => Err(BodyError::TooSlow),
+    }
+}
+
+impl CallRequest {
+    /// Builds a request from its head and body; the head is stripped.
+    pub fn new(method: Method, uri: &Uri, mut head: HeaderMap, body: Bytes) -> Self {
+        headers::strip(&mut head);
+        let target = uri.path_and_query().map_or("/", |target| target.as_str());
+        Self {
+            method,
+            target: target.to_owned(),
+            headers: head,
+            body,
+        }
+    }
+
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("/")
+    }
+
+    /// Returns the digest of method, target and body, equal for every re-send.
+    pub fn digest(&self) -> [u8; 32] {
+        let mut hasher = blake3::Hasher::new();
+        for part in [self.method.as_str().as_bytes(), self.target.as_bytes()] {
+            hasher.update(&part.len().to_le_bytes());
+            hasher.update(part);
+        }
+        hasher.update(&self.body);
+        *hasher.finalize().as_bytes()
+    }
+
+    /// Returns a short digest of what the request asks for.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let digest = self.digest();
+        let mut short = [0; size_of::<Fingerprint>()];
+        short.copy_from_slice(&digest[..size_of::<Fingerprint>()]);
+        Fingerprint::from_le_bytes(short)
+    }
+
+    /// Builds the HTTP request to `authority`.
+    pub fn to_http(&self, scheme: &str, authority: &str) -> http::Result<Request<Full<Bytes>>> {
+        let uri = Uri::builder()
+            .scheme(scheme)
+            .authority(authority)
+            .path_and_query(self.target.as_str())
+            .build()?;
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = uri;
+        *request.headers_mut() = self.headers.clone();
+        Ok(request)
+    }
+}
+
+impl CallAnswer {
+    /// Builds an answer from its head and body; the head is stripped.
+    pub fn new(status: StatusCode, mut head: HeaderMap, body: Bytes) -> Self {
+        headers::strip(&mut head);
+        Self {
+            status,
+            headers: head,
+            body,
+        }
+    }
+
+    /// Builds the HTTP answer.
+    pub fn into_http(self) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::new(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
--- /dev/null
+++ b/crates/node/src/headers.rs
@@ -0,0 +1,110 @@
+//! Headers between nodes, backend servers and callers, and those that must not pass.
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::header;
+use model::ids::CallId;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Start of every header name that only this software may set.
+const OWN_PREFIX: &str = "ragwortplank-";
+
+/// Carries the [`model::context::CallContext`] between nodes.
+pub const CONTEXT: HeaderName = HeaderName::from_static("ragwortplank-context");
+/// Carries the [`model::context::CallFeedback`] between nodes.
+pub const FEEDBACK: HeaderName = HeaderName::from_static("ragwortplank-feedback");
+/// Carries the [`model::verdict::CallFailure`] between nodes.
+pub const FAILURE: HeaderName = HeaderName::from_static("ragwortplank-failure");
+/// Names a running call to its backend server, and the parent of a sub-call.
+pub const CALL: HeaderName = HeaderName::from_static("ragwortplank-call");
+/// Tells the caller whether the request ran.
+pub const VERDICT: HeaderName = HeaderName::from_static("ragwortplank-verdict");
+/// Tells the caller the request's id, for the time line.
+pub const REQUEST: HeaderName = HeaderName::from_static("ragwortplank-request");
+/// Set by a backend server that refused a call before it ran any of it.
+pub const SHED: HeaderName = HeaderName::from_static("ragwortplank-shed");
+/// The caller's name for a request that must run at most once.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Removes what must not pass a node: the caller's key, hop-by-hop headers
+/// and every header that only this software may set.
+///
+/// See `docs/DESIGN.md`, "Request context and keys".
+pub fn strip(headers: &mut HeaderMap) {
+    let named = named_by_connection(headers);
+    let unwanted: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| is_unwanted(name) || named.contains(name))
+        .cloned()
+        .collect();
+    for name in unwanted {
+        headers.remove(name);
+    }
+}
+
+/// Returns the header names that `Connection` declares hop-by-hop.
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let names = texts.flat_map(|text| text.split(','));
+    names.filter_map(|name| name.trim().parse().ok()).collect()
+}
+
+fn is_unwanted(name: &HeaderName) -> bool {
+    if name.as_str().starts_with(OWN_PREFIX) {
+        return true;
+    }
+    matches!(
+        *name,
+        header::AUTHORIZATION
+            | header::PROXY_AUTHORIZATION
+            | header::PROXY_AUTHENTICATE
+            | header::CONNECTION
+            | header::TE
+            | header::TRAILER
+            | header::TRANSFER_ENCODING
+            | header::UPGRADE
+            | header::CONTENT_LENGTH
+            | header::HOST
+            | header::EXPECT
+    ) || name.as_str() == "keep-alive"
+}
+
+/// Encodes a message as a header value.
+///
+/// Returns none when the message cannot be encoded, which no message of
+/// [`model::context`] gives reason for.
+pub fn encode<T: Serialize>(message: &T) -> Option<HeaderValue> {
+    let bytes = postcard::to_stdvec(message).ok()?;
+    HeaderValue::from_str(&URL_SAFE_NO_PAD.encode(bytes)).ok()
+}
+
+/// Decodes the message in the header `name`; none when it is missing, repeated or malformed.
+pub fn decode<T: DeserializeOwned>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    let value = single(headers, name)?;
+    let bytes = URL_SAFE_NO_PAD.decode(value.as_bytes()).ok()?;
+    postcard::from_bytes(&bytes).ok()
+}
+
+/// Returns the value of a header that must stand exactly once.
+pub fn single<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?;
+    values.next().is_none().then_some(value)
+}
+
+/// Formats a call id for [`CALL`].
+pub fn call_value(call: CallId) -> HeaderValue {
+    let text = format!("{call:032x}");
+    HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0"))
+}
+
+/// Reads the call id that a backend server shows with a sub-call.
+pub fn parse_call(headers: &HeaderMap) -> Option<CallId> {
+    let text = single(headers, &CALL)?.to_str().ok()?;
+    CallId::from_str_radix(text, 16).ok()
+}
--- /dev/null
+++ b/crates/node/src/parent.rs
@@ -0,0 +1,79 @@
+//! Calls that the backend server runs now, as parents of its sub-calls.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use model::context::CallContext;
+use model::ids::CallId;
+use tokio_util::sync::CancellationToken;
+
+use limit::RetryAllowance;
+
+/// A call that the backend server runs now.
+#[derive(Debug)]
+pub struct ParentCall {
+    /// Context in which it runs.
+    pub context: CallContext,
+    /// When its deadline passes, on this node's clock.
+    pub deadline: Instant,
+    /// Extra attempts that its sub-calls may still spend.
+    pub allowance: Mutex<RetryAllowance>,
+    /// Cancelled when the call ends, so that its sub-calls end with it.
+    pub ended: CancellationToken,
+}
+
+/// All calls that the backend server runs now.
+#[derive(Debug, Default)]
+pub struct ParentTable {
+    calls: Mutex<HashMap<CallId, Arc<ParentCall>>>,
+}
+
+impl ParentTable {
+    /// Enters a call; it leaves the table when the returned guard is dropped.
+    pub fn enter(self: &Arc<Self>, call: CallId, parent: Arc<ParentCall>) -> ParentGuard {
+        self.lock().insert(call, Arc::clone(&parent));
+        ParentGuard {
+            table: Arc::clone(self),
+            call,
+            parent,
+        }
+    }
+
+    /// Returns a call that is in flight.
+    pub fn find(&self, call: CallId) -> Option<Arc<ParentCall>> {
+        self.lock().get(&call).cloned()
+    }
+
+    /// Returns what the backend server runs now.
+    pub fn fingerprints(&self) -> Vec<model::ids::Fingerprint> {
+        let calls = self.lock();
+        calls.values().map(|call| call.context.fingerprint).collect()
+    }
+
+    /// Returns the number of calls in flight.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<CallId, Arc<ParentCall>>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Keeps a call in the table; dropping it ends the call and its sub-calls.
+#[derive(Debug)]
+pub struct ParentGuard {
+    table: Arc<ParentTable>,
+    call: CallId,
+    parent: Arc<ParentCall>,
+}
+
+impl Drop for ParentGuard {
+    fn drop(&mut self) {
+        self.table.lock().remove(&self.call);
+        self.parent.ended.cancel();
+    }
+}
--- /dev/null
+++ b/crates/supervisor/src/tree.rs
@@ -0,0 +1,108 @@
+//! One level of the supervisor tree.
+
+use std::future::Future;
+
+use anyhow::Context;
+use anyhow::anyhow;
+use clock::Clock;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::RestartBackoff;
+use crate::RestartVerdict;
+
+/// Runs tasks until they are cancelled, and restarts those that fail.
+///
+/// A task that returns `Ok` is done. One that returns an error or panics is
+/// started again with backoff; a crash loop cancels all tasks of this level
+/// and is reported to the level above.
+pub struct TaskSupervisor<C> {
+    clock: C,
+    token: CancellationToken,
+    tasks: JoinSet<anyhow::Result<()>>,
+}
+
+impl<C: Clock> TaskSupervisor<C> {
+    /// Creates a level whose tasks end when `token` is cancelled.
+    #[must_use]
+    pub fn new(clock: C, token: CancellationToken) -> Self {
+        Self {
+            clock,
+            token,
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Adds a task; `start` is called for its first and every later start.
+    pub fn spawn<F, S>(&mut self, name: &'static str, start: S)
+    where
+        F: Future<Output = anyhow::Result<()>> + Send + 'static,
+        S: Fn() -> F + Send + 'static,
+    {
+        let clock = self.clock.clone();
+        let token = self.token.clone();
+        self.tasks.spawn(keep_running(name, start, clock, token));
+    }
+
+    /// Waits until all tasks are done.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a task is in a crash loop; the other tasks were cancelled then.
+    pub async fn join(mut self) -> anyhow::Result<()> {
+        let mut outcome = Ok(());
+        while let Some(joined) = self.tasks.join_next().await {
+            let ended = joined.context("a supervisor ended abnormally").flatten();
+            if let Err(error) = ended {
+                self.token.cancel();
+                outcome = outcome.and(Err(error));
+            }
+        }
+        outcome
+    }
+}
+
+async fn keep_running<C, F, S>(
+    name: &'static str,
+    start: S,
+    clock: C,
+    token: CancellationToken,
+) -> anyhow::Result<()>
+where
+    C: Clock,
+    F: Future<Output = anyhow::Result<()>> + Send + 'static,
+    S: Fn() -> F + Send + 'static,
+{
+    let mut backoff = RestartBackoff::default();
+    loop {
+        let Err(error) = run_once(start()).await else {
+            return Ok(());
+        };
+        if token.is_cancelled() {
+            return Err(error).with_context(|| format!("task {name} failed while stopping"));
+        }
+        match backoff.failed(clock.now()) {
+            RestartVerdict::CrashLoop => {
+                return Err(error).with_context(|| format!("task {name} is in a crash loop"));
+            }
+            RestartVerdict::After(delay) => {
+                let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+                tracing::warn!(event = "task-restart", task = name, delay_ms, error = %format!("{error:#}"));
+                tokio::select! {
+                    () = tokio::time::sleep(delay) => {}
+                    () = token.cancelled() => return Ok(()),
+                }
+            }
+        }
+    }
+}
+
+async fn run_once<F>(task: F) -> anyhow::Result<()>
+where
+    F: Future<Output = anyhow::Result<()>> + Send + 'static,
+{
+    match tokio::spawn(task).await {
+        Ok(outcome) => outcome,
+        Err(error) => Err(anyhow!("the task panicked: {error}")),
+    }
+}
