Read declarations from TOML and tell their differences

The owners' text becomes a checked declaration; unknown keys, dangling references, repeated names, prefixes and digests are refused with line, column, key, value and what is allowed. Items are sorted by name, so that the order of the text does not matter and a delta leads to the very same declaration.

A route is found only by a path that reads the same to everyone: dot segments, empty segments, backslashes and needless percent-encodings have no route, since else /x/../payments would pass under an open root prefix.

A route cannot be at most once and also open or idempotent: the first has no team for its record, the second invites automatic retries.

Signatures of owners are made and verified strictly in model::change.

--- a/crates/model/src/change.rs
+++ b/crates/model/src/change.rs
@@ -1,5 +1,9 @@
 //! A proposed change of the declaration, signed by both owners.
 
+use ed25519_dalek::Signature;
+use ed25519_dalek::Signer;
+use ed25519_dalek::SigningKey;
+use ed25519_dalek::VerifyingKey;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -36,6 +40,32 @@
     pub signature: Vec<u8>,
 }
 
+impl OwnerSignature {
+    /// Signs the hash of a change with an owner's private key.
+    #[must_use]
+    pub fn sign(key: &SigningKey, hash: &ChangeHash) -> Self {
+        Self {
+            owner: key.verifying_key().to_bytes(),
+            signature: key.sign(hash).to_bytes().to_vec(),
+        }
+    }
+
+    /// Returns whether the owner it names signed `hash`.
+    ///
+    /// Weak keys and signatures that other libraries may read differently are
+    /// refused, so that every instance comes to the same answer.
+    #[must_use]
+    pub fn verifies(&self, hash: &ChangeHash) -> bool {
+        let Ok(key) = VerifyingKey::from_bytes(&self.owner) else {
+            return false;
+        };
+        let Ok(signature) = Signature::from_slice(&self.signature) else {
+            return false;
+        };
+        key.verify_strict(hash, &signature).is_ok()
+    }
+}
+
 /// Where a change stands.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum ChangeStatus {
--- a/crates/model/src/declaration.rs
+++ b/crates/model/src/declaration.rs
@@ -1,10 +1,17 @@
 //! What the owners declare: services, classes, routes, teams and keys.
 
+mod check;
+mod delta;
+mod error;
+mod file;
+
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::declaration::check::DeclarationChecker;
+use crate::declaration::check::TEXT_BYTES_MAX;
 use crate::ids::ClassName;
 use crate::ids::ConfigVersion;
 use crate::ids::KeyDigest;
@@ -13,6 +20,13 @@
 use crate::ids::ServiceName;
 use crate::ids::TeamName;
 
+pub use delta::DeclarationDelta;
+pub use delta::DeltaError;
+pub use delta::ItemDelta;
+pub use delta::NamedItem;
+pub use error::DeclarationError;
+pub use error::TextPlace;
+
 /// The declared state in force, checked.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Declaration {
@@ -32,6 +46,29 @@
     pub keys: Vec<KeySpec>,
 }
 
+impl Declaration {
+    /// Reads and checks the owners' TOML text; `version` is taken as given.
+    ///
+    /// Items are sorted by name, so that texts that differ in order or layout
+    /// only make equal declarations. `docs/CONFIGURATION.md` describes the text.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first thing wrong, and names its place, key and value and
+    /// what would be allowed.
+    pub fn parse(text: &str, version: ConfigVersion) -> Result<Self, DeclarationError> {
+        if text.len() > TEXT_BYTES_MAX {
+            return Err(DeclarationError::TooLong {
+                bytes: text.len(),
+                allowed: TEXT_BYTES_MAX,
+            });
+        }
+        let file =
+            toml::from_str(text).map_err(|source| DeclarationError::malformed(text, &source))?;
+        DeclarationChecker::new(text).check(&file, version)
+    }
+}
+
 /// A service that backend servers announce themselves for.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
@@ -104,12 +141,3 @@
     /// Digest of the key.
     pub digest: KeyDigest,
 }
-
-/// Difference between two versions of the declaration.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct DeclarationDelta {
-    /// Version that it applies to.
-    pub from: ConfigVersion,
-    /// Version that it leads to.
-    pub to: ConfigVersion,
-}
--- /dev/null
+++ b/crates/model/src/declaration/check.rs
@@ -0,0 +1,381 @@
+//! Checks the owners' text and makes the declaration of it.
+
+use std::collections::BTreeSet;
+use std::fmt::Display;
+use std::ops::Range;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+use std::time::Duration;
+
+use toml::Spanned;
+
+use crate::declaration::ClassSpec;
+use crate::declaration::Declaration;
+use crate::declaration::DeclarationError;
+use crate::declaration::KeySpec;
+use crate::declaration::RouteSpec;
+use crate::declaration::ServiceSpec;
+use crate::declaration::TeamSpec;
+use crate::declaration::TextPlace;
+use crate::declaration::file::ClassFile;
+use crate::declaration::file::DeclarationFile;
+use crate::declaration::file::KeyFile;
+use crate::declaration::file::RouteFile;
+use crate::declaration::file::ServiceFile;
+use crate::declaration::file::TeamFile;
+use crate::hex;
+use crate::ids::ConfigVersion;
+use crate::ids::OwnerKey;
+use crate::lookup;
+
+/// Most bytes of a declaration's text.
+pub(crate) const TEXT_BYTES_MAX: usize = 1024 * 1024;
+/// Owners that must agree on every change.
+const OWNER_COUNT: usize = 2;
+/// Most bytes of a name.
+const NAME_BYTES_MAX: usize = 64;
+/// Most bytes of a path prefix.
+const PREFIX_BYTES_MAX: usize = 256;
+/// Shortest and longest time to answer, in milliseconds.
+const WITHIN_MS: RangeInclusive<i64> = 1..=600_000;
+/// Smallest and largest share of requests to answer in time, in per cent.
+const SHARE_PERCENT: RangeInclusive<f64> = 1.0..=99.9;
+/// Smallest and largest rate, in requests per second.
+const RATE: RangeInclusive<f64> = 0.001..=1_000_000.0;
+/// Smallest and largest burst, in requests.
+const BURST: RangeInclusive<f64> = 1.0..=10_000_000.0;
+
+/// Result of one check.
+type Checked<T> = Result<T, DeclarationError>;
+
+/// Checks values against each other and names their place in errors.
+pub(crate) struct DeclarationChecker<'a> {
+    text: &'a str,
+}
+
+impl<'a> DeclarationChecker<'a> {
+    pub(crate) fn new(text: &'a str) -> Self {
+        Self { text }
+    }
+
+    /// Checks a whole file; items come out sorted by name.
+    pub(crate) fn check(
+        &self,
+        file: &DeclarationFile,
+        version: ConfigVersion,
+    ) -> Checked<Declaration> {
+        self.distinct("service", file.service.iter().map(|item| &item.name))?;
+        self.distinct("class", file.class.iter().map(|item| &item.name))?;
+        self.distinct("route", file.route.iter().map(|item| &item.name))?;
+        self.distinct("team", file.team.iter().map(|item| &item.name))?;
+        self.distinct("key", file.key.iter().map(|item| &item.name))?;
+        let mut declaration = Declaration {
+            version,
+            owners: self.owners(&file.owners)?,
+            services: file.service.iter().map(service).collect(),
+            classes: self.each(&file.class, Self::class)?,
+            routes: self.each(&file.route, |checker, key, item| {
+                checker.route(key, item, file)
+            })?,
+            teams: self.each(&file.team, Self::team)?,
+            keys: self.each(&file.key, |checker, key, item| checker.key(key, item, file))?,
+        };
+        self.distinct_prefixes(&file.route)?;
+        self.distinct_digests(&file.key)?;
+        declaration.sort();
+        Ok(declaration)
+    }
+
+    fn each<F, S>(
+        &self,
+        files: &[F],
+        check: impl Fn(&Self, &ItemKey<'_>, &F) -> Checked<S>,
+    ) -> Checked<Vec<S>>
+    where
+        F: FileTable,
+    {
+        let checked = files.iter().enumerate().map(|(position, file)| {
+            let key = ItemKey {
+                table: F::TABLE,
+                position,
+            };
+            check(self, &key, file)
+        });
+        checked.collect()
+    }
+
+    fn owners(&self, owners: &Spanned<Vec<Spanned<String>>>) -> Checked<Vec<OwnerKey>> {
+        let listed = owners.get_ref();
+        if listed.len() != OWNER_COUNT {
+            let allowed = "two public keys";
+            return Err(self.disallowed("owners", listed.len(), &owners.span(), allowed));
+        }
+        let parsed = listed.iter().enumerate().map(|(position, text)| {
+            let key = format!("owners[{position}]");
+            self.hex_32(&key, text)
+        });
+        let parsed = parsed.collect::<Checked<Vec<OwnerKey>>>()?;
+        if parsed[0] == parsed[1] {
+            let allowed = "two different public keys";
+            return Err(self.disallowed(
+                "owners[1]",
+                listed[1].get_ref(),
+                &listed[1].span(),
+                allowed,
+            ));
+        }
+        Ok(parsed)
+    }
+
+    fn class(&self, key: &ItemKey<'_>, file: &ClassFile) -> Checked<ClassSpec> {
+        let within_ms = *file.within_ms.get_ref();
+        if !WITHIN_MS.contains(&within_ms) {
+            let allowed = format!("{} to {}", WITHIN_MS.start(), WITHIN_MS.end());
+            let key = key.field("within-ms");
+            return Err(self.disallowed(&key, within_ms, &file.within_ms.span(), &allowed));
+        }
+        let share_milli = self.tenths(&key.field("share-percent"), &file.share_percent)?;
+        Ok(ClassSpec {
+            name: Arc::from(file.name.get_ref().as_str()),
+            refused: file.refused,
+            within: Duration::from_millis(within_ms.unsigned_abs()),
+            share_milli,
+        })
+    }
+
+    fn route(
+        &self,
+        key: &ItemKey<'_>,
+        file: &RouteFile,
+        whole: &DeclarationFile,
+    ) -> Checked<RouteSpec> {
+        self.prefix(&key.field("prefix"), &file.prefix)?;
+        let services = whole.service.iter().map(|item| &item.name);
+        self.refers(&key.field("service"), &file.service, services)?;
+        let classes = whole.class.iter().map(|item| &item.name);
+        self.refers(&key.field("class"), &file.class, classes)?;
+        let open = is_set(file.open.as_ref());
+        let idempotent = is_set(file.idempotent.as_ref());
+        let once = file.once.as_ref().filter(|once| *once.get_ref());
+        if let Some(once) = once
+            && (open || idempotent)
+        {
+            let allowed = "a route that is neither open nor idempotent";
+            return Err(self.disallowed(&key.field("once"), true, &once.span(), allowed));
+        }
+        Ok(RouteSpec {
+            name: Arc::from(file.name.get_ref().as_str()),
+            prefix: file.prefix.get_ref().clone(),
+            service: Arc::from(file.service.get_ref().as_str()),
+            class: Arc::from(file.class.get_ref().as_str()),
+            open,
+            idempotent,
+            once: once.is_some(),
+        })
+    }
+
+    fn team(&self, key: &ItemKey<'_>, file: &TeamFile) -> Checked<TeamSpec> {
+        Ok(TeamSpec {
+            name: Arc::from(file.name.get_ref().as_str()),
+            rate_milli: self.thousandths(&key.field("rate"), &file.rate, &RATE)?,
+            burst_milli: self.thousandths(&key.field("burst"), &file.burst, &BURST)?,
+        })
+    }
+
+    fn key(&self, key: &ItemKey<'_>, file: &KeyFile, whole: &DeclarationFile) -> Checked<KeySpec> {
+        let teams = whole.team.iter().map(|item| &item.name);
+        self.refers(&key.field("team"), &file.team, teams)?;
+        Ok(KeySpec {
+            name: file.name.get_ref().clone(),
+            team: Arc::from(file.team.get_ref().as_str()),
+            digest: self.hex_32(&key.field("digest"), &file.digest)?,
+        })
+    }
+
+    fn distinct<'f>(
+        &self,
+        table: &str,
+        names: impl Iterator<Item = &'f Spanned<String>>,
+    ) -> Checked<()> {
+        let mut seen = BTreeSet::new();
+        for (position, name) in names.enumerate() {
+            let key = ItemKey { table, position }.field("name");
+            let value = name.get_ref();
+            if !is_name(value) {
+                let allowed = "1 to 64 letters, digits, `-`, `_` and `.`";
+                return Err(self.disallowed(&key, value, &name.span(), allowed));
+            }
+            if !seen.insert(value) {
+                return Err(self.disallowed(&key, value, &name.span(), "each name once"));
+            }
+        }
+        Ok(())
+    }
+
+    fn distinct_prefixes(&self, routes: &[RouteFile]) -> Checked<()> {
+        let prefixes = routes.iter().map(|route| &route.prefix);
+        self.distinct_values("route", "prefix", prefixes, str::to_owned)
+    }
+
+    fn distinct_digests(&self, keys: &[KeyFile]) -> Checked<()> {
+        let digests = keys.iter().map(|key| &key.digest);
+        self.distinct_values("key", "digest", digests, str::to_ascii_lowercase)
+    }
+
+    fn distinct_values<'f>(
+        &self,
+        table: &str,
+        field: &str,
+        values: impl Iterator<Item = &'f Spanned<String>>,
+        normal: impl Fn(&str) -> String,
+    ) -> Checked<()> {
+        let mut seen = BTreeSet::new();
+        for (position, value) in values.enumerate() {
+            if !seen.insert(normal(value.get_ref())) {
+                let key = ItemKey { table, position }.field(field);
+                let allowed = format!("each {field} once");
+                return Err(self.disallowed(&key, value.get_ref(), &value.span(), &allowed));
+            }
+        }
+        Ok(())
+    }
+
+    fn refers<'f>(
+        &self,
+        key: &str,
+        name: &Spanned<String>,
+        declared: impl Iterator<Item = &'f Spanned<String>>,
+    ) -> Checked<()> {
+        let declared: Vec<&str> = declared.map(|name| name.get_ref().as_str()).collect();
+        if declared.contains(&name.get_ref().as_str()) {
+            return Ok(());
+        }
+        let allowed = format!("one of those declared: {}", declared.join(", "));
+        Err(self.disallowed(key, name.get_ref(), &name.span(), &allowed))
+    }
+
+    fn prefix(&self, key: &str, prefix: &Spanned<String>) -> Checked<()> {
+        let value = prefix.get_ref();
+        let plain = |letter: char| letter.is_ascii_alphanumeric() || "/-_.~".contains(letter);
+        let closed = value == "/" || !value.ends_with('/');
+        let valid = value.len() <= PREFIX_BYTES_MAX
+            && closed
+            && value.chars().all(plain)
+            && lookup::is_normal_path(value);
+        if valid {
+            return Ok(());
+        }
+        let allowed = "`/` or segments of letters, digits, `-`, `_`, `.` and `~`, \
+                       each after a `/`, at most 256 bytes";
+        Err(self.disallowed(key, value, &prefix.span(), allowed))
+    }
+
+    fn hex_32(&self, key: &str, text: &Spanned<String>) -> Checked<[u8; 32]> {
+        hex::decode_32(text.get_ref()).ok_or_else(|| {
+            let allowed = "64 hexadecimal digits";
+            self.disallowed(key, text.get_ref(), &text.span(), allowed)
+        })
+    }
+
+    fn tenths(&self, key: &str, percent: &Spanned<f64>) -> Checked<u16> {
+        let scaled = self.scaled(key, percent, 10.0, &SHARE_PERCENT)?;
+        Ok(u16::try_from(scaled).unwrap_or(u16::MAX))
+    }
+
+    fn thousandths(
+        &self,
+        key: &str,
+        value: &Spanned<f64>,
+        range: &RangeInclusive<f64>,
+    ) -> Checked<u64> {
+        self.scaled(key, value, 1_000.0, range)
+    }
+
+    /// Scales a value to an integer; fractions finer than the scale are refused.
+    fn scaled(
+        &self,
+        key: &str,
+        value: &Spanned<f64>,
+        scale: f64,
+        range: &RangeInclusive<f64>,
+    ) -> Checked<u64> {
+        /// Largest difference that comes from writing decimals in binary.
+        const ROUNDING: f64 = 1e-3;
+        let number = *value.get_ref();
+        let scaled = number * scale;
+        if range.contains(&number) && (scaled - scaled.round()).abs() < ROUNDING {
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "the range above is positive and far below 2^53"
+            )]
+            return Ok(scaled.round() as u64);
+        }
+        let (start, end) = (range.start(), range.end());
+        let allowed = format!("{start} to {end} in steps of {}", 1.0 / scale);
+        Err(self.disallowed(key, number, &value.span(), &allowed))
+    }
+
+    fn disallowed(
+        &self,
+        key: &str,
+        value: impl Display,
+        span: &Range<usize>,
+        allowed: &str,
+    ) -> DeclarationError {
+        DeclarationError::Disallowed {
+            place: TextPlace::of(self.text, span),
+            key: key.to_owned(),
+            value: value.to_string(),
+            allowed: allowed.to_owned(),
+        }
+    }
+}
+
+/// Names an item of a table in errors.
+struct ItemKey<'a> {
+    table: &'a str,
+    position: usize,
+}
+
+impl ItemKey<'_> {
+    fn field(&self, field: &str) -> String {
+        format!("{}[{}].{field}", self.table, self.position)
+    }
+}
+
+/// A table of the file, with the name that it has there.
+trait FileTable {
+    const TABLE: &'static str;
+}
+
+impl FileTable for ClassFile {
+    const TABLE: &'static str = "class";
+}
+
+impl FileTable for RouteFile {
+    const TABLE: &'static str = "route";
+}
+
+impl FileTable for TeamFile {
+    const TABLE: &'static str = "team";
+}
+
+impl FileTable for KeyFile {
+    const TABLE: &'static str = "key";
+}
+
+fn service(file: &ServiceFile) -> ServiceSpec {
+    ServiceSpec {
+        name: Arc::from(file.name.get_ref().as_str()),
+    }
+}
+
+fn is_set(flag: Option<&Spanned<bool>>) -> bool {
+    flag.is_some_and(|flag| *flag.get_ref())
+}
+
+fn is_name(value: &str) -> bool {
+    let allowed = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+    !value.is_empty() && value.len() <= NAME_BYTES_MAX && value.chars().all(allowed)
+}
