--- /dev/null
+++ b/crates/node/src/server.rs
@@ -0,0 +1,99 @@
+//! The backend server beside this node, as it announced itself.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use clock::Clock;
+use model::announce::ServerAnnouncement;
+use model::exchange::ServerState;
+use model::ids::ServiceName;
+use std::time::Instant;
+
+/// Time without an announcement after which a backend server counts as gone, in milliseconds.
+const SILENCE_MS: u64 = 3_000;
+
+/// What the last announcement said.
+#[derive(Clone, Debug)]
+struct HeardServer {
+    announcement: ServerAnnouncement,
+    heard: Instant,
+    crashed: bool,
+}
+
+/// Knows whether the backend server takes new work.
+#[derive(Debug)]
+pub struct ServerWatch<C> {
+    clock: C,
+    server: Mutex<Option<HeardServer>>,
+}
+
+/// Where the backend server is and what it serves.
+#[derive(Clone, Debug)]
+pub struct ServerTarget {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its state.
+    pub state: ServerState,
+    /// Requests that it says it can run at once.
+    pub slots: u32,
+}
+
+impl<C: Clock> ServerWatch<C> {
+    /// Creates a watch that has heard nothing.
+    pub fn new(clock: C) -> Self {
+        Self {
+            clock,
+            server: Mutex::new(None),
+        }
+    }
+
+    /// Takes an announcement; returns whether the state changed.
+    pub fn announce(&self, announcement: ServerAnnouncement) -> bool {
+        let before = self.state();
+        let heard = HeardServer {
+            announcement,
+            heard: self.clock.now(),
+            crashed: false,
+        };
+        *self.lock() = Some(heard);
+        self.state() != before
+    }
+
+    /// Records that the backend server does not accept connections any more.
+    pub fn crashed(&self) {
+        if let Some(server) = self.lock().as_mut() {
+            server.crashed = true;
+        }
+    }
+
+    /// Returns the backend server, unless it is gone.
+    pub fn target(&self) -> Option<ServerTarget> {
+        let now = self.clock.now();
+        let server = self.lock();
+        let server = server.as_ref()?;
+        let silence = now.saturating_duration_since(server.heard);
+        if server.crashed || silence > Duration::from_millis(SILENCE_MS) {
+            return None;
+        }
+        Some(ServerTarget {
+            service: server.announcement.service.clone(),
+            address: server.announcement.address,
+            state: server.announcement.state,
+            slots: server.announcement.slots,
+        })
+    }
+
+    /// Returns the state of the backend server.
+    pub fn state(&self) -> ServerState {
+        self.target().map_or(ServerState::Absent, |target| target.state)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<HeardServer>> {
+        self.server.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/node/src/tokens.rs
@@ -0,0 +1,136 @@
+//! The teams' tokens at this node.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use clock::Clock;
+use limit::GrantEffect;
+use limit::TakeOutcome;
+use limit::TokenHolder;
+use model::admin::TeamTokens;
+use model::exchange::TokenDemand;
+use model::exchange::TokenGrant;
+use model::ids::TeamName;
+use model::verdict::CallFailure;
+use model::verdict::FailureCause;
+use tokio::sync::Notify;
+
+/// Time for which a node fetches tokens ahead, in milliseconds.
+const AHEAD_MS: u64 = 1_200;
+/// Longest time that a request waits for tokens to arrive, in milliseconds.
+const WAIT_MS: u64 = 400;
+
+/// Holds tokens of all teams that enter here.
+#[derive(Debug)]
+pub struct TokenDesk<C> {
+    clock: C,
+    holders: Mutex<HashMap<TeamName, TokenHolder<C>>>,
+    /// Wakes the exchange when tokens are wanted at once.
+    pub wanted: Notify,
+    arrived: Notify,
+}
+
+impl<C: Clock> TokenDesk<C> {
+    /// Creates a desk without tokens.
+    pub fn new(clock: C) -> Self {
+        Self {
+            clock,
+            holders: Mutex::new(HashMap::new()),
+            wanted: Notify::new(),
+            arrived: Notify::new(),
+        }
+    }
+
+    /// Spends a token of the team, and waits a short time for one to arrive.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the team is above its rate, or control does not answer.
+    pub async fn take(&self, team: &TeamName) -> Result<(), CallFailure> {
+        let give_up = tokio::time::Instant::now() + Duration::from_millis(WAIT_MS);
+        let mut outcome = self.with_holder(team, TokenHolder::take);
+        loop {
+            let arrived = self.arrived.notified();
+            match outcome {
+                TakeOutcome::Taken => return Ok(()),
+                TakeOutcome::Dry { retry_after, .. } if !retry_after.is_zero() => {
+                    return Err(refusal(retry_after));
+                }
+                TakeOutcome::Dry { ask_now, .. } => {
+                    if ask_now {
+                        self.wanted.notify_one();
+                    }
+                }
+            }
+            if tokio::time::timeout_at(give_up, arrived).await.is_err() {
+                return Err(refusal(Duration::from_millis(WAIT_MS)));
+            }
+            outcome = self.with_holder(team, TokenHolder::retake);
+        }
+    }
+
+    /// Returns what to tell control with the next exchange.
+    pub fn demands(&self) -> Vec<TokenDemand> {
+        let mut holders = self.lock();
+        holders.values_mut().filter_map(TokenHolder::demand).collect()
+    }
+
+    /// Takes over grants that die at `lease_end`.
+    pub fn accept(&self, grants: &[TokenGrant], lease_end: Instant) {
+        let mut ask_now = false;
+        let mut holders = self.lock();
+        for grant in grants {
+            if let Some(holder) = holders.get_mut(&grant.team) {
+                let effect = holder.accept(grant, lease_end);
+                ask_now |= matches!(effect, GrantEffect::Held { ask_now: true });
+            }
+        }
+        drop(holders);
+        self.arrived.notify_waiters();
+        if ask_now {
+            self.wanted.notify_one();
+        }
+    }
+
+    /// Drops all tokens, as an ended lease demands.
+    pub fn lease_ended(&self) {
+        let mut holders = self.lock();
+        holders.values_mut().for_each(TokenHolder::lease_ended);
+    }
+
+    /// Returns the tokens held for each team.
+    pub fn held(&self) -> Vec<TeamTokens> {
+        let holders = self.lock();
+        let held = holders.iter().map(|(team, holder)| TeamTokens {
+            team: team.clone(),
+            tokens_milli: holder.held_milli(),
+        });
+        held.collect()
+    }
+
+    fn with_holder<R>(
+        &self,
+        team: &TeamName,
+        action: impl FnOnce(&mut TokenHolder<C>) -> R,
+    ) -> R {
+        let mut holders = self.lock();
+        let holder = holders.entry(team.clone()).or_insert_with(|| {
+            let ahead = Duration::from_millis(AHEAD_MS);
+            TokenHolder::new(team.clone(), ahead, self.clock.clone())
+        });
+        action(holder)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<TeamName, TokenHolder<C>>> {
+        self.holders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn refusal(retry_after: Duration) -> CallFailure {
+    let delay_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+    CallFailure::not_run(FailureCause::RateExceeded).retry_after_ms(delay_ms)
+}
