wire: identities, QUIC links, control client, peer mesh and HTTP listener

Roles are DNS names in the certificates and are checked in the handshake, so no listener can forget the check. ControlClient moves to another instance after 300 ms, so that several are tried within a lease of 2.4 s.

--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,273 @@
+//! What a node holds to talk to the control instances.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use model::exchange::ExchangeReply;
+use model::exchange::ExchangeRequest;
+use model::ids::InstanceId;
+use model::once::ClaimOutcome;
+use model::once::OnceClaim;
+use model::once::OnceSettle;
+use settings::ControlAddress;
+use tarpc::client::Channel;
+use tarpc::client::RpcError;
+use tokio::time::sleep;
+use tracing::info;
+
+use crate::error::ClientError;
+use crate::quic::LinkTraffic;
+use crate::quic::QuicEndpoint;
+use crate::role::PeerRole;
+use crate::rpc::RpcChannel;
+use crate::rpc::call_context;
+use crate::service::ControlError;
+use crate::service::NodeControlClient;
+use crate::service::NodeControlRequest;
+use crate::service::NodeControlResponse;
+
+/// Time that one control instance has for an answer, in milliseconds.
+///
+/// Several instances are tried within a lease of 2.4 s.
+pub const ATTEMPT_TIMEOUT_MS: u64 = 300;
+/// Pause after all instances failed once, in milliseconds.
+const ROUND_PAUSE_MS: u64 = 50;
+
+/// Calls one control instance and switches to another when it fails; clones share that choice.
+#[derive(Clone, Debug)]
+pub struct ControlClient {
+    targets: Arc<[ControlTarget]>,
+    chosen: Arc<AtomicUsize>,
+}
+
+#[derive(Debug)]
+struct ControlTarget {
+    instance: InstanceId,
+    channel: RpcChannel<NodeControlRequest, NodeControlResponse>,
+}
+
+/// The instance that a call goes to, with its client.
+struct ChosenTarget {
+    position: usize,
+    address: SocketAddr,
+    client: NodeControlClient<Channel<NodeControlRequest, NodeControlResponse>>,
+}
+
+impl ControlClient {
+    /// Creates a client of these instances, tried in this order from `first` on.
+    ///
+    /// Nodes spread over the instances by different values of `first`, such
+    /// as their node id. Connects nothing yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `addresses` is empty; the settings refuse that.
+    #[must_use]
+    pub fn new(endpoint: &QuicEndpoint, addresses: &[ControlAddress], first: u64) -> Self {
+        assert!(!addresses.is_empty(), "a node needs a control instance");
+        let targets = addresses.iter().map(|address| ControlTarget {
+            instance: address.instance,
+            channel: RpcChannel::new(endpoint.clone(), address.address, PeerRole::Control),
+        });
+        let count = addresses.len() as u64;
+        let first = usize::try_from(first % count).unwrap_or_default();
+        Self {
+            targets: targets.collect(),
+            chosen: Arc::new(AtomicUsize::new(first)),
+        }
+    }
+
+    /// Returns the instance that calls go to now.
+    #[must_use]
+    pub fn instance(&self) -> InstanceId {
+        self.targets[self.position()].instance
+    }
+
+    /// Returns the traffic of the connection in use.
+    #[must_use]
+    pub fn traffic(&self) -> LinkTraffic {
+        let channel = &self.targets[self.position()].channel;
+        channel
+            .link()
+            .map(|link| link.traffic())
+            .unwrap_or_default()
+    }
+
+    /// Renews the lease; asks each instance once until one grants a lease.
+    ///
+    /// A lease counts from before this call. A reply without a lease is
+    /// returned when no instance grants one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no instance answers.
+    pub async fn exchange(&self, request: &ExchangeRequest) -> Result<ExchangeReply, ClientError> {
+        let limit = Duration::from_millis(ATTEMPT_TIMEOUT_MS);
+        let mut outcome = self.try_exchange(request, limit).await;
+        for _ in 1..self.targets.len() {
+            let leased = outcome.as_ref().is_ok_and(|reply| reply.lease.is_some());
+            if leased {
+                break;
+            }
+            match self.try_exchange(request, limit).await {
+                Err(_) if outcome.is_ok() => {}
+                later => outcome = later,
+            }
+        }
+        outcome
+    }
+
+    /// Claims the right to run a request, at one instance after the other until `limit`.
+    ///
+    /// Repeating the same claim is safe: its attempt number is recognised.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no instance could commit the claim in time. It may then
+    /// still be committed.
+    pub async fn claim(
+        &self,
+        claim: &OnceClaim,
+        limit: Duration,
+    ) -> Result<ClaimOutcome, ClientError> {
+        self.repeat(limit, async |target, attempt| {
+            target
+                .client
+                .claim(call_context(attempt), claim.clone())
+                .await
+        })
+        .await
+    }
+
+    /// Ends an attempt, at one instance after the other until `limit`.
+    ///
+    /// # Errors
+    ///
+    /// As [`ControlClient::claim`].
+    pub async fn settle(&self, settle: &OnceSettle, limit: Duration) -> Result<(), ClientError> {
+        self.repeat(limit, async |target, attempt| {
+            target
+                .client
+                .settle(call_context(attempt), settle.clone())
+                .await
+        })
+        .await
+    }
+
+    async fn try_exchange(
+        &self,
+        request: &ExchangeRequest,
+        limit: Duration,
+    ) -> Result<ExchangeReply, ClientError> {
+        let target = self.connect(limit).await?;
+        let answer = target
+            .client
+            .exchange(call_context(limit), request.clone())
+            .await;
+        let reply = self.judge(&target, answer)?;
+        if reply.lease.is_none() {
+            self.switch(target.position, &"no lease");
+        }
+        Ok(reply)
+    }
+
+    /// Calls until an answer arrives or `limit` has passed.
+    async fn repeat<T>(
+        &self,
+        limit: Duration,
+        call: impl AsyncFn(&ChosenTarget, Duration) -> Result<Result<T, ControlError>, RpcError>,
+    ) -> Result<T, ClientError> {
+        let end = Instant::now() + limit;
+        let mut failures = 0;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let attempt = left.min(Duration::from_millis(ATTEMPT_TIMEOUT_MS));
+            let outcome = match self.connect(attempt).await {
+                Ok(target) => {
+                    let answer = call(&target, attempt).await;
+                    self.judge(&target, answer)
+                }
+                Err(error) => Err(error),
+            };
+            failures += 1;
+            let pause = Duration::from_millis(ROUND_PAUSE_MS);
+            match outcome {
+                Ok(answer) => return Ok(answer),
+                Err(error) if is_final(&error) || end <= Instant::now() + pause => {
+                    return Err(error);
+                }
+                Err(_) if failures % self.targets.len() == 0 => sleep(pause).await,
+                Err(_) => {}
+            }
+        }
+    }
+
+    async fn connect(&self, limit: Duration) -> Result<ChosenTarget, ClientError> {
+        let position = self.position();
+        let channel = &self.targets[position].channel;
+        match channel.channel(limit).await {
+            Ok(open) => Ok(ChosenTarget {
+                position,
+                address: channel.address(),
+                client: NodeControlClient::from(open),
+            }),
+            Err(error) => {
+                self.switch(position, &error);
+                Err(ClientError::Unreachable(error))
+            }
+        }
+    }
+
+    /// Turns the outcome of a call into an answer, or switches to another instance.
+    fn judge<T>(
+        &self,
+        target: &ChosenTarget,
+        answer: Result<Result<T, ControlError>, RpcError>,
+    ) -> Result<T, ClientError> {
+        let address = target.address;
+        match answer {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error)) => {
+                self.switch(target.position, &error);
+                Err(ClientError::Answered { address, error })
+            }
+            Err(error) => {
+                self.targets[target.position].channel.reset();
+                self.switch(target.position, &error);
+                Err(ClientError::Unanswered { address })
+            }
+        }
+    }
+
+    fn position(&self) -> usize {
+        self.chosen.load(Ordering::Relaxed)
+    }
+
+    /// Moves on to the next instance, unless another call already did.
+    fn switch(&self, from: usize, reason: &impl ToString) {
+        let next = (from + 1) % self.targets.len();
+        let moved = self
+            .chosen
+            .compare_exchange(from, next, Ordering::Relaxed, Ordering::Relaxed);
+        if moved.is_ok() && from != next {
+            info!(
+                event = "control-switched",
+                from = self.targets[from].instance,
+                to = self.targets[next].instance,
+                reason = reason.to_string()
+            );
+        }
+    }
+}
+
+/// Returns whether another instance would answer the same.
+fn is_final(error: &ClientError) -> bool {
+    let ClientError::Answered { error, .. } = error else {
+        return false;
+    };
+    matches!(error, ControlError::ProtocolVersion { .. })
+}
--- /dev/null
+++ b/crates/wire/src/http/answer.rs
@@ -0,0 +1,36 @@
+//! Answers of the admin listeners.
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::Full;
+use serde::Serialize;
+
+/// Body of an answer that is complete in memory.
+pub type JsonBody = Full<Bytes>;
+
+/// Makes an answer of a value in JSON.
+#[must_use]
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<JsonBody> {
+    match serde_json::to_vec(value) {
+        Ok(encoded) => answer(status, "application/json", Bytes::from(encoded)),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+/// Makes an answer of plain text.
+#[must_use]
+pub fn text(status: StatusCode, text: &str) -> Response<JsonBody> {
+    let body = Bytes::copy_from_slice(text.as_bytes());
+    answer(status, "text/plain; charset=utf-8", body)
+}
+
+fn answer(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<JsonBody> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,3 +1,13 @@
 //! Transport between processes: identities, TLS, QUIC and the tarpc services.
 
+pub mod client;
+pub mod codec;
+pub mod error;
+pub mod http;
+pub mod identity;
+
+pub mod peer;
+pub mod quic;
+pub mod role;
+pub mod rpc;
 pub mod service;
--- /dev/null
+++ b/crates/wire/src/quic.rs
@@ -0,0 +1,300 @@
+//! QUIC endpoints with mutual TLS.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::ClientConfig;
+use quinn::Connection;
+use quinn::Endpoint;
+use quinn::Incoming;
+use quinn::RecvStream;
+use quinn::SendStream;
+use quinn::ServerConfig;
+use quinn::TransportConfig;
+use quinn::VarInt;
+use rustls::pki_types::CertificateDer;
+use tokio::io::Join;
+use tokio::io::join;
+use tokio::time::timeout;
+
+use crate::error::IdentityError;
+use crate::error::LinkError;
+use crate::identity::TlsIdentity;
+use crate::role::PeerRole;
+
+/// Time after which a silent connection counts as cut, in milliseconds.
+const IDLE_TIMEOUT_MS: u32 = 1_500;
+/// Interval of keep-alives on an idle connection, in milliseconds.
+const KEEP_ALIVE_MS: u64 = 500;
+/// First guess of the round trip, in milliseconds; decides the first probes.
+const INITIAL_RTT_MS: u64 = 10;
+/// Application code of a close by a process that stops.
+const STOP_CODE: u32 = 0;
+
+/// Both directions of a QUIC stream as one reader and writer.
+pub type QuicStream = Join<RecvStream, SendStream>;
+
+/// How a connection behaves when it is silent, and how many streams it allows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LinkTiming {
+    /// Interval of keep-alives; none leaves it to the traffic.
+    pub keep_alive: Option<Duration>,
+    /// Time after which a silent connection counts as cut.
+    pub idle_timeout_ms: u32,
+    /// Streams that a peer may have open at once.
+    pub streams: u32,
+}
+
+impl Default for LinkTiming {
+    fn default() -> Self {
+        Self {
+            keep_alive: Some(Duration::from_millis(KEEP_ALIVE_MS)),
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
+            streams: 1_024,
+        }
+    }
+}
+
+impl LinkTiming {
+    fn transport(self) -> Arc<TransportConfig> {
+        let mut config = TransportConfig::default();
+        config
+            .keep_alive_interval(self.keep_alive)
+            .max_idle_timeout(Some(VarInt::from_u32(self.idle_timeout_ms).into()))
+            .max_concurrent_bidi_streams(VarInt::from_u32(self.streams))
+            .max_concurrent_uni_streams(VarInt::from_u32(0))
+            .datagram_receive_buffer_size(None)
+            .initial_rtt(Duration::from_millis(INITIAL_RTT_MS));
+        Arc::new(config)
+    }
+}
+
+/// One UDP socket that accepts and opens connections; clones share it.
+#[derive(Clone, Debug)]
+pub struct QuicEndpoint {
+    endpoint: Endpoint,
+}
+
+/// An authenticated connection to another process; clones share it.
+#[derive(Clone, Debug)]
+pub struct QuicLink {
+    connection: Connection,
+    role: PeerRole,
+}
+
+/// A connection that a peer wants to open; its handshake is still to be done.
+#[derive(Debug)]
+pub struct PendingLink {
+    incoming: Incoming,
+}
+
+impl QuicEndpoint {
+    /// Binds a UDP address for peers of these roles, and for own connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the identity is not usable.
+    pub fn bind(
+        address: SocketAddr,
+        identity: &TlsIdentity,
+        roles: &[PeerRole],
+        timing: LinkTiming,
+    ) -> Result<Self, BindError> {
+        let mut server = ServerConfig::with_crypto(Arc::new(identity.quic_server(roles)?));
+        server.transport_config(timing.transport());
+        let endpoint = Endpoint::server(server, address)
+            .map_err(|source| LinkError::Unbound { address, source })?;
+        Self::with_client(endpoint, identity, timing)
+    }
+
+    /// Binds a UDP address for own connections only.
+    ///
+    /// # Errors
+    ///
+    /// As [`QuicEndpoint::bind`].
+    pub fn bind_client(
+        address: SocketAddr,
+        identity: &TlsIdentity,
+        timing: LinkTiming,
+    ) -> Result<Self, BindError> {
+        let endpoint =
+            Endpoint::client(address).map_err(|source| LinkError::Unbound { address, source })?;
+        Self::with_client(endpoint, identity, timing)
+    }
+
+    fn with_client(
+        mut endpoint: Endpoint,
+        identity: &TlsIdentity,
+        timing: LinkTiming,
+    ) -> Result<Self, BindError> {
+        let mut client = ClientConfig::new(Arc::new(identity.quic_client()?));
+        client.transport_config(timing.transport());
+        endpoint.set_default_client_config(client);
+        Ok(Self { endpoint })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket was lost.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Opens a connection to a process that must have this role.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer is not reached within `limit`, or when either side
+    /// refuses the other's identity.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        role: PeerRole,
+        limit: Duration,
+    ) -> Result<QuicLink, LinkError> {
+        let refused = |reason: String| LinkError::Refused { address, reason };
+        let connecting = self
+            .endpoint
+            .connect(address, role.dns_name())
+            .map_err(|error| refused(error.to_string()))?;
+        match timeout(limit, connecting).await {
+            Ok(Ok(connection)) => Ok(QuicLink { connection, role }),
+            Ok(Err(error)) => Err(refused(error.to_string())),
+            Err(_) => Err(LinkError::Timeout { address }),
+        }
+    }
+
+    /// Waits for the next connection of a peer; none once the endpoint is closed.
+    pub async fn accept(&self) -> Option<PendingLink> {
+        let incoming = self.endpoint.accept().await?;
+        Some(PendingLink { incoming })
+    }
+
+    /// Closes all connections and refuses new ones.
+    pub fn close(&self) {
+        self.endpoint
+            .close(VarInt::from_u32(STOP_CODE), b"stopping");
+    }
+
+    /// Waits until the peers were told of the close.
+    pub async fn wait_idle(&self) {
+        self.endpoint.wait_idle().await;
+    }
+}
+
+impl PendingLink {
+    /// Finishes the handshake, which checks certificate and role of the peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the handshake does; the error names the peer's address.
+    pub async fn establish(self) -> Result<QuicLink, LinkError> {
+        let address = self.incoming.remote_address();
+        let refused = |reason: String| LinkError::Refused { address, reason };
+        let connection = self
+            .incoming
+            .await
+            .map_err(|error| refused(error.to_string()))?;
+        let role = peer_role(&connection)
+            .ok_or_else(|| refused("certificate names no role".to_owned()))?;
+        Ok(QuicLink { connection, role })
+    }
+}
+
+impl QuicLink {
+    /// Opens a stream; the peer sees it once something was written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is lost.
+    pub async fn open(&self) -> Result<QuicStream, LinkError> {
+        let (sender, receiver) = self.connection.open_bi().await.map_err(|e| lost(&e))?;
+        Ok(join(receiver, sender))
+    }
+
+    /// Waits for a stream that the peer opens.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is lost or closed.
+    pub async fn accept(&self) -> Result<QuicStream, LinkError> {
+        let (sender, receiver) = self.connection.accept_bi().await.map_err(|e| lost(&e))?;
+        Ok(join(receiver, sender))
+    }
+
+    /// Returns the role that the peer's certificate names.
+    #[must_use]
+    pub fn role(&self) -> PeerRole {
+        self.role
+    }
+
+    /// Returns the peer's address.
+    #[must_use]
+    pub fn remote_address(&self) -> SocketAddr {
+        self.connection.remote_address()
+    }
+
+    /// Returns whether the connection was lost or closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.connection.close_reason().is_some()
+    }
+
+    /// Waits until the connection is lost or closed.
+    pub async fn closed(&self) {
+        self.connection.closed().await;
+    }
+
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.connection
+            .close(VarInt::from_u32(STOP_CODE), b"stopping");
+    }
+
+    /// Returns what was sent and received so far, in UDP payload bytes.
+    #[must_use]
+    pub fn traffic(&self) -> LinkTraffic {
+        let stats = self.connection.stats();
+        LinkTraffic {
+            sent_bytes: stats.udp_tx.bytes,
+            sent_datagrams: stats.udp_tx.datagrams,
+            received_bytes: stats.udp_rx.bytes,
+            received_datagrams: stats.udp_rx.datagrams,
+        }
+    }
+}
+
+/// Traffic of one connection, in UDP payload bytes and datagrams.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LinkTraffic {
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Datagrams sent.
+    pub sent_datagrams: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+    /// Datagrams received.
+    pub received_datagrams: u64,
+}
+
+/// Why an endpoint cannot be set up.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum BindError {
+    /// The TLS identity is not usable.
+    Identity(IdentityError),
+    /// The address cannot be bound.
+    Link(LinkError),
+}
+
+fn peer_role(connection: &Connection) -> Option<PeerRole> {
+    let identity = connection.peer_identity()?;
+    let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    PeerRole::of_certificate(chain.first()?)
+}
+
+fn lost(error: &quinn::ConnectionError) -> LinkError {
+    LinkError::Lost(error.to_string())
+}
--- /dev/null
+++ b/crates/wire/src/rpc.rs
@@ -0,0 +1,160 @@
+//! tarpc over QUIC: one stream is one transport.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarpc::ClientMessage;
+use tarpc::Response;
+use tarpc::client;
+use tarpc::client::Channel;
+use tarpc::context;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::serde_transport::Transport;
+use tarpc::server::BaseChannel;
+use tokio_util::codec::Framed;
+
+use crate::codec::PostcardCodec;
+use crate::codec::frame_codec;
+use crate::error::LinkError;
+use crate::quic::QuicEndpoint;
+use crate::quic::QuicLink;
+use crate::quic::QuicStream;
+use crate::role::PeerRole;
+
+/// tarpc transport that receives `In` and sends `Out`.
+pub type RpcTransport<In, Out> = Transport<QuicStream, In, Out, PostcardCodec<In, Out>>;
+
+/// Server side of one stream, to be executed with a service.
+pub type ServerChannel<Req, Resp> =
+    BaseChannel<Req, Resp, RpcTransport<ClientMessage<Req>, Response<Resp>>>;
+
+/// Makes a tarpc transport of a stream.
+#[must_use]
+pub fn transport<In, Out>(stream: QuicStream) -> RpcTransport<In, Out>
+where
+    In: DeserializeOwned,
+    Out: Serialize,
+{
+    serde_transport::new(Framed::new(stream, frame_codec()), PostcardCodec::default())
+}
+
+/// Makes the server side of a stream.
+#[must_use]
+pub fn server_channel<Req, Resp>(stream: QuicStream) -> ServerChannel<Req, Resp>
+where
+    Req: DeserializeOwned,
+    Resp: Serialize,
+{
+    BaseChannel::with_defaults(transport(stream))
+}
+
+/// Returns a tarpc context whose call must be answered within `limit`.
+#[must_use]
+pub fn call_context(limit: Duration) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + limit;
+    context
+}
+
+/// Client side towards one process, connected when first used and again after a loss.
+#[derive(Debug)]
+pub struct RpcChannel<Req, Resp> {
+    endpoint: QuicEndpoint,
+    address: SocketAddr,
+    role: PeerRole,
+    current: Arc<Mutex<Option<OpenChannel<Req, Resp>>>>,
+}
+
+/// A connection with the client side of its one stream.
+#[derive(Debug)]
+struct OpenChannel<Req, Resp> {
+    link: QuicLink,
+    channel: Channel<Req, Resp>,
+}
+
+impl<Req, Resp> Clone for RpcChannel<Req, Resp> {
+    fn clone(&self) -> Self {
+        Self {
+            endpoint: self.endpoint.clone(),
+            address: self.address,
+            role: self.role,
+            current: Arc::clone(&self.current),
+        }
+    }
+}
+
+impl<Req, Resp> RpcChannel<Req, Resp>
+where
+    Req: tarpc::RequestName + Serialize + Send + 'static,
+    Resp: DeserializeOwned + Send + 'static,
+{
+    /// Creates a channel to the process of this role at `address`; connects nothing yet.
+    #[must_use]
+    pub fn new(endpoint: QuicEndpoint, address: SocketAddr, role: PeerRole) -> Self {
+        Self {
+            endpoint,
+            address,
+            role,
+            current: Arc::default(),
+        }
+    }
+
+    /// Returns the address of the process.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the open channel, or connects within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be made.
+    pub async fn channel(&self, limit: Duration) -> Result<Channel<Req, Resp>, LinkError> {
+        if let Some(channel) = self.open_channel() {
+            return Ok(channel);
+        }
+        let link = self
+            .endpoint
+            .connect(self.address, self.role, limit)
+            .await?;
+        let stream = link.open().await?;
+        let channel = client::new(client::Config::default(), transport(stream)).spawn();
+        let opened = OpenChannel {
+            link,
+            channel: channel.clone(),
+        };
+        *self.lock() = Some(opened);
+        Ok(channel)
+    }
+
+    /// Drops the connection, so that the next call opens a new one.
+    pub fn reset(&self) {
+        if let Some(opened) = self.lock().take() {
+            opened.link.close();
+        }
+    }
+
+    /// Returns the open connection, if any.
+    #[must_use]
+    pub fn link(&self) -> Option<QuicLink> {
+        self.lock().as_ref().map(|opened| opened.link.clone())
+    }
+
+    fn open_channel(&self) -> Option<Channel<Req, Resp>> {
+        let current = self.lock();
+        let opened = current.as_ref().filter(|opened| !opened.link.is_closed())?;
+        Some(opened.channel.clone())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<OpenChannel<Req, Resp>>> {
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
