--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,66 @@
-//! Entry point.
+//! `ragwortplankd`: a node or a control instance, as its settings say.
 
-fn main() {}
+mod arguments;
+mod logging;
+mod signals;
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use clock::SystemClock;
+use settings::CheckedSettings;
+use tokio_util::sync::CancellationToken;
+
+use crate::arguments::DaemonArguments;
+
+/// Threads that run a node's tasks; a node shares its instance with a backend server.
+const NODE_THREADS: usize = 2;
+/// Threads that run a control instance's tasks.
+const CONTROL_THREADS: usize = 4;
+/// Exit status for settings that cannot be used.
+const SETTINGS_STATUS: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = DaemonArguments::parse();
+    let settings = match CheckedSettings::load(&arguments.config) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("ragwortplankd: {error}");
+            return ExitCode::from(SETTINGS_STATUS);
+        }
+    };
+    if arguments.check {
+        println!("{}: valid", arguments.config.display());
+        return ExitCode::SUCCESS;
+    }
+    logging::init();
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(event = "process-failed", error = %format!("{error:#}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: CheckedSettings) -> anyhow::Result<()> {
+    let threads = match settings {
+        CheckedSettings::Node(_) => NODE_THREADS,
+        CheckedSettings::Control(_) => CONTROL_THREADS,
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .enable_all()
+        .build()
+        .context("starting the runtime")?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: CheckedSettings) -> anyhow::Result<()> {
+    let stop = CancellationToken::new();
+    signals::cancel_on_signal(stop.clone())?;
+    match settings {
+        CheckedSettings::Node(settings) => node::run(settings, SystemClock, stop).await,
+        CheckedSettings::Control(settings) => control::run(settings, SystemClock, stop).await,
+    }
+}
--- /dev/null
+++ b/crates/node/src/gate.rs
@@ -0,0 +1,188 @@
+//! Waits at the admission gate in front of the backend server.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use admit::AdmitDecision;
+use admit::AdmitGate;
+use admit::CallOffer;
+use admit::CallOutcome;
+use admit::CrashedCalls;
+use admit::GateAction;
+use admit::GateActions;
+use clock::Clock;
+use model::context::CallContext;
+use model::context::CallRank;
+use model::context::ServerLoad;
+use model::exchange::ServerState;
+use model::verdict::CallFailure;
+use model::verdict::FailureCause;
+use tokio::sync::oneshot;
+
+/// Answer to a call that waits.
+type WaitOutcome = Result<(), CallFailure>;
+
+/// The gate with the calls that wait at it.
+pub struct GateKeeper<C: Clock> {
+    guarded: Mutex<GuardedGate<C>>,
+}
+
+struct GuardedGate<C: Clock> {
+    gate: AdmitGate<C>,
+    waiting: HashMap<u64, oneshot::Sender<WaitOutcome>>,
+    next_id: u64,
+}
+
+impl<C: Clock> GateKeeper<C> {
+    /// Creates a keeper of a new gate.
+    pub fn new(clock: C) -> Self {
+        Self {
+            guarded: Mutex::new(GuardedGate {
+                gate: AdmitGate::new(clock),
+                waiting: HashMap::new(),
+                next_id: 0,
+            }),
+        }
+    }
+
+    /// Waits until the call may run, or is refused.
+    ///
+    /// Dropping the returned pass, or this future, ends the call at the gate.
+    pub async fn enter(
+        self: &Arc<Self>,
+        context: &CallContext,
+        deadline: Instant,
+    ) -> Result<GatePass<C>, CallFailure> {
+        let (pass, waiting) = self.offer(context, deadline)?;
+        let Some(waiting) = waiting else {
+            return Ok(pass);
+        };
+        match waiting.await {
+            Ok(Ok(())) => Ok(pass),
+            Ok(Err(failure)) => Err(failure),
+            Err(_) => Err(CallFailure::not_run(FailureCause::Internal)),
+        }
+    }
+
+    /// Returns the cut to report with answers.
+    pub fn cut(&self) -> CallRank {
+        self.lock().gate.cut()
+    }
+
+    /// Returns the load to report with answers.
+    pub fn load(&self) -> ServerLoad {
+        self.lock().gate.load()
+    }
+
+    /// Takes over what the backend server announced.
+    pub fn announced(&self, state: ServerState, slots: u32) {
+        let mut guarded = self.lock();
+        let actions = guarded.gate.set_state(state);
+        guarded.perform(actions);
+        let actions = guarded.gate.hint_slots(slots);
+        guarded.perform(actions);
+    }
+
+    /// Notes that the backend server died and returns what it ran.
+    pub fn crashed(&self) -> CrashedCalls {
+        let mut guarded = self.lock();
+        let mut crashed = guarded.gate.crashed();
+        let actions = std::mem::take(&mut crashed.actions);
+        guarded.perform(actions);
+        crashed
+    }
+
+    /// Refuses waiting calls that can no longer finish in time.
+    pub fn expire(&self) {
+        let mut guarded = self.lock();
+        let actions = guarded.gate.expire();
+        guarded.perform(actions);
+    }
+
+    fn offer(
+        self: &Arc<Self>,
+        context: &CallContext,
+        deadline: Instant,
+    ) -> Result<(GatePass<C>, Option<oneshot::Receiver<WaitOutcome>>), CallFailure> {
+        let mut guarded = self.lock();
+        let id = guarded.next_id;
+        guarded.next_id += 1;
+        let outcome = guarded.gate.offer(CallOffer {
+            id,
+            rank: context.rank,
+            deadline,
+            fingerprint: context.fingerprint,
+        });
+        guarded.perform(outcome.actions);
+        let waiting = match outcome.decision {
+            AdmitDecision::Run => None,
+            AdmitDecision::Refuse(failure) => return Err(failure),
+            AdmitDecision::Queued => {
+                let (sender, receiver) = oneshot::channel();
+                guarded.waiting.insert(id, sender);
+                Some(receiver)
+            }
+        };
+        let pass = GatePass {
+            keeper: Arc::clone(self),
+            id,
+            outcome: CallOutcome::Cancelled,
+        };
+        Ok((pass, waiting))
+    }
+
+    fn end(&self, id: u64, outcome: CallOutcome) {
+        let mut guarded = self.lock();
+        let waited = guarded.waiting.remove(&id).is_some();
+        let actions = if waited {
+            guarded.gate.cancel(id)
+        } else {
+            guarded.gate.finish(id, outcome)
+        };
+        guarded.perform(actions);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GuardedGate<C>> {
+        self.guarded.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<C: Clock> GuardedGate<C> {
+    /// Wakes the calls that the gate decided on.
+    fn perform(&mut self, actions: GateActions) {
+        for action in actions {
+            let (id, outcome) = match action {
+                GateAction::Start(id) => (id, Ok(())),
+                GateAction::Refuse(id, failure) => (id, Err(failure)),
+            };
+            if let Some(waiting) = self.waiting.remove(&id) {
+                // A call whose caller just left ends by its pass.
+                let _ = waiting.send(outcome);
+            }
+        }
+    }
+}
+
+/// A call's place at the gate; dropping it ends the call there.
+pub struct GatePass<C: Clock> {
+    keeper: Arc<GateKeeper<C>>,
+    id: u64,
+    outcome: CallOutcome,
+}
+
+impl<C: Clock> GatePass<C> {
+    /// Sets how the call ended; without it, it counts as cancelled.
+    pub fn ended(&mut self, outcome: CallOutcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl<C: Clock> Drop for GatePass<C> {
+    fn drop(&mut self) {
+        self.keeper.end(self.id, self.outcome);
+    }
+}
