--- /dev/null
+++ b/crates/wire/tests/common/authority.rs
@@ -0,0 +1,51 @@
+//! Certificates for tests.
+
+use std::fs;
+
+use rcgen::BasicConstraints;
+use rcgen::CertificateParams;
+use rcgen::CertifiedIssuer;
+use rcgen::IsCa;
+use rcgen::KeyPair;
+use settings::TlsFiles;
+use tempfile::TempDir;
+use wire::identity::TlsIdentity;
+use wire::role::PeerRole;
+
+/// An authority that issues certificates into a temporary folder.
+pub(crate) struct TestAuthority {
+    folder: TempDir,
+    issuer: CertifiedIssuer<'static, KeyPair>,
+}
+
+impl TestAuthority {
+    /// Creates a new authority.
+    pub(crate) fn new() -> Self {
+        let mut params = CertificateParams::new(Vec::<String>::new()).unwrap();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap();
+        let folder = TempDir::new().unwrap();
+        fs::write(folder.path().join("authority.pem"), issuer.pem()).unwrap();
+        Self { folder, issuer }
+    }
+
+    /// Issues a certificate with this DNS name and returns its files.
+    pub(crate) fn files(&self, dns_name: &str) -> TlsFiles {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec![dns_name.to_owned()]).unwrap();
+        let certificate = params.signed_by(&key, &self.issuer).unwrap();
+        let path = |kind: &str| self.folder.path().join(format!("{dns_name}.{kind}.pem"));
+        fs::write(path("certificate"), certificate.pem()).unwrap();
+        fs::write(path("key"), key.serialize_pem()).unwrap();
+        TlsFiles {
+            authority: self.folder.path().join("authority.pem"),
+            certificate: path("certificate"),
+            key: path("key"),
+        }
+    }
+
+    /// Issues an identity of a role.
+    pub(crate) fn identity(&self, role: PeerRole) -> TlsIdentity {
+        TlsIdentity::load(&self.files(role.dns_name())).unwrap()
+    }
+}
