--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,10 +1,14 @@
 //! Shared vocabulary: identifiers, declarations, verdicts, call context and messages.
 
 pub mod admin;
+pub mod announce;
 pub mod change;
 pub mod context;
 pub mod declaration;
 pub mod exchange;
+pub mod hex;
 pub mod ids;
+pub mod keys;
+pub mod lookup;
 pub mod once;
 pub mod verdict;
