Hold teams to rate and burst by exact escrow, and retries to an allowance

A team's owner keeps free tokens plus those out at nodes at or below the burst and refills at the rate, so no window can see more than rate x time + burst. Demands are numbered, one is open at a time and it is repeated unchanged; a node's report replaces what the owner thought it held. The owner's term travels with grants and comes back with demands, so that figures from before a change of owner are not booked.

Ruled out: making up for refill missed during a takeover once all nodes reported. Tokens spent between the takeover and the report would be refilled for a time at which they still existed.

TokenDemand gains term, held_milli and urgent_milli, TokenGrant gains term.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,1 +1,29 @@
-//! Crate `limit`.
+//! Limits of teams and of retries, as pure decisions with the clock passed in.
+//!
+//! What was weighed stands in `docs/LIMITS.md`.
+
+mod allowance;
+mod demand;
+mod escrow;
+mod holder;
+mod ledger;
+mod pot;
+mod resend;
+
+pub use allowance::AllowanceShare;
+pub use allowance::RetryAllowance;
+pub use escrow::EscrowOwner;
+pub use holder::GrantEffect;
+pub use holder::TakeOutcome;
+pub use holder::TokenHolder;
+pub use ledger::TeamLimit;
+pub use resend::ResendBook;
+pub use resend::ResendVerdict;
+
+/// Tokens that one call costs, in thousandths of a call.
+pub const CALL_MILLI: u64 = 1000;
+
+/// Rounds down to whole calls, since a part of a token is of no use at a node.
+const fn whole_calls(tokens_milli: u64) -> u64 {
+    tokens_milli - tokens_milli % CALL_MILLI
+}
--- a/crates/model/src/exchange.rs
+++ b/crates/model/src/exchange.rs
@@ -68,6 +68,12 @@
     pub returned_milli: u64,
     /// Tokens spent since the node's last acknowledged demand.
     pub spent_milli: u64,
+    /// Term of the owner whose grant the node accepted last; 0 before the first.
+    pub term: u64,
+    /// Tokens that the node holds after it handed back `returned_milli`.
+    pub held_milli: u64,
+    /// Part of `want_milli` that calls wait for at this moment.
+    pub urgent_milli: u64,
 }
 
 /// Tokens granted to a node; they die with the lease of the same reply.
@@ -77,6 +83,8 @@
     pub team: TeamName,
     /// Sequence number of the demand that this answers.
     pub sequence: u64,
+    /// Term of the owner that grants; it grows with every change of owner.
+    pub term: u64,
     /// Tokens granted, in thousandths of a call.
     pub granted_milli: u64,
     /// Delay after which more can be had, when less than wanted was granted.
