Add the table of at-most-once records

A record lives until the horizon passes the time stamp of its key, and no key below the horizon may run; the horizon only grows with the logged time. Too many records raise the horizon early, so the bound on memory costs answers, never a second run.

The digest is a sum over the records' digests, kept up to date with each change, since status asks for it often and a table may hold a million records.

--- /dev/null
+++ b/crates/once/src/table.rs
@@ -0,0 +1,365 @@
+//! The table of records.
+
+mod stored;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use model::ids::NodeId;
+use model::once::ClaimOutcome;
+use model::once::OnceClaim;
+use model::once::OnceSettle;
+use model::once::StoredAnswer;
+use model::verdict::RunVerdict;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::OnceLimits;
+use crate::record::Attempt;
+use crate::record::OnceRecord;
+use crate::record::RecordKey;
+use crate::record::RecordState;
+use crate::record::answer_bytes;
+use crate::record::is_version_7;
+use crate::record::stamp_ms;
+use crate::sum::SetSum;
+use crate::table::stored::StoredTable;
+
+/// Records of requests that must run at most once; see `docs/ONCE.md`.
+///
+/// All methods are deterministic. Time comes with the log entry, so that every
+/// instance comes to the same answer whenever it applies the entry. A key is
+/// allowed to run only while its time stamp lies above the horizon, and its
+/// record is dropped only when the horizon passes it; the horizon never moves
+/// back, so a key whose record is gone can never run again.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(from = "StoredTable")]
+pub struct OnceTable {
+    limits: OnceLimits,
+    now_ms: u64,
+    horizon_ms: u64,
+    next_order: u64,
+    records: BTreeMap<RecordKey, OnceRecord>,
+    /// Records whose attempt may be running, by node.
+    #[serde(skip)]
+    running: BTreeMap<NodeId, BTreeSet<RecordKey>>,
+    /// Freed attempts by the time at which they are forgotten.
+    #[serde(skip)]
+    freed: BTreeSet<(u64, RecordKey)>,
+    /// Records with a stored answer, oldest answer first.
+    #[serde(skip)]
+    answers: BTreeMap<u64, RecordKey>,
+    #[serde(skip)]
+    total_answer_bytes: usize,
+    /// Names in use, so that records share them.
+    #[serde(skip)]
+    names: BTreeSet<Arc<str>>,
+    #[serde(skip)]
+    sum: SetSum,
+}
+
+impl Default for OnceTable {
+    fn default() -> Self {
+        Self::new(OnceLimits::default())
+    }
+}
+
+impl OnceTable {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(limits: OnceLimits) -> Self {
+        Self {
+            limits,
+            now_ms: 0,
+            horizon_ms: 0,
+            next_order: 0,
+            records: BTreeMap::new(),
+            running: BTreeMap::new(),
+            freed: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            total_answer_bytes: 0,
+            names: BTreeSet::new(),
+            sum: SetSum::default(),
+        }
+    }
+
+    /// Asks for the right to run a request; `wall_ms` is the logged time.
+    ///
+    /// A claim delivered twice gets the same outcome as long as its attempt
+    /// has not ended. Keys that are no UUID version 7 have no time stamp to
+    /// bound their record and count as expired.
+    pub fn claim(&mut self, claim: &OnceClaim, wall_ms: u64) -> ClaimOutcome {
+        self.advance(wall_ms);
+        if !self.is_in_window(claim) {
+            return ClaimOutcome::Expired;
+        }
+        let key = self.intern(RecordKey::new(&claim.key));
+        if let Some(record) = self.records.get(&key)
+            && let Some(outcome) = outcome_of(record, claim)
+        {
+            return outcome;
+        }
+        self.take(&key);
+        self.put(key, OnceRecord::claimed(claim));
+        self.enforce_record_limit();
+        ClaimOutcome::Fresh
+    }
+
+    /// Ends an attempt; `wall_ms` is the logged time.
+    ///
+    /// Only the attempt that holds the record ends it. A request that did not
+    /// run frees its record. Once an attempt may have run, nothing frees it.
+    pub fn settle(&mut self, settle: &OnceSettle, wall_ms: u64) {
+        self.advance(wall_ms);
+        let key = self.intern(RecordKey::new(&settle.key));
+        let attempt = Attempt {
+            node: settle.node,
+            number: settle.attempt,
+        };
+        match self.take(&key) {
+            Some(record) if record.attempt == attempt => self.end(key, record, settle),
+            Some(record) => self.put(key, record),
+            None => self.remember_freed(key, attempt, settle.verdict),
+        }
+        self.enforce_answer_limit();
+        self.enforce_record_limit();
+    }
+
+    /// Gives up the attempts of a node that is gone: they may have run.
+    pub fn abandon(&mut self, node: NodeId, wall_ms: u64) {
+        self.advance(wall_ms);
+        for key in self.running.remove(&node).unwrap_or_default() {
+            if let Some(mut record) = self.take(&key) {
+                record.state = RecordState::MayHaveRun;
+                self.put(key, record);
+            }
+        }
+    }
+
+    /// Moves the logged time on and drops what it expires; it never moves back.
+    pub fn advance(&mut self, wall_ms: u64) {
+        self.now_ms = self.now_ms.max(wall_ms);
+        let horizon_ms = self.now_ms.saturating_sub(self.limits.window_ms);
+        self.raise_horizon(horizon_ms);
+        self.forget_freed();
+    }
+
+    /// Returns the number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there are no records.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the bytes of all stored answers.
+    #[must_use]
+    pub fn answer_bytes(&self) -> usize {
+        self.total_answer_bytes
+    }
+
+    /// Returns the logged time, in milliseconds since the epoch.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Returns a digest of the table; it costs the same for any number of records.
+    #[must_use]
+    pub fn digest(&self) -> [u8; 32] {
+        let mut hasher = blake3::Hasher::new_derive_key("ragwortplank once table v1");
+        for number in [self.now_ms, self.horizon_ms, self.next_order] {
+            hasher.update(&number.to_le_bytes());
+        }
+        self.sum.hash_into(&mut hasher);
+        *hasher.finalize().as_bytes()
+    }
+
+    fn is_in_window(&self, claim: &OnceClaim) -> bool {
+        let key = &claim.key.key;
+        let latest_ms = self.now_ms.saturating_add(self.limits.skew_ms);
+        is_version_7(key) && (self.horizon_ms..=latest_ms).contains(&stamp_ms(key))
+    }
+
+    fn end(&mut self, key: RecordKey, mut record: OnceRecord, settle: &OnceSettle) {
+        let running = record.state == RecordState::Claimed;
+        let answered = matches!(record.state, RecordState::Answered { .. });
+        match settle.verdict {
+            RunVerdict::NotRun if running => record.state = self.freed_state(),
+            RunVerdict::Ran if running || record.state == RecordState::MayHaveRun => {
+                record.state = self.answered_state(settle.answer.as_ref());
+            }
+            RunVerdict::MayHaveRun if !answered => record.state = RecordState::MayHaveRun,
+            RunVerdict::NotRun | RunVerdict::Ran | RunVerdict::MayHaveRun => {}
+        }
+        self.put(key, record);
+    }
+
+    /// Keeps the end of an attempt whose claim is still on its way.
+    fn remember_freed(&mut self, key: RecordKey, attempt: Attempt, verdict: RunVerdict) {
+        if key.stamp_ms() < self.horizon_ms || !is_version_7(&key.key) {
+            return;
+        }
+        let state = match verdict {
+            RunVerdict::NotRun => self.freed_state(),
+            RunVerdict::Ran | RunVerdict::MayHaveRun => RecordState::MayHaveRun,
+        };
+        self.put(
+            key,
+            OnceRecord {
+                body: None,
+                attempt,
+                state,
+            },
+        );
+    }
+
+    fn freed_state(&self) -> RecordState {
+        RecordState::Freed {
+            until_ms: self.now_ms.saturating_add(self.limits.freed_ms),
+        }
+    }
+
+    fn answered_state(&mut self, answer: Option<&StoredAnswer>) -> RecordState {
+        let kept = answer.filter(|answer| answer_bytes(answer) <= self.limits.answer_bytes);
+        let Some(answer) = kept else {
+            return RecordState::MayHaveRun;
+        };
+        let order = self.next_order;
+        self.next_order += 1;
+        RecordState::Answered {
+            answer: Box::new(answer.clone()),
+            order,
+        }
+    }
+
+    fn enforce_answer_limit(&mut self) {
+        while self.total_answer_bytes > self.limits.total_answer_bytes {
+            let Some(key) = self.answers.values().next().cloned() else {
+                return;
+            };
+            if let Some(mut record) = self.take(&key) {
+                record.state = RecordState::MayHaveRun;
+                self.put(key, record);
+            }
+        }
+    }
+
+    /// Lets the oldest keys expire early when there are too many records.
+    fn enforce_record_limit(&mut self) {
+        while self.records.len() > self.limits.records {
+            let Some((oldest, _)) = self.records.first_key_value() else {
+                return;
+            };
+            let horizon_ms = oldest.stamp_ms() + 1;
+            self.raise_horizon(horizon_ms);
+        }
+    }
+
+    fn raise_horizon(&mut self, horizon_ms: u64) {
+        self.horizon_ms = self.horizon_ms.max(horizon_ms);
+        while let Some((oldest, _)) = self.records.first_key_value() {
+            if oldest.stamp_ms() >= self.horizon_ms {
+                return;
+            }
+            let oldest = oldest.clone();
+            self.take(&oldest);
+        }
+    }
+
+    fn forget_freed(&mut self) {
+        while let Some((until_ms, key)) = self.freed.first() {
+            if *until_ms > self.now_ms {
+                return;
+            }
+            let key = key.clone();
+            self.take(&key);
+        }
+    }
+
+    /// Inserts a record that is not there, with its places in the indices.
+    fn put(&mut self, key: RecordKey, record: OnceRecord) {
+        self.sum.add(&(&key, &record));
+        match &record.state {
+            RecordState::Claimed => {
+                let running = self.running.entry(record.attempt.node).or_default();
+                running.insert(key.clone());
+            }
+            RecordState::Freed { until_ms } => {
+                self.freed.insert((*until_ms, key.clone()));
+            }
+            RecordState::Answered { answer, order } => {
+                self.total_answer_bytes += answer_bytes(answer);
+                self.answers.insert(*order, key.clone());
+            }
+            RecordState::MayHaveRun => {}
+        }
+        self.records.insert(key, record);
+    }
+
+    /// Removes a record and its places in the indices.
+    fn take(&mut self, key: &RecordKey) -> Option<OnceRecord> {
+        let record = self.records.remove(key)?;
+        self.sum.remove(&(key, &record));
+        match &record.state {
+            RecordState::Claimed => self.stop_running(record.attempt.node, key),
+            RecordState::Freed { until_ms } => {
+                self.freed.remove(&(*until_ms, key.clone()));
+            }
+            RecordState::Answered { answer, order } => {
+                self.total_answer_bytes -= answer_bytes(answer);
+                self.answers.remove(order);
+            }
+            RecordState::MayHaveRun => {}
+        }
+        Some(record)
+    }
+
+    fn stop_running(&mut self, node: NodeId, key: &RecordKey) {
+        if let Some(running) = self.running.get_mut(&node) {
+            running.remove(key);
+            if running.is_empty() {
+                self.running.remove(&node);
+            }
+        }
+    }
+
+    fn intern(&mut self, mut key: RecordKey) -> RecordKey {
+        key.team = self.intern_name(key.team);
+        key.route = self.intern_name(key.route);
+        key
+    }
+
+    fn intern_name(&mut self, name: Arc<str>) -> Arc<str> {
+        if let Some(known) = self.names.get(&name) {
+            return Arc::clone(known);
+        }
+        self.names.insert(Arc::clone(&name));
+        name
+    }
+}
+
+/// Returns the outcome of a claim on a record, or none when the record is free.
+fn outcome_of(record: &OnceRecord, claim: &OnceClaim) -> Option<ClaimOutcome> {
+    let attempt = Attempt {
+        node: claim.node,
+        number: claim.attempt,
+    };
+    let repeated = record.attempt == attempt;
+    match &record.state {
+        RecordState::Freed { .. } if repeated => Some(ClaimOutcome::Pending),
+        RecordState::Freed { .. } => None,
+        _ if record.body.is_some_and(|body| body != claim.body) => Some(ClaimOutcome::KeyReused),
+        RecordState::Claimed if repeated => Some(ClaimOutcome::Fresh),
+        RecordState::Claimed => Some(ClaimOutcome::Pending),
+        RecordState::MayHaveRun => Some(ClaimOutcome::MayHaveRun),
+        RecordState::Answered { answer, .. } => {
+            Some(ClaimOutcome::Answered(answer.as_ref().clone()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/table/stored.rs
@@ -0,0 +1,34 @@
+//! What a snapshot holds of a table; indices are made anew.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+
+use crate::OnceLimits;
+use crate::OnceTable;
+use crate::record::OnceRecord;
+use crate::record::RecordKey;
+
+/// The stored fields of a table, in the order in which it writes them.
+#[derive(Deserialize)]
+pub(crate) struct StoredTable {
+    limits: OnceLimits,
+    now_ms: u64,
+    horizon_ms: u64,
+    next_order: u64,
+    records: BTreeMap<RecordKey, OnceRecord>,
+}
+
+impl From<StoredTable> for OnceTable {
+    fn from(stored: StoredTable) -> Self {
+        let mut table = Self::new(stored.limits);
+        table.now_ms = stored.now_ms;
+        table.horizon_ms = stored.horizon_ms;
+        table.next_order = stored.next_order;
+        for (key, record) in stored.records {
+            let key = table.intern(key);
+            table.put(key, record);
+        }
+        table
+    }
+}
--- /dev/null
+++ b/crates/once/tests/sequences.rs
@@ -0,0 +1,174 @@
+//! Random sequences of claims, ends and crashes: no request runs twice.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use arbtest::arbitrary::Result;
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+use bytes::Bytes;
+use model::once::ClaimOutcome;
+use model::once::OnceClaim;
+use model::once::OnceKey;
+use model::once::OnceSettle;
+use model::once::StoredAnswer;
+use model::verdict::RunVerdict;
+use once::OnceLimits;
+use once::OnceTable;
+use uuid::Uuid;
+
+const SEEDS: u64 = 100;
+const SEQUENCE_BYTES: u64 = 4_096;
+const LIMITS: OnceLimits = OnceLimits {
+    window_ms: 1_000,
+    skew_ms: 50,
+    freed_ms: 100,
+    answer_bytes: 8,
+    total_answer_bytes: 20,
+    records: 12,
+};
+
+/// What the nodes did, as their backend servers would have seen it.
+#[derive(Default)]
+struct RunJournal {
+    /// Attempts that were told to run, and whether they may have.
+    attempts: BTreeMap<(OnceKey, u64), bool>,
+    /// Messages that were sent and may be delivered again.
+    claims: Vec<OnceClaim>,
+    settles: Vec<OnceSettle>,
+    ended: BTreeSet<u64>,
+}
+
+impl RunJournal {
+    fn runs(&self, key: &OnceKey) -> usize {
+        let attempts = self.attempts.iter();
+        attempts
+            .filter(|((run, _), may_have_run)| run == key && **may_have_run)
+            .count()
+    }
+}
+
+fn drawn_key(random: &mut Unstructured<'_>, now_ms: u64) -> Result<OnceKey> {
+    let stamp_ms = now_ms.saturating_sub(random.int_in_range(0..=1_200)?) + 20;
+    let tail: u128 = random.int_in_range(0..=2)?;
+    let bits = (u128::from(stamp_ms) << 80) | (0x7 << 76) | (0x2 << 62) | tail;
+    Ok(OnceKey {
+        team: "la-pluma".into(),
+        route: "pay".into(),
+        key: Uuid::from_u128(bits),
+    })
+}
+
+fn claim_step(
+    random: &mut Unstructured<'_>,
+    table: &mut OnceTable,
+    journal: &mut RunJournal,
+    now_ms: u64,
+) -> Result<()> {
+    let repeat = !journal.claims.is_empty() && random.ratio(2, 3)?;
+    let mut claim = if repeat {
+        random.choose(&journal.claims)?.clone()
+    } else {
+        OnceClaim {
+            key: drawn_key(random, now_ms)?,
+            body: [0; 32],
+            node: random.int_in_range(1..=3)?,
+            attempt: 0,
+        }
+    };
+    let new_attempt = !repeat || random.ratio(2, 3)?;
+    if new_attempt {
+        claim.attempt = journal.claims.len() as u64 + 1;
+        claim.node = random.int_in_range(1..=3)?;
+    }
+    let outcome = table.claim(&claim, now_ms);
+    // A node runs an attempt only while it has not given it up.
+    if outcome == ClaimOutcome::Fresh && !journal.ended.contains(&claim.attempt) {
+        let attempt = (claim.key.clone(), claim.attempt);
+        journal.attempts.insert(attempt, true);
+        assert_eq!(journal.runs(&claim.key), 1, "{claim:?} ran twice");
+    }
+    journal.claims.push(claim);
+    Ok(())
+}
+
+fn settle_step(
+    random: &mut Unstructured<'_>,
+    table: &mut OnceTable,
+    journal: &mut RunJournal,
+    now_ms: u64,
+) -> Result<()> {
+    if !journal.settles.is_empty() && random.ratio(1, 4)? {
+        table.settle(random.choose(&journal.settles)?, now_ms);
+        return Ok(());
+    }
+    if journal.claims.is_empty() {
+        return Ok(());
+    }
+    let claim = random.choose(&journal.claims)?.clone();
+    if !journal.ended.insert(claim.attempt) {
+        return Ok(());
+    }
+    let attempt = (claim.key.clone(), claim.attempt);
+    let started = journal.attempts.contains_key(&attempt);
+    let verdict = match random.int_in_range(0..=2)? {
+        1 if started => RunVerdict::Ran,
+        2 if started => RunVerdict::MayHaveRun,
+        _ => RunVerdict::NotRun,
+    };
+    if verdict == RunVerdict::NotRun {
+        journal.attempts.remove(&attempt);
+    }
+    let bytes = random.int_in_range(0..=12)?;
+    let settle = OnceSettle {
+        key: claim.key,
+        node: claim.node,
+        attempt: claim.attempt,
+        verdict,
+        answer: Some(StoredAnswer {
+            status: 200,
+            content_type: None,
+            body: Bytes::from(vec![1; bytes]),
+        }),
+    };
+    table.settle(&settle, now_ms);
+    journal.settles.push(settle);
+    Ok(())
+}
+
+fn sequence(random: &mut Unstructured<'_>) -> Result<()> {
+    let mut table = OnceTable::new(LIMITS);
+    let mut journal = RunJournal::default();
+    let mut now_ms = 1_790_000_000_000;
+    while !random.is_empty() {
+        // Logged time may fall back a little when another instance leads.
+        now_ms = now_ms + random.int_in_range(0..=60)? - 20;
+        match random.int_in_range(0..=9)? {
+            0..=4 => claim_step(random, &mut table, &mut journal, now_ms)?,
+            5..=7 => settle_step(random, &mut table, &mut journal, now_ms)?,
+            8 => table.abandon(random.int_in_range(1..=3)?, now_ms),
+            _ => table = restored(&table),
+        }
+        assert!(table.len() <= LIMITS.records);
+        assert!(table.answer_bytes() <= LIMITS.total_answer_bytes);
+    }
+    Ok(())
+}
+
+/// Takes a snapshot and restores it; nothing may differ.
+fn restored(table: &OnceTable) -> OnceTable {
+    let snapshot = postcard::to_stdvec(table).expect("encodes");
+    let restored: OnceTable = postcard::from_bytes(&snapshot).expect("decodes");
+    assert_eq!(restored.digest(), table.digest());
+    assert_eq!(restored.answer_bytes(), table.answer_bytes());
+    let again = postcard::to_stdvec(&restored).expect("encodes");
+    assert_eq!(again, snapshot);
+    restored
+}
+
+#[test]
+fn no_request_runs_twice_whatever_is_lost_repeated_or_late() {
+    for seed in 1..=SEEDS {
+        arbtest(sequence).seed((seed << 32) | SEQUENCE_BYTES);
+    }
+}
