--- /dev/null
+++ b/crates/node/src/attempt.rs
@@ -0,0 +1,112 @@
+//! One attempt of a call at one other node.
+
+use std::time::Duration;
+
+use clock::Clock;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use model::context::CallContext;
+use model::context::CallFeedback;
+use model::exchange::MemberRecord;
+use model::verdict::CallFailure;
+use model::verdict::FailureCause;
+
+use crate::call;
+use crate::call::CallAnswer;
+use crate::call::CallRequest;
+use crate::headers;
+use crate::peers::PeerError;
+use crate::state::NodeState;
+
+/// Bytes that an answer's body may exceed the limit for problem documents by.
+const SPARE_BYTES: usize = 4_096;
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct AttemptReport {
+    /// The answer or the failure.
+    pub result: Result<CallAnswer, CallFailure>,
+    /// What the other node reported; none when its answer was lost.
+    pub feedback: Option<CallFeedback>,
+}
+
+impl AttemptReport {
+    fn lost(failure: CallFailure) -> Self {
+        Self {
+            result: Err(failure),
+            feedback: None,
+        }
+    }
+}
+
+/// Sends a call to another node and waits for its end, at most `time_left`.
+pub async fn attempt<C: Clock>(
+    state: &NodeState<C>,
+    member: &MemberRecord,
+    context: &CallContext,
+    request: &CallRequest,
+) -> AttemptReport {
+    let Some(message) = build(member, context, request) else {
+        return AttemptReport::lost(CallFailure::not_run(FailureCause::Internal));
+    };
+    let exchange = exchange(state, member, message, context.time_left);
+    match tokio::time::timeout(context.time_left, exchange).await {
+        Ok(report) => report,
+        Err(_) => AttemptReport::lost(CallFailure::may_have_run(FailureCause::DeadlineExceeded)),
+    }
+}
+
+fn build(
+    member: &MemberRecord,
+    context: &CallContext,
+    request: &CallRequest,
+) -> Option<Request<Full<bytes::Bytes>>> {
+    let authority = member.address.to_string();
+    let mut message = request.to_http("https", &authority).ok()?;
+    let value = headers::encode(context)?;
+    message.headers_mut().insert(headers::CONTEXT, value);
+    Some(message)
+}
+
+async fn exchange<C: Clock>(
+    state: &NodeState<C>,
+    member: &MemberRecord,
+    message: Request<Full<bytes::Bytes>>,
+    time_left: Duration,
+) -> AttemptReport {
+    match state.peers.send(member.address, message).await {
+        Ok(response) => read(state, response, time_left).await,
+        Err(PeerError::NotSent) => {
+            AttemptReport::lost(CallFailure::not_run(FailureCause::NoBackend))
+        }
+        Err(PeerError::Lost) => {
+            AttemptReport::lost(CallFailure::may_have_run(FailureCause::ConnectionLost))
+        }
+    }
+}
+
+async fn read<C: Clock>(
+    state: &NodeState<C>,
+    response: Response<Incoming>,
+    time_left: Duration,
+) -> AttemptReport {
+    let (head, body) = response.into_parts();
+    let feedback: Option<CallFeedback> = headers::decode(&head.headers, &headers::FEEDBACK);
+    if let Some(feedback) = &feedback {
+        state.events.clock().observe(feedback.stamp);
+    }
+    if let Some(failure) = headers::decode(&head.headers, &headers::FAILURE) {
+        return AttemptReport {
+            result: Err(failure),
+            feedback,
+        };
+    }
+    let bytes_max = state.settings.limits.body_bytes + SPARE_BYTES;
+    let result = match call::collect(body, bytes_max, time_left).await {
+        Ok(body) => Ok(CallAnswer::new(head.status, head.headers, body)),
+        Err(_) => Err(CallFailure::may_have_run(FailureCause::ConnectionLost)),
+    };
+    AttemptReport { result, feedback }
+}
--- a/crates/node/src/parent.rs
+++ b/crates/node/src/parent.rs
@@ -6,12 +6,12 @@
 use std::sync::PoisonError;
 use std::time::Instant;
 
+use admit::CutList;
+use limit::RetryAllowance;
 use model::context::CallContext;
 use model::ids::CallId;
 use tokio_util::sync::CancellationToken;
 
-use limit::RetryAllowance;
-
 /// A call that the backend server runs now.
 #[derive(Debug)]
 pub struct ParentCall {
@@ -21,6 +21,8 @@
     pub deadline: Instant,
     /// Extra attempts that its sub-calls may still spend.
     pub allowance: Mutex<RetryAllowance>,
+    /// Cuts that its sub-calls met.
+    pub below: Mutex<CutList>,
     /// Cancelled when the call ends, so that its sub-calls end with it.
     pub ended: CancellationToken,
 }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -5,12 +5,12 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use clock::Clock;
 use model::announce::ServerAnnouncement;
 use model::exchange::ServerState;
 use model::ids::ServiceName;
-use std::time::Instant;
 
 /// Time without an announcement after which a backend server counts as gone, in milliseconds.
 const SILENCE_MS: u64 = 3_000;
@@ -64,10 +64,15 @@
         self.state() != before
     }
 
-    /// Records that the backend server does not accept connections any more.
-    pub fn crashed(&self) {
-        if let Some(server) = self.lock().as_mut() {
-            server.crashed = true;
+    /// Records that the backend server at `address` does not accept connections any more.
+    ///
+    /// Returns false when that was known, or another one announced itself since.
+    pub fn crashed(&self, address: SocketAddr) -> bool {
+        match self.lock().as_mut() {
+            Some(server) if server.announcement.address == address => {
+                !std::mem::replace(&mut server.crashed, true)
+            }
+            _ => false,
         }
     }
 
--- /dev/null
+++ b/crates/node/src/state.rs
@@ -0,0 +1,205 @@
+//! What the listeners and tasks of a node share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use admit::CutBook;
+use admit::StandingBook;
+use anyhow::Context;
+use clock::Clock;
+use limit::ResendBook;
+use model::exchange::ServerState;
+use model::ids::NodeId;
+use rustls::pki_types::ServerName;
+use settings::NodeSettings;
+use timeline::EventRing;
+use timeline::StampClock;
+use tokio::sync::Notify;
+use tokio_util::task::TaskTracker;
+use wire::client::ControlClient;
+use wire::identity::TlsIdentity;
+use wire::quic::LinkTiming;
+use wire::quic::QuicEndpoint;
+use wire::role::PeerRole;
+
+use crate::backend::BackendClient;
+use crate::crash::CrashWatch;
+use crate::gate::GateKeeper;
+use crate::lease::LeaseHolder;
+use crate::members::MemberTable;
+use crate::metrics::NodeMetrics;
+use crate::parent::ParentTable;
+use crate::peers::PeerPool;
+use crate::server::ServerWatch;
+use crate::tokens::TokenDesk;
+use crate::view::ViewCell;
+
+/// Events kept for the time line.
+const EVENTS_KEPT: usize = 4_096;
+/// Time in which re-sends of a caller's request are recognised, in seconds.
+const RESEND_WINDOW_S: u64 = 30;
+/// Re-sends of one request that a caller may make here within the window.
+const CALLER_RESENDS: u16 = 3;
+/// Requests remembered to recognise re-sends.
+const RESENDS_KEPT: usize = 65_536;
+
+/// Shared state of a node.
+pub struct NodeState<C: Clock> {
+    /// Source of time.
+    pub clock: C,
+    /// Checked settings.
+    pub settings: NodeSettings,
+    /// TLS identity towards other processes.
+    pub identity: TlsIdentity,
+    /// This run of the node.
+    pub node: NodeId,
+    /// Recent events.
+    pub events: EventRing<C>,
+    /// Metrics.
+    pub metrics: NodeMetrics,
+    /// Declaration in use.
+    pub view: ViewCell,
+    /// Tokens of the teams.
+    pub tokens: TokenDesk<C>,
+    /// Backend server beside this node.
+    pub server: ServerWatch<C>,
+    /// Client of the backend server.
+    pub backend: BackendClient,
+    /// Admission in front of the backend server.
+    pub gate: Arc<GateKeeper<C>>,
+    /// Calls that the backend server runs.
+    pub parents: Arc<ParentTable>,
+    /// Crashes of the backend server and suspects of crashes.
+    pub crashes: CrashWatch<C>,
+    /// Other nodes.
+    pub members: MemberTable<C>,
+    /// Connections to other nodes.
+    pub peers: PeerPool,
+    /// Client of the control instances.
+    pub control: ControlClient,
+    /// Work that must end before the process does.
+    pub background: TaskTracker,
+    /// Wakes the exchange ahead of its period.
+    pub wake: Notify,
+    lease: Mutex<LeaseHolder>,
+    cuts: Mutex<CutBook<C>>,
+    standings: Mutex<StandingBook<C>>,
+    resends: Mutex<ResendBook<C>>,
+    draining: AtomicBool,
+}
+
+impl<C: Clock> NodeState<C> {
+    /// Creates the state of a node that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the TLS files cannot be used or no UDP socket can be had.
+    pub fn new(settings: NodeSettings, clock: C) -> anyhow::Result<Self> {
+        let identity = TlsIdentity::load(&settings.tls).context("loading `tls`")?;
+        let node = rand::random();
+        let mut local = settings.peers;
+        local.set_port(0);
+        let endpoint = QuicEndpoint::bind_client(local, &identity, LinkTiming::default())?;
+        let peer_tls = identity.tcp_client(PeerRole::Node)?;
+        let name: ServerName<'static> = peer_tls.server_name;
+        let stamps = StampClock::new(clock.clone());
+        let window = Duration::from_secs(RESEND_WINDOW_S);
+        Ok(Self {
+            events: EventRing::new(&settings.process, EVENTS_KEPT, stamps),
+            metrics: NodeMetrics::new().context("registering metrics")?,
+            view: ViewCell::default(),
+            tokens: TokenDesk::new(clock.clone()),
+            server: ServerWatch::new(clock.clone()),
+            backend: BackendClient::new(settings.limits.body_bytes),
+            gate: Arc::new(GateKeeper::new(clock.clone())),
+            parents: Arc::default(),
+            crashes: CrashWatch::new(clock.clone()),
+            members: MemberTable::new(settings.data_centre.clone(), clock.clone()),
+            peers: PeerPool::new(peer_tls.config, name),
+            control: ControlClient::new(&endpoint, &settings.control, node),
+            background: TaskTracker::new(),
+            wake: Notify::new(),
+            lease: Mutex::default(),
+            cuts: Mutex::new(CutBook::new(clock.clone())),
+            standings: Mutex::new(StandingBook::new(clock.clone())),
+            resends: Mutex::new(ResendBook::new(
+                window,
+                CALLER_RESENDS,
+                RESENDS_KEPT,
+                clock.clone(),
+            )),
+            draining: AtomicBool::new(false),
+            identity,
+            node,
+            settings,
+            clock,
+        })
+    }
+
+    /// Returns whether the lease is held now.
+    pub fn has_lease(&self) -> bool {
+        self.lease().is_held(self.clock.now())
+    }
+
+    /// Returns the time left of the lease.
+    pub fn lease_left(&self) -> Duration {
+        self.lease().left(self.clock.now())
+    }
+
+    /// Returns when the lease ends.
+    pub fn lease_end(&self) -> Option<Instant> {
+        self.lease().end()
+    }
+
+    /// Takes over a lease.
+    pub fn extend_lease(&self, sent: Instant, length: Duration) {
+        self.lease().extend(sent, length);
+    }
+
+    /// Returns the cuts learned from answers.
+    pub fn cuts(&self) -> MutexGuard<'_, CutBook<C>> {
+        self.cuts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the teams' standings.
+    pub fn standings(&self) -> MutexGuard<'_, StandingBook<C>> {
+        self.standings
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns what was sent again.
+    pub fn resends(&self) -> MutexGuard<'_, ResendBook<C>> {
+        self.resends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins or ends draining by an operator or a stop.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.wake.notify_one();
+    }
+
+    /// Returns whether the node is draining.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Returns the state of the backend server as this node announces it.
+    pub fn announced_state(&self) -> ServerState {
+        match self.server.state() {
+            ServerState::Absent => ServerState::Absent,
+            _ if self.is_draining() => ServerState::Draining,
+            state => state,
+        }
+    }
+
+    fn lease(&self) -> MutexGuard<'_, LeaseHolder> {
+        self.lease.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
