--- /dev/null
+++ b/crates/admit/src/gate/limit.rs
@@ -0,0 +1,340 @@
+//! Concurrency limit of one backend server, found from its completions.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Limit before anything is known.
+const LIMIT_START: f64 = 32.0;
+/// Smallest and largest limit.
+const LIMIT_MIN: f64 = 2.0;
+const LIMIT_MAX: f64 = 4096.0;
+/// Divisor of the limit while the backend server is cold.
+const COLD_DIVISOR: f64 = 4.0;
+/// Shortest and longest window of one measurement, in milliseconds.
+const WINDOW_MIN_MS: u64 = 100;
+const WINDOW_MAX_MS: u64 = 3000;
+/// Completions that end a window, at least.
+const WINDOW_CALLS: u32 = 64;
+/// Completions without which a window says nothing.
+const WINDOW_CALLS_MIN: u32 = 8;
+/// Share of a window in which the limit must bind for it to count as busy.
+const BUSY_SHARE: f64 = 0.7;
+/// Service time over its base up to which the limit may grow.
+const GROW_BELOW: f64 = 1.12;
+/// Service time over its base above which a dip must tell queueing from slowness.
+const DIP_ABOVE: f64 = 1.3;
+/// Factor by which the limit grows in a window.
+const GROW_FACTOR: f64 = 1.1;
+/// Part of the limit that a dip leaves.
+const DIP_FACTOR: f64 = 0.6;
+/// Throughput in a dip, relative to before, above which the backend server was still saturated.
+const DIP_SATURATED: f64 = 0.88;
+/// Part of a service time for which a dip settles before it is measured.
+const DIP_SETTLE: f64 = 0.3;
+/// Service times between two dips.
+const DIP_GAP: f64 = 15.0;
+/// Limit over the measured capacity after a dip.
+const HEADROOM: f64 = 1.1;
+/// Ratio to the base below which a service time replaces it at once.
+const BASE_DROP: f64 = 0.7;
+
+/// Averages over one window, by Little's law: time in service = calls × time / completions.
+#[derive(Clone, Copy, Debug)]
+struct WindowSum {
+    start: Instant,
+    area: f64,
+    busy_s: f64,
+    completions: u32,
+}
+
+impl WindowSum {
+    fn new(start: Instant) -> Self {
+        Self {
+            start,
+            area: 0.0,
+            busy_s: 0.0,
+            completions: 0,
+        }
+    }
+}
+
+/// What a finished window says.
+#[derive(Clone, Copy, Debug)]
+struct WindowResult {
+    service_s: f64,
+    throughput: f64,
+    busy: bool,
+}
+
+/// Step of the search.
+#[derive(Clone, Copy, Debug)]
+enum SearchPhase {
+    /// The limit is in force.
+    Cruise,
+    /// The limit was lowered and in-flight calls must end first.
+    Settle {
+        limit: f64,
+        throughput: f64,
+        until: Option<Instant>,
+    },
+    /// The lowered limit is being measured.
+    Dip { limit: f64, throughput: f64 },
+}
+
+/// Finds the concurrency at which the backend server is just saturated.
+///
+/// Longer service times alone don't tell whether calls queue inside the
+/// backend server or whether it became slower, and only in the first case a
+/// lower limit helps. So when they grow, the limit dips for about one service
+/// time: if throughput stays, calls were queueing; if it falls in proportion,
+/// they were not. Time in service comes from Little's law and needs no samples.
+#[derive(Clone, Debug)]
+pub(super) struct LimitTracker {
+    limit: f64,
+    cold: bool,
+    learned: bool,
+    base_s: f64,
+    service_s: f64,
+    throughput: f64,
+    slow_windows: u32,
+    phase: SearchPhase,
+    window: WindowSum,
+    updated: Instant,
+    in_flight: u32,
+    next_dip: Instant,
+}
+
+impl LimitTracker {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            limit: LIMIT_START,
+            cold: false,
+            learned: false,
+            base_s: 0.0,
+            service_s: 0.0,
+            throughput: 0.0,
+            slow_windows: 0,
+            phase: SearchPhase::Cruise,
+            window: WindowSum::new(now),
+            updated: now,
+            in_flight: 0,
+            next_dip: now,
+        }
+    }
+
+    /// Returns how many calls may run now.
+    pub(super) fn current(&self) -> u32 {
+        let limit = match self.phase {
+            SearchPhase::Cruise => self.limit,
+            SearchPhase::Settle { limit, .. } | SearchPhase::Dip { limit, .. } => limit,
+        };
+        let limit = if self.cold {
+            limit / COLD_DIVISOR
+        } else {
+            limit
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "limits lie between 1 and 4096"
+        )]
+        let limit = limit.clamp(LIMIT_MIN, LIMIT_MAX) as u32;
+        limit
+    }
+
+    /// Returns the mean time in service, zero before it is known.
+    pub(super) fn service_time(&self) -> Duration {
+        Duration::from_secs_f64(self.service_s)
+    }
+
+    /// Returns the calls per second that the backend server completes at its limit.
+    pub(super) fn capacity_per_s(&self) -> f64 {
+        if self.service_s <= 0.0 {
+            return 0.0;
+        }
+        f64::from(self.current()) / self.service_s
+    }
+
+    /// Takes over the announced number of slots unless measurements already say more.
+    pub(super) fn hint(&mut self, slots: u32) {
+        if !self.learned && slots > 0 {
+            self.limit = (f64::from(slots) * HEADROOM).clamp(LIMIT_MIN, LIMIT_MAX);
+        }
+    }
+
+    pub(super) fn set_cold(&mut self, cold: bool) {
+        self.cold = cold;
+    }
+
+    pub(super) fn started(&mut self, now: Instant, in_flight: u32) {
+        self.change(now, in_flight);
+    }
+
+    pub(super) fn completed(&mut self, now: Instant, in_flight: u32) {
+        self.change(now, in_flight);
+        self.window.completions += 1;
+    }
+
+    pub(super) fn released(&mut self, now: Instant, in_flight: u32) {
+        self.change(now, in_flight);
+    }
+
+    /// Notes that the backend server refused a call with `in_flight` others running.
+    pub(super) fn shed(&mut self, now: Instant, in_flight: u32) {
+        self.change(now, in_flight);
+        let bound = f64::from(in_flight).max(LIMIT_MIN);
+        if bound < self.limit {
+            self.limit = bound.max(self.limit * 0.9);
+            self.learned = true;
+        }
+    }
+
+    /// Ends windows and moves the search on.
+    pub(super) fn tick(&mut self, now: Instant, in_flight: u32, waiting: bool) {
+        self.change(now, in_flight);
+        if let SearchPhase::Settle { .. } = self.phase {
+            self.settle(now, waiting);
+            return;
+        }
+        let Some(result) = self.end_window(now) else {
+            return;
+        };
+        match self.phase {
+            SearchPhase::Cruise => self.cruise(result, now),
+            SearchPhase::Dip { limit, throughput } => self.dip(limit, throughput, result, now),
+            SearchPhase::Settle { .. } => {}
+        }
+    }
+
+    fn change(&mut self, now: Instant, in_flight: u32) {
+        let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
+        self.window.area += elapsed * f64::from(self.in_flight);
+        if self.in_flight >= self.current() {
+            self.window.busy_s += elapsed;
+        }
+        self.updated = now;
+        self.in_flight = in_flight;
+    }
+
+    fn end_window(&mut self, now: Instant) -> Option<WindowResult> {
+        let length = now.saturating_duration_since(self.window.start);
+        let enough = self.window.completions >= WINDOW_CALLS.max(self.current() / 2);
+        let long = length >= Duration::from_millis(WINDOW_MAX_MS);
+        if !long && (!enough || length < Duration::from_millis(WINDOW_MIN_MS)) {
+            return None;
+        }
+        let sum = self.window;
+        self.window = WindowSum::new(now);
+        if sum.completions < WINDOW_CALLS_MIN {
+            return None;
+        }
+        let completions = f64::from(sum.completions);
+        let length_s = length.as_secs_f64();
+        Some(WindowResult {
+            service_s: sum.area / completions,
+            throughput: completions / length_s,
+            busy: sum.busy_s >= BUSY_SHARE * length_s,
+        })
+    }
+
+    fn cruise(&mut self, result: WindowResult, now: Instant) {
+        self.service_s = result.service_s;
+        self.throughput = result.throughput;
+        self.lower_base(result.service_s);
+        if !result.busy {
+            self.slow_windows = 0;
+            return;
+        }
+        let ratio = result.service_s / self.base_s;
+        if ratio <= GROW_BELOW {
+            self.limit = (self.limit * GROW_FACTOR).min(LIMIT_MAX);
+            self.learned = true;
+        }
+        self.slow_windows = if ratio > DIP_ABOVE {
+            self.slow_windows + 1
+        } else {
+            0
+        };
+        if self.slow_windows >= 2 && now >= self.next_dip {
+            self.begin_dip(self.limit, result.throughput);
+        }
+    }
+
+    fn lower_base(&mut self, service_s: f64) {
+        if self.base_s <= 0.0 || service_s < self.base_s * BASE_DROP {
+            self.base_s = service_s;
+        } else if service_s < self.base_s {
+            self.base_s += 0.2 * (service_s - self.base_s);
+        }
+    }
+
+    fn begin_dip(&mut self, from: f64, throughput: f64) {
+        let limit = (from * DIP_FACTOR).max(LIMIT_MIN);
+        self.phase = SearchPhase::Settle {
+            limit,
+            throughput,
+            until: None,
+        };
+    }
+
+    fn settle(&mut self, now: Instant, waiting: bool) {
+        let SearchPhase::Settle {
+            limit,
+            throughput,
+            until,
+        } = self.phase
+        else {
+            return;
+        };
+        if self.in_flight > self.current() {
+            return;
+        }
+        if !waiting && self.in_flight < self.current() {
+            self.end_dip(now);
+            return;
+        }
+        let settle = Duration::from_secs_f64(self.service_s * DIP_SETTLE);
+        let until = until.unwrap_or(now + settle);
+        if now < until {
+            self.phase = SearchPhase::Settle {
+                limit,
+                throughput,
+                until: Some(until),
+            };
+            return;
+        }
+        self.window = WindowSum::new(now);
+        self.phase = SearchPhase::Dip { limit, throughput };
+    }
+
+    fn dip(&mut self, limit: f64, throughput: f64, result: WindowResult, now: Instant) {
+        if !result.busy {
+            self.end_dip(now);
+            return;
+        }
+        let saturated = result.throughput >= DIP_SATURATED * throughput;
+        if saturated && limit > LIMIT_MIN {
+            self.begin_dip(limit, throughput);
+            return;
+        }
+        let capacity = throughput * result.service_s;
+        let target = (capacity * HEADROOM).clamp(limit, self.limit * 1.25);
+        self.limit = if (target / self.limit - 1.0).abs() < 0.2 {
+            f64::midpoint(self.limit, target)
+        } else {
+            target
+        };
+        self.limit = self.limit.clamp(LIMIT_MIN, LIMIT_MAX);
+        self.base_s = result.service_s;
+        self.learned = true;
+        self.end_dip(now);
+    }
+
+    fn end_dip(&mut self, now: Instant) {
+        let gap = Duration::from_secs_f64(self.service_s * DIP_GAP);
+        self.next_dip = now + gap.max(Duration::from_secs(1));
+        self.slow_windows = 0;
+        self.phase = SearchPhase::Cruise;
+        self.window = WindowSum::new(now);
+    }
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,1 +1,28 @@
-//! Crate `admit`.
+//! Admission decisions: rank at entry, limit at the backend server, cuts and crash suspects.
+//!
+//! Everything here is a pure decision on a passed-in [`clock::Clock`]; see `docs/ADMISSION.md`.
+
+mod cut;
+mod gate;
+mod rate;
+mod standing;
+mod suspect;
+mod trial;
+
+pub use cut::CutBook;
+pub use cut::CutList;
+pub use cut::merge_cuts;
+pub use gate::AdmitDecision;
+pub use gate::AdmitGate;
+pub use gate::CallOffer;
+pub use gate::CallOutcome;
+pub use gate::CrashedCalls;
+pub use gate::GateAction;
+pub use gate::GateActions;
+pub use gate::GateStats;
+pub use gate::OfferOutcome;
+pub use standing::RankPolicy;
+pub use standing::StandingBook;
+pub use suspect::SuspectBook;
+pub use trial::TrialBook;
+pub use trial::TrialDecision;
