--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,76 @@
+//! The listener for operators.
+
+use std::sync::Arc;
+
+use clock::Clock;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use model::admin::NodeStatus;
+use model::admin::StatusReport;
+use model::admin::TimelineReport;
+use timeline::EventRecord;
+use timeline::EventStamp;
+use wire::http::JsonBody;
+use wire::http::json;
+use wire::http::text;
+
+use crate::exchange;
+use crate::state::NodeState;
+
+/// Answers an operator.
+pub async fn serve_admin<C: Clock>(
+    state: Arc<NodeState<C>>,
+    request: Request<Incoming>,
+) -> Response<JsonBody> {
+    let method = request.method().clone();
+    let uri = request.uri();
+    match (method, uri.path()) {
+        (Method::GET, "/status") => json(StatusCode::OK, &StatusReport::Node(status(&state))),
+        (Method::GET, "/timeline") => {
+            let since = uri.query().and_then(parse_since).unwrap_or_default();
+            let events = state.events.since(since);
+            json(StatusCode::OK, &TimelineReport { events })
+        }
+        (Method::GET, "/metrics") => {
+            let in_flight = i64::try_from(state.parents.len()).unwrap_or(i64::MAX);
+            state.metrics.in_flight.set(in_flight);
+            let traffic = state.control.traffic();
+            let bytes = traffic.sent_bytes + traffic.received_bytes;
+            state.metrics.control_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+            text(StatusCode::OK, &state.metrics.encode())
+        }
+        (Method::POST, "/drain") => {
+            state.events.push(EventRecord::new("drain-ordered"));
+            state.drain();
+            text(StatusCode::ACCEPTED, "draining")
+        }
+        _ => text(StatusCode::NOT_FOUND, "no such resource"),
+    }
+}
+
+fn status<C: Clock>(state: &NodeState<C>) -> NodeStatus {
+    let lease_left_ms = state.lease_left().as_millis();
+    NodeStatus {
+        process: state.settings.process.clone(),
+        member: exchange::member(state),
+        applied: state.view.get().version(),
+        lease_left_ms: u64::try_from(lease_left_ms).unwrap_or(u64::MAX),
+        entered: state.entered(),
+        tokens: state.tokens.held(),
+        members: state.members.records(),
+    }
+}
+
+/// Reads `since=WALL_MS`.
+fn parse_since(query: &str) -> Option<EventStamp> {
+    let mut pairs = query.split('&');
+    let value = pairs.find_map(|pair| pair.strip_prefix("since="))?;
+    let wall_ms = value.parse().ok()?;
+    Some(EventStamp {
+        wall_ms,
+        counter: 0,
+    })
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a call at one other node.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use clock::Clock;
@@ -9,7 +10,6 @@
 use hyper::body::Incoming;
 use model::context::CallContext;
 use model::context::CallFeedback;
-use model::exchange::MemberRecord;
 use model::verdict::CallFailure;
 use model::verdict::FailureCause;
 
@@ -44,14 +44,14 @@
 /// Sends a call to another node and waits for its end, at most `time_left`.
 pub async fn attempt<C: Clock>(
     state: &NodeState<C>,
-    member: &MemberRecord,
+    address: SocketAddr,
     context: &CallContext,
     request: &CallRequest,
 ) -> AttemptReport {
-    let Some(message) = build(member, context, request) else {
+    let Some(message) = build(address, context, request) else {
         return AttemptReport::lost(CallFailure::not_run(FailureCause::Internal));
     };
-    let exchange = exchange(state, member, message, context.time_left);
+    let exchange = exchange(state, address, message, context.time_left);
     match tokio::time::timeout(context.time_left, exchange).await {
         Ok(report) => report,
         Err(_) => AttemptReport::lost(CallFailure::may_have_run(FailureCause::DeadlineExceeded)),
@@ -59,11 +59,11 @@
 }
 
 fn build(
-    member: &MemberRecord,
+    address: SocketAddr,
     context: &CallContext,
     request: &CallRequest,
 ) -> Option<Request<Full<bytes::Bytes>>> {
-    let authority = member.address.to_string();
+    let authority = address.to_string();
     let mut message = request.to_http("https", &authority).ok()?;
     let value = headers::encode(context)?;
     message.headers_mut().insert(headers::CONTEXT, value);
@@ -72,11 +72,11 @@
 
 async fn exchange<C: Clock>(
     state: &NodeState<C>,
-    member: &MemberRecord,
+    address: SocketAddr,
     message: Request<Full<bytes::Bytes>>,
     time_left: Duration,
 ) -> AttemptReport {
-    match state.peers.send(member.address, message).await {
+    match state.peers.send(address, message).await {
         Ok(response) => read(state, response, time_left).await,
         Err(PeerError::NotSent) => {
             AttemptReport::lost(CallFailure::not_run(FailureCause::NoBackend))
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -55,6 +55,7 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let begun = state.clock.now();
+    let _entered = state.enter();
     let (head, body) = request.into_parts();
     let checked = match check(&state, &head, begun) {
         Ok(checked) => checked,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -45,7 +45,7 @@
     let mut tried: SmallVec<[NodeId; 4]> = SmallVec::new();
     let mut may_have_run = false;
     loop {
-        let Some(member) = state.members.pick(&context.service, &tried).await else {
+        let Some(picked) = state.members.pick(&context.service, &tried).await else {
             return Err(covering(
                 CallFailure::not_run(FailureCause::NoBackend),
                 may_have_run,
@@ -57,9 +57,10 @@
         context.stamp = state.events.clock().stamp();
         state.metrics.attempts.inc();
         let begun = state.clock.now();
-        let report = attempt::attempt(state, &member, &context, call.request).await;
-        let elapsed = state.clock.now().saturating_duration_since(begun);
-        state.members.learn(&member, &report, elapsed);
+        let server = picked.server();
+        let report = attempt::attempt(state, server.address, &context, call.request).await;
+        let latency = state.clock.now().saturating_duration_since(begun);
+        picked.finish(&report, latency);
         if let Some(feedback) = &report.feedback {
             allowance.restore(share, feedback.allowance_left);
             state.cuts().learn(&route, &feedback.cuts);
@@ -80,7 +81,7 @@
                 .field("service", &context.service)
                 .field("cause", &failure.cause),
         );
-        tried.push(member.node);
+        tried.push(server.node);
     }
 }
 
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -78,11 +78,16 @@
         self.lock().gate.load()
     }
 
-    /// Takes over what the backend server announced.
-    pub fn announced(&self, state: ServerState, slots: u32) {
+    /// Takes over the state of the backend server.
+    pub fn set_state(&self, state: ServerState) {
         let mut guarded = self.lock();
         let actions = guarded.gate.set_state(state);
         guarded.perform(actions);
+    }
+
+    /// Takes a hint how many calls the backend server runs at once.
+    pub fn hint_slots(&self, slots: u32) {
+        let mut guarded = self.lock();
         let actions = guarded.gate.hint_slots(slots);
         guarded.perform(actions);
     }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -15,11 +15,15 @@
 /// Time without an announcement after which a backend server counts as gone, in milliseconds.
 const SILENCE_MS: u64 = 3_000;
 
+/// Time after which every node knows that a backend server drains, in milliseconds.
+const DRAIN_NOTICE_MS: u64 = 1_500;
+
 /// What the last announcement said.
 #[derive(Clone, Debug)]
 struct HeardServer {
     announcement: ServerAnnouncement,
     heard: Instant,
+    drained_since: Option<Instant>,
     crashed: bool,
 }
 
@@ -55,12 +59,17 @@
     /// Takes an announcement; returns whether the state changed.
     pub fn announce(&self, announcement: ServerAnnouncement) -> bool {
         let before = self.state();
-        let heard = HeardServer {
+        let now = self.clock.now();
+        let mut server = self.lock();
+        let drained_since = server.as_ref().and_then(|server| server.drained_since);
+        let is_draining = announcement.state == ServerState::Draining;
+        *server = Some(HeardServer {
             announcement,
-            heard: self.clock.now(),
+            heard: now,
+            drained_since: is_draining.then_some(drained_since.unwrap_or(now)),
             crashed: false,
-        };
-        *self.lock() = Some(heard);
+        });
+        drop(server);
         self.state() != before
     }
 
@@ -93,6 +102,13 @@
         })
     }
 
+    /// Returns whether the backend server drains and every node knows.
+    pub fn is_drain_known(&self) -> bool {
+        let notice = Duration::from_millis(DRAIN_NOTICE_MS);
+        let since = self.lock().as_ref().and_then(|server| server.drained_since);
+        since.is_some_and(|since| self.clock.now().saturating_duration_since(since) >= notice)
+    }
+
     /// Returns the state of the backend server.
     pub fn state(&self) -> ServerState {
         self.target().map_or(ServerState::Absent, |target| target.state)
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -5,6 +5,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,6 +30,7 @@
 use wire::role::PeerRole;
 
 use crate::backend::BackendClient;
+use crate::budget::RetryBudget;
 use crate::crash::CrashWatch;
 use crate::gate::GateKeeper;
 use crate::lease::LeaseHolder;
@@ -85,6 +87,8 @@
     pub control: ControlClient,
     /// Work that must end before the process does.
     pub background: TaskTracker,
+    /// Extra attempts that requests may still be given.
+    pub retries: RetryBudget,
     /// Wakes the exchange ahead of its period.
     pub wake: Notify,
     lease: Mutex<LeaseHolder>,
@@ -92,6 +96,8 @@
     standings: Mutex<StandingBook<C>>,
     resends: Mutex<ResendBook<C>>,
     draining: AtomicBool,
+    closed: AtomicBool,
+    entered: AtomicU64,
 }
 
 impl<C: Clock> NodeState<C> {
@@ -135,6 +141,9 @@
                 clock.clone(),
             )),
             draining: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            entered: AtomicU64::new(0),
+            retries: RetryBudget::default(),
             identity,
             node,
             settings,
@@ -190,6 +199,30 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Refuses new work from now on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+        self.gate.set_state(ServerState::Draining);
+    }
+
+    /// Returns whether new work is refused.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
+
+    /// Passes what the backend server announced on to the gate.
+    ///
+    /// A draining backend server still takes work until the other nodes know.
+    pub fn update_gate(&self, slots: u32) {
+        let state = match self.server.state() {
+            _ if self.is_closed() => ServerState::Draining,
+            ServerState::Draining if !self.server.is_drain_known() => ServerState::Ready,
+            state => state,
+        };
+        self.gate.set_state(state);
+        self.gate.hint_slots(slots);
+    }
+
     /// Returns the state of the backend server as this node announces it.
     pub fn announced_state(&self) -> ServerState {
         match self.server.state() {
@@ -199,7 +232,31 @@
         }
     }
 
+    /// Counts a caller's request until the returned guard is dropped.
+    pub fn enter(&self) -> EnteredRequest<'_> {
+        self.entered.fetch_add(1, Ordering::Relaxed);
+        EnteredRequest {
+            entered: &self.entered,
+        }
+    }
+
+    /// Returns the number of callers' requests in flight.
+    pub fn entered(&self) -> u64 {
+        self.entered.load(Ordering::Relaxed)
+    }
+
     fn lease(&self) -> MutexGuard<'_, LeaseHolder> {
         self.lease.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// A caller's request in flight.
+pub struct EnteredRequest<'a> {
+    entered: &'a AtomicU64,
+}
+
+impl Drop for EnteredRequest<'_> {
+    fn drop(&mut self) {
+        self.entered.fetch_sub(1, Ordering::Relaxed);
+    }
+}
