--- /dev/null
+++ b/crates/control/src/admin.rs
@@ -0,0 +1,171 @@
+//! The listener for operators.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use clock::Clock;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use model::admin::ChangeReport;
+use model::admin::ChangeSubmission;
+use model::admin::ControlStatus;
+use model::admin::DeclarationText;
+use model::admin::StatusReport;
+use model::admin::TimelineReport;
+use model::change::ChangeStatus;
+use model::hex;
+use model::ids::ChangeHash;
+use timeline::EventRecord;
+use timeline::EventStamp;
+use tracing::info;
+use wire::http::JsonBody;
+use wire::http::json;
+use wire::http::text;
+
+use crate::core::ControlCore;
+use crate::log::ControlLog;
+
+/// Largest body of a submission, in bytes.
+const SUBMISSION_BYTES: usize = 4 * 1024 * 1024;
+/// Time to commit a submission, in milliseconds.
+const SUBMIT_TIMEOUT_MS: u64 = 5_000;
+
+impl<L: ControlLog, C: Clock> ControlCore<L, C> {
+    /// Answers a request of an operator.
+    pub async fn answer_operator(&self, request: Request<Incoming>) -> Response<JsonBody> {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/status") => json(StatusCode::OK, &self.status()),
+            (&Method::GET, "/metrics") => self.answer_metrics(),
+            (&Method::GET, "/timeline") => self.answer_timeline(&query),
+            (&Method::GET, "/declaration") => self.answer_declaration().await,
+            (&Method::POST, "/changes") => self.answer_submission(request).await,
+            (&Method::GET, path) => match path.strip_prefix("/changes/") {
+                Some(hash) => self.answer_change(hash).await,
+                None => text(StatusCode::NOT_FOUND, "no such path"),
+            },
+            _ => text(StatusCode::METHOD_NOT_ALLOWED, "method is not allowed"),
+        }
+    }
+
+    /// Returns the state of this instance.
+    #[must_use]
+    pub fn status(&self) -> StatusReport {
+        let position = self.log.position();
+        StatusReport::Control(ControlStatus {
+            process: self.process.clone(),
+            instance: self.own,
+            duty: position.duty,
+            term: position.term,
+            leader: position.leader,
+            voters: position.voters,
+            committed: position.committed,
+            applied: position.applied,
+            digest: position.digest,
+            version: self.log.version(),
+            nodes: self.hub.leases(),
+        })
+    }
+
+    fn answer_metrics(&self) -> Response<JsonBody> {
+        match self.metrics.encode() {
+            Ok(metrics) => text(StatusCode::OK, &metrics),
+            Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+        }
+    }
+
+    fn answer_timeline(&self, query: &str) -> Response<JsonBody> {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let since = pairs.find(|(key, _)| *key == "since");
+        let wall_ms = since.and_then(|(_, value)| value.parse().ok());
+        let since = EventStamp {
+            wall_ms: wall_ms.unwrap_or_default(),
+            counter: 0,
+        };
+        let events = self.events.since(since);
+        json(StatusCode::OK, &TimelineReport { events })
+    }
+
+    async fn answer_declaration(&self) -> Response<JsonBody> {
+        if !self.confirmed().await {
+            return no_quorum();
+        }
+        let config = self.log.config();
+        let report = DeclarationText {
+            version: config.declaration.version,
+            text: config.text.to_string(),
+        };
+        json(StatusCode::OK, &report)
+    }
+
+    async fn answer_change(&self, hash: &str) -> Response<JsonBody> {
+        let Some(hash) = parse_hash(hash) else {
+            return text(StatusCode::BAD_REQUEST, "a hash has 64 hexadecimal digits");
+        };
+        if !self.confirmed().await {
+            return no_quorum();
+        }
+        let status = self.log.change_status(&hash);
+        json(StatusCode::OK, &self.change_report(&hash, status))
+    }
+
+    async fn answer_submission(&self, request: Request<Incoming>) -> Response<JsonBody> {
+        let body = Limited::new(request.into_body(), SUBMISSION_BYTES);
+        let body = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => return text(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        let submission: ChangeSubmission = match serde_json::from_slice(&body) {
+            Ok(submission) => submission,
+            Err(error) => return text(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        let hash = submission.change.hash();
+        let deadline = Instant::now() + Duration::from_millis(SUBMIT_TIMEOUT_MS);
+        self.metrics.submissions.inc();
+        match self.propose(submission, deadline).await {
+            Ok(status) => {
+                let report = self.change_report(&hash, status);
+                self.note_submission(&report);
+                json(StatusCode::OK, &report)
+            }
+            Err(error) => text(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+        }
+    }
+
+    fn note_submission(&self, report: &ChangeReport) {
+        let status = format!("{:?}", report.status);
+        let event = EventRecord::new("change-submitted").change(&report.hash);
+        self.events.push(event.field("status", &status));
+        info!(event = "change-submitted", change = report.hash, status);
+    }
+
+    fn change_report(&self, hash: &ChangeHash, status: ChangeStatus) -> ChangeReport {
+        let group = self.mesh.peers();
+        let in_force = match status {
+            ChangeStatus::Accepted(version) => self.force.in_force(version, &self.hub, &group),
+            _ => false,
+        };
+        ChangeReport {
+            hash: hex::encode(hash),
+            status,
+            in_force,
+        }
+    }
+}
+
+fn no_quorum() -> Response<JsonBody> {
+    text(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no quorum answered in time; /status tells what this instance knows",
+    )
+}
+
+fn parse_hash(text: &str) -> Option<ChangeHash> {
+    hex::decode(text)
+}
--- /dev/null
+++ b/crates/control/src/hub.rs
@@ -0,0 +1,281 @@
+//! The nodes that hold leases, and the feed of their changes.
+//!
+//! See `docs/EXCHANGE.md`, "Membership".
+
+mod feed;
+mod node;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use clock::Clock;
+use model::admin::NodeLease;
+use model::exchange::MemberRecord;
+use model::exchange::MemberUpdate;
+use model::ids::ConfigVersion;
+use model::ids::InstanceId;
+use model::ids::NodeId;
+use model::ids::ServiceName;
+use wire::service::HubBatch;
+use wire::service::NodeNotice;
+
+use crate::hub::feed::MemberFeed;
+use crate::hub::node::NodeEntry;
+
+/// Membership as this control instance knows it; clones share it.
+///
+/// It is soft state: nodes announce themselves again with every exchange, and
+/// the instances tell each other about the nodes that exchange with them.
+#[derive(Clone, Debug)]
+pub struct MembershipHub<C> {
+    own: InstanceId,
+    feed: u64,
+    clock: C,
+    state: Arc<Mutex<HubState>>,
+}
+
+#[derive(Debug, Default)]
+struct HubState {
+    nodes: HashMap<NodeId, NodeEntry>,
+    addresses: HashMap<SocketAddr, NodeId>,
+    feed: MemberFeed,
+}
+
+impl<C: Clock> MembershipHub<C> {
+    /// Creates an empty hub of instance `own`; `feed` must be drawn at random.
+    #[must_use]
+    pub fn new(own: InstanceId, feed: u64, clock: C) -> Self {
+        Self {
+            own,
+            feed,
+            clock,
+            state: Arc::default(),
+        }
+    }
+
+    /// Returns the number of the feed, new with every start of the instance.
+    #[must_use]
+    pub fn feed(&self) -> u64 {
+        self.feed
+    }
+
+    /// Records a node that is about to get a lease of `lease` from this instance.
+    ///
+    /// Must be called before the version that the lease names is read: what
+    /// is told to other instances under a version then holds every lease that
+    /// names an earlier one.
+    pub fn renew(&self, member: &MemberRecord, applied: ConfigVersion, lease: Duration) {
+        let entry = NodeEntry {
+            member: member.clone(),
+            applied,
+            lease_end: self.clock.now() + lease,
+            home: self.own,
+            cursor: 0,
+        };
+        let now = self.clock.now();
+        self.lock().put(entry, now);
+    }
+
+    /// Removes a node that said it leaves for good.
+    pub fn leave(&self, node: NodeId) {
+        let now = self.clock.now();
+        self.lock().remove(node, now);
+    }
+
+    /// Removes the nodes whose lease ran out and returns them.
+    #[must_use]
+    pub fn expire(&self) -> Vec<MemberRecord> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let ended = state.nodes.values().filter(|entry| entry.lease_end <= now);
+        let ended: Vec<_> = ended.map(|entry| entry.member.clone()).collect();
+        for member in &ended {
+            state.remove(member.node, now);
+        }
+        state.feed.forget_before(now);
+        ended
+    }
+
+    /// Returns what changed for a node since its cursor.
+    ///
+    /// The feed number depends on the services asked for, so that a node that
+    /// asks for further ones gets all their members.
+    #[must_use]
+    pub fn update(&self, feed: u64, cursor: u64, interests: &[ServiceName]) -> MemberUpdate {
+        let own_feed = feed::feed_number(self.feed, interests);
+        let state = self.lock();
+        let full = feed != own_feed || !state.feed.reaches(cursor);
+        let since = if full { 0 } else { cursor };
+        let mut update = MemberUpdate {
+            feed: own_feed,
+            cursor: state.feed.cursor(),
+            full,
+            ..MemberUpdate::default()
+        };
+        for service in interests {
+            for change in state.feed.since(service, since) {
+                match state.nodes.get(&change.node) {
+                    Some(entry) if !change.left => update.joined.push(entry.member.clone()),
+                    _ if !full => update.left.push(change.node),
+                    _ => {}
+                }
+            }
+        }
+        update
+    }
+
+    /// Returns the nodes of this instance for a peer that knows them up to `since`.
+    #[must_use]
+    pub fn batch(&self, since: Option<u64>, version: ConfigVersion) -> HubBatch {
+        let now = self.clock.now();
+        let state = self.lock();
+        let known = since.filter(|since| state.feed.reaches(*since));
+        let mut batch = HubBatch {
+            from: self.own,
+            feed: self.feed,
+            cursor: state.feed.cursor(),
+            full: known.is_none(),
+            version,
+            changed: Vec::new(),
+            renewed: Vec::new(),
+            left: Vec::new(),
+            crashes: Vec::new(),
+        };
+        let own = state.nodes.values().filter(|entry| entry.home == self.own);
+        for entry in own {
+            let lease = entry.notice(now);
+            if known.is_some_and(|known| entry.cursor <= known) {
+                batch.renewed.push(lease);
+            } else {
+                let member = entry.member.clone();
+                batch.changed.push(NodeNotice { member, lease });
+            }
+        }
+        if let Some(known) = known {
+            batch.left = state.feed.left_since(known);
+        }
+        batch
+    }
+
+    /// Takes over what a peer says about its nodes.
+    ///
+    /// Returns whether all of it was understood; otherwise the peer must tell
+    /// about all its nodes again.
+    #[must_use]
+    pub fn absorb(&self, batch: &HubBatch) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for notice in &batch.changed {
+            let entry = NodeEntry {
+                member: notice.member.clone(),
+                applied: notice.lease.applied,
+                lease_end: now + notice.lease.time_left,
+                home: batch.from,
+                cursor: 0,
+            };
+            state.put(entry, now);
+        }
+        let mut understood = true;
+        for lease in &batch.renewed {
+            let entry = state.nodes.get_mut(&lease.node);
+            understood &= entry.is_some();
+            if let Some(entry) = entry {
+                entry.renew(batch.from, lease.applied, now + lease.time_left);
+            }
+        }
+        for node in &batch.left {
+            let gone = state.nodes.get(node);
+            if gone.is_some_and(|entry| entry.home == batch.from) {
+                state.remove(*node, now);
+            }
+        }
+        understood
+    }
+
+    /// Returns whether every known node has applied `version`.
+    #[must_use]
+    pub fn all_applied(&self, version: ConfigVersion) -> bool {
+        let state = self.lock();
+        state.nodes.values().all(|entry| entry.applied >= version)
+    }
+
+    /// Returns the known nodes with their leases, in the order of their ids.
+    #[must_use]
+    pub fn leases(&self) -> Vec<NodeLease> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let mut leases: Vec<_> = state.nodes.values().map(|entry| entry.lease(now)).collect();
+        leases.sort_by_key(|lease| lease.member.node);
+        leases
+    }
+
+    /// Returns the number of nodes known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.lock().nodes.len()
+    }
+
+    /// Returns the number of nodes that exchange with this instance.
+    #[must_use]
+    pub fn served_here(&self) -> usize {
+        let state = self.lock();
+        let own = state.nodes.values().filter(|entry| entry.home == self.own);
+        own.count()
+    }
+
+    /// Returns whether no node is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HubState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl HubState {
+    /// Puts a node's newest state; news that are older than what is known are passed over.
+    fn put(&mut self, mut entry: NodeEntry, now: Instant) {
+        let node = entry.member.node;
+        if let Some(known) = self.nodes.get_mut(&node) {
+            if entry.lease_end < known.lease_end {
+                return;
+            }
+            if !known.differs(&entry.member) {
+                known.member.load = entry.member.load;
+                known.renew(entry.home, entry.applied, entry.lease_end);
+                return;
+            }
+        }
+        let earlier = self.addresses.insert(entry.member.address, node);
+        if let Some(restarted) = earlier.filter(|earlier| *earlier != node) {
+            self.remove(restarted, now);
+        }
+        if let Some(known) = self.nodes.get(&node) {
+            let (service, cursor) = (known.member.service.clone(), known.cursor);
+            self.feed
+                .moved(&service, cursor, &entry.member.service, node, now);
+        }
+        entry.cursor = self.feed.joined(&entry.member.service, node);
+        self.nodes.insert(node, entry);
+    }
+
+    fn remove(&mut self, node: NodeId, now: Instant) {
+        let Some(entry) = self.nodes.remove(&node) else {
+            return;
+        };
+        let address = entry.member.address;
+        if self.addresses.get(&address) == Some(&node) {
+            self.addresses.remove(&address);
+        }
+        self.feed
+            .left(&entry.member.service, entry.cursor, node, now);
+    }
+}
--- /dev/null
+++ b/crates/control/src/hub/node.rs
@@ -0,0 +1,62 @@
+//! One node as the hub knows it.
+
+use std::time::Instant;
+
+use model::admin::NodeLease;
+use model::exchange::MemberRecord;
+use model::ids::ConfigVersion;
+use model::ids::InstanceId;
+use wire::service::LeaseNotice;
+
+/// A node with a lease.
+#[derive(Clone, Debug)]
+pub(super) struct NodeEntry {
+    /// The node as it announced itself.
+    pub(super) member: MemberRecord,
+    /// Declaration version that it has applied.
+    pub(super) applied: ConfigVersion,
+    /// When its lease has run out at the latest.
+    pub(super) lease_end: Instant,
+    /// The control instance that it exchanges with.
+    pub(super) home: InstanceId,
+    /// Position of its last change in the feed.
+    pub(super) cursor: u64,
+}
+
+impl NodeEntry {
+    /// Returns whether other nodes must be told; load alone travels with answers.
+    pub(super) fn differs(&self, member: &MemberRecord) -> bool {
+        let known = &self.member;
+        known.state != member.state
+            || known.address != member.address
+            || known.service != member.service
+            || known.data_centre != member.data_centre
+    }
+
+    /// Takes over a lease, unless a later one is known.
+    pub(super) fn renew(&mut self, home: InstanceId, applied: ConfigVersion, lease_end: Instant) {
+        if lease_end >= self.lease_end {
+            self.home = home;
+            self.lease_end = lease_end;
+        }
+        self.applied = self.applied.max(applied);
+    }
+
+    pub(super) fn notice(&self, now: Instant) -> LeaseNotice {
+        LeaseNotice {
+            node: self.member.node,
+            applied: self.applied,
+            time_left: self.lease_end.saturating_duration_since(now),
+        }
+    }
+
+    pub(super) fn lease(&self, now: Instant) -> NodeLease {
+        let left = self.lease_end.saturating_duration_since(now);
+        NodeLease {
+            member: self.member.clone(),
+            applied: self.applied,
+            lease_left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            admin: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/server.rs
@@ -0,0 +1,154 @@
+//! Starts and stops a control instance.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use clock::Clock;
+use timeline::EventRecord;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tracing::info;
+use wire::http::HeadLimits;
+use wire::http::HttpListener;
+use wire::identity::TlsIdentity;
+use wire::quic::QuicEndpoint;
+use wire::role::PeerRole;
+
+use crate::core::ControlCore;
+use crate::log::ControlLog;
+use crate::owners::assign_owners;
+use crate::service::accept_links;
+use crate::sync::sync_peer;
+
+/// Period in which ended leases and new versions are looked for, in milliseconds.
+const SWEEP_PERIOD_MS: u64 = 50;
+/// Largest head of an operator's request, in bytes.
+const HEAD_BYTES: usize = 16 * 1024;
+/// Time for an operator's handshake and head, in milliseconds.
+const HEAD_TIMEOUT_MS: u64 = 5_000;
+/// Time that a stop waits for operators' calls, in milliseconds.
+const DRAIN_TIMEOUT_MS: u64 = 10_000;
+/// Time that nodes have to move to another instance before the stop goes on, in milliseconds.
+const FAREWELL_MS: u64 = 1_000;
+
+/// Listeners of a control instance, bound and not yet served.
+pub struct ControlListeners {
+    /// For nodes and the other instances.
+    pub quic: QuicEndpoint,
+    /// For operators.
+    pub admin: HttpListener,
+}
+
+impl ControlListeners {
+    /// Binds the listener for operators beside an endpoint for nodes and peers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the identity is not usable.
+    pub async fn bind(
+        quic: QuicEndpoint,
+        admin: SocketAddr,
+        identity: &TlsIdentity,
+    ) -> anyhow::Result<Self> {
+        let limits = HeadLimits {
+            head_bytes: HEAD_BYTES,
+            head_timeout: Duration::from_millis(HEAD_TIMEOUT_MS),
+        };
+        let tls = identity.tcp_server(&[PeerRole::Operator])?;
+        let bound = HttpListener::bind(admin, Some(tls), limits).await;
+        let admin = bound.with_context(|| format!("address {admin} cannot be bound"))?;
+        Ok(Self { quic, admin })
+    }
+}
+
+impl<L: ControlLog, C: Clock> ControlCore<L, C> {
+    /// Serves until the stop is asked for, then lets calls in flight end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when operators' calls in flight had to be cut.
+    pub async fn serve(self, listeners: ControlListeners) -> anyhow::Result<()> {
+        let ControlListeners { quic, admin } = listeners;
+        self.events.push(EventRecord::new("control-started"));
+        info!(event = "control-started", instance = self.own);
+        let links = tokio::spawn(accept_links(self.clone(), quic.clone()));
+        let mut tasks = supervisor::TaskSupervisor::new(self.clock.clone(), self.stop.clone());
+        for peer in self.mesh.peers() {
+            let core = self.clone();
+            tasks.spawn("sync", move || sync_peer(core.clone(), peer));
+        }
+        let core = self.clone();
+        tasks.spawn("owners", move || assign_owners(core.clone()));
+        let core = self.clone();
+        tasks.spawn("sweep", move || sweep(core.clone()));
+        let core = self.clone();
+        let service = move |_, request| {
+            let core = core.clone();
+            async move { core.answer_operator(request).await }
+        };
+        let drain = Duration::from_millis(DRAIN_TIMEOUT_MS);
+        let admin = admin.serve(service, self.stop.clone(), drain);
+        let (tasks, admin) = tokio::join!(tasks.join(), admin);
+        self.say_farewell().await;
+        quic.close();
+        quic.wait_idle().await;
+        links.abort();
+        info!(event = "control-stopped", instance = self.own);
+        tasks?;
+        admin.context("operators' calls were cut")
+    }
+
+    /// Waits until the nodes of this instance have moved, as its answers tell them to.
+    async fn say_farewell(&self) {
+        let mut ticks = interval(Duration::from_millis(SWEEP_PERIOD_MS));
+        let end = tokio::time::Instant::now() + Duration::from_millis(FAREWELL_MS);
+        while self.hub.served_here() > 0 && tokio::time::Instant::now() < end {
+            ticks.tick().await;
+            let _ = self.hub.expire();
+        }
+    }
+}
+
+/// Drops nodes whose lease ran out and follows the log, until the instance stops.
+async fn sweep<L: ControlLog, C: Clock>(core: ControlCore<L, C>) -> anyhow::Result<()> {
+    let mut ticks = interval(Duration::from_millis(SWEEP_PERIOD_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = core.stop.cancelled() => return Ok(()),
+            _ = ticks.tick() => core.sweep(),
+        }
+    }
+}
+
+impl<L: ControlLog, C: Clock> ControlCore<L, C> {
+    /// Drops nodes whose lease ran out and takes over what the log applied.
+    pub fn sweep(&self) {
+        for member in self.hub.expire() {
+            let event = EventRecord::new("lease-ended").field("node", &member.node);
+            self.events.push(event.field("address", &member.address));
+            info!(event = "lease-ended", node = member.node, address = %member.address);
+        }
+        self.suspects.expire();
+        self.follow_config();
+        self.metrics.nodes.set(gauge(self.hub.len() as u64));
+    }
+
+    fn follow_config(&self) {
+        let declaration = self.log.config().declaration;
+        self.bank.refresh(&self.log.owners(), &declaration);
+        if self.force.applied(declaration.version) {
+            self.history.remember(&declaration);
+            let version = declaration.version;
+            self.metrics.version.set(gauge(version));
+            self.events
+                .push(EventRecord::new("config-applied").field("version", &version));
+            info!(event = "config-applied", version);
+        }
+    }
+}
+
+fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/control/src/service.rs
@@ -0,0 +1,177 @@
+//! The tarpc services, on top of the shared state.
+
+mod propose;
+
+use clock::Clock;
+use futures::StreamExt;
+use model::admin::ChangeSubmission;
+use model::change::ChangeStatus;
+use model::exchange::ExchangeReply;
+use model::exchange::ExchangeRequest;
+use model::ids::InstanceId;
+use model::once::ClaimOutcome;
+use model::once::OnceClaim;
+use model::once::OnceSettle;
+use replica::ProposeError;
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use tracing::debug;
+use wire::quic::PendingLink;
+use wire::quic::QuicEndpoint;
+use wire::quic::QuicLink;
+use wire::role::PeerRole;
+use wire::rpc::server_channel;
+use wire::service::ControlError;
+use wire::service::ForwardError;
+use wire::service::HubAck;
+use wire::service::HubBatch;
+use wire::service::NodeControl;
+use wire::service::NodeDemands;
+use wire::service::NodeGrants;
+use wire::service::PeerControl;
+
+use crate::core::ControlCore;
+use crate::log::ControlLog;
+
+/// Offers [`NodeControl`] to nodes.
+#[derive(Debug)]
+pub struct NodeService<L, C> {
+    core: ControlCore<L, C>,
+}
+
+/// Offers [`PeerControl`] to the other instances.
+#[derive(Debug)]
+pub struct PeerService<L, C> {
+    core: ControlCore<L, C>,
+}
+
+impl<L, C> Clone for NodeService<L, C> {
+    fn clone(&self) -> Self {
+        let core = self.core.clone();
+        Self { core }
+    }
+}
+
+impl<L, C> Clone for PeerService<L, C> {
+    fn clone(&self) -> Self {
+        let core = self.core.clone();
+        Self { core }
+    }
+}
+
+impl<L: ControlLog, C: Clock> NodeControl for NodeService<L, C> {
+    async fn exchange(
+        self,
+        _: Context,
+        request: ExchangeRequest,
+    ) -> Result<ExchangeReply, ControlError> {
+        self.core.exchange(request).await
+    }
+
+    async fn claim(
+        self,
+        context: Context,
+        claim: OnceClaim,
+    ) -> Result<ClaimOutcome, ControlError> {
+        self.core.metrics.once_calls.inc();
+        self.core.propose(claim, context.deadline).await
+    }
+
+    async fn settle(self, context: Context, settle: OnceSettle) -> Result<(), ControlError> {
+        self.core.metrics.once_calls.inc();
+        self.core.propose(settle, context.deadline).await
+    }
+}
+
+impl<L: ControlLog, C: Clock> PeerControl for PeerService<L, C> {
+    async fn deliver(self, _: Context, from: InstanceId, messages: Vec<Vec<u8>>) {
+        for message in messages {
+            self.core.log.receive(from, message);
+        }
+    }
+
+    async fn absorb(self, _: Context, batch: HubBatch) -> HubAck {
+        self.core.absorb(&batch)
+    }
+
+    async fn grant(
+        self,
+        _: Context,
+        demands: Vec<NodeDemands>,
+    ) -> Result<Vec<NodeGrants>, ControlError> {
+        if !self.core.confirmed().await {
+            return Err(ControlError::NoQuorum);
+        }
+        let granted = demands.into_iter().map(|asked| NodeGrants {
+            node: asked.node,
+            grants: self
+                .core
+                .bank
+                .grant(&self.core.log, asked.node, &asked.demands),
+        });
+        Ok(granted.collect())
+    }
+
+    async fn propose_claim(
+        self,
+        _: Context,
+        claim: OnceClaim,
+    ) -> Result<ClaimOutcome, ForwardError> {
+        self.core.log.claim(claim).await.map_err(forward_error)
+    }
+
+    async fn propose_settle(self, _: Context, settle: OnceSettle) -> Result<(), ForwardError> {
+        self.core.log.settle(settle).await.map_err(forward_error)
+    }
+
+    async fn propose_change(
+        self,
+        _: Context,
+        submission: ChangeSubmission,
+    ) -> Result<ChangeStatus, ForwardError> {
+        let outcome = self.core.log.submit(submission).await;
+        outcome.map_err(forward_error)
+    }
+}
+
+fn forward_error(error: ProposeError) -> ForwardError {
+    match error {
+        ProposeError::NotLeader { leader } => ForwardError::NotLeader { leader },
+        ProposeError::Unknown => ForwardError::Unknown,
+    }
+}
+
+/// Accepts connections until the endpoint is closed.
+pub async fn accept_links<L: ControlLog, C: Clock>(core: ControlCore<L, C>, endpoint: QuicEndpoint) {
+    while let Some(pending) = endpoint.accept().await {
+        tokio::spawn(serve_pending(core.clone(), pending));
+    }
+}
+
+async fn serve_pending<L: ControlLog, C: Clock>(core: ControlCore<L, C>, pending: PendingLink) {
+    match pending.establish().await {
+        Ok(link) => serve_link(core, link).await,
+        Err(error) => debug!(event = "link-refused", %error),
+    }
+}
+
+/// Serves the streams of one connection by the role of the peer.
+async fn serve_link<L: ControlLog, C: Clock>(core: ControlCore<L, C>, link: QuicLink) {
+    while let Ok(stream) = link.accept().await {
+        let core = core.clone();
+        if link.role() == PeerRole::Control {
+            let service = PeerService { core };
+            let calls = server_channel(stream).execute(service.serve());
+            tokio::spawn(calls.for_each(spawn_call));
+        } else {
+            let service = NodeService { core };
+            let calls = server_channel(stream).execute(service.serve());
+            tokio::spawn(calls.for_each(spawn_call));
+        }
+    }
+}
+
+/// Runs a call beside the others of its stream.
+async fn spawn_call(call: impl Future<Output = ()> + Send + 'static) {
+    tokio::spawn(call);
+}
--- /dev/null
+++ b/crates/control/src/sync.rs
@@ -0,0 +1,116 @@
+//! Tells the other instances about the nodes that exchange with this one.
+
+use std::time::Duration;
+
+use clock::Clock;
+use model::ids::InstanceId;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tracing::debug;
+use wire::rpc::call_context;
+use wire::service::HubAck;
+use wire::service::HubBatch;
+
+use crate::core::ControlCore;
+use crate::force::LiveInstance;
+use crate::log::ControlLog;
+
+/// Period of the batches to each peer, in milliseconds.
+pub const SYNC_PERIOD_MS: u64 = 200;
+/// Time that a peer has to take a batch over, in milliseconds.
+const SYNC_TIMEOUT_MS: u64 = 500;
+
+/// What one peer was told so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct ToldState {
+    /// Feed of the peer at its last answer, and our cursor that it knows.
+    hub: Option<(u64, u64)>,
+    /// Position of the last crash report that it knows.
+    crashes: u64,
+}
+
+/// Sends batches to one peer until the instance stops.
+///
+/// # Errors
+///
+/// Never fails; the result fits the supervisor.
+pub async fn sync_peer<L: ControlLog, C: Clock>(
+    core: ControlCore<L, C>,
+    peer: InstanceId,
+) -> anyhow::Result<()> {
+    let mut told = ToldState::default();
+    let mut ticks = interval(Duration::from_millis(SYNC_PERIOD_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = core.stop.cancelled() => return Ok(()),
+            _ = ticks.tick() => told = tell(&core, peer, told).await,
+        }
+    }
+}
+
+async fn tell<L: ControlLog, C: Clock>(
+    core: &ControlCore<L, C>,
+    peer: InstanceId,
+    told: ToldState,
+) -> ToldState {
+    // Read before the nodes, as `HubBatch::version` promises.
+    let version = core.log.version();
+    let mut batch = core.hub.batch(told.hub.map(|(_, cursor)| cursor), version);
+    let reports = core.suspects.since(told.crashes);
+    batch.crashes = reports.reports;
+    let cursor = batch.cursor;
+    let Some(ack) = send(core, peer, batch).await else {
+        return told;
+    };
+    let same_feed = told.hub.is_none_or(|(feed, _)| feed == ack.feed);
+    if ack.understood && same_feed {
+        return ToldState {
+            hub: Some((ack.feed, cursor)),
+            crashes: reports.cursor,
+        };
+    }
+    ToldState::default()
+}
+
+async fn send<L: ControlLog, C: Clock>(
+    core: &ControlCore<L, C>,
+    peer: InstanceId,
+    batch: HubBatch,
+) -> Option<HubAck> {
+    let limit = Duration::from_millis(SYNC_TIMEOUT_MS);
+    let client = match core.mesh.client(peer, limit).await {
+        Ok(client) => client,
+        Err(error) => {
+            debug!(event = "peer-unreachable", peer, %error);
+            return None;
+        }
+    };
+    match client.absorb(call_context(limit), batch).await {
+        Ok(ack) => Some(ack),
+        Err(error) => {
+            debug!(event = "peer-unanswered", peer, %error);
+            core.mesh.reset(peer);
+            None
+        }
+    }
+}
+
+impl<L: ControlLog, C: Clock> ControlCore<L, C> {
+    /// Takes over what a peer tells.
+    pub fn absorb(&self, batch: &HubBatch) -> HubAck {
+        let understood = self.hub.absorb(batch);
+        self.suspects.absorb(&batch.crashes);
+        if understood {
+            let peer = LiveInstance {
+                instance: batch.from,
+                incarnation: batch.feed,
+            };
+            self.force.heard(peer, batch.version);
+        }
+        HubAck {
+            feed: self.hub.feed(),
+            understood,
+        }
+    }
+}
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -1,7 +1,11 @@
 //! The tarpc services that control instances offer.
 
+mod message;
+
 use derive_more::Display;
 use derive_more::Error;
+use model::admin::ChangeSubmission;
+use model::change::ChangeStatus;
 use model::exchange::ExchangeReply;
 use model::exchange::ExchangeRequest;
 use model::ids::InstanceId;
@@ -11,6 +15,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use message::HubAck;
+pub use message::HubBatch;
+pub use message::LeaseNotice;
+pub use message::NodeDemands;
+pub use message::NodeGrants;
+pub use message::NodeNotice;
+
 /// Why a control instance did not do what a node asked for.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq, Serialize, Deserialize)]
 pub enum ControlError {
@@ -30,6 +41,20 @@
     Stopping,
 }
 
+/// Why a forwarded proposal has no outcome.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq, Serialize, Deserialize)]
+pub enum ForwardError {
+    /// The instance asked does not lead, and nothing was appended.
+    #[display("not the leader")]
+    NotLeader {
+        /// The leader, if known there.
+        leader: Option<InstanceId>,
+    },
+    /// The proposal may yet be committed.
+    #[display("the outcome is not known")]
+    Unknown,
+}
+
 /// Offered to nodes by each control instance.
 #[tarpc::service]
 pub trait NodeControl {
@@ -48,4 +73,19 @@
 pub trait PeerControl {
     /// Hands over messages of the replicated log, in order.
     async fn deliver(from: InstanceId, messages: Vec<Vec<u8>>);
+
+    /// Tells about the nodes that exchange with the sender.
+    async fn absorb(batch: HubBatch) -> HubAck;
+
+    /// Asks the owner of teams for tokens, on behalf of nodes.
+    async fn grant(demands: Vec<NodeDemands>) -> Result<Vec<NodeGrants>, ControlError>;
+
+    /// Proposes a claim; only the leader commits it.
+    async fn propose_claim(claim: OnceClaim) -> Result<ClaimOutcome, ForwardError>;
+
+    /// Proposes the end of an attempt; only the leader commits it.
+    async fn propose_settle(settle: OnceSettle) -> Result<(), ForwardError>;
+
+    /// Proposes a change; only the leader commits it.
+    async fn propose_change(submission: ChangeSubmission) -> Result<ChangeStatus, ForwardError>;
 }
