--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -105,7 +105,7 @@
     }
 
     async fn answer_change(&self, hash: &str) -> Response<JsonBody> {
-        let Some(hash) = parse_hash(hash) else {
+        let Some(hash) = hex::decode_32(hash) else {
             return text(StatusCode::BAD_REQUEST, "a hash has 64 hexadecimal digits");
         };
         if !self.confirmed().await {
@@ -165,7 +165,3 @@
         "no quorum answered in time; /status tells what this instance knows",
     )
 }
-
-fn parse_hash(text: &str) -> Option<ChangeHash> {
-    hex::decode(text)
-}
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -68,7 +68,7 @@
         let delta = self
             .deltas
             .entry(applied)
-            .or_insert_with(|| Arc::new(DeclarationDelta::between(older, current)));
+            .or_insert_with(|| Arc::new(Declaration::diff(older, current)));
         (delta.to == current.version).then(|| Arc::clone(delta))
     }
 }
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -9,9 +9,7 @@
 use prometheus::TextEncoder;
 
 /// Bounds of the buckets for times of an exchange, in seconds.
-const EXCHANGE_BUCKETS_S: [f64; 9] = [
-    0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
-];
+const EXCHANGE_BUCKETS_S: [f64; 9] = [0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25];
 
 /// Counters and gauges of a control instance.
 #[derive(Debug)]
@@ -49,8 +47,7 @@
             "ragwortplank_control_exchange_seconds",
             "Time to answer an exchange.",
         );
-        let exchange_seconds =
-            Histogram::with_opts(options.buckets(EXCHANGE_BUCKETS_S.to_vec()))?;
+        let exchange_seconds = Histogram::with_opts(options.buckets(EXCHANGE_BUCKETS_S.to_vec()))?;
         registry.register(Box::new(exchange_seconds.clone()))?;
         let counter = |name: &str, help: &str| {
             let counter = IntCounter::new(format!("ragwortplank_control_{name}"), help)?;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use clock::Clock;
+use supervisor::TaskSupervisor;
 use timeline::EventRecord;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -73,7 +74,7 @@
         self.events.push(EventRecord::new("control-started"));
         info!(event = "control-started", instance = self.own);
         let links = tokio::spawn(accept_links(self.clone(), quic.clone()));
-        let mut tasks = supervisor::TaskSupervisor::new(self.clock.clone(), self.stop.clone());
+        let mut tasks = TaskSupervisor::new(self.clock.clone(), self.stop.clone());
         for peer in self.mesh.peers() {
             let core = self.clone();
             tasks.spawn("sync", move || sync_peer(core.clone(), peer));
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -68,11 +68,7 @@
         self.core.exchange(request).await
     }
 
-    async fn claim(
-        self,
-        context: Context,
-        claim: OnceClaim,
-    ) -> Result<ClaimOutcome, ControlError> {
+    async fn claim(self, context: Context, claim: OnceClaim) -> Result<ClaimOutcome, ControlError> {
         self.core.metrics.once_calls.inc();
         self.core.propose(claim, context.deadline).await
     }
@@ -142,7 +138,10 @@
 }
 
 /// Accepts connections until the endpoint is closed.
-pub async fn accept_links<L: ControlLog, C: Clock>(core: ControlCore<L, C>, endpoint: QuicEndpoint) {
+pub async fn accept_links<L: ControlLog, C: Clock>(
+    core: ControlCore<L, C>,
+    endpoint: QuicEndpoint,
+) {
     while let Some(pending) = endpoint.accept().await {
         tokio::spawn(serve_pending(core.clone(), pending));
     }
