--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -9,6 +9,7 @@
 use model::exchange::LeaseGrant;
 use model::exchange::MemberUpdate;
 use model::exchange::PROTOCOL_VERSION;
+use model::exchange::QuarantineNotice;
 use model::exchange::TokenGrant;
 use model::ids::NodeId;
 use timeline::EventRecord;
@@ -40,6 +41,7 @@
         }
         let timer = self.metrics.exchange_seconds.start_timer();
         self.events.clock().observe(request.stamp);
+        self.suspects.report(&request.crashes);
         let reply = if request.leaving {
             self.release(&request)
         } else {
@@ -61,7 +63,6 @@
     }
 
     async fn renew(&self, request: &ExchangeRequest) -> ExchangeReply {
-        let crashes_taken = self.suspects.report(&request.crashes);
         let node = request.member.node;
         let remote = self
             .forwarder
@@ -81,12 +82,17 @@
             config: self.history.update(request.applied, &declaration),
             members: self.members(request),
             grants: self.grants(node, request, remote),
-            quarantined: self.suspects.notices(),
-            crashes_taken,
+            quarantined: self.quarantined(request),
+            crashes_taken: true,
             stamp: self.events.clock().stamp(),
         }
     }
 
+    fn quarantined(&self, request: &ExchangeRequest) -> Vec<QuarantineNotice> {
+        self.suspects
+            .notices(&request.member.service, &request.interests)
+    }
+
     fn members(&self, request: &ExchangeRequest) -> MemberUpdate {
         self.hub
             .update(request.feed, request.member_cursor, &request.interests)
@@ -114,8 +120,8 @@
             config: ConfigUpdate::Current,
             members,
             grants: Vec::new(),
-            quarantined: self.suspects.notices(),
-            crashes_taken: self.suspects.report(&request.crashes),
+            quarantined: self.quarantined(request),
+            crashes_taken: true,
             stamp: self.events.clock().stamp(),
         }
     }
--- a/crates/control/src/suspects.rs
+++ b/crates/control/src/suspects.rs
@@ -8,40 +8,38 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use admit::SuspectBook;
 use clock::Clock;
 use model::exchange::CrashReport;
 use model::exchange::QuarantineNotice;
-use model::ids::Fingerprint;
 use model::ids::NodeId;
 use model::ids::ServiceName;
 
-/// Different crashes after which a request is quarantined.
-const QUARANTINE_CRASHES: usize = 2;
-/// Time for which crashes are remembered and requests stay quarantined, in seconds.
-const RETENTION_S: u64 = 600;
-/// Crash reports remembered at most; the oldest make room.
+/// Time for which reports are kept for peers that cannot be reached, in seconds.
+const RETENTION_S: u64 = 60;
+/// Crash reports kept for peers at most; the oldest make room.
 const REPORTS_MAX: usize = 1_024;
 
-/// Crash reports from all nodes; each crash counts once.
+/// Takes crash reports over from nodes and peers, and says what nodes must refuse.
 #[derive(Debug)]
 pub struct SuspectDesk<C> {
     clock: C,
-    state: Mutex<DeskState>,
+    state: Mutex<DeskState<C>>,
 }
 
-#[derive(Debug, Default)]
-struct DeskState {
+#[derive(Debug)]
+struct DeskState<C> {
+    book: SuspectBook<C>,
     last: u64,
-    reports: BTreeMap<u64, TimedReport>,
-    seen: BTreeSet<(NodeId, u32)>,
+    own: BTreeMap<u64, TimedReport>,
+    known: BTreeSet<(NodeId, u32)>,
 }
 
+/// A report of a node of this instance, which the peers must be told.
 #[derive(Debug)]
 struct TimedReport {
     at: Instant,
     report: CrashReport,
-    /// Whether a node of this instance reported it, so that the peers must be told.
-    own: bool,
 }
 
 /// Crash reports that a peer must be told of.
@@ -56,106 +54,89 @@
 impl<C: Clock> SuspectDesk<C> {
     /// Creates an empty desk.
     pub fn new(clock: C) -> Self {
+        let state = DeskState {
+            book: SuspectBook::new(clock.clone()),
+            last: 0,
+            own: BTreeMap::new(),
+            known: BTreeSet::new(),
+        };
         Self {
             clock,
-            state: Mutex::default(),
+            state: Mutex::new(state),
         }
     }
 
-    /// Takes reports over from a node of this instance; always succeeds.
-    pub fn report(&self, reports: &[CrashReport]) -> bool {
-        self.record(reports, true);
-        true
+    /// Takes over reports of a node of this instance.
+    pub fn report(&self, reports: &[CrashReport]) {
+        if reports.is_empty() {
+            return;
+        }
+        let at = self.clock.now();
+        let mut state = self.lock();
+        for report in reports {
+            let _ = state.book.record(report);
+            if state.known.insert((report.node, report.crash)) {
+                state.keep(at, report.clone());
+            }
+        }
     }
 
-    /// Takes reports over that a peer tells of.
+    /// Takes over reports that a peer tells of.
     pub fn absorb(&self, reports: &[CrashReport]) {
-        self.record(reports, false);
+        let mut state = self.lock();
+        for report in reports {
+            let _ = state.book.record(report);
+        }
     }
 
     /// Returns the reports of this instance's nodes after `cursor`.
     #[must_use]
     pub fn since(&self, cursor: u64) -> ReportBatch {
         let state = self.lock();
-        let later = state.reports.range(cursor + 1..);
-        let own = later.filter(|(_, timed)| timed.own);
+        let later = state.own.range(cursor + 1..);
         ReportBatch {
             cursor: state.last,
-            reports: own.map(|(_, timed)| timed.report.clone()).collect(),
+            reports: later.map(|(_, timed)| timed.report.clone()).collect(),
         }
     }
 
-    /// Returns what every node must refuse.
+    /// Returns what a node that serves or calls these services must refuse.
     #[must_use]
-    pub fn notices(&self) -> Vec<QuarantineNotice> {
-        let now = self.clock.now();
-        let retention = Duration::from_secs(RETENTION_S);
-        let state = self.lock();
-        if state.reports.len() < QUARANTINE_CRASHES {
-            return Vec::new();
-        }
-        let mut crashes: BTreeMap<(&ServiceName, Fingerprint), Vec<Instant>> = BTreeMap::new();
-        for timed in state.reports.values() {
-            let suspects: BTreeSet<_> = timed.report.suspects.iter().copied().collect();
-            for suspect in suspects {
-                let key = (&timed.report.service, suspect);
-                crashes.entry(key).or_default().push(timed.at);
-            }
-        }
-        let repeated = crashes
-            .into_iter()
-            .filter(|(_, at)| at.len() >= QUARANTINE_CRASHES);
-        let notices = repeated.map(|((service, fingerprint), at)| {
-            let last = at.into_iter().max().unwrap_or(now);
-            QuarantineNotice {
-                service: service.clone(),
-                fingerprint,
-                time_left: (last + retention).saturating_duration_since(now),
-            }
-        });
-        notices.collect()
+    pub fn notices(&self, own: &ServiceName, interests: &[ServiceName]) -> Vec<QuarantineNotice> {
+        let mut notices = self.lock().book.notices();
+        notices.retain(|notice| notice.service == *own || interests.contains(&notice.service));
+        notices
     }
 
-    /// Forgets reports older than the retention period.
+    /// Forgets reports that all peers had time to learn of.
     pub fn expire(&self) {
         let now = self.clock.now();
         let retention = Duration::from_secs(RETENTION_S);
         let mut state = self.lock();
-        while let Some(first) = state.reports.first_entry() {
+        while let Some(first) = state.own.first_entry() {
             if now.saturating_duration_since(first.get().at) < retention {
                 return;
             }
             let ended = first.remove().report;
-            state.seen.remove(&(ended.node, ended.crash));
+            state.known.remove(&(ended.node, ended.crash));
         }
     }
 
-    fn record(&self, reports: &[CrashReport], own: bool) {
-        if reports.is_empty() {
+    fn lock(&self) -> MutexGuard<'_, DeskState<C>> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<C> DeskState<C> {
+    fn keep(&mut self, at: Instant, report: CrashReport) {
+        self.last += 1;
+        self.own.insert(self.last, TimedReport { at, report });
+        if self.own.len() <= REPORTS_MAX {
             return;
         }
-        let at = self.clock.now();
-        let mut state = self.lock();
-        for report in reports {
-            if !state.seen.insert((report.node, report.crash)) {
-                continue;
-            }
-            state.last += 1;
-            let position = state.last;
-            let report = report.clone();
-            state
-                .reports
-                .insert(position, TimedReport { at, report, own });
-            if state.reports.len() > REPORTS_MAX
-                && let Some((_, oldest)) = state.reports.pop_first()
-            {
-                let oldest = oldest.report;
-                state.seen.remove(&(oldest.node, oldest.crash));
-            }
+        if let Some((_, oldest)) = self.own.pop_first() {
+            let oldest = oldest.report;
+            self.known.remove(&(oldest.node, oldest.crash));
         }
     }
-
-    fn lock(&self) -> MutexGuard<'_, DeskState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/crates/control/src/sync.rs
+++ b/crates/control/src/sync.rs
@@ -98,6 +98,7 @@
 
 impl<L: ControlLog, C: Clock> ControlCore<L, C> {
     /// Takes over what a peer tells.
+    #[must_use]
     pub fn absorb(&self, batch: &HubBatch) -> HubAck {
         let understood = self.hub.absorb(batch);
         self.suspects.absorb(&batch.crashes);
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -16,6 +16,7 @@
 use settings::ControlAddress;
 use tarpc::client::Channel;
 use tarpc::client::RpcError;
+use tarpc::context::Context;
 use tokio::time::sleep;
 use tracing::info;
 
@@ -54,7 +55,44 @@
 struct ChosenTarget {
     position: usize,
     address: SocketAddr,
-    client: NodeControlClient<Channel<NodeControlRequest, NodeControlResponse>>,
+    client: NodeClient,
+}
+
+type NodeClient = NodeControlClient<Channel<NodeControlRequest, NodeControlResponse>>;
+
+/// A message that may be repeated at another instance.
+trait OnceMessage: Clone + Send + Sync {
+    type Answer: Send;
+
+    fn send(
+        self,
+        client: &NodeClient,
+        context: Context,
+    ) -> impl Future<Output = Result<Result<Self::Answer, ControlError>, RpcError>> + Send;
+}
+
+impl OnceMessage for OnceClaim {
+    type Answer = ClaimOutcome;
+
+    async fn send(
+        self,
+        client: &NodeClient,
+        context: Context,
+    ) -> Result<Result<ClaimOutcome, ControlError>, RpcError> {
+        client.claim(context, self).await
+    }
+}
+
+impl OnceMessage for OnceSettle {
+    type Answer = ();
+
+    async fn send(
+        self,
+        client: &NodeClient,
+        context: Context,
+    ) -> Result<Result<(), ControlError>, RpcError> {
+        client.settle(context, self).await
+    }
 }
 
 impl ControlClient {
@@ -109,8 +147,10 @@
         let limit = Duration::from_millis(ATTEMPT_TIMEOUT_MS);
         let mut outcome = self.try_exchange(request, limit).await;
         for _ in 1..self.targets.len() {
-            let leased = outcome.as_ref().is_ok_and(|reply| reply.lease.is_some());
-            if leased {
+            let done = outcome
+                .as_ref()
+                .is_ok_and(|reply| reply.lease.is_some() || request.leaving);
+            if done {
                 break;
             }
             match self.try_exchange(request, limit).await {
@@ -134,13 +174,7 @@
         claim: &OnceClaim,
         limit: Duration,
     ) -> Result<ClaimOutcome, ClientError> {
-        self.repeat(limit, async |target, attempt| {
-            target
-                .client
-                .claim(call_context(attempt), claim.clone())
-                .await
-        })
-        .await
+        self.repeat(limit, claim).await
     }
 
     /// Ends an attempt, at one instance after the other until `limit`.
@@ -149,13 +183,7 @@
     ///
     /// As [`ControlClient::claim`].
     pub async fn settle(&self, settle: &OnceSettle, limit: Duration) -> Result<(), ClientError> {
-        self.repeat(limit, async |target, attempt| {
-            target
-                .client
-                .settle(call_context(attempt), settle.clone())
-                .await
-        })
-        .await
+        self.repeat(limit, settle).await
     }
 
     async fn try_exchange(
@@ -169,18 +197,18 @@
             .exchange(call_context(limit), request.clone())
             .await;
         let reply = self.judge(&target, answer)?;
-        if reply.lease.is_none() {
+        if reply.lease.is_none() && !request.leaving {
             self.switch(target.position, &"no lease");
         }
         Ok(reply)
     }
 
     /// Calls until an answer arrives or `limit` has passed.
-    async fn repeat<T>(
+    async fn repeat<M: OnceMessage>(
         &self,
         limit: Duration,
-        call: impl AsyncFn(&ChosenTarget, Duration) -> Result<Result<T, ControlError>, RpcError>,
-    ) -> Result<T, ClientError> {
+        message: &M,
+    ) -> Result<M::Answer, ClientError> {
         let end = Instant::now() + limit;
         let mut failures = 0;
         loop {
@@ -188,7 +216,8 @@
             let attempt = left.min(Duration::from_millis(ATTEMPT_TIMEOUT_MS));
             let outcome = match self.connect(attempt).await {
                 Ok(target) => {
-                    let answer = call(&target, attempt).await;
+                    let context = call_context(attempt);
+                    let answer = message.clone().send(&target.client, context).await;
                     self.judge(&target, answer)
                 }
                 Err(error) => Err(error),
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -10,6 +10,8 @@
 
 use authority::TestAuthority;
 use futures::StreamExt;
+use model::admin::ChangeSubmission;
+use model::change::ChangeStatus;
 use model::exchange::ExchangeReply;
 use model::exchange::ExchangeRequest;
 use model::ids::InstanceId;
@@ -33,7 +35,12 @@
 use wire::role::PeerRole;
 use wire::rpc::server_channel;
 use wire::service::ControlError;
+use wire::service::ForwardError;
+use wire::service::HubAck;
+use wire::service::HubBatch;
 use wire::service::NodeControl;
+use wire::service::NodeDemands;
+use wire::service::NodeGrants;
 use wire::service::PeerControl;
 
 const LOOPBACK: SocketAddr =
@@ -82,6 +89,33 @@
             self.delivered.send(message).unwrap();
         }
     }
+
+    async fn absorb(self, _: Context, batch: HubBatch) -> HubAck {
+        HubAck {
+            feed: batch.feed,
+            understood: true,
+        }
+    }
+
+    async fn grant(self, _: Context, _: Vec<NodeDemands>) -> Result<Vec<NodeGrants>, ControlError> {
+        Err(ControlError::NoQuorum)
+    }
+
+    async fn propose_claim(self, _: Context, _: OnceClaim) -> Result<ClaimOutcome, ForwardError> {
+        Err(ForwardError::Unknown)
+    }
+
+    async fn propose_settle(self, _: Context, _: OnceSettle) -> Result<(), ForwardError> {
+        Err(ForwardError::Unknown)
+    }
+
+    async fn propose_change(
+        self,
+        _: Context,
+        _: ChangeSubmission,
+    ) -> Result<ChangeStatus, ForwardError> {
+        Err(ForwardError::Unknown)
+    }
 }
 
 async fn serve(endpoint: QuicEndpoint, control: FakeControl) {
@@ -199,8 +233,10 @@
     let endpoint = dialer(&authority.identity(PeerRole::Node));
     let client = ControlClient::new(&endpoint, &addresses(&[first, second]), 0);
     assert_eq!(client.instance(), 1);
-    let outcome = client.claim(&claim(), LIMIT).await.unwrap();
-    assert_eq!(outcome, ClaimOutcome::Fresh);
+    let caller = client.clone();
+    // Spawned, as a node calls it: the future must be `Send`.
+    let outcome = tokio::spawn(async move { caller.claim(&claim(), LIMIT).await });
+    assert_eq!(outcome.await.unwrap().unwrap(), ClaimOutcome::Fresh);
     assert_eq!(client.instance(), 2);
 }
 
