--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -25,7 +25,7 @@
 
 /// How an attempt ended.
 #[derive(Debug)]
-pub struct AttemptReport {
+pub(crate) struct AttemptReport {
     /// The answer or the failure.
     pub result: Result<CallAnswer, CallFailure>,
     /// What the other node reported; none when its answer was lost.
@@ -42,7 +42,7 @@
 }
 
 /// Sends a call to another node and waits for its end, at most `time_left`.
-pub async fn attempt<C: Clock>(
+pub(crate) async fn attempt<C: Clock>(
     state: &NodeState<C>,
     address: SocketAddr,
     context: &CallContext,
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -24,7 +24,7 @@
 
 /// How a call to the backend server ended.
 #[derive(Debug)]
-pub enum BackendOutcome {
+pub(crate) enum BackendOutcome {
     /// It answered.
     Answered(CallAnswer),
     /// It refused before it ran any of the request.
@@ -39,7 +39,7 @@
 
 impl BackendOutcome {
     /// Returns the answer, or the failure that stands for this outcome.
-    pub fn into_result(self) -> Result<CallAnswer, CallFailure> {
+    pub(crate) fn into_result(self) -> Result<CallAnswer, CallFailure> {
         match self {
             Self::Answered(answer) => Ok(answer),
             Self::Shed => Err(CallFailure::not_run(FailureCause::Shed)),
@@ -52,14 +52,14 @@
 
 /// Client of the backend server.
 #[derive(Clone, Debug)]
-pub struct BackendClient {
+pub(crate) struct BackendClient {
     client: Client<HttpConnector, Full<Bytes>>,
     body_bytes_max: usize,
 }
 
 impl BackendClient {
     /// Creates a client that accepts answers of up to `body_bytes_max` bytes.
-    pub fn new(body_bytes_max: usize) -> Self {
+    pub(crate) fn new(body_bytes_max: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
@@ -73,7 +73,7 @@
     }
 
     /// Runs a request as `call` and waits for the whole answer.
-    pub async fn run(
+    pub(crate) async fn run(
         &self,
         address: SocketAddr,
         call: CallId,
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -16,7 +16,7 @@
 /// Bounds extra attempts to a tenth of the requests, so that retries cannot
 /// multiply an overload. See `docs/LIMITS.md`, "Retry allowance".
 #[derive(Debug)]
-pub struct RetryBudget {
+pub(crate) struct RetryBudget {
     saved_milli: Mutex<u32>,
 }
 
@@ -30,7 +30,7 @@
 
 impl RetryBudget {
     /// Earns for a new request and reserves extra attempts for it.
-    pub fn reserve(&self) -> u16 {
+    pub(crate) fn reserve(&self) -> u16 {
         let mut saved_milli = self.lock();
         *saved_milli = (*saved_milli + EARNED_MILLI).min(SAVED_MAX * ATTEMPT_MILLI);
         let given = (*saved_milli / ATTEMPT_MILLI).min(GIVEN_MAX);
@@ -39,7 +39,7 @@
     }
 
     /// Takes back what a request did not spend.
-    pub fn release(&self, unspent: u16) {
+    pub(crate) fn release(&self, unspent: u16) {
         let mut saved_milli = self.lock();
         let returned_milli = u32::from(unspent) * ATTEMPT_MILLI;
         *saved_milli = (*saved_milli + returned_milli).min(SAVED_MAX * ATTEMPT_MILLI);
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -22,7 +22,7 @@
 
 /// A request without the headers that must not pass.
 #[derive(Clone, Debug)]
-pub struct CallRequest {
+pub(crate) struct CallRequest {
     /// Method.
     pub method: Method,
     /// Path and query, without scheme and authority.
@@ -35,7 +35,7 @@
 
 /// An answer of a backend server without the headers that must not pass.
 #[derive(Clone, Debug)]
-pub struct CallAnswer {
+pub(crate) struct CallAnswer {
     /// Status.
     pub status: StatusCode,
     /// Headers, stripped.
@@ -46,7 +46,7 @@
 
 /// Why a body could not be read whole.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum BodyError {
+pub(crate) enum BodyError {
     /// It is larger than allowed.
     TooLarge,
     /// It did not arrive in time.
@@ -57,7 +57,7 @@
 
 impl BodyError {
     /// Returns the failure of a request whose body could not be read.
-    pub const fn failure(self) -> CallFailure {
+    pub(crate) const fn failure(self) -> CallFailure {
         match self {
             Self::TooLarge | Self::TooSlow => CallFailure::not_run(FailureCause::BadRequest),
             Self::Lost => CallFailure::not_run(FailureCause::Cancelled),
@@ -66,7 +66,11 @@
 }
 
 /// Reads a body whole, within a size and a time; trailers are dropped.
-pub async fn collect<B>(body: B, bytes_max: usize, timeout: Duration) -> Result<Bytes, BodyError>
+pub(crate) async fn collect<B>(
+    body: B,
+    bytes_max: usize,
+    timeout: Duration,
+) -> Result<Bytes, BodyError>
 where
     B: Body,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -82,7 +86,7 @@
 
 impl CallRequest {
     /// Builds a request from its head and body; the head is stripped.
-    pub fn new(method: Method, uri: &Uri, mut head: HeaderMap, body: Bytes) -> Self {
+    pub(crate) fn new(method: Method, uri: &Uri, mut head: HeaderMap, body: Bytes) -> Self {
         headers::strip(&mut head);
         let target = uri.path_and_query().map_or("/", |target| target.as_str());
         Self {
@@ -93,13 +97,8 @@
         }
     }
 
-    /// Returns the path without the query.
-    pub fn path(&self) -> &str {
-        self.target.split('?').next().unwrap_or("/")
-    }
-
     /// Returns the digest of method, target and body, equal for every re-send.
-    pub fn digest(&self) -> [u8; 32] {
+    pub(crate) fn digest(&self) -> [u8; 32] {
         let mut hasher = blake3::Hasher::new();
         for part in [self.method.as_str().as_bytes(), self.target.as_bytes()] {
             hasher.update(&part.len().to_le_bytes());
@@ -110,7 +109,7 @@
     }
 
     /// Returns a short digest of what the request asks for.
-    pub fn fingerprint(&self) -> Fingerprint {
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
         let digest = self.digest();
         let mut short = [0; size_of::<Fingerprint>()];
         short.copy_from_slice(&digest[..size_of::<Fingerprint>()]);
@@ -118,7 +117,11 @@
     }
 
     /// Builds the HTTP request to `authority`.
-    pub fn to_http(&self, scheme: &str, authority: &str) -> http::Result<Request<Full<Bytes>>> {
+    pub(crate) fn to_http(
+        &self,
+        scheme: &str,
+        authority: &str,
+    ) -> http::Result<Request<Full<Bytes>>> {
         let uri = Uri::builder()
             .scheme(scheme)
             .authority(authority)
@@ -134,7 +137,7 @@
 
 impl CallAnswer {
     /// Builds an answer from its head and body; the head is stripped.
-    pub fn new(status: StatusCode, mut head: HeaderMap, body: Bytes) -> Self {
+    pub(crate) fn new(status: StatusCode, mut head: HeaderMap, body: Bytes) -> Self {
         headers::strip(&mut head);
         Self {
             status,
@@ -144,7 +147,7 @@
     }
 
     /// Builds the HTTP answer.
-    pub fn into_http(self) -> Response<Full<Bytes>> {
+    pub(crate) fn into_http(self) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::new(self.body));
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -18,7 +18,7 @@
 
 /// Crashes of the backend server and suspects of crashes.
 #[derive(Debug)]
-pub struct CrashWatch<C> {
+pub(crate) struct CrashWatch<C> {
     clock: C,
     watched: Mutex<WatchedCrashes<C>>,
 }
@@ -38,7 +38,7 @@
 
 impl<C: Clock> CrashWatch<C> {
     /// Creates a watch without suspects.
-    pub fn new(clock: C) -> Self {
+    pub(crate) fn new(clock: C) -> Self {
         Self {
             clock,
             watched: Mutex::new(WatchedCrashes {
@@ -50,17 +50,17 @@
     }
 
     /// Decides whether a call may run as far as crashes are concerned.
-    pub fn check(&self, service: &ServiceName, fingerprint: Fingerprint) -> TrialDecision {
+    pub(crate) fn check(&self, service: &ServiceName, fingerprint: Fingerprint) -> TrialDecision {
         self.with_book(service, |book| book.check(fingerprint))
     }
 
     /// Notes that a call that was allowed to run has ended.
-    pub fn ended(&self, service: &ServiceName, fingerprint: Fingerprint, completed: bool) {
+    pub(crate) fn ended(&self, service: &ServiceName, fingerprint: Fingerprint, completed: bool) {
         self.with_book(service, |book| book.ended(fingerprint, completed));
     }
 
     /// Notes that the backend server died while it ran these calls.
-    pub fn crashed(&self, node: NodeId, service: &ServiceName, in_flight: &[Fingerprint]) {
+    pub(crate) fn crashed(&self, node: NodeId, service: &ServiceName, in_flight: &[Fingerprint]) {
         let suspects = self.with_book(service, |book| book.crashed(in_flight));
         let mut watched = self.lock();
         watched.crash += 1;
@@ -77,17 +77,17 @@
     }
 
     /// Takes over what control says is refused.
-    pub fn update(&self, service: &ServiceName, notices: &[QuarantineNotice]) {
+    pub(crate) fn update(&self, service: &ServiceName, notices: &[QuarantineNotice]) {
         self.with_book(service, |book| book.update(notices));
     }
 
     /// Returns the crashes that control has not taken over yet.
-    pub fn reports(&self) -> Vec<CrashReport> {
+    pub(crate) fn reports(&self) -> Vec<CrashReport> {
         self.lock().reports.clone()
     }
 
     /// Forgets reports that control took over.
-    pub fn taken(&self, taken: &[CrashReport]) {
+    pub(crate) fn taken(&self, taken: &[CrashReport]) {
         let mut watched = self.lock();
         let open = |report: &CrashReport| !taken.iter().any(|old| old.crash == report.crash);
         watched.reports.retain(open);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -50,7 +50,7 @@
 }
 
 /// Answers a request of a caller.
-pub async fn serve_caller<C: Clock>(
+pub(crate) async fn serve_caller<C: Clock>(
     state: Arc<NodeState<C>>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
--- a/crates/node/src/execute.rs
+++ b/crates/node/src/execute.rs
@@ -40,7 +40,7 @@
 
 /// How a call ended here.
 #[derive(Debug)]
-pub struct ExecutedCall {
+pub(crate) struct ExecutedCall {
     /// The answer or the failure.
     pub result: Result<CallAnswer, CallFailure>,
     /// Extra attempts that came with the call and were not spent.
@@ -51,7 +51,7 @@
 
 impl ExecutedCall {
     /// Creates the end of a call that was refused.
-    pub fn refused(failure: CallFailure, allowance_left: u16) -> Self {
+    pub(crate) fn refused(failure: CallFailure, allowance_left: u16) -> Self {
         Self {
             result: Err(failure),
             allowance_left,
@@ -78,7 +78,7 @@
 }
 
 /// Runs a call that may run more than once.
-pub async fn execute<C: Clock>(
+pub(crate) async fn execute<C: Clock>(
     state: &Arc<NodeState<C>>,
     context: &CallContext,
     deadline: Instant,
@@ -93,7 +93,7 @@
 /// Runs a call at most once.
 ///
 /// It goes on when its caller hangs up, so that its outcome is recorded.
-pub async fn execute_once<C: Clock>(
+pub(crate) async fn execute_once<C: Clock>(
     state: &Arc<NodeState<C>>,
     context: &CallContext,
     deadline: Instant,
@@ -103,16 +103,12 @@
     let state = Arc::clone(state);
     let context = context.clone();
     let tracker = state.background.clone();
-    let running = tracker.spawn(async move {
-        claim_and_run(&state, &context, deadline, &request).await
-    });
-    match running.await {
-        Ok(executed) => executed,
-        Err(_) => {
-            let failure = CallFailure::may_have_run(FailureCause::Internal);
-            ExecutedCall::refused(failure, allowance)
-        }
-    }
+    let running =
+        tracker.spawn(async move { claim_and_run(&state, &context, deadline, &request).await });
+    running.await.unwrap_or_else(|_| {
+        let failure = CallFailure::may_have_run(FailureCause::Internal);
+        ExecutedCall::refused(failure, allowance)
+    })
 }
 
 async fn claim_and_run<C: Clock>(
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -18,7 +18,7 @@
 use crate::state::NodeState;
 
 /// A call that is ready to be sent; `context.time_left` is set for each attempt.
-pub struct OutgoingCall<'a> {
+pub(crate) struct OutgoingCall<'a> {
     /// Context to send along.
     pub context: CallContext,
     /// When the caller gives up.
@@ -34,7 +34,7 @@
 /// # Errors
 ///
 /// Fails with the failure of the last attempt; its verdict covers all attempts.
-pub async fn forward<C: Clock>(
+pub(crate) async fn forward<C: Clock>(
     state: &NodeState<C>,
     call: OutgoingCall<'_>,
     allowance: &mut RetryAllowance,
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -27,7 +27,7 @@
 type WaitOutcome = Result<(), CallFailure>;
 
 /// The gate with the calls that wait at it.
-pub struct GateKeeper<C: Clock> {
+pub(crate) struct GateKeeper<C: Clock> {
     guarded: Mutex<GuardedGate<C>>,
 }
 
@@ -39,7 +39,7 @@
 
 impl<C: Clock> GateKeeper<C> {
     /// Creates a keeper of a new gate.
-    pub fn new(clock: C) -> Self {
+    pub(crate) fn new(clock: C) -> Self {
         Self {
             guarded: Mutex::new(GuardedGate {
                 gate: AdmitGate::new(clock),
@@ -52,7 +52,7 @@
     /// Waits until the call may run, or is refused.
     ///
     /// Dropping the returned pass, or this future, ends the call at the gate.
-    pub async fn enter(
+    pub(crate) async fn enter(
         self: &Arc<Self>,
         context: &CallContext,
         deadline: Instant,
@@ -69,31 +69,31 @@
     }
 
     /// Returns the cut to report with answers.
-    pub fn cut(&self) -> CallRank {
+    pub(crate) fn cut(&self) -> CallRank {
         self.lock().gate.cut()
     }
 
     /// Returns the load to report with answers.
-    pub fn load(&self) -> ServerLoad {
+    pub(crate) fn load(&self) -> ServerLoad {
         self.lock().gate.load()
     }
 
     /// Takes over the state of the backend server.
-    pub fn set_state(&self, state: ServerState) {
+    pub(crate) fn set_state(&self, state: ServerState) {
         let mut guarded = self.lock();
         let actions = guarded.gate.set_state(state);
         guarded.perform(actions);
     }
 
     /// Takes a hint how many calls the backend server runs at once.
-    pub fn hint_slots(&self, slots: u32) {
+    pub(crate) fn hint_slots(&self, slots: u32) {
         let mut guarded = self.lock();
         let actions = guarded.gate.hint_slots(slots);
         guarded.perform(actions);
     }
 
     /// Notes that the backend server died and returns what it ran.
-    pub fn crashed(&self) -> CrashedCalls {
+    pub(crate) fn crashed(&self) -> CrashedCalls {
         let mut guarded = self.lock();
         let mut crashed = guarded.gate.crashed();
         let actions = std::mem::take(&mut crashed.actions);
@@ -102,7 +102,7 @@
     }
 
     /// Refuses waiting calls that can no longer finish in time.
-    pub fn expire(&self) {
+    pub(crate) fn expire(&self) {
         let mut guarded = self.lock();
         let actions = guarded.gate.expire();
         guarded.perform(actions);
@@ -173,7 +173,7 @@
 }
 
 /// A call's place at the gate; dropping it ends the call there.
-pub struct GatePass<C: Clock> {
+pub(crate) struct GatePass<C: Clock> {
     keeper: Arc<GateKeeper<C>>,
     id: u64,
     outcome: CallOutcome,
@@ -181,7 +181,7 @@
 
 impl<C: Clock> GatePass<C> {
     /// Sets how the call ended; without it, it counts as cancelled.
-    pub fn ended(&mut self, outcome: CallOutcome) {
+    pub(crate) fn ended(&mut self, outcome: CallOutcome) {
         self.outcome = outcome;
     }
 }
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -14,27 +14,27 @@
 const OWN_PREFIX: &str = "ragwortplank-";
 
 /// Carries the [`model::context::CallContext`] between nodes.
-pub const CONTEXT: HeaderName = HeaderName::from_static("ragwortplank-context");
+pub(crate) const CONTEXT: HeaderName = HeaderName::from_static("ragwortplank-context");
 /// Carries the [`model::context::CallFeedback`] between nodes.
-pub const FEEDBACK: HeaderName = HeaderName::from_static("ragwortplank-feedback");
+pub(crate) const FEEDBACK: HeaderName = HeaderName::from_static("ragwortplank-feedback");
 /// Carries the [`model::verdict::CallFailure`] between nodes.
-pub const FAILURE: HeaderName = HeaderName::from_static("ragwortplank-failure");
+pub(crate) const FAILURE: HeaderName = HeaderName::from_static("ragwortplank-failure");
 /// Names a running call to its backend server, and the parent of a sub-call.
-pub const CALL: HeaderName = HeaderName::from_static("ragwortplank-call");
+pub(crate) const CALL: HeaderName = HeaderName::from_static("ragwortplank-call");
 /// Tells the caller whether the request ran.
-pub const VERDICT: HeaderName = HeaderName::from_static("ragwortplank-verdict");
+pub(crate) const VERDICT: HeaderName = HeaderName::from_static("ragwortplank-verdict");
 /// Tells the caller the request's id, for the time line.
-pub const REQUEST: HeaderName = HeaderName::from_static("ragwortplank-request");
+pub(crate) const REQUEST: HeaderName = HeaderName::from_static("ragwortplank-request");
 /// Set by a backend server that refused a call before it ran any of it.
-pub const SHED: HeaderName = HeaderName::from_static("ragwortplank-shed");
+pub(crate) const SHED: HeaderName = HeaderName::from_static("ragwortplank-shed");
 /// The caller's name for a request that must run at most once.
-pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Removes what must not pass a node: the caller's key, hop-by-hop headers
 /// and every header that only this software may set.
 ///
 /// See `docs/DESIGN.md`, "Request context and keys".
-pub fn strip(headers: &mut HeaderMap) {
+pub(crate) fn strip(headers: &mut HeaderMap) {
     let named = named_by_connection(headers);
     let unwanted: Vec<HeaderName> = headers
         .keys()
@@ -78,33 +78,33 @@
 ///
 /// Returns none when the message cannot be encoded, which no message of
 /// [`model::context`] gives reason for.
-pub fn encode<T: Serialize>(message: &T) -> Option<HeaderValue> {
+pub(crate) fn encode<T: Serialize>(message: &T) -> Option<HeaderValue> {
     let bytes = postcard::to_stdvec(message).ok()?;
     HeaderValue::from_str(&URL_SAFE_NO_PAD.encode(bytes)).ok()
 }
 
 /// Decodes the message in the header `name`; none when it is missing, repeated or malformed.
-pub fn decode<T: DeserializeOwned>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+pub(crate) fn decode<T: DeserializeOwned>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
     let value = single(headers, name)?;
     let bytes = URL_SAFE_NO_PAD.decode(value.as_bytes()).ok()?;
     postcard::from_bytes(&bytes).ok()
 }
 
 /// Returns the value of a header that must stand exactly once.
-pub fn single<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
+pub(crate) fn single<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
     let mut values = headers.get_all(name).iter();
     let value = values.next()?;
     values.next().is_none().then_some(value)
 }
 
 /// Formats a call id for [`CALL`].
-pub fn call_value(call: CallId) -> HeaderValue {
+pub(crate) fn call_value(call: CallId) -> HeaderValue {
     let text = format!("{call:032x}");
     HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("0"))
 }
 
 /// Reads the call id that a backend server shows with a sub-call.
-pub fn parse_call(headers: &HeaderMap) -> Option<CallId> {
+pub(crate) fn parse_call(headers: &HeaderMap) -> Option<CallId> {
     let text = single(headers, &CALL)?.to_str().ok()?;
     CallId::from_str_radix(text, 16).ok()
 }
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -7,7 +7,7 @@
 ///
 /// See `docs/DESIGN.md`, "One lease".
 #[derive(Clone, Copy, Debug, Default)]
-pub struct LeaseHolder {
+pub(crate) struct LeaseHolder {
     end: Option<Instant>,
 }
 
@@ -15,23 +15,18 @@
     /// Takes over a lease of `length` that was asked for at `sent`.
     ///
     /// Counting from the sending bounds the lease whatever the network does.
-    pub fn extend(&mut self, sent: Instant, length: Duration) {
+    pub(crate) fn extend(&mut self, sent: Instant, length: Duration) {
         let end = sent + length;
         self.end = Some(self.end.map_or(end, |held| held.max(end)));
     }
 
     /// Returns whether the lease is held at `now`.
-    pub fn is_held(&self, now: Instant) -> bool {
+    pub(crate) fn is_held(&self, now: Instant) -> bool {
         self.end.is_some_and(|end| now < end)
     }
 
-    /// Returns when the lease ends, or has ended.
-    pub fn end(&self) -> Option<Instant> {
-        self.end
-    }
-
     /// Returns the time left at `now`.
-    pub fn left(&self, now: Instant) -> Duration {
+    pub(crate) fn left(&self, now: Instant) -> Duration {
         let left = self.end.map(|end| end.saturating_duration_since(now));
         left.unwrap_or_default()
     }
--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -37,7 +37,7 @@
 use crate::state::NodeState;
 
 /// Answers the backend server beside this node.
-pub async fn serve_local<C: Clock>(
+pub(crate) async fn serve_local<C: Clock>(
     state: Arc<NodeState<C>>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
--- a/crates/node/src/lost.rs
+++ b/crates/node/src/lost.rs
@@ -17,7 +17,7 @@
 ///
 /// What it ran is taken at once, before other calls notice the loss, so that
 /// the report names everything that was in flight.
-pub fn connection_lost<C: Clock>(state: &Arc<NodeState<C>>, target: &ServerTarget) {
+pub(crate) fn connection_lost<C: Clock>(state: &Arc<NodeState<C>>, target: &ServerTarget) {
     let suspects = state.parents.fingerprints();
     let state = Arc::clone(state);
     let target = target.clone();
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -29,7 +29,7 @@
 
 /// Position in the membership feed of a control instance.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct FeedPosition {
+pub(crate) struct FeedPosition {
     /// The feed.
     pub feed: u64,
     /// The cursor in it; 0 asks for everything.
@@ -37,7 +37,7 @@
 }
 
 /// Services that this node calls and the nodes that serve them.
-pub struct MemberTable<C: Clock> {
+pub(crate) struct MemberTable<C: Clock> {
     clock: C,
     data_centre: DataCentreName,
     known: Mutex<KnownMembers<C>>,
@@ -60,7 +60,7 @@
 
 impl<C: Clock> MemberTable<C> {
     /// Creates a table without interests.
-    pub fn new(data_centre: DataCentreName, clock: C) -> Self {
+    pub(crate) fn new(data_centre: DataCentreName, clock: C) -> Self {
         Self {
             clock,
             data_centre,
@@ -75,7 +75,11 @@
     }
 
     /// Chooses a node for a call; the first call to a service waits for its members.
-    pub async fn pick(&self, service: &ServiceName, tried: &[NodeId]) -> Option<PickGuard<'_, C>> {
+    pub(crate) async fn pick(
+        &self,
+        service: &ServiceName,
+        tried: &[NodeId],
+    ) -> Option<PickGuard<'_, C>> {
         let give_up = tokio::time::Instant::now() + Duration::from_millis(FIRST_WAIT_MS);
         loop {
             let updated = self.updated.notified();
@@ -89,19 +93,19 @@
     }
 
     /// Returns the services whose members this node wants to know.
-    pub fn interests(&self) -> SmallVec<[ServiceName; 4]> {
+    pub(crate) fn interests(&self) -> SmallVec<[ServiceName; 4]> {
         self.lock().pickers.keys().cloned().collect()
     }
 
     /// Returns the position to send with an exchange.
-    pub fn position(&self) -> FeedPosition {
+    pub(crate) fn position(&self) -> FeedPosition {
         self.lock().position
     }
 
     /// Takes over an update that answers an exchange with these interests.
     ///
     /// Returns the addresses of nodes that are new here.
-    pub fn update(&self, update: MemberUpdate, asked: &[ServiceName]) -> Vec<MemberRecord> {
+    pub(crate) fn update(&self, update: MemberUpdate, asked: &[ServiceName]) -> Vec<MemberRecord> {
         let mut known = self.lock();
         let fresh = known.apply(update);
         known.refresh_pickers(asked);
@@ -111,7 +115,7 @@
     }
 
     /// Returns all nodes known.
-    pub fn records(&self) -> Vec<MemberRecord> {
+    pub(crate) fn records(&self) -> Vec<MemberRecord> {
         let known = self.lock();
         let mut records: Vec<_> = known.records.values().cloned().collect();
         records.sort_by_key(|record| record.node);
@@ -201,7 +205,7 @@
 }
 
 /// A chosen node; dropping it tells the picker how the call ended.
-pub struct PickGuard<'a, C: Clock> {
+pub(crate) struct PickGuard<'a, C: Clock> {
     table: &'a MemberTable<C>,
     service: ServiceName,
     server: PickedServer,
@@ -211,12 +215,12 @@
 
 impl<C: Clock> PickGuard<'_, C> {
     /// Returns the chosen node.
-    pub fn server(&self) -> PickedServer {
+    pub(crate) fn server(&self) -> PickedServer {
         self.server
     }
 
     /// Tells the picker how the attempt ended.
-    pub fn finish(mut self, report: &AttemptReport, latency: Duration) {
+    pub(crate) fn finish(mut self, report: &AttemptReport, latency: Duration) {
         self.load = report.feedback.as_ref().map(|feedback| feedback.load);
         self.result = match &report.result {
             Ok(answer) if answer.status.is_server_error() => CallResult::Failed,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -21,7 +21,7 @@
 
 /// What a node measures of itself.
 #[derive(Clone, Debug)]
-pub struct NodeMetrics {
+pub(crate) struct NodeMetrics {
     registry: Registry,
     requests: IntCounterVec,
     latency: HistogramVec,
@@ -42,7 +42,7 @@
 }
 
 /// Labels of a finished request.
-pub struct RequestLabels<'a> {
+pub(crate) struct RequestLabels<'a> {
     /// Class, or `none`.
     pub class: &'a str,
     /// Team, or `none`.
@@ -55,7 +55,7 @@
     /// # Errors
     ///
     /// Fails when two metrics have one name.
-    pub fn new() -> prometheus::Result<Self> {
+    pub(crate) fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
         let requests = IntCounterVec::new(
             Opts::new("ragwortplank_requests_total", "Requests that entered here"),
@@ -88,7 +88,10 @@
             retries: counter("ragwortplank_retries_total", "Attempts beyond the first")?,
             renewals: counter("ragwortplank_renewals_total", "Leases renewed")?,
             renewal_failures: counter("ragwortplank_renewal_failures_total", "Renewals failed")?,
-            applied: gauge("ragwortplank_applied_version", "Declaration version applied")?,
+            applied: gauge(
+                "ragwortplank_applied_version",
+                "Declaration version applied",
+            )?,
             control_bytes: gauge("ragwortplank_control_bytes", "Bytes exchanged with control")?,
             in_flight: gauge("ragwortplank_in_flight", "Calls the backend server runs")?,
             registry,
@@ -96,7 +99,7 @@
     }
 
     /// Counts a request that was answered or refused here.
-    pub fn finished(
+    pub(crate) fn finished(
         &self,
         labels: &RequestLabels<'_>,
         outcome: Result<(), &CallFailure>,
@@ -115,7 +118,7 @@
     }
 
     /// Encodes all metrics in the text format.
-    pub fn encode(&self) -> String {
+    pub(crate) fn encode(&self) -> String {
         let mut text = Vec::new();
         let families = self.registry.gather();
         if TextEncoder::new().encode(&families, &mut text).is_err() {
--- a/crates/node/src/parent.rs
+++ b/crates/node/src/parent.rs
@@ -14,7 +14,7 @@
 
 /// A call that the backend server runs now.
 #[derive(Debug)]
-pub struct ParentCall {
+pub(crate) struct ParentCall {
     /// Context in which it runs.
     pub context: CallContext,
     /// When its deadline passes, on this node's clock.
@@ -29,13 +29,13 @@
 
 /// All calls that the backend server runs now.
 #[derive(Debug, Default)]
-pub struct ParentTable {
+pub(crate) struct ParentTable {
     calls: Mutex<HashMap<CallId, Arc<ParentCall>>>,
 }
 
 impl ParentTable {
     /// Enters a call; it leaves the table when the returned guard is dropped.
-    pub fn enter(self: &Arc<Self>, call: CallId, parent: Arc<ParentCall>) -> ParentGuard {
+    pub(crate) fn enter(self: &Arc<Self>, call: CallId, parent: Arc<ParentCall>) -> ParentGuard {
         self.lock().insert(call, Arc::clone(&parent));
         ParentGuard {
             table: Arc::clone(self),
@@ -45,18 +45,21 @@
     }
 
     /// Returns a call that is in flight.
-    pub fn find(&self, call: CallId) -> Option<Arc<ParentCall>> {
+    pub(crate) fn find(&self, call: CallId) -> Option<Arc<ParentCall>> {
         self.lock().get(&call).cloned()
     }
 
     /// Returns what the backend server runs now.
-    pub fn fingerprints(&self) -> Vec<model::ids::Fingerprint> {
+    pub(crate) fn fingerprints(&self) -> Vec<model::ids::Fingerprint> {
         let calls = self.lock();
-        calls.values().map(|call| call.context.fingerprint).collect()
+        calls
+            .values()
+            .map(|call| call.context.fingerprint)
+            .collect()
     }
 
     /// Returns the number of calls in flight.
-    pub fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.lock().len()
     }
 
@@ -67,7 +70,7 @@
 
 /// Keeps a call in the table; dropping it ends the call and its sub-calls.
 #[derive(Debug)]
-pub struct ParentGuard {
+pub(crate) struct ParentGuard {
     table: Arc<ParentTable>,
     call: CallId,
     parent: Arc<ParentCall>,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -32,7 +32,7 @@
 
 /// Why an attempt got no answer from the other node.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PeerError {
+pub(crate) enum PeerError {
     /// Nothing of the request was sent.
     NotSent,
     /// The connection was lost after the request was sent.
@@ -43,7 +43,7 @@
 type PeerSlot = Arc<tokio::sync::Mutex<Option<SendRequest<Full<Bytes>>>>>;
 
 /// Connections to other nodes, by address.
-pub struct PeerPool {
+pub(crate) struct PeerPool {
     connector: TlsConnector,
     name: ServerName<'static>,
     slots: Mutex<HashMap<SocketAddr, PeerSlot>>,
@@ -52,7 +52,7 @@
 impl PeerPool {
     /// Creates a pool; `config` carries this node's certificate, `name` is the
     /// name that another node's certificate must be valid for.
-    pub fn new(config: Arc<ClientConfig>, name: ServerName<'static>) -> Self {
+    pub(crate) fn new(config: Arc<ClientConfig>, name: ServerName<'static>) -> Self {
         Self {
             connector: TlsConnector::from(config),
             name,
@@ -61,7 +61,7 @@
     }
 
     /// Sends a request and waits for the head of the answer.
-    pub async fn send(
+    pub(crate) async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
@@ -72,24 +72,23 @@
         })?;
         match sender.try_send_request(request).await {
             Ok(response) => Ok(response),
-            Err(mut error) if error.take_message().is_some() => {
+            Err(mut error) => {
                 self.forget(address).await;
-                Err(PeerError::NotSent)
-            }
-            Err(_) => {
-                self.forget(address).await;
-                Err(PeerError::Lost)
+                match error.take_message() {
+                    Some(_) => Err(PeerError::NotSent),
+                    None => Err(PeerError::Lost),
+                }
             }
         }
     }
 
     /// Opens a connection ahead of its first use.
-    pub async fn connect(&self, address: SocketAddr) -> anyhow::Result<()> {
+    pub(crate) async fn connect(&self, address: SocketAddr) -> anyhow::Result<()> {
         self.sender(address).await.map(drop)
     }
 
     /// Closes connections to nodes that `keep` does not name.
-    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+    pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
         slots.retain(|address, _| keep(address));
     }
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -33,7 +33,7 @@
 }
 
 /// Builds the answer that tells a caller about a failure.
-pub fn failure_response(failure: &CallFailure, request: RequestId) -> Response<Full<Bytes>> {
+pub(crate) fn failure_response(failure: &CallFailure, request: RequestId) -> Response<Full<Bytes>> {
     let status = status_of(failure);
     let document = ProblemDocument {
         kind: format!("{TYPE_PREFIX}{}", failure.cause),
@@ -56,7 +56,7 @@
 }
 
 /// Adds the verdict and the request's id to an answer for a caller.
-pub fn mark(response: &mut Response<Full<Bytes>>, verdict: RunVerdict, request: RequestId) {
+pub(crate) fn mark(response: &mut Response<Full<Bytes>>, verdict: RunVerdict, request: RequestId) {
     let head = response.headers_mut();
     head.insert(headers::VERDICT, verdict_value(verdict));
     head.insert(headers::REQUEST, headers::call_value(request));
--- a/crates/node/src/receive.rs
+++ b/crates/node/src/receive.rs
@@ -30,10 +30,10 @@
 use crate::state::NodeState;
 
 /// Longest chain of calls; the entry call has depth 0.
-pub const DEPTH_MAX: u8 = 32;
+pub(crate) const DEPTH_MAX: u8 = 32;
 
 /// Answers a call from another node.
-pub async fn serve_peer<C: Clock>(
+pub(crate) async fn serve_peer<C: Clock>(
     state: Arc<NodeState<C>>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
@@ -147,7 +147,7 @@
 }
 
 /// Builds an answer that was kept for a re-send.
-pub fn stored(answer: &model::once::StoredAnswer) -> CallAnswer {
+pub(crate) fn stored(answer: &model::once::StoredAnswer) -> CallAnswer {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     let mut head = http::HeaderMap::new();
     let content_type = answer.content_type.as_deref();
@@ -158,6 +158,6 @@
 }
 
 /// Returns the allowance of a call as it came with its context.
-pub fn allowance_of(context: &CallContext) -> RetryAllowance {
+pub(crate) fn allowance_of(context: &CallContext) -> RetryAllowance {
     RetryAllowance::new(context.allowance)
 }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -29,14 +29,14 @@
 
 /// Knows whether the backend server takes new work.
 #[derive(Debug)]
-pub struct ServerWatch<C> {
+pub(crate) struct ServerWatch<C> {
     clock: C,
     server: Mutex<Option<HeardServer>>,
 }
 
 /// Where the backend server is and what it serves.
 #[derive(Clone, Debug)]
-pub struct ServerTarget {
+pub(crate) struct ServerTarget {
     /// Its service.
     pub service: ServiceName,
     /// Its address.
@@ -49,7 +49,7 @@
 
 impl<C: Clock> ServerWatch<C> {
     /// Creates a watch that has heard nothing.
-    pub fn new(clock: C) -> Self {
+    pub(crate) fn new(clock: C) -> Self {
         Self {
             clock,
             server: Mutex::new(None),
@@ -57,7 +57,7 @@
     }
 
     /// Takes an announcement; returns whether the state changed.
-    pub fn announce(&self, announcement: ServerAnnouncement) -> bool {
+    pub(crate) fn announce(&self, announcement: ServerAnnouncement) -> bool {
         let before = self.state();
         let now = self.clock.now();
         let mut server = self.lock();
@@ -76,7 +76,7 @@
     /// Records that the backend server at `address` does not accept connections any more.
     ///
     /// Returns false when that was known, or another one announced itself since.
-    pub fn crashed(&self, address: SocketAddr) -> bool {
+    pub(crate) fn crashed(&self, address: SocketAddr) -> bool {
         match self.lock().as_mut() {
             Some(server) if server.announcement.address == address => {
                 !std::mem::replace(&mut server.crashed, true)
@@ -86,7 +86,7 @@
     }
 
     /// Returns the backend server, unless it is gone.
-    pub fn target(&self) -> Option<ServerTarget> {
+    pub(crate) fn target(&self) -> Option<ServerTarget> {
         let now = self.clock.now();
         let server = self.lock();
         let server = server.as_ref()?;
@@ -103,15 +103,16 @@
     }
 
     /// Returns whether the backend server drains and every node knows.
-    pub fn is_drain_known(&self) -> bool {
+    pub(crate) fn is_drain_known(&self) -> bool {
         let notice = Duration::from_millis(DRAIN_NOTICE_MS);
         let since = self.lock().as_ref().and_then(|server| server.drained_since);
         since.is_some_and(|since| self.clock.now().saturating_duration_since(since) >= notice)
     }
 
     /// Returns the state of the backend server.
-    pub fn state(&self) -> ServerState {
-        self.target().map_or(ServerState::Absent, |target| target.state)
+    pub(crate) fn state(&self) -> ServerState {
+        self.target()
+            .map_or(ServerState::Absent, |target| target.state)
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<HeardServer>> {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -52,7 +52,7 @@
 const RESENDS_KEPT: usize = 65_536;
 
 /// Shared state of a node.
-pub struct NodeState<C: Clock> {
+pub(crate) struct NodeState<C: Clock> {
     /// Source of time.
     pub clock: C,
     /// Checked settings.
@@ -106,7 +106,7 @@
     /// # Errors
     ///
     /// Fails when the TLS files cannot be used or no UDP socket can be had.
-    pub fn new(settings: NodeSettings, clock: C) -> anyhow::Result<Self> {
+    pub(crate) fn new(settings: NodeSettings, clock: C) -> anyhow::Result<Self> {
         let identity = TlsIdentity::load(&settings.tls).context("loading `tls`")?;
         let node = rand::random();
         let mut local = settings.peers;
@@ -152,68 +152,63 @@
     }
 
     /// Returns whether the lease is held now.
-    pub fn has_lease(&self) -> bool {
+    pub(crate) fn has_lease(&self) -> bool {
         self.lease().is_held(self.clock.now())
     }
 
     /// Returns the time left of the lease.
-    pub fn lease_left(&self) -> Duration {
+    pub(crate) fn lease_left(&self) -> Duration {
         self.lease().left(self.clock.now())
     }
 
-    /// Returns when the lease ends.
-    pub fn lease_end(&self) -> Option<Instant> {
-        self.lease().end()
-    }
-
     /// Takes over a lease.
-    pub fn extend_lease(&self, sent: Instant, length: Duration) {
+    pub(crate) fn extend_lease(&self, sent: Instant, length: Duration) {
         self.lease().extend(sent, length);
     }
 
     /// Returns the cuts learned from answers.
-    pub fn cuts(&self) -> MutexGuard<'_, CutBook<C>> {
+    pub(crate) fn cuts(&self) -> MutexGuard<'_, CutBook<C>> {
         self.cuts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the teams' standings.
-    pub fn standings(&self) -> MutexGuard<'_, StandingBook<C>> {
+    pub(crate) fn standings(&self) -> MutexGuard<'_, StandingBook<C>> {
         self.standings
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns what was sent again.
-    pub fn resends(&self) -> MutexGuard<'_, ResendBook<C>> {
+    pub(crate) fn resends(&self) -> MutexGuard<'_, ResendBook<C>> {
         self.resends.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Begins or ends draining by an operator or a stop.
-    pub fn drain(&self) {
+    pub(crate) fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
         self.wake.notify_one();
     }
 
     /// Returns whether the node is draining.
-    pub fn is_draining(&self) -> bool {
+    pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
 
     /// Refuses new work from now on.
-    pub fn close(&self) {
+    pub(crate) fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
         self.gate.set_state(ServerState::Draining);
     }
 
     /// Returns whether new work is refused.
-    pub fn is_closed(&self) -> bool {
+    pub(crate) fn is_closed(&self) -> bool {
         self.closed.load(Ordering::Relaxed)
     }
 
     /// Passes what the backend server announced on to the gate.
     ///
     /// A draining backend server still takes work until the other nodes know.
-    pub fn update_gate(&self, slots: u32) {
+    pub(crate) fn update_gate(&self, slots: u32) {
         let state = match self.server.state() {
             _ if self.is_closed() => ServerState::Draining,
             ServerState::Draining if !self.server.is_drain_known() => ServerState::Ready,
@@ -224,7 +219,7 @@
     }
 
     /// Returns the state of the backend server as this node announces it.
-    pub fn announced_state(&self) -> ServerState {
+    pub(crate) fn announced_state(&self) -> ServerState {
         match self.server.state() {
             ServerState::Absent => ServerState::Absent,
             _ if self.is_draining() => ServerState::Draining,
@@ -233,7 +228,7 @@
     }
 
     /// Counts a caller's request until the returned guard is dropped.
-    pub fn enter(&self) -> EnteredRequest<'_> {
+    pub(crate) fn enter(&self) -> EnteredRequest<'_> {
         self.entered.fetch_add(1, Ordering::Relaxed);
         EnteredRequest {
             entered: &self.entered,
@@ -241,7 +236,7 @@
     }
 
     /// Returns the number of callers' requests in flight.
-    pub fn entered(&self) -> u64 {
+    pub(crate) fn entered(&self) -> u64 {
         self.entered.load(Ordering::Relaxed)
     }
 
@@ -251,7 +246,7 @@
 }
 
 /// A caller's request in flight.
-pub struct EnteredRequest<'a> {
+pub(crate) struct EnteredRequest<'a> {
     entered: &'a AtomicU64,
 }
 
--- a/crates/node/src/tokens.rs
+++ b/crates/node/src/tokens.rs
@@ -26,7 +26,7 @@
 
 /// Holds tokens of all teams that enter here.
 #[derive(Debug)]
-pub struct TokenDesk<C> {
+pub(crate) struct TokenDesk<C> {
     clock: C,
     holders: Mutex<HashMap<TeamName, TokenHolder<C>>>,
     /// Wakes the exchange when tokens are wanted at once.
@@ -36,7 +36,7 @@
 
 impl<C: Clock> TokenDesk<C> {
     /// Creates a desk without tokens.
-    pub fn new(clock: C) -> Self {
+    pub(crate) fn new(clock: C) -> Self {
         Self {
             clock,
             holders: Mutex::new(HashMap::new()),
@@ -50,7 +50,7 @@
     /// # Errors
     ///
     /// Fails when the team is above its rate, or control does not answer.
-    pub async fn take(&self, team: &TeamName) -> Result<(), CallFailure> {
+    pub(crate) async fn take(&self, team: &TeamName) -> Result<(), CallFailure> {
         let give_up = tokio::time::Instant::now() + Duration::from_millis(WAIT_MS);
         let mut outcome = self.with_holder(team, TokenHolder::take);
         loop {
@@ -74,13 +74,16 @@
     }
 
     /// Returns what to tell control with the next exchange.
-    pub fn demands(&self) -> Vec<TokenDemand> {
+    pub(crate) fn demands(&self) -> Vec<TokenDemand> {
         let mut holders = self.lock();
-        holders.values_mut().filter_map(TokenHolder::demand).collect()
+        holders
+            .values_mut()
+            .filter_map(TokenHolder::demand)
+            .collect()
     }
 
     /// Takes over grants that die at `lease_end`.
-    pub fn accept(&self, grants: &[TokenGrant], lease_end: Instant) {
+    pub(crate) fn accept(&self, grants: &[TokenGrant], lease_end: Instant) {
         let mut ask_now = false;
         let mut holders = self.lock();
         for grant in grants {
@@ -97,13 +100,13 @@
     }
 
     /// Drops all tokens, as an ended lease demands.
-    pub fn lease_ended(&self) {
+    pub(crate) fn lease_ended(&self) {
         let mut holders = self.lock();
         holders.values_mut().for_each(TokenHolder::lease_ended);
     }
 
     /// Returns the tokens held for each team.
-    pub fn held(&self) -> Vec<TeamTokens> {
+    pub(crate) fn held(&self) -> Vec<TeamTokens> {
         let holders = self.lock();
         let held = holders.iter().map(|(team, holder)| TeamTokens {
             team: team.clone(),
@@ -112,11 +115,7 @@
         held.collect()
     }
 
-    fn with_holder<R>(
-        &self,
-        team: &TeamName,
-        action: impl FnOnce(&mut TokenHolder<C>) -> R,
-    ) -> R {
+    fn with_holder<R>(&self, team: &TeamName, action: impl FnOnce(&mut TokenHolder<C>) -> R) -> R {
         let mut holders = self.lock();
         let holder = holders.entry(team.clone()).or_insert_with(|| {
             let ahead = Duration::from_millis(AHEAD_MS);
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -5,7 +5,6 @@
 use std::sync::RwLock;
 
 use model::declaration::Declaration;
-use model::declaration::TeamSpec;
 use model::exchange::ConfigUpdate;
 use model::ids::ConfigVersion;
 use model::lookup::KeyTable;
@@ -13,7 +12,7 @@
 
 /// A declaration with the tables that the request path looks up in.
 #[derive(Debug, Default)]
-pub struct DeclaredView {
+pub(crate) struct DeclaredView {
     /// The declaration.
     pub declaration: Declaration,
     /// Its routes.
@@ -24,7 +23,7 @@
 
 impl DeclaredView {
     /// Builds the tables of a declaration.
-    pub fn new(declaration: Declaration) -> Self {
+    pub(crate) fn new(declaration: Declaration) -> Self {
         Self {
             routes: RouteTable::new(&declaration),
             keys: KeyTable::new(&declaration),
@@ -33,26 +32,20 @@
     }
 
     /// Returns the version.
-    pub fn version(&self) -> ConfigVersion {
+    pub(crate) fn version(&self) -> ConfigVersion {
         self.declaration.version
     }
-
-    /// Returns a team's rate and burst.
-    pub fn team(&self, name: &str) -> Option<&TeamSpec> {
-        let mut teams = self.declaration.teams.iter();
-        teams.find(|team| &*team.name == name)
-    }
 }
 
 /// The view in use; readers keep the one that they began with.
 #[derive(Debug, Default)]
-pub struct ViewCell {
+pub(crate) struct ViewCell {
     view: RwLock<Arc<DeclaredView>>,
 }
 
 impl ViewCell {
     /// Returns the view in use.
-    pub fn get(&self) -> Arc<DeclaredView> {
+    pub(crate) fn get(&self) -> Arc<DeclaredView> {
         let view = self.view.read().unwrap_or_else(PoisonError::into_inner);
         Arc::clone(&view)
     }
@@ -63,7 +56,7 @@
     ///
     /// Fails when a delta does not fit the version in use; the next exchange
     /// then asks from that version again.
-    pub fn apply(&self, update: ConfigUpdate) -> anyhow::Result<()> {
+    pub(crate) fn apply(&self, update: ConfigUpdate) -> anyhow::Result<()> {
         let current = self.get();
         let declaration = match update {
             ConfigUpdate::Current => return Ok(()),
