--- /dev/null
+++ b/crates/quorum/src/core.rs
@@ -0,0 +1,427 @@
+//! The consensus state machine of one member.
+
+mod election;
+mod follower;
+mod leader;
+mod members;
+mod reads;
+mod snapshots;
+mod status;
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+
+use crate::AppliedEffect;
+use crate::BatchNumber;
+use crate::CoreOutput;
+use crate::CoreTiming;
+use crate::DurableWrite;
+use crate::EntryPayload;
+use crate::FolderId;
+use crate::InstanceId;
+use crate::LogEntry;
+use crate::LogIndex;
+use crate::LogPosition;
+use crate::Membership;
+use crate::MessageBody;
+use crate::OutgoingMessage;
+use crate::PeerMessage;
+use crate::SeededGenerator;
+use crate::StateSnapshot;
+use crate::Term;
+use crate::core::election::VoteTally;
+use crate::core::leader::LeaderState;
+use crate::core::reads::ReadQueue;
+use crate::core::snapshots::IncomingSnapshot;
+use crate::entry_log::EntryLog;
+
+pub use crate::core::status::CoreStatus;
+pub use crate::core::status::MemberDuty;
+
+/// What a member reads back from its disk when it starts.
+#[derive(Clone, Debug, Default)]
+pub struct DurableState {
+    /// Membership that the group first started with; empty for a member that joins.
+    pub initial: Membership,
+    /// Current term.
+    pub term: Term,
+    /// Vote given in the current term.
+    pub vote: Option<InstanceId>,
+    /// Last snapshot.
+    pub snapshot: Option<StateSnapshot>,
+    /// Entries of the log, without gaps after the snapshot.
+    pub entries: Vec<LogEntry>,
+}
+
+/// Why commands were not appended.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub enum CoreError {
+    /// This instance does not lead, or is handing leadership over.
+    #[display("not the leader, try {leader:?}")]
+    NotLeader {
+        /// The leader, if known.
+        leader: Option<InstanceId>,
+    },
+}
+
+/// Why this member must stop for good.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub enum CoreFault {
+    /// The group knows this identity with another data folder: the disk was wiped.
+    #[display("instance {instance} belongs to another data folder; join under a new identity")]
+    OtherFolder {
+        /// Identity of this instance.
+        instance: InstanceId,
+    },
+    /// A leader contradicts a committed entry.
+    #[display("a leader contradicts the committed entry {index}")]
+    CommittedConflict {
+        /// Index of the entry.
+        index: LogIndex,
+    },
+}
+
+/// What this member does in its term.
+#[derive(Debug)]
+enum CoreRole {
+    Follower,
+    PreCandidate(VoteTally),
+    Candidate(VoteTally),
+    Leader(LeaderState),
+}
+
+/// Writes handed out that are not reported as synced yet.
+#[derive(Clone, Copy, Debug)]
+struct UnsyncedBatch {
+    batch: BatchNumber,
+    last: LogPosition,
+    term: Term,
+    voted_self: bool,
+}
+
+/// One member's consensus state; it does no I/O and starts no threads.
+///
+/// Each event method takes the current time and collects its effects, which
+/// [`take_output`](Self::take_output) hands out. The driver performs the writes
+/// of all outputs in order and reports each batch by
+/// [`synced`](Self::synced).
+#[derive(Debug)]
+pub struct QuorumCore {
+    id: InstanceId,
+    folder: FolderId,
+    timing: CoreTiming,
+    generator: SeededGenerator,
+    term: Term,
+    vote: Option<InstanceId>,
+    log: EntryLog,
+    committed: LogIndex,
+    dispatched: LogIndex,
+    durable: LogIndex,
+    role: CoreRole,
+    leader: Option<InstanceId>,
+    heard_leader_at: Option<Instant>,
+    election_due: Instant,
+    incoming: Option<IncomingSnapshot>,
+    reads: ReadQueue,
+    unsynced: VecDeque<UnsyncedBatch>,
+    last_batch: BatchNumber,
+    output: CoreOutput,
+    fault: Option<CoreFault>,
+}
+
+impl QuorumCore {
+    /// Creates a member from its durable state.
+    ///
+    /// `folder` is [`INITIAL_FOLDER`](crate::INITIAL_FOLDER) for members that the group
+    /// first started with. `seed` must differ between members and between starts.
+    #[must_use]
+    pub fn new(
+        id: InstanceId,
+        folder: FolderId,
+        timing: CoreTiming,
+        state: DurableState,
+        seed: u64,
+        now: Instant,
+    ) -> Self {
+        let mut generator = SeededGenerator::new(seed);
+        let first_read = generator.next_bits();
+        let log = EntryLog::new(state.initial, state.snapshot, state.entries);
+        let committed = log.snapshot_index();
+        let mut core = Self {
+            id,
+            folder,
+            timing,
+            generator,
+            term: state.term,
+            vote: state.vote,
+            durable: log.last().index,
+            log,
+            committed,
+            dispatched: committed,
+            role: CoreRole::Follower,
+            leader: None,
+            heard_leader_at: None,
+            election_due: now,
+            incoming: None,
+            reads: ReadQueue::new(first_read),
+            unsynced: VecDeque::new(),
+            last_batch: 0,
+            output: CoreOutput::default(),
+            fault: None,
+        };
+        core.restart_election_timer(now);
+        core.check_own_folder();
+        if let Some(snapshot) = core.log.snapshot() {
+            let restore = AppliedEffect::Restore(snapshot.clone());
+            core.output.applied.push(restore);
+        }
+        core
+    }
+
+    /// Returns the time by which [`tick`](Self::tick) must be called next.
+    #[must_use]
+    pub fn next_due(&self) -> Instant {
+        let due = match &self.role {
+            CoreRole::Leader(state) => state.next_due(),
+            _ => self.election_due,
+        };
+        self.reads
+            .next_due()
+            .map_or(due, |read_due| read_due.min(due))
+    }
+
+    /// Returns the fault after which this member must be stopped, if any.
+    #[must_use]
+    pub const fn fault(&self) -> Option<CoreFault> {
+        self.fault
+    }
+
+    /// Does what is due by `now`.
+    pub fn tick(&mut self, now: Instant) {
+        if self.fault.is_some() {
+            return;
+        }
+        match self.role {
+            CoreRole::Leader(_) => self.tick_leader(now),
+            _ => self.tick_election(now),
+        }
+        self.tick_reads(now);
+    }
+
+    /// Takes a message of another member.
+    pub fn receive(&mut self, from: InstanceId, message: PeerMessage, now: Instant) {
+        if self.fault.is_some() || from == self.id {
+            return;
+        }
+        if !self.admit_term(from, &message, now) {
+            return;
+        }
+        match message.body {
+            MessageBody::PreVote { last } => self.on_pre_vote(from, message.term, last, now),
+            MessageBody::PreVoteReply { granted } => {
+                self.on_pre_vote_reply(from, message.term, granted, now);
+            }
+            MessageBody::Vote { last, .. } => self.on_vote(from, last, now),
+            MessageBody::VoteReply { granted } => self.on_vote_reply(from, granted, now),
+            MessageBody::Append {
+                previous,
+                entries,
+                committed,
+                round,
+            } => self.on_append(from, previous, entries, committed, round, now),
+            MessageBody::AppendReply { outcome, round } => {
+                self.on_append_reply(from, outcome, round, now);
+            }
+            MessageBody::Snapshot {
+                last,
+                membership,
+                length,
+                offset,
+                chunk,
+            } => {
+                let piece = snapshots::SnapshotPiece {
+                    last,
+                    membership,
+                    length,
+                    offset,
+                    chunk,
+                };
+                self.on_snapshot(from, piece, now);
+            }
+            MessageBody::SnapshotReply { index, received } => {
+                self.on_snapshot_reply(from, index, received, now);
+            }
+            MessageBody::Read { id } => self.on_read(from, id, now),
+            MessageBody::ReadReply { id, index } => self.on_read_reply(id, index, now),
+            MessageBody::TimeoutNow => self.on_timeout_now(from, now),
+        }
+    }
+
+    /// Appends commands as one batch and returns the position of the first.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this member does not lead; then nothing was appended.
+    pub fn propose(
+        &mut self,
+        commands: Vec<Bytes>,
+        now: Instant,
+    ) -> Result<LogPosition, CoreError> {
+        if !self.accepts_proposals() {
+            return Err(CoreError::NotLeader {
+                leader: self.other_leader(),
+            });
+        }
+        let first = LogPosition {
+            index: self.log.last().index + 1,
+            term: self.term,
+        };
+        let payloads = commands.into_iter().map(EntryPayload::Command).collect();
+        self.append_own(payloads);
+        self.replicate(now);
+        Ok(first)
+    }
+
+    /// Takes the report that all writes up to `batch` are synced.
+    pub fn synced(&mut self, batch: BatchNumber, now: Instant) {
+        let mut voted_self = false;
+        while let Some(front) = self.unsynced.front().copied() {
+            if front.batch > batch {
+                break;
+            }
+            self.unsynced.pop_front();
+            if self.log.term_at(front.last.index) == Some(front.last.term) {
+                self.durable = self.durable.max(front.last.index);
+            }
+            voted_self |= front.voted_self && front.term == self.term;
+        }
+        if voted_self {
+            self.on_vote_reply(self.id, true, now);
+        }
+        self.advance_commit(now);
+    }
+
+    /// Records a snapshot of the state machine and drops the log before it.
+    ///
+    /// `index` is the last entry applied to the state. Snapshots older than the
+    /// last one are ignored.
+    pub fn compact(&mut self, index: LogIndex, state: Bytes) {
+        if index <= self.log.snapshot_index() || index > self.dispatched {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let snapshot = StateSnapshot {
+            last: LogPosition { index, term },
+            membership: self.log.membership_at(index).clone(),
+            state,
+        };
+        self.output
+            .writes
+            .push(DurableWrite::Compact(snapshot.clone()));
+        self.log.compact(snapshot, self.timing.trailing_entries);
+    }
+
+    /// Hands out the effects collected since the last call.
+    pub fn take_output(&mut self) -> CoreOutput {
+        self.dispatch_committed();
+        let mut output = std::mem::take(&mut self.output);
+        if output.writes.is_empty() && self.unsynced.is_empty() {
+            output.messages.append(&mut output.synced_messages);
+        }
+        if output.writes.is_empty() && output.synced_messages.is_empty() {
+            return output;
+        }
+        self.last_batch += 1;
+        output.batch = Some(self.last_batch);
+        let voted_self = output.writes.iter().any(|write| {
+            matches!(write, DurableWrite::Vote { term, vote } if *term == self.term && *vote == Some(self.id))
+        });
+        self.unsynced.push_back(UnsyncedBatch {
+            batch: self.last_batch,
+            last: self.log.last(),
+            term: self.term,
+            voted_self,
+        });
+        output
+    }
+
+    /// Hands committed entries to the state machine.
+    fn dispatch_committed(&mut self) {
+        while self.dispatched < self.committed {
+            let Some(entry) = self.log.entry(self.dispatched + 1) else {
+                break;
+            };
+            self.output
+                .applied
+                .push(AppliedEffect::Entry(entry.clone()));
+            self.dispatched += 1;
+        }
+    }
+
+    fn append_own(&mut self, payloads: Vec<EntryPayload>) {
+        let first_index = self.log.last().index + 1;
+        let term = self.term;
+        let entries = payloads
+            .into_iter()
+            .zip(first_index..)
+            .map(|(payload, index)| LogEntry {
+                position: LogPosition { index, term },
+                payload,
+            })
+            .collect();
+        self.append_entries(entries);
+    }
+
+    fn append_entries(&mut self, entries: Vec<LogEntry>) {
+        if entries.is_empty() {
+            return;
+        }
+        self.log.append(entries.iter().cloned());
+        match self.output.writes.last_mut() {
+            Some(DurableWrite::Append(earlier))
+                if earlier.last().map(|entry| entry.position.index + 1)
+                    == Some(entries[0].position.index) =>
+            {
+                earlier.extend(entries);
+            }
+            _ => self.output.writes.push(DurableWrite::Append(entries)),
+        }
+    }
+
+    fn write_vote(&mut self) {
+        self.output.writes.push(DurableWrite::Vote {
+            term: self.term,
+            vote: self.vote,
+        });
+    }
+
+    fn check_own_folder(&mut self) {
+        let member = self.log.membership().member(self.id);
+        if member.is_some_and(|member| member.folder != self.folder) {
+            self.fault = Some(CoreFault::OtherFolder { instance: self.id });
+        }
+    }
+
+    /// Queues a message that does not depend on unsynced writes.
+    fn send(&mut self, to: InstanceId, body: MessageBody) {
+        let message = PeerMessage {
+            term: self.term,
+            body,
+        };
+        self.output.messages.push(OutgoingMessage { to, message });
+    }
+
+    /// Queues a message that must not leave before all earlier writes are synced.
+    fn send_synced(&mut self, to: InstanceId, term: Term, body: MessageBody) {
+        let message = PeerMessage { term, body };
+        self.output
+            .synced_messages
+            .push(OutgoingMessage { to, message });
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/core/election.rs
@@ -0,0 +1,225 @@
+//! Elections: pre-votes, votes, and the rules for terms.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use crate::InstanceId;
+use crate::LogPosition;
+use crate::MessageBody;
+use crate::PeerMessage;
+use crate::QuorumCore;
+use crate::Term;
+use crate::core::CoreRole;
+
+/// Members that granted a pre-vote or a vote.
+#[derive(Debug, Default)]
+pub(super) struct VoteTally {
+    granted: BTreeSet<InstanceId>,
+}
+
+impl VoteTally {
+    fn with_own(id: InstanceId) -> Self {
+        let mut tally = Self::default();
+        tally.granted.insert(id);
+        tally
+    }
+}
+
+impl QuorumCore {
+    pub(super) fn restart_election_timer(&mut self, now: Instant) {
+        let timeout = self
+            .generator
+            .duration_between(self.timing.election_min, self.timing.election_max);
+        self.election_due = now + timeout;
+    }
+
+    pub(super) fn tick_election(&mut self, now: Instant) {
+        if now < self.election_due {
+            return;
+        }
+        self.restart_election_timer(now);
+        if self.is_voter() {
+            self.start_pre_vote(now);
+        }
+    }
+
+    /// Applies the rules for terms; returns whether the message is to be handled.
+    pub(super) fn admit_term(
+        &mut self,
+        from: InstanceId,
+        message: &PeerMessage,
+        now: Instant,
+    ) -> bool {
+        match message.body {
+            MessageBody::PreVote { .. } | MessageBody::PreVoteReply { granted: true } => true,
+            MessageBody::Vote {
+                transfer: false, ..
+            } if message.term > self.term && self.trusts_leader(now) => false,
+            _ if message.term > self.term => {
+                self.become_follower(message.term, None, now);
+                true
+            }
+            _ if message.term < self.term => {
+                self.answer_stale(from, &message.body);
+                false
+            }
+            _ => true,
+        }
+    }
+
+    /// Tells a sender of an earlier term about the current one.
+    fn answer_stale(&mut self, from: InstanceId, body: &MessageBody) {
+        let is_leaders = matches!(
+            body,
+            MessageBody::Append { .. } | MessageBody::Snapshot { .. } | MessageBody::Vote { .. }
+        );
+        if is_leaders {
+            self.send_synced(from, self.term, MessageBody::VoteReply { granted: false });
+        }
+    }
+
+    /// Returns whether a leader was heard recently enough to refuse an election.
+    fn trusts_leader(&self, now: Instant) -> bool {
+        if matches!(self.role, CoreRole::Leader(_)) {
+            return true;
+        }
+        let trusted_for = self.timing.election_min;
+        self.leader.is_some()
+            && self
+                .heard_leader_at
+                .is_some_and(|heard_at| now < heard_at + trusted_for)
+    }
+
+    pub(super) fn become_follower(&mut self, term: Term, leader: Option<InstanceId>, now: Instant) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.write_vote();
+            self.incoming = None;
+        }
+        let role = std::mem::replace(&mut self.role, CoreRole::Follower);
+        if let CoreRole::Leader(mut state) = role {
+            self.reads.requeue(state.rounds.take_local());
+            self.restart_election_timer(now);
+        }
+        self.leader = leader;
+        self.forward_reads(now);
+    }
+
+    fn start_pre_vote(&mut self, now: Instant) {
+        self.leader = None;
+        self.role = CoreRole::PreCandidate(VoteTally::with_own(self.id));
+        let last = self.log.last();
+        let proposed = self.term + 1;
+        for voter in self.other_voters() {
+            self.send_synced(voter, proposed, MessageBody::PreVote { last });
+        }
+        self.finish_pre_vote(now);
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: InstanceId,
+        proposed: Term,
+        last: LogPosition,
+        now: Instant,
+    ) {
+        let granted = proposed > self.term
+            && !self.trusts_leader(now)
+            && last.is_up_to_date_with(self.log.last());
+        let term = if granted { proposed } else { self.term };
+        self.send_synced(from, term, MessageBody::PreVoteReply { granted });
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        from: InstanceId,
+        term: Term,
+        granted: bool,
+        now: Instant,
+    ) {
+        let proposed = self.term + 1;
+        if let CoreRole::PreCandidate(tally) = &mut self.role
+            && granted
+            && term == proposed
+        {
+            tally.granted.insert(from);
+            self.finish_pre_vote(now);
+        }
+    }
+
+    fn finish_pre_vote(&mut self, now: Instant) {
+        let CoreRole::PreCandidate(tally) = &self.role else {
+            return;
+        };
+        let won = self
+            .log
+            .membership()
+            .has_quorum(|voter| tally.granted.contains(&voter));
+        if won {
+            self.start_election(false, now);
+        }
+    }
+
+    /// Starts an election; the own vote counts once it is synced.
+    pub(super) fn start_election(&mut self, transfer: bool, now: Instant) {
+        self.term += 1;
+        self.vote = Some(self.id);
+        self.leader = None;
+        self.write_vote();
+        self.role = CoreRole::Candidate(VoteTally::default());
+        self.restart_election_timer(now);
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            self.send_synced(voter, self.term, MessageBody::Vote { last, transfer });
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, from: InstanceId, last: LogPosition, now: Instant) {
+        let free = self.vote.is_none_or(|vote| vote == from)
+            && matches!(self.role, CoreRole::Follower | CoreRole::PreCandidate(_))
+            && self.leader.is_none()
+            && !self.log.membership().members().is_empty();
+        let granted = free && last.is_up_to_date_with(self.log.last());
+        if granted {
+            if self.vote.is_none() {
+                self.vote = Some(from);
+                self.write_vote();
+            }
+            self.role = CoreRole::Follower;
+            self.restart_election_timer(now);
+        }
+        self.send_synced(from, self.term, MessageBody::VoteReply { granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: InstanceId, granted: bool, now: Instant) {
+        let CoreRole::Candidate(tally) = &mut self.role else {
+            return;
+        };
+        if !granted {
+            return;
+        }
+        tally.granted.insert(from);
+        let won = self
+            .log
+            .membership()
+            .has_quorum(|voter| tally.granted.contains(&voter));
+        if won {
+            self.become_leader(now);
+        }
+    }
+
+    pub(super) fn on_timeout_now(&mut self, from: InstanceId, now: Instant) {
+        if self.leader == Some(from) && self.is_voter() {
+            self.start_election(true, now);
+        }
+    }
+
+    fn other_voters(&self) -> Vec<InstanceId> {
+        self.log
+            .membership()
+            .voters()
+            .filter(|&voter| voter != self.id)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/core/follower.rs
@@ -0,0 +1,99 @@
+//! A follower's side of replication.
+
+use std::time::Instant;
+
+use crate::AppendOutcome;
+use crate::CoreFault;
+use crate::InstanceId;
+use crate::LogEntry;
+use crate::LogIndex;
+use crate::LogPosition;
+use crate::MessageBody;
+use crate::QuorumCore;
+use crate::core::CoreRole;
+
+impl QuorumCore {
+    /// Notes that the leader of the current term is alive.
+    pub(super) fn follow(&mut self, leader: InstanceId, now: Instant) {
+        self.heard_leader_at = Some(now);
+        self.restart_election_timer(now);
+        let known = self.leader == Some(leader) && matches!(self.role, CoreRole::Follower);
+        if !known {
+            self.become_follower(self.term, Some(leader), now);
+        }
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: InstanceId,
+        previous: LogPosition,
+        entries: Vec<LogEntry>,
+        committed: LogIndex,
+        round: u64,
+        now: Instant,
+    ) {
+        if matches!(self.role, CoreRole::Leader(_)) {
+            return;
+        }
+        self.follow(from, now);
+        let outcome = self.take_entries(previous, entries, committed);
+        let reply = MessageBody::AppendReply { outcome, round };
+        self.send_synced(from, self.term, reply);
+    }
+
+    fn take_entries(
+        &mut self,
+        previous: LogPosition,
+        entries: Vec<LogEntry>,
+        committed: LogIndex,
+    ) -> AppendOutcome {
+        let fits = previous.index <= self.committed
+            || self.log.term_at(previous.index) == Some(previous.term);
+        if !fits {
+            return AppendOutcome::Rejected(self.rejection_hint(previous.index));
+        }
+        let matched = previous.index + entries.len() as u64;
+        if let Some(position) = entries.iter().position(|entry| self.is_new(entry)) {
+            self.replace_tail(entries, position);
+        }
+        let committed = committed.min(matched);
+        if committed > self.committed && self.fault.is_none() {
+            self.committed = committed;
+        }
+        AppendOutcome::Matched(matched)
+    }
+
+    fn is_new(&self, entry: &LogEntry) -> bool {
+        let index = entry.position.index;
+        index > self.log.base().index && self.log.term_at(index) != Some(entry.position.term)
+    }
+
+    fn replace_tail(&mut self, mut entries: Vec<LogEntry>, position: usize) {
+        let new = entries.split_off(position);
+        let from = new[0].position.index;
+        if from <= self.committed {
+            self.fault = Some(CoreFault::CommittedConflict { index: from });
+            return;
+        }
+        if from <= self.log.last().index {
+            self.log.truncate(from);
+            self.durable = self.durable.min(from - 1);
+        }
+        self.append_entries(new);
+        self.check_own_folder();
+    }
+
+    /// Returns where the leader should try next: the start of the differing term.
+    fn rejection_hint(&self, index: LogIndex) -> LogIndex {
+        let last = self.log.last();
+        if index > last.index {
+            return last.index + 1;
+        }
+        let term = self.log.term_at(index);
+        let mut hint = index;
+        while hint > self.committed + 1 && self.log.term_at(hint - 1) == term {
+            hint -= 1;
+        }
+        hint
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/core/leader.rs
@@ -0,0 +1,300 @@
+//! A leader's side of replication, its heartbeats and its quorum check.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::AppendOutcome;
+use crate::EntryPayload;
+use crate::InstanceId;
+use crate::LogIndex;
+use crate::LogPosition;
+use crate::MessageBody;
+use crate::QuorumCore;
+use crate::core::CoreRole;
+use crate::core::reads::LeaderRounds;
+use crate::core::snapshots::SnapshotProgress;
+
+/// What a leader knows about another member.
+#[derive(Debug)]
+pub(super) struct PeerProgress {
+    /// Log of the member equals the leader's up to here.
+    pub(super) matched: LogIndex,
+    /// Next entry to send.
+    pub(super) next: LogIndex,
+    /// Whether `next` is a guess that the member has not confirmed.
+    pub(super) probing: bool,
+    /// When the member last answered.
+    pub(super) heard_at: Instant,
+    /// Latest confirmation round that the member answered.
+    pub(super) round: u64,
+    /// Transfer of a snapshot, when the log does not reach back far enough.
+    pub(super) snapshot: Option<SnapshotProgress>,
+}
+
+impl PeerProgress {
+    pub(super) const fn new(next: LogIndex, now: Instant) -> Self {
+        Self {
+            matched: 0,
+            next,
+            probing: true,
+            heard_at: now,
+            round: 0,
+            snapshot: None,
+        }
+    }
+}
+
+/// Handover of leadership that is under way.
+#[derive(Debug)]
+pub(super) struct LeaderTransfer {
+    pub(super) to: InstanceId,
+    pub(super) until: Instant,
+}
+
+/// State that only a leader has.
+#[derive(Debug)]
+pub(super) struct LeaderState {
+    pub(super) peers: BTreeMap<InstanceId, PeerProgress>,
+    /// Index of the first entry of this leader's term.
+    pub(super) first_index: LogIndex,
+    pub(super) rounds: LeaderRounds,
+    pub(super) transfer: Option<LeaderTransfer>,
+    since: Instant,
+    heartbeat_due: Instant,
+}
+
+impl LeaderState {
+    pub(super) const fn next_due(&self) -> Instant {
+        self.heartbeat_due
+    }
+}
+
+impl QuorumCore {
+    pub(super) fn become_leader(&mut self, now: Instant) {
+        let next = self.log.last().index + 1;
+        let peers = self
+            .log
+            .membership()
+            .members()
+            .iter()
+            .filter(|member| member.instance != self.id)
+            .map(|member| (member.instance, PeerProgress::new(next, now)))
+            .collect();
+        self.role = CoreRole::Leader(LeaderState {
+            peers,
+            first_index: next,
+            rounds: LeaderRounds::default(),
+            transfer: None,
+            since: now,
+            heartbeat_due: now + self.timing.heartbeat,
+        });
+        self.leader = Some(self.id);
+        self.incoming = None;
+        self.append_own(vec![EntryPayload::Noop]);
+        self.adopt_waiting_reads();
+        for peer in self.peer_ids() {
+            self.send_append(peer, true);
+        }
+        self.advance_commit(now);
+    }
+
+    pub(super) fn leader_state(&mut self) -> Option<&mut LeaderState> {
+        match &mut self.role {
+            CoreRole::Leader(state) => Some(state),
+            _ => None,
+        }
+    }
+
+    pub(super) fn accepts_proposals(&self) -> bool {
+        matches!(&self.role, CoreRole::Leader(state) if state.transfer.is_none())
+    }
+
+    pub(super) fn tick_leader(&mut self, now: Instant) {
+        if !self.hears_quorum(now) {
+            self.become_follower(self.term, None, now);
+            return;
+        }
+        let heartbeat = self.timing.heartbeat;
+        let Some(state) = self.leader_state() else {
+            return;
+        };
+        if state
+            .transfer
+            .as_ref()
+            .is_some_and(|transfer| now >= transfer.until)
+        {
+            state.transfer = None;
+        }
+        if now >= state.heartbeat_due {
+            state.heartbeat_due = now + heartbeat;
+            state.rounds.start();
+            self.broadcast(now);
+            self.resume_snapshots();
+        }
+    }
+
+    fn resume_snapshots(&mut self) {
+        for peer in self.peer_ids() {
+            self.resume_snapshot(peer);
+        }
+    }
+
+    /// Returns whether a quorum answered within the election timeout.
+    fn hears_quorum(&self, now: Instant) -> bool {
+        let CoreRole::Leader(state) = &self.role else {
+            return false;
+        };
+        let patience = self.timing.election_max;
+        now < state.since + patience
+            || self.log.membership().has_quorum(|voter| {
+                voter == self.id
+                    || state
+                        .peers
+                        .get(&voter)
+                        .is_some_and(|peer| now < peer.heard_at + patience)
+            })
+    }
+
+    fn peer_ids(&self) -> Vec<InstanceId> {
+        match &self.role {
+            CoreRole::Leader(state) => state.peers.keys().copied().collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Sends every member a heartbeat of the current round.
+    pub(super) fn broadcast(&mut self, now: Instant) {
+        for peer in self.peer_ids() {
+            self.send_append(peer, false);
+        }
+        self.advance_commit(now);
+    }
+
+    /// Sends new entries to every member that is not being probed.
+    pub(super) fn replicate(&mut self, now: Instant) {
+        for peer in self.peer_ids() {
+            self.send_entries(peer);
+        }
+        self.advance_commit(now);
+    }
+
+    /// Sends entries until the window is full.
+    pub(super) fn send_entries(&mut self, to: InstanceId) {
+        let last = self.log.last().index;
+        let window = self.timing.window_entries;
+        loop {
+            let Some(peer) = self.leader_state().and_then(|state| state.peers.get(&to)) else {
+                return;
+            };
+            let sent_ahead = peer.next.saturating_sub(peer.matched + 1);
+            if peer.probing || peer.snapshot.is_some() || peer.next > last || sent_ahead >= window {
+                return;
+            }
+            self.send_append(to, true);
+        }
+    }
+
+    /// Sends one append, with entries or as a mere heartbeat.
+    fn send_append(&mut self, to: InstanceId, with_entries: bool) {
+        let limit_bytes = self.timing.message_bytes;
+        let base = self.log.base();
+        let committed = self.committed;
+        let CoreRole::Leader(state) = &mut self.role else {
+            return;
+        };
+        let round = state.rounds.current();
+        let Some(peer) = state.peers.get_mut(&to) else {
+            return;
+        };
+        if peer.next <= base.index && peer.snapshot.is_none() {
+            peer.snapshot = Some(SnapshotProgress::default());
+        }
+        let mut previous = LogPosition::default();
+        let mut entries = Vec::new();
+        if peer.snapshot.is_none() {
+            previous.index = peer.next - 1;
+            previous.term = self.log.term_at(previous.index).unwrap_or_default();
+            if with_entries {
+                entries = self.log.slice(peer.next, limit_bytes);
+            }
+            if !peer.probing {
+                peer.next += entries.len() as u64;
+            }
+        }
+        self.send(
+            to,
+            MessageBody::Append {
+                previous,
+                entries,
+                committed,
+                round,
+            },
+        );
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        from: InstanceId,
+        outcome: AppendOutcome,
+        round: u64,
+        now: Instant,
+    ) {
+        let last = self.log.last().index;
+        let Some(peer) = self
+            .leader_state()
+            .and_then(|state| state.peers.get_mut(&from))
+        else {
+            return;
+        };
+        peer.heard_at = now;
+        peer.round = peer.round.max(round);
+        match outcome {
+            AppendOutcome::Matched(index) if index <= last => {
+                peer.matched = peer.matched.max(index);
+                if index + 1 >= peer.next {
+                    peer.probing = false;
+                    peer.next = peer.matched + 1;
+                }
+                self.send_entries(from);
+            }
+            AppendOutcome::Rejected(hint) if peer.snapshot.is_none() => {
+                let next = hint.min(peer.next).max(peer.matched + 1);
+                let repeated = peer.probing && next == peer.next;
+                peer.next = next;
+                peer.probing = true;
+                if !repeated {
+                    self.send_append(from, true);
+                    self.resume_snapshot(from);
+                }
+            }
+            AppendOutcome::Matched(_) | AppendOutcome::Rejected(_) => {}
+        }
+        self.advance_commit(now);
+        self.finish_rounds(now);
+        self.finish_transfer();
+    }
+
+    /// Moves the commit index to what a quorum has synced in this term.
+    pub(super) fn advance_commit(&mut self, now: Instant) {
+        let CoreRole::Leader(state) = &self.role else {
+            return;
+        };
+        let durable = self.durable;
+        let reached = self.log.membership().quorum_value(|voter| {
+            if voter == self.id {
+                durable
+            } else {
+                state.peers.get(&voter).map_or(0, |peer| peer.matched)
+            }
+        });
+        let Some(reached) = reached else {
+            return;
+        };
+        if reached <= self.committed || self.log.term_at(reached) != Some(self.term) {
+            return;
+        }
+        self.committed = reached;
+        self.finish_rounds(now);
+        self.finish_membership(now);
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/core/members.rs
@@ -0,0 +1,156 @@
+//! Changes of membership and handover of leadership.
+
+use std::time::Instant;
+
+use crate::ChangeError;
+use crate::EntryPayload;
+use crate::InstanceId;
+use crate::LogIndex;
+use crate::MemberChange;
+use crate::MessageBody;
+use crate::QuorumCore;
+use crate::core::CoreRole;
+use crate::core::leader::LeaderTransfer;
+use crate::core::leader::PeerProgress;
+
+impl QuorumCore {
+    /// Appends a change of one member; it is in force from the append on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this member does not lead, an earlier change is not committed,
+    /// or the change does not fit the members.
+    pub fn change_members(
+        &mut self,
+        change: MemberChange,
+        now: Instant,
+    ) -> Result<LogIndex, ChangeError> {
+        let leader = self.other_leader();
+        let CoreRole::Leader(state) = &self.role else {
+            return Err(ChangeError::NotLeader { leader });
+        };
+        if state.transfer.is_some() {
+            return Err(ChangeError::NotLeader { leader });
+        }
+        let settled = self.log.membership_index().max(state.first_index);
+        if self.committed < settled {
+            return Err(ChangeError::InFlight);
+        }
+        let membership = self.log.membership().changed(change)?;
+        if let MemberChange::Promote(instance) = change {
+            self.check_caught_up(instance, now)?;
+        }
+        self.append_own(vec![EntryPayload::Members(membership)]);
+        self.follow_membership(now);
+        self.replicate(now);
+        Ok(self.log.membership_index())
+    }
+
+    /// Returns whether the learner is close enough to the end of the log to vote.
+    fn check_caught_up(&self, instance: InstanceId, now: Instant) -> Result<(), ChangeError> {
+        let CoreRole::Leader(state) = &self.role else {
+            return Err(ChangeError::NotCaughtUp);
+        };
+        let needed = self
+            .log
+            .last()
+            .index
+            .saturating_sub(self.timing.promotion_lag_entries);
+        let near = state.peers.get(&instance).is_some_and(|peer| {
+            peer.matched > 0
+                && peer.matched >= needed
+                && now < peer.heard_at + self.timing.election_min
+        });
+        if near {
+            Ok(())
+        } else {
+            Err(ChangeError::NotCaughtUp)
+        }
+    }
+
+    /// Tracks exactly the members in force.
+    fn follow_membership(&mut self, now: Instant) {
+        let next = self.log.last().index;
+        let membership = self.log.membership().clone();
+        let id = self.id;
+        let Some(state) = self.leader_state() else {
+            return;
+        };
+        state
+            .peers
+            .retain(|&peer, _| membership.member(peer).is_some());
+        for member in membership.members() {
+            if member.instance != id {
+                state
+                    .peers
+                    .entry(member.instance)
+                    .or_insert_with(|| PeerProgress::new(next, now));
+            }
+        }
+    }
+
+    /// Steps down once the removal of this leader is committed.
+    pub(super) fn finish_membership(&mut self, now: Instant) {
+        let removed = self.log.membership().member(self.id).is_none();
+        if removed && self.committed >= self.log.membership_index() {
+            self.broadcast_commit();
+            self.become_follower(self.term, None, now);
+        }
+    }
+
+    fn broadcast_commit(&mut self) {
+        let voters: Vec<InstanceId> = self.log.membership().voters().collect();
+        let previous = self.log.last();
+        let committed = self.committed;
+        for voter in voters {
+            self.send(
+                voter,
+                MessageBody::Append {
+                    previous,
+                    entries: Vec::new(),
+                    committed,
+                    round: 0,
+                },
+            );
+        }
+    }
+
+    /// Starts to hand leadership to the voter that is furthest; returns whether there is one.
+    pub fn transfer_leadership(&mut self, now: Instant) -> bool {
+        let membership = self.log.membership().clone();
+        let until = now + self.timing.election_max;
+        let Some(state) = self.leader_state() else {
+            return false;
+        };
+        let target = state
+            .peers
+            .iter()
+            .filter(|(peer, _)| membership.is_voter(**peer))
+            .max_by_key(|(_, progress)| (progress.matched, progress.heard_at))
+            .map(|(&peer, _)| peer);
+        let Some(to) = target else {
+            return false;
+        };
+        state.transfer = Some(LeaderTransfer { to, until });
+        self.finish_transfer();
+        true
+    }
+
+    /// Lets the chosen voter start its election once it has the whole log.
+    pub(super) fn finish_transfer(&mut self) {
+        let last = self.log.last().index;
+        let Some(state) = self.leader_state() else {
+            return;
+        };
+        let Some(to) = state.transfer.as_ref().map(|transfer| transfer.to) else {
+            return;
+        };
+        let ready = state
+            .peers
+            .get(&to)
+            .is_some_and(|peer| peer.matched == last);
+        if ready {
+            self.send(to, MessageBody::TimeoutNow);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/core/snapshots.rs
@@ -0,0 +1,197 @@
+//! Transfer of snapshots to members that lag behind the log.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+use crate::AppliedEffect;
+use crate::DurableWrite;
+use crate::InstanceId;
+use crate::LogIndex;
+use crate::LogPosition;
+use crate::Membership;
+use crate::MessageBody;
+use crate::QuorumCore;
+use crate::StateSnapshot;
+use crate::core::CoreRole;
+
+/// How far a member has received a snapshot.
+#[derive(Debug, Default)]
+pub(super) struct SnapshotProgress {
+    /// Index of the snapshot that is sent, 0 before the first piece.
+    index: LogIndex,
+    /// Bytes that the member acknowledged.
+    received: u64,
+}
+
+/// Pieces of a snapshot received so far.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    last: LogPosition,
+    state: BytesMut,
+}
+
+/// One piece of a snapshot.
+#[derive(Debug)]
+pub(super) struct SnapshotPiece {
+    pub(super) last: LogPosition,
+    pub(super) membership: Membership,
+    pub(super) length: u64,
+    pub(super) offset: u64,
+    pub(super) chunk: Bytes,
+}
+
+impl QuorumCore {
+    /// Sends the piece that the member lacks next, again with each heartbeat until answered.
+    pub(super) fn resume_snapshot(&mut self, to: InstanceId) {
+        let limit = self.timing.message_bytes;
+        let CoreRole::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state
+            .peers
+            .get_mut(&to)
+            .and_then(|peer| peer.snapshot.as_mut())
+        else {
+            return;
+        };
+        let Some(snapshot) = self.log.snapshot() else {
+            return;
+        };
+        if progress.index != snapshot.last.index {
+            progress.index = snapshot.last.index;
+            progress.received = 0;
+        }
+        let length = snapshot.state.len();
+        let start = usize::try_from(progress.received)
+            .unwrap_or(usize::MAX)
+            .min(length);
+        let end = length.min(start.saturating_add(limit));
+        let body = MessageBody::Snapshot {
+            last: snapshot.last,
+            membership: snapshot.membership.clone(),
+            length: length as u64,
+            offset: start as u64,
+            chunk: snapshot.state.slice(start..end),
+        };
+        self.send(to, body);
+    }
+
+    pub(super) fn on_snapshot_reply(
+        &mut self,
+        from: InstanceId,
+        index: LogIndex,
+        received: u64,
+        now: Instant,
+    ) {
+        let length = self
+            .log
+            .snapshot()
+            .map_or(0, |snapshot| snapshot.state.len() as u64);
+        let last = self.log.last().index;
+        let Some(peer) = self
+            .leader_state()
+            .and_then(|state| state.peers.get_mut(&from))
+        else {
+            return;
+        };
+        peer.heard_at = now;
+        let Some(progress) = &mut peer.snapshot else {
+            return;
+        };
+        if progress.index != index || index > last {
+            return;
+        }
+        if received >= length {
+            peer.snapshot = None;
+            peer.matched = peer.matched.max(index);
+            peer.next = peer.matched + 1;
+            peer.probing = false;
+            self.send_entries(from);
+        } else if received > progress.received || received == 0 {
+            let moved = received != progress.received;
+            progress.received = received;
+            if moved {
+                self.resume_snapshot(from);
+            }
+        }
+        self.advance_commit(now);
+    }
+
+    pub(super) fn on_snapshot(&mut self, from: InstanceId, piece: SnapshotPiece, now: Instant) {
+        if matches!(self.role, CoreRole::Leader(_)) {
+            return;
+        }
+        self.follow(from, now);
+        let index = piece.last.index;
+        let length = piece.length;
+        let received = if self.holds(piece.last) {
+            length
+        } else {
+            self.collect(piece)
+        };
+        let reply = MessageBody::SnapshotReply { index, received };
+        self.send_synced(from, self.term, reply);
+    }
+
+    /// Returns whether the log reaches the snapshot already, and commits up to it.
+    fn holds(&mut self, last: LogPosition) -> bool {
+        if last.index <= self.committed {
+            return true;
+        }
+        let held = self.log.term_at(last.index) == Some(last.term);
+        if held {
+            self.committed = last.index;
+        }
+        held
+    }
+
+    /// Adds a piece and returns how many bytes have arrived in order.
+    fn collect(&mut self, piece: SnapshotPiece) -> u64 {
+        let fits = self
+            .incoming
+            .as_ref()
+            .is_some_and(|incoming| incoming.last == piece.last);
+        if !fits {
+            self.incoming = Some(IncomingSnapshot {
+                last: piece.last,
+                state: BytesMut::new(),
+            });
+        }
+        let Some(incoming) = &mut self.incoming else {
+            return 0;
+        };
+        if piece.offset == incoming.state.len() as u64 {
+            incoming.state.extend_from_slice(&piece.chunk);
+        }
+        let received = incoming.state.len() as u64;
+        if received == piece.length {
+            self.install(piece.last, piece.membership);
+        }
+        received
+    }
+
+    fn install(&mut self, last: LogPosition, membership: Membership) {
+        let Some(incoming) = self.incoming.take() else {
+            return;
+        };
+        let snapshot = StateSnapshot {
+            last,
+            membership,
+            state: incoming.state.freeze(),
+        };
+        self.log.reset(snapshot.clone());
+        self.check_own_folder();
+        if self.fault.is_some() {
+            return;
+        }
+        self.committed = last.index;
+        self.dispatched = last.index;
+        self.durable = 0;
+        self.output
+            .writes
+            .push(DurableWrite::Install(snapshot.clone()));
+        self.output.applied.push(AppliedEffect::Restore(snapshot));
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/entry_log.rs
@@ -0,0 +1,189 @@
+//! The log in memory: entries since some index, the last snapshot and the memberships.
+
+use std::collections::VecDeque;
+
+use crate::EntryPayload;
+use crate::LogEntry;
+use crate::LogIndex;
+use crate::LogPosition;
+use crate::Membership;
+use crate::StateSnapshot;
+use crate::Term;
+
+/// A membership and the index that it is in force from.
+#[derive(Clone, Debug)]
+struct MembershipEpoch {
+    index: LogIndex,
+    membership: Membership,
+}
+
+/// Entries after `base`, the snapshot that covers what went before, and the memberships.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryLog {
+    base: LogPosition,
+    entries: VecDeque<LogEntry>,
+    snapshot: Option<StateSnapshot>,
+    epochs: Vec<MembershipEpoch>,
+}
+
+impl EntryLog {
+    /// Builds the log from what was read back from disk.
+    pub(crate) fn new(
+        initial: Membership,
+        snapshot: Option<StateSnapshot>,
+        entries: Vec<LogEntry>,
+    ) -> Self {
+        let mut log = Self {
+            base: LogPosition::default(),
+            entries: VecDeque::new(),
+            snapshot: None,
+            epochs: vec![MembershipEpoch {
+                index: 0,
+                membership: initial,
+            }],
+        };
+        if let Some(snapshot) = snapshot {
+            log.reset(snapshot);
+        }
+        let base_index = log.base.index;
+        log.append(
+            entries
+                .into_iter()
+                .filter(|entry| entry.position.index > base_index),
+        );
+        log
+    }
+
+    pub(crate) const fn base(&self) -> LogPosition {
+        self.base
+    }
+
+    pub(crate) const fn snapshot(&self) -> Option<&StateSnapshot> {
+        self.snapshot.as_ref()
+    }
+
+    pub(crate) fn snapshot_index(&self) -> LogIndex {
+        self.snapshot
+            .as_ref()
+            .map_or(0, |snapshot| snapshot.last.index)
+    }
+
+    pub(crate) fn last(&self) -> LogPosition {
+        self.entries
+            .back()
+            .map_or(self.base, |entry| entry.position)
+    }
+
+    /// Returns the term of the entry at `index`, none when it is not held.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.entry(index).map(|entry| entry.position.term)
+    }
+
+    pub(crate) fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns entries from `from` on, up to `limit_bytes` but at least one.
+    pub(crate) fn slice(&self, from: LogIndex, limit_bytes: usize) -> Vec<LogEntry> {
+        let mut slice = Vec::new();
+        let mut size = 0;
+        let mut index = from;
+        while let Some(entry) = self.entry(index) {
+            size += entry.payload.size();
+            if size > limit_bytes && !slice.is_empty() {
+                break;
+            }
+            slice.push(entry.clone());
+            index += 1;
+        }
+        slice
+    }
+
+    pub(crate) fn append(&mut self, entries: impl IntoIterator<Item = LogEntry>) {
+        for entry in entries {
+            debug_assert_eq!(entry.position.index, self.last().index + 1);
+            if let EntryPayload::Members(membership) = &entry.payload {
+                self.epochs.push(MembershipEpoch {
+                    index: entry.position.index,
+                    membership: membership.clone(),
+                });
+            }
+            self.entries.push_back(entry);
+        }
+    }
+
+    /// Drops all entries from `from` on, and the memberships that they brought.
+    pub(crate) fn truncate(&mut self, from: LogIndex) {
+        let kept = from.saturating_sub(self.base.index + 1);
+        self.entries
+            .truncate(usize::try_from(kept).unwrap_or(usize::MAX));
+        self.epochs.retain(|epoch| epoch.index < from);
+    }
+
+    /// Returns the membership in force, committed or not.
+    pub(crate) fn membership(&self) -> &Membership {
+        &self.newest_epoch().membership
+    }
+
+    /// Returns the index that the membership in force came with.
+    pub(crate) fn membership_index(&self) -> LogIndex {
+        self.newest_epoch().index
+    }
+
+    /// Returns the membership that was in force at `index`.
+    pub(crate) fn membership_at(&self, index: LogIndex) -> &Membership {
+        let epoch = self
+            .epochs
+            .iter()
+            .rev()
+            .find(|epoch| epoch.index <= index)
+            .unwrap_or(&self.epochs[0]);
+        &epoch.membership
+    }
+
+    /// Stores a snapshot of applied state and drops all but `trailing` entries before it.
+    pub(crate) fn compact(&mut self, snapshot: StateSnapshot, trailing: u64) {
+        let snapshot_index = snapshot.last.index;
+        let base_index = snapshot_index.saturating_sub(trailing).max(self.base.index);
+        if let Some(term) = self.term_at(base_index) {
+            let dropped = usize::try_from(base_index - self.base.index).unwrap_or(usize::MAX);
+            self.entries.drain(..dropped.min(self.entries.len()));
+            self.base = LogPosition {
+                index: base_index,
+                term,
+            };
+        }
+        self.forget_epochs(snapshot_index);
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Replaces the whole log by a snapshot.
+    pub(crate) fn reset(&mut self, snapshot: StateSnapshot) {
+        self.base = snapshot.last;
+        self.entries.clear();
+        self.epochs = vec![MembershipEpoch {
+            index: snapshot.last.index,
+            membership: snapshot.membership.clone(),
+        }];
+        self.snapshot = Some(snapshot);
+    }
+
+    fn newest_epoch(&self) -> &MembershipEpoch {
+        self.epochs.last().unwrap_or_else(|| {
+            unreachable!("the first membership is never dropped");
+        })
+    }
+
+    fn forget_epochs(&mut self, index: LogIndex) {
+        let in_force = self
+            .epochs
+            .iter()
+            .rposition(|epoch| epoch.index <= index)
+            .unwrap_or(0);
+        self.epochs.drain(..in_force);
+    }
+}
--- /dev/null
+++ b/crates/replica/src/config.rs
@@ -0,0 +1,70 @@
+//! Settings of a replica.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use quorum::CoreTiming;
+
+use crate::InstanceId;
+
+/// Time after which a proposal without an outcome fails, in milliseconds.
+const PROPOSE_TIMEOUT_MS: u64 = 2_000;
+
+/// Size of the log since the last snapshot that causes the next one, in bytes.
+const COMPACT_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Size at which a new segment file is started, in bytes.
+const SEGMENT_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Most events that one turn of the driver and one sync of the disk take together.
+const BATCH_LIMIT: usize = 4_096;
+
+/// Most voters of a group.
+const VOTERS_MAX: usize = 7;
+
+/// Settings of a replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaConfig {
+    /// Identity in the group.
+    pub instance: InstanceId,
+    /// Members of the group at its first start.
+    pub group: Vec<InstanceId>,
+    /// Whether this instance joins an existing group as a learner.
+    pub join: bool,
+    /// Folder that holds the log, the snapshots and the identity.
+    pub data: PathBuf,
+    /// Durations and sizes of the consensus.
+    pub timing: CoreTiming,
+    /// Time after which a proposal without an outcome fails.
+    pub propose_timeout: Duration,
+    /// Size in bytes of the log since the last snapshot that causes the next one.
+    pub compact_bytes: u64,
+    /// Size in bytes at which a new segment file is started.
+    pub segment_bytes: u64,
+    /// Most proposals appended together, and most batches synced together.
+    pub batch_limit: usize,
+    /// Most voters; further learners wait until a voter is removed.
+    pub voters_max: usize,
+    /// Seed of the election timeouts; must differ between instances and between starts.
+    pub seed: u64,
+}
+
+impl ReplicaConfig {
+    /// Creates settings with the default durations and sizes and a random seed.
+    #[must_use]
+    pub fn new(instance: InstanceId, group: Vec<InstanceId>, data: PathBuf) -> Self {
+        Self {
+            instance,
+            group,
+            join: false,
+            data,
+            timing: CoreTiming::default(),
+            propose_timeout: Duration::from_millis(PROPOSE_TIMEOUT_MS),
+            compact_bytes: COMPACT_BYTES,
+            segment_bytes: SEGMENT_BYTES,
+            batch_limit: BATCH_LIMIT,
+            voters_max: VOTERS_MAX,
+            seed: rand::random(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/driver.rs
@@ -0,0 +1,344 @@
+//! The thread that runs the consensus and the state machine.
+
+mod admission;
+mod joining;
+mod outputs;
+mod tickets;
+
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use clock::Clock;
+use quorum::ChangeError;
+use quorum::CoreError;
+use quorum::MemberChange;
+use quorum::MemberDuty;
+use quorum::QuorumCore;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::ConfirmError;
+use crate::InstanceId;
+use crate::LogIndex;
+use crate::PeerLink;
+use crate::ProposeError;
+use crate::ReplicaConfig;
+use crate::ReplicaFault;
+use crate::ReplicaStatus;
+use crate::StateMachine;
+use crate::driver::admission::FolderAdmission;
+use crate::driver::joining::JoinQueue;
+use crate::driver::tickets::ProposalTickets;
+use crate::driver::tickets::ReadTickets;
+use crate::envelope::PeerEnvelope;
+use crate::storage::FolderIdentity;
+use crate::storage::LogStore;
+use crate::storage::RecoveredState;
+use crate::storage::StorageJob;
+use crate::storage::StorageReport;
+use crate::storage::StorageWorker;
+
+/// Longest time between two looks at the clock and at the request to stop, in milliseconds.
+const TURN_MAX_MS: u64 = 20;
+
+/// Answer to a proposal.
+pub(crate) type ProposalAnswer<M> =
+    oneshot::Sender<Result<<M as StateMachine>::Output, ProposeError>>;
+
+/// Answer to a confirmation.
+pub(crate) type ConfirmAnswer = oneshot::Sender<Result<LogIndex, ConfirmError>>;
+
+/// What the driver is told.
+pub(crate) enum DriverInput<M: StateMachine> {
+    /// Append an entry.
+    Propose {
+        entry: Vec<u8>,
+        answer: ProposalAnswer<M>,
+    },
+    /// Confirm the leader.
+    Confirm { answer: ConfirmAnswer },
+    /// Change the members.
+    Change {
+        change: MemberChange,
+        answer: oneshot::Sender<Result<LogIndex, ChangeError>>,
+    },
+    /// A message of another member.
+    Message { from: InstanceId, message: Vec<u8> },
+    /// A report of the disk.
+    Storage(StorageReport),
+}
+
+/// Everything that one replica runs on its own thread.
+pub(crate) struct ReplicaDriver<M: StateMachine, L, C> {
+    config: ReplicaConfig,
+    core: QuorumCore,
+    identity: FolderIdentity,
+    admission: FolderAdmission,
+    joining: JoinQueue,
+    link: L,
+    machine: Arc<RwLock<M>>,
+    clock: C,
+    stop: CancellationToken,
+    status: watch::Sender<ReplicaStatus>,
+    jobs: Option<Sender<StorageJob>>,
+    proposals: ProposalTickets<M>,
+    reads: ReadTickets,
+    applied: LogIndex,
+    /// Bytes applied since the last snapshot.
+    applied_bytes: u64,
+    /// When a leader that stops gives up handing over.
+    stop_due: Option<Instant>,
+    fault: Option<ReplicaFault>,
+}
+
+impl<M: StateMachine, L: PeerLink, C: Clock> ReplicaDriver<M, L, C> {
+    pub(crate) fn new(
+        config: ReplicaConfig,
+        recovered: RecoveredState,
+        link: L,
+        machine: Arc<RwLock<M>>,
+        clock: C,
+        stop: CancellationToken,
+    ) -> Self {
+        let RecoveredState { identity, state } = recovered;
+        let core = QuorumCore::new(
+            config.instance,
+            identity.member_folder(),
+            config.timing.clone(),
+            state,
+            config.seed,
+            clock.now(),
+        );
+        let core_status = core.status();
+        let (status, _) = watch::channel(ReplicaStatus {
+            instance: config.instance,
+            duty: core_status.duty,
+            admitted: identity.admitted,
+            term: core_status.term,
+            leader: core_status.leader,
+            membership: core_status.membership,
+            committed: core_status.committed,
+            applied: 0,
+            snapshot: core_status.snapshot,
+            fault: None,
+        });
+        Self {
+            admission: FolderAdmission::new(&identity, clock.now()),
+            joining: JoinQueue::new(clock.now()),
+            core,
+            identity,
+            link,
+            machine,
+            clock,
+            stop,
+            status,
+            jobs: None,
+            proposals: ProposalTickets::new(config.propose_timeout),
+            reads: ReadTickets::default(),
+            applied: 0,
+            applied_bytes: 0,
+            stop_due: None,
+            fault: None,
+            config,
+        }
+    }
+
+    pub(crate) fn watch(&self) -> watch::Receiver<ReplicaStatus> {
+        self.status.subscribe()
+    }
+
+    /// Starts the threads of the driver and of the disk.
+    pub(crate) fn start(
+        mut self,
+        store: LogStore,
+        own_inputs: Sender<DriverInput<M>>,
+        inputs: Receiver<DriverInput<M>>,
+        done: CancellationToken,
+    ) {
+        let report = move |report| {
+            // A driver that has stopped needs no reports.
+            let _ = own_inputs.send(DriverInput::Storage(report));
+        };
+        let (jobs, worker) = StorageWorker::start(store, self.config.batch_limit, report);
+        self.jobs = Some(jobs);
+        let runtime = Handle::try_current().ok();
+        thread::spawn(move || {
+            let _entered = runtime.as_ref().map(Handle::enter);
+            self.run(&inputs);
+            drop(self);
+            // The folder is free once the worker has ended, also when it panicked.
+            let _ = worker.join();
+            done.cancel();
+        });
+    }
+
+    fn run(&mut self, inputs: &Receiver<DriverInput<M>>) {
+        self.perform_outputs();
+        while self.fault.is_none() && !self.is_stopping() {
+            let batch = self.next_batch(inputs);
+            self.take_batch(batch);
+            let now = self.clock.now();
+            self.tick(now);
+            self.perform_outputs();
+            self.publish_status();
+        }
+        self.publish_status();
+    }
+
+    /// Waits for the next event or the next due time, and takes what else is waiting.
+    fn next_batch(&self, inputs: &Receiver<DriverInput<M>>) -> Vec<DriverInput<M>> {
+        let now = self.clock.now();
+        let wait = self
+            .core
+            .next_due()
+            .saturating_duration_since(now)
+            .min(Duration::from_millis(TURN_MAX_MS));
+        let Ok(first) = inputs.recv_timeout(wait) else {
+            return Vec::new();
+        };
+        let mut batch = vec![first];
+        while batch.len() < self.config.batch_limit
+            && let Ok(input) = inputs.try_recv()
+        {
+            batch.push(input);
+        }
+        batch
+    }
+
+    /// Takes all events, and appends the proposals among them together.
+    fn take_batch(&mut self, batch: Vec<DriverInput<M>>) {
+        let now = self.clock.now();
+        let mut commands = Vec::new();
+        let mut answers = Vec::new();
+        for input in batch {
+            match input {
+                DriverInput::Propose { entry, answer } => {
+                    commands.push(Bytes::from(entry));
+                    answers.push(answer);
+                }
+                DriverInput::Confirm { answer } => self.confirm(answer, now),
+                DriverInput::Change { change, answer } => {
+                    // The caller may have given up waiting.
+                    let _ = answer.send(self.core.change_members(change, now));
+                }
+                DriverInput::Message { from, message } => self.take_message(from, &message, now),
+                DriverInput::Storage(report) => self.take_report(report, now),
+            }
+        }
+        if !commands.is_empty() {
+            self.propose(commands, answers, now);
+        }
+    }
+
+    fn propose(&mut self, commands: Vec<Bytes>, answers: Vec<ProposalAnswer<M>>, now: Instant) {
+        match self.core.propose(commands, now) {
+            Ok(first) => self.proposals.open(first, answers, now),
+            Err(CoreError::NotLeader { leader }) => {
+                for answer in answers {
+                    let _ = answer.send(Err(ProposeError::NotLeader { leader }));
+                }
+            }
+        }
+    }
+
+    fn confirm(&mut self, answer: ConfirmAnswer, now: Instant) {
+        if !self.identity.admitted {
+            let _ = answer.send(Err(ConfirmError));
+            return;
+        }
+        let ticket = self.reads.open(answer);
+        self.core.read(ticket, now);
+    }
+
+    fn take_message(&mut self, from: InstanceId, message: &[u8], now: Instant) {
+        match PeerEnvelope::decode(message) {
+            Some(PeerEnvelope::Core(message)) if self.identity.admitted => {
+                self.core.receive(from, message, now);
+            }
+            Some(PeerEnvelope::Core(_)) => {}
+            Some(PeerEnvelope::Hello { folder }) => self.on_hello(from, folder),
+            Some(PeerEnvelope::HelloReply { folder, accepted }) => {
+                self.on_hello_reply(from, folder, accepted);
+            }
+            Some(PeerEnvelope::Join { folder }) => self.on_join(from, folder),
+            Some(PeerEnvelope::JoinRefused { folder }) => self.on_join_refused(folder),
+            None => tracing::warn!(event = "peer-message-refused", from, bytes = message.len()),
+        }
+    }
+
+    fn take_report(&mut self, report: StorageReport, now: Instant) {
+        match report {
+            StorageReport::Synced { batch, messages } => {
+                self.core.synced(batch, now);
+                self.send_all(messages);
+            }
+            StorageReport::IdentitySaved(identity) => self.on_identity_saved(&identity),
+            StorageReport::Failed(error) => self.fail(ReplicaFault::Storage(error)),
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        if self.identity.admitted {
+            self.core.tick(now);
+        } else {
+            self.tick_admission(now);
+        }
+        self.tick_joining(now);
+        self.proposals.expire(now);
+        if let Some(fault) = self.core.fault() {
+            self.fail(fault.into());
+        }
+    }
+
+    /// Hands leadership over once asked to stop; returns whether to stop now.
+    fn is_stopping(&mut self) -> bool {
+        if !self.stop.is_cancelled() {
+            return false;
+        }
+        let now = self.clock.now();
+        if self.core.duty() != MemberDuty::Leader {
+            return true;
+        }
+        if let Some(due) = self.stop_due {
+            return now >= due;
+        }
+        self.stop_due = Some(now + self.config.timing.election_max);
+        !self.core.transfer_leadership(now)
+    }
+
+    fn fail(&mut self, fault: ReplicaFault) {
+        if self.fault.is_none() {
+            tracing::error!(event = "replica-fault", instance = self.config.instance, fault = %fault);
+            self.fault = Some(fault);
+        }
+    }
+
+    fn publish_status(&mut self) {
+        let core = self.core.status();
+        let next = ReplicaStatus {
+            instance: self.config.instance,
+            duty: core.duty,
+            admitted: self.identity.admitted,
+            term: core.term,
+            leader: core.leader,
+            membership: core.membership,
+            committed: core.committed,
+            applied: self.applied,
+            snapshot: core.snapshot,
+            fault: self.fault.clone(),
+        };
+        self.status.send_if_modified(|status| {
+            let changed = status.differs_from(&next);
+            *status = next;
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/replica/src/handle.rs
@@ -0,0 +1,160 @@
+//! What the rest of a control instance holds of its replica.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::mpsc;
+
+use clock::Clock;
+use quorum::ChangeError;
+use quorum::MemberChange;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::ConfirmError;
+use crate::InstanceId;
+use crate::LogIndex;
+use crate::PeerLink;
+use crate::ProposeError;
+use crate::ReplicaConfig;
+use crate::ReplicaStatus;
+use crate::ReplicatedState;
+use crate::StateMachine;
+use crate::driver::DriverInput;
+use crate::driver::ReplicaDriver;
+use crate::storage::LogStore;
+use crate::storage::StorageError;
+use crate::storage::StoreConfig;
+
+/// A running replica; clones share it.
+///
+/// The consensus and the state machine run on one thread of their own and the
+/// disk on another, so that neither holds up the tasks that use this handle.
+#[derive(Debug)]
+pub struct ReplicaHandle<M: StateMachine> {
+    inputs: mpsc::Sender<DriverInput<M>>,
+    machine: Arc<RwLock<M>>,
+    status: watch::Receiver<ReplicaStatus>,
+    done: CancellationToken,
+}
+
+impl<M: StateMachine> Clone for ReplicaHandle<M> {
+    fn clone(&self) -> Self {
+        Self {
+            inputs: self.inputs.clone(),
+            machine: Arc::clone(&self.machine),
+            status: self.status.clone(),
+            done: self.done.clone(),
+        }
+    }
+}
+
+impl<M: StateMachine> ReplicaHandle<M> {
+    /// Opens the data folder and starts the replica.
+    ///
+    /// The replica runs until `stop` is cancelled; a leader then hands its
+    /// leadership over first. `link` is called from the replica's own thread,
+    /// within the runtime that this is called from.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the data folder cannot be used.
+    pub fn start<L: PeerLink, C: Clock>(
+        config: ReplicaConfig,
+        link: L,
+        machine: M,
+        clock: C,
+        stop: CancellationToken,
+    ) -> Result<Self, StorageError> {
+        let (store, recovered) = LogStore::open(&StoreConfig {
+            data: config.data.clone(),
+            instance: config.instance,
+            group: config.group.clone(),
+            join: config.join,
+            segment_bytes: config.segment_bytes,
+        })?;
+        let machine = Arc::new(RwLock::new(machine));
+        let done = CancellationToken::new();
+        let (inputs, receiver) = mpsc::channel();
+        let driver = ReplicaDriver::new(config, recovered, link, Arc::clone(&machine), clock, stop);
+        let status = driver.watch();
+        driver.start(store, inputs.clone(), receiver, done.clone());
+        Ok(Self {
+            inputs,
+            machine,
+            status,
+            done,
+        })
+    }
+
+    /// Returns the state of the replica.
+    #[must_use]
+    pub fn status(&self) -> ReplicaStatus {
+        self.status.borrow().clone()
+    }
+
+    /// Returns a receiver that is notified whenever the state of the replica changes.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<ReplicaStatus> {
+        self.status.clone()
+    }
+
+    /// Waits until the replica has stopped, on request or by a fault.
+    pub async fn stopped(&self) {
+        self.done.cancelled().await;
+    }
+
+    /// Appends a change of one member; only on the leader.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the change was not appended.
+    pub async fn change_members(&self, change: MemberChange) -> Result<LogIndex, ChangeError> {
+        let (answer, outcome) = oneshot::channel();
+        let sent = self.inputs.send(DriverInput::Change { change, answer });
+        let stopped = ChangeError::NotLeader { leader: None };
+        if sent.is_err() {
+            return Err(stopped);
+        }
+        outcome.await.unwrap_or(Err(stopped))
+    }
+}
+
+impl<M: StateMachine> ReplicatedState<M> for ReplicaHandle<M> {
+    fn propose(
+        &self,
+        entry: Vec<u8>,
+    ) -> impl Future<Output = Result<M::Output, ProposeError>> + Send {
+        let (answer, outcome) = oneshot::channel();
+        let sent = self.inputs.send(DriverInput::Propose { entry, answer });
+        async move {
+            if sent.is_err() {
+                return Err(ProposeError::NotLeader { leader: None });
+            }
+            outcome.await.unwrap_or(Err(ProposeError::Unknown))
+        }
+    }
+
+    fn confirm(&self) -> impl Future<Output = Result<LogIndex, ConfirmError>> + Send {
+        let (answer, outcome) = oneshot::channel();
+        let sent = self.inputs.send(DriverInput::Confirm { answer });
+        async move {
+            if sent.is_err() {
+                return Err(ConfirmError);
+            }
+            outcome.await.unwrap_or(Err(ConfirmError))
+        }
+    }
+
+    fn read<R>(&self, reader: impl FnOnce(&M) -> R) -> R {
+        let machine = self.machine.read().unwrap_or_else(PoisonError::into_inner);
+        reader(&machine)
+    }
+
+    fn receive(&self, from: InstanceId, message: Vec<u8>) {
+        // A replica that has stopped receives nothing.
+        let _ = self.inputs.send(DriverInput::Message { from, message });
+    }
+}
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,10 +1,30 @@
 //! Runs one member of the replicated log: storage, peers and the applied state machine.
+//!
+//! See `docs/QUORUM.md` for the design and its measurements.
+
+mod config;
+mod driver;
+mod envelope;
+mod handle;
+mod status;
+pub mod storage;
 
 use std::future::Future;
 
 use derive_more::Display;
 use derive_more::Error;
 
+pub use quorum::ChangeError;
+pub use quorum::CoreTiming;
+pub use quorum::MemberChange;
+pub use quorum::MemberDuty;
+pub use quorum::Membership;
+
+pub use crate::config::ReplicaConfig;
+pub use crate::handle::ReplicaHandle;
+pub use crate::status::ReplicaFault;
+pub use crate::status::ReplicaStatus;
+
 /// Identity of a control instance; a wiped disk comes back with a new one.
 pub type InstanceId = u64;
 
--- /dev/null
+++ b/crates/replica/src/storage/error.rs
@@ -0,0 +1,85 @@
+//! Why a data folder cannot be used.
+
+use std::io;
+use std::path::PathBuf;
+
+use derive_more::Display;
+use derive_more::Error;
+
+use crate::InstanceId;
+use crate::LogIndex;
+
+/// Why a data folder cannot be used; each names the file, corruption also the offset.
+#[derive(Debug, Display, Error)]
+pub enum StorageError {
+    /// The operating system reported an error.
+    #[display("{}: {source}", path.display())]
+    Io {
+        /// File or folder.
+        path: PathBuf,
+        /// The error.
+        source: io::Error,
+    },
+    /// A record before the end of what was synced is damaged.
+    #[display("{}: corrupt record at offset {offset}", path.display())]
+    Corrupt {
+        /// File.
+        path: PathBuf,
+        /// Offset of the record in bytes.
+        offset: u64,
+    },
+    /// The file has another format or version than this software reads.
+    #[display("{}: format version {found} is not supported, this software reads {supported}", path.display())]
+    UnknownVersion {
+        /// File.
+        path: PathBuf,
+        /// Version of the file.
+        found: u32,
+        /// Version that this software reads.
+        supported: u32,
+    },
+    /// The file is not of the kind that its name says.
+    #[display("{}: not a file of this software", path.display())]
+    UnknownFormat {
+        /// File.
+        path: PathBuf,
+    },
+    /// A file or entry between others is missing.
+    #[display("{}: the log has a gap before entry {index}", path.display())]
+    Gap {
+        /// First file after the gap.
+        path: PathBuf,
+        /// First entry after the gap.
+        index: LogIndex,
+    },
+    /// The folder belongs to another instance.
+    #[display("{}: the folder belongs to instance {found}, not {expected}", path.display())]
+    OtherInstance {
+        /// Identity file.
+        path: PathBuf,
+        /// Instance of the settings.
+        expected: InstanceId,
+        /// Instance that the folder belongs to.
+        found: InstanceId,
+    },
+    /// The folder holds a log but no identity.
+    #[display("{}: the folder holds a log but no identity", path.display())]
+    MissingIdentity {
+        /// Folder.
+        path: PathBuf,
+    },
+    /// Another process uses the folder.
+    #[display("{}: another process uses the folder", path.display())]
+    Locked {
+        /// Lock file.
+        path: PathBuf,
+    },
+}
+
+impl StorageError {
+    /// Adds the path to an error of the operating system.
+    pub(crate) fn io(path: impl Into<PathBuf>) -> impl FnOnce(io::Error) -> Self {
+        let path = path.into();
+        move |source| Self::Io { path, source }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/storage/files.rs
@@ -0,0 +1,69 @@
+//! Files that appear whole or not at all.
+
+use std::fs;
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use crate::storage::StorageError;
+
+/// Suffix of files that are being written.
+const TEMPORARY_SUFFIX: &str = "tmp";
+
+/// Syncs a folder, so that creations, renames and removals in it last.
+pub(super) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
+    File::open(folder)
+        .and_then(|file| file.sync_all())
+        .map_err(StorageError::io(folder))
+}
+
+/// Creates a folder and syncs its parent.
+pub(super) fn create_folder(folder: &Path) -> Result<(), StorageError> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    fs::create_dir_all(folder).map_err(StorageError::io(folder))?;
+    match folder.parent() {
+        Some(parent) if !parent.as_os_str().is_empty() => sync_folder(parent),
+        _ => Ok(()),
+    }
+}
+
+/// Writes a file beside its final name, syncs it, and renames it into place.
+pub(super) fn replace_file(path: &Path, parts: &[Vec<u8>]) -> Result<(), StorageError> {
+    let temporary = path.with_extension(TEMPORARY_SUFFIX);
+    let mut file = File::create(&temporary).map_err(StorageError::io(&temporary))?;
+    for part in parts {
+        file.write_all(part).map_err(StorageError::io(&temporary))?;
+    }
+    file.sync_all().map_err(StorageError::io(&temporary))?;
+    fs::rename(&temporary, path).map_err(StorageError::io(path))?;
+    path.parent().map_or(Ok(()), sync_folder)
+}
+
+/// Removes what a crash left half written.
+pub(super) fn remove_temporary(folder: &Path) -> Result<(), StorageError> {
+    for path in list(folder)? {
+        if path
+            .extension()
+            .is_some_and(|suffix| suffix == TEMPORARY_SUFFIX)
+        {
+            fs::remove_file(&path).map_err(StorageError::io(&path))?;
+        }
+    }
+    Ok(())
+}
+
+/// Lists the files of a folder, sorted by name.
+pub(super) fn list(folder: &Path) -> Result<Vec<PathBuf>, StorageError> {
+    let mut paths = Vec::new();
+    for item in fs::read_dir(folder).map_err(StorageError::io(folder))? {
+        let item = item.map_err(StorageError::io(folder))?;
+        if item.path().is_file() {
+            paths.push(item.path());
+        }
+    }
+    paths.sort();
+    Ok(paths)
+}
--- /dev/null
+++ b/crates/replica/src/storage/folder.rs
@@ -0,0 +1,119 @@
+//! Opening a data folder for one process.
+
+use std::fs::File;
+use std::fs::TryLockError;
+use std::path::Path;
+use std::path::PathBuf;
+
+use quorum::Membership;
+
+use crate::storage::FolderIdentity;
+use crate::storage::StorageError;
+use crate::storage::files;
+use crate::storage::store::StoreConfig;
+
+/// Name of the lock file.
+const LOCK_FILE: &str = "lock";
+
+/// Name of the folder of log segments.
+const LOG_FOLDER: &str = "log";
+
+/// Name of the folder of snapshots.
+const SNAPSHOT_FOLDER: &str = "snapshot";
+
+/// A data folder that this process alone uses.
+#[derive(Debug)]
+pub(super) struct DataFolder {
+    pub(super) root: PathBuf,
+    pub(super) identity: FolderIdentity,
+    _lock: File,
+}
+
+impl DataFolder {
+    /// Opens or creates the folder, and checks whose it is.
+    pub(super) fn open(config: &StoreConfig) -> Result<Self, StorageError> {
+        let root = config.data.clone();
+        files::create_folder(&root)?;
+        let lock = lock(&root)?;
+        files::remove_temporary(&root)?;
+        files::create_folder(&log_folder(&root))?;
+        files::create_folder(&snapshot_folder(&root))?;
+        files::remove_temporary(&snapshot_folder(&root))?;
+        files::sync_folder(&root)?;
+        let identity = match FolderIdentity::load(&root)? {
+            Some(identity) => check_instance(&root, identity, config)?,
+            None => create_identity(&root, config)?,
+        };
+        Ok(Self {
+            root,
+            identity,
+            _lock: lock,
+        })
+    }
+
+    pub(super) fn log(&self) -> PathBuf {
+        log_folder(&self.root)
+    }
+
+    pub(super) fn snapshots(&self) -> PathBuf {
+        snapshot_folder(&self.root)
+    }
+}
+
+fn log_folder(root: &Path) -> PathBuf {
+    root.join(LOG_FOLDER)
+}
+
+fn snapshot_folder(root: &Path) -> PathBuf {
+    root.join(SNAPSHOT_FOLDER)
+}
+
+fn lock(root: &Path) -> Result<File, StorageError> {
+    let path = root.join(LOCK_FILE);
+    let file = File::create(&path).map_err(StorageError::io(&path))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => Err(StorageError::Locked { path }),
+        Err(TryLockError::Error(source)) => Err(StorageError::Io { path, source }),
+    }
+}
+
+fn check_instance(
+    root: &Path,
+    identity: FolderIdentity,
+    config: &StoreConfig,
+) -> Result<FolderIdentity, StorageError> {
+    if identity.instance == config.instance {
+        return Ok(identity);
+    }
+    Err(StorageError::OtherInstance {
+        path: FolderIdentity::path(root),
+        expected: config.instance,
+        found: identity.instance,
+    })
+}
+
+/// Creates the identity of an empty folder, not yet admitted by the other first members.
+fn create_identity(root: &Path, config: &StoreConfig) -> Result<FolderIdentity, StorageError> {
+    let used = !files::list(&log_folder(root))?.is_empty()
+        || !files::list(&snapshot_folder(root))?.is_empty();
+    if used {
+        return Err(StorageError::MissingIdentity {
+            path: root.to_owned(),
+        });
+    }
+    let initial = if config.join {
+        Membership::default()
+    } else {
+        Membership::initial(&config.group)
+    };
+    let identity = FolderIdentity {
+        instance: config.instance,
+        folder: rand::random_range(1..u64::MAX),
+        admitted: config.join || initial.members().len() == 1,
+        initial,
+        known: Vec::new(),
+    };
+    identity.save(root)?;
+    Ok(identity)
+}
--- /dev/null
+++ b/crates/replica/src/storage/identity.rs
@@ -0,0 +1,106 @@
+//! Identity of a data folder: which instance it belongs to, and which folders it knows.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use quorum::FolderId;
+use quorum::Membership;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::InstanceId;
+use crate::storage::StorageError;
+use crate::storage::files;
+use crate::storage::frame;
+use crate::storage::frame::FileFormat;
+
+/// Name of the identity file.
+const IDENTITY_FILE: &str = "identity";
+
+/// Format of the identity file.
+const IDENTITY_FORMAT: FileFormat = FileFormat {
+    magic: *b"RWPIDENT",
+    version: 1,
+};
+
+/// Folder of another instance, as it announced itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KnownFolder {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its folder.
+    pub folder: FolderId,
+}
+
+/// What a data folder says about itself.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct FolderIdentity {
+    /// Instance that the folder belongs to.
+    pub instance: InstanceId,
+    /// Random name of the folder, drawn when it was created.
+    pub folder: FolderId,
+    /// Membership that the group first started with; empty when the instance joined later.
+    pub initial: Membership,
+    /// Whether the other members have accepted the folder; it must not vote before.
+    pub admitted: bool,
+    /// Folders of the other first members.
+    pub known: Vec<KnownFolder>,
+}
+
+impl FolderIdentity {
+    /// Returns the folder that the log's membership names for this instance.
+    #[must_use]
+    pub fn member_folder(&self) -> FolderId {
+        if self.joined() {
+            self.folder
+        } else {
+            quorum::INITIAL_FOLDER
+        }
+    }
+
+    /// Returns whether the instance joined an existing group.
+    #[must_use]
+    pub fn joined(&self) -> bool {
+        self.initial.members().is_empty()
+    }
+
+    /// Remembers the folder of another instance; returns whether none other was known.
+    pub fn remember(&mut self, instance: InstanceId, folder: FolderId) -> bool {
+        let known = self.known.iter().find(|known| known.instance == instance);
+        if let Some(known) = known {
+            return known.folder == folder;
+        }
+        self.known.push(KnownFolder { instance, folder });
+        true
+    }
+
+    pub(super) fn path(folder: &Path) -> PathBuf {
+        folder.join(IDENTITY_FILE)
+    }
+
+    /// Reads the identity of a folder, none when it has none.
+    pub(super) fn load(folder: &Path) -> Result<Option<Self>, StorageError> {
+        let path = Self::path(folder);
+        if !path.exists() {
+            return Ok(None);
+        }
+        let content = fs::read(&path).map_err(StorageError::io(&path))?;
+        IDENTITY_FORMAT.check(&path, &content)?;
+        frame::frame_at(&content, frame::HEADER_BYTES)
+            .and_then(|(payload, _)| postcard::from_bytes(payload).ok())
+            .map(Some)
+            .ok_or(StorageError::Corrupt {
+                path,
+                offset: frame::HEADER_BYTES as u64,
+            })
+    }
+
+    /// Writes the identity durably.
+    pub(super) fn save(&self, folder: &Path) -> Result<(), StorageError> {
+        let mut content = IDENTITY_FORMAT.header();
+        let payload = postcard::to_stdvec(self).unwrap_or_default();
+        frame::push_frame(&mut content, &payload);
+        files::replace_file(&Self::path(folder), &[content])
+    }
+}
--- /dev/null
+++ b/crates/replica/src/storage/record.rs
@@ -0,0 +1,40 @@
+//! Records of the log.
+
+use quorum::DurableWrite;
+use quorum::InstanceId;
+use quorum::LogEntry;
+use quorum::LogPosition;
+use quorum::Term;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One record; a frame holds all records of one sync.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub(super) enum LogRecord {
+    /// Term and vote, which replace earlier ones.
+    Vote {
+        /// Current term.
+        term: Term,
+        /// Member that got the vote.
+        vote: Option<InstanceId>,
+    },
+    /// Entries, which replace all from the first one's index on.
+    Append(Vec<LogEntry>),
+    /// The log starts anew after this entry, which a snapshot includes.
+    Reset(LogPosition),
+}
+
+impl LogRecord {
+    /// Returns the record that a write needs, besides a snapshot file.
+    pub(super) fn of(write: &DurableWrite) -> Option<Self> {
+        match write {
+            DurableWrite::Vote { term, vote } => Some(Self::Vote {
+                term: *term,
+                vote: *vote,
+            }),
+            DurableWrite::Append(entries) => Some(Self::Append(entries.clone())),
+            DurableWrite::Compact(_) => None,
+            DurableWrite::Install(snapshot) => Some(Self::Reset(snapshot.last)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/storage/segment.rs
@@ -0,0 +1,182 @@
+//! One file of the log.
+
+use std::fs;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use crate::LogIndex;
+use crate::storage::StorageError;
+use crate::storage::files;
+use crate::storage::frame;
+use crate::storage::frame::FileFormat;
+use crate::storage::record::LogRecord;
+
+/// Suffix of segment files.
+const SEGMENT_SUFFIX: &str = "log";
+
+/// Format of segment files.
+const SEGMENT_FORMAT: FileFormat = FileFormat {
+    magic: *b"RWPLOG\0\0",
+    version: 1,
+};
+
+/// Number of a segment file; they are read in this order.
+pub(super) type SegmentNumber = u64;
+
+/// A segment that is not written any more.
+#[derive(Clone, Debug)]
+pub(super) struct ClosedSegment {
+    pub(super) number: SegmentNumber,
+    pub(super) path: PathBuf,
+    /// Highest index of any entry in the file.
+    pub(super) last_index: LogIndex,
+}
+
+/// The segment that is written.
+#[derive(Debug)]
+pub(super) struct OpenSegment {
+    pub(super) closed: ClosedSegment,
+    pub(super) length: u64,
+    file: File,
+}
+
+impl ClosedSegment {
+    /// Lists the segments of a folder in order.
+    pub(super) fn list(folder: &Path) -> Result<Vec<Self>, StorageError> {
+        let mut segments = Vec::new();
+        for path in files::list(folder)? {
+            let number = path
+                .file_stem()
+                .and_then(|stem| stem.to_str())
+                .and_then(|stem| SegmentNumber::from_str_radix(stem, 16).ok());
+            let suffixed = path
+                .extension()
+                .is_some_and(|suffix| suffix == SEGMENT_SUFFIX);
+            let Some(number) = number.filter(|_| suffixed) else {
+                return Err(StorageError::UnknownFormat { path });
+            };
+            segments.push(Self {
+                number,
+                path,
+                last_index: 0,
+            });
+        }
+        Ok(segments)
+    }
+
+    /// Reads all records; the last segment of a log may end in a torn frame, which is cut.
+    ///
+    /// Returns none when the last segment was torn while it was created, and removes it.
+    pub(super) fn read(&mut self, is_last: bool) -> Result<Option<Vec<LogRecord>>, StorageError> {
+        let content = fs::read(&self.path).map_err(StorageError::io(&self.path))?;
+        match SEGMENT_FORMAT.check(&self.path, &content) {
+            Err(StorageError::Corrupt { .. }) if is_last && !frame::frame_follows(&content, 0) => {
+                self.remove()?;
+                return Ok(None);
+            }
+            checked => checked?,
+        }
+        let mut records = Vec::new();
+        let mut offset = frame::HEADER_BYTES;
+        while offset < content.len() {
+            let Some((payload, next)) = frame::frame_at(&content, offset) else {
+                if !is_last || frame::frame_follows(&content, offset) {
+                    return Err(self.corrupt(offset));
+                }
+                self.cut(offset)?;
+                break;
+            };
+            let batch: Vec<LogRecord> =
+                postcard::from_bytes(payload).map_err(|_| self.corrupt(offset))?;
+            records.extend(batch);
+            offset = next;
+        }
+        self.note(&records);
+        Ok(Some(records))
+    }
+
+    /// Removes the file; the caller syncs the folder.
+    pub(super) fn remove(&self) -> Result<(), StorageError> {
+        fs::remove_file(&self.path).map_err(StorageError::io(&self.path))
+    }
+
+    fn note(&mut self, records: &[LogRecord]) {
+        for record in records {
+            if let LogRecord::Append(entries) = record
+                && let Some(last) = entries.last()
+            {
+                self.last_index = self.last_index.max(last.position.index);
+            }
+        }
+    }
+
+    fn corrupt(&self, offset: usize) -> StorageError {
+        StorageError::Corrupt {
+            path: self.path.clone(),
+            offset: offset as u64,
+        }
+    }
+
+    fn cut(&self, length: usize) -> Result<(), StorageError> {
+        tracing::warn!(
+            event = "torn-tail-cut",
+            file = %self.path.display(),
+            offset = length
+        );
+        OpenOptions::new()
+            .write(true)
+            .open(&self.path)
+            .and_then(|file| {
+                file.set_len(length as u64)?;
+                file.sync_all()
+            })
+            .map_err(StorageError::io(&self.path))
+    }
+}
+
+impl OpenSegment {
+    /// Creates a segment that starts with `records`.
+    pub(super) fn create(
+        folder: &Path,
+        number: SegmentNumber,
+        records: &[LogRecord],
+    ) -> Result<Self, StorageError> {
+        let path = folder.join(format!("{number:016x}.{SEGMENT_SUFFIX}"));
+        let file = File::create(&path).map_err(StorageError::io(&path))?;
+        let mut segment = Self {
+            closed: ClosedSegment {
+                number,
+                path,
+                last_index: 0,
+            },
+            length: 0,
+            file,
+        };
+        segment.write(&SEGMENT_FORMAT.header())?;
+        segment.append(records)?;
+        files::sync_folder(folder)?;
+        Ok(segment)
+    }
+
+    /// Writes records as one frame and syncs them.
+    pub(super) fn append(&mut self, records: &[LogRecord]) -> Result<(), StorageError> {
+        let payload = postcard::to_stdvec(records).unwrap_or_default();
+        let mut content = Vec::with_capacity(payload.len() + frame::HEADER_BYTES);
+        frame::push_frame(&mut content, &payload);
+        self.write(&content)?;
+        self.closed.note(records);
+        self.file
+            .sync_data()
+            .map_err(StorageError::io(&self.closed.path))
+    }
+
+    fn write(&mut self, content: &[u8]) -> Result<(), StorageError> {
+        self.length += content.len() as u64;
+        self.file
+            .write_all(content)
+            .map_err(StorageError::io(&self.closed.path))
+    }
+}
--- /dev/null
+++ b/crates/replica/src/storage/store.rs
@@ -0,0 +1,286 @@
+//! The log and the snapshots of one instance on its disk.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use quorum::DurableState;
+use quorum::DurableWrite;
+use quorum::LogEntry;
+use quorum::LogPosition;
+use quorum::StateSnapshot;
+use quorum::Term;
+
+use crate::InstanceId;
+use crate::LogIndex;
+use crate::storage::FolderIdentity;
+use crate::storage::StorageError;
+use crate::storage::files;
+use crate::storage::folder::DataFolder;
+use crate::storage::record::LogRecord;
+use crate::storage::segment::ClosedSegment;
+use crate::storage::segment::OpenSegment;
+use crate::storage::snapshot;
+
+/// Where and for whom a store is opened.
+#[derive(Clone, Debug)]
+pub struct StoreConfig {
+    /// Folder that holds everything.
+    pub data: PathBuf,
+    /// Identity of the instance.
+    pub instance: InstanceId,
+    /// Members of the group at its first start.
+    pub group: Vec<InstanceId>,
+    /// Whether an empty folder joins an existing group.
+    pub join: bool,
+    /// Size in bytes at which a new segment file is started.
+    pub segment_bytes: u64,
+}
+
+/// What was read back from the disk.
+#[derive(Clone, Debug)]
+pub struct RecoveredState {
+    /// Identity of the folder.
+    pub identity: FolderIdentity,
+    /// State of the consensus.
+    pub state: DurableState,
+}
+
+/// The log and the snapshots of one instance; every write is synced when its call returns.
+#[derive(Debug)]
+pub struct LogStore {
+    folder: DataFolder,
+    segment_bytes: u64,
+    closed: Vec<ClosedSegment>,
+    open: OpenSegment,
+    vote: LogRecord,
+}
+
+impl LogStore {
+    /// Opens a data folder and reads back what it holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder belongs to another instance or process, when a file is
+    /// damaged before its end, has an unknown version, or is missing.
+    pub fn open(config: &StoreConfig) -> Result<(Self, RecoveredState), StorageError> {
+        let folder = DataFolder::open(config)?;
+        let snapshot = snapshot::load(&folder.snapshots())?;
+        let mut closed = ClosedSegment::list(&folder.log())?;
+        let mut replay = LogReplay::default();
+        let count = closed.len();
+        for position in 0..count {
+            check_sequence(&closed, position)?;
+            let is_last = position + 1 == count;
+            let segment = &mut closed[position];
+            let Some(records) = segment.read(is_last)? else {
+                closed.truncate(position);
+                break;
+            };
+            for record in records {
+                replay.take(record, &segment.path)?;
+            }
+        }
+        let last_path = closed
+            .last()
+            .map_or(folder.log(), |segment| segment.path.clone());
+        let reset = replay.fit(snapshot.as_ref(), &last_path)?;
+        let vote = LogRecord::Vote {
+            term: replay.term,
+            vote: replay.vote,
+        };
+        let number = closed.last().map_or(1, |segment| segment.number + 1);
+        let mut records = vec![vote.clone()];
+        records.extend(reset.map(LogRecord::Reset));
+        let open = OpenSegment::create(&folder.log(), number, &records)?;
+        let recovered = RecoveredState {
+            identity: folder.identity.clone(),
+            state: DurableState {
+                initial: folder.identity.initial.clone(),
+                term: replay.term,
+                vote: replay.vote,
+                snapshot,
+                entries: replay.entries,
+            },
+        };
+        let store = Self {
+            folder,
+            segment_bytes: config.segment_bytes,
+            closed,
+            open,
+            vote,
+        };
+        Ok((store, recovered))
+    }
+
+    /// Writes everything but own snapshots with one sync of the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk does; the store must not be used after that.
+    pub fn write(&mut self, writes: &[DurableWrite]) -> Result<(), StorageError> {
+        for write in writes {
+            if let DurableWrite::Install(installed) = write {
+                snapshot::save(&self.folder.snapshots(), installed)?;
+            }
+        }
+        let records: Vec<LogRecord> = writes.iter().filter_map(LogRecord::of).collect();
+        if records.is_empty() {
+            return Ok(());
+        }
+        let vote = records
+            .iter()
+            .rfind(|record| matches!(record, LogRecord::Vote { .. }));
+        if let Some(vote) = vote {
+            self.vote = vote.clone();
+        }
+        self.open.append(&records)?;
+        if self.open.length >= self.segment_bytes {
+            self.rotate()?;
+        }
+        Ok(())
+    }
+
+    /// Returns the folder that own snapshots are written to by [`save_snapshot`].
+    pub(super) fn snapshot_folder(&self) -> PathBuf {
+        self.folder.snapshots()
+    }
+
+    /// Removes the segments whose entries a synced snapshot up to `index` includes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk does.
+    pub fn drop_before(&mut self, index: LogIndex) -> Result<(), StorageError> {
+        if self.open.closed.last_index > 0 {
+            self.rotate()?;
+        }
+        let covered = self
+            .closed
+            .iter()
+            .take_while(|segment| segment.last_index <= index)
+            .count();
+        for segment in self.closed.drain(..covered) {
+            segment.remove()?;
+        }
+        files::sync_folder(&self.folder.log())
+    }
+
+    /// Replaces the folder's identity durably.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk does.
+    pub fn save_identity(&mut self, identity: FolderIdentity) -> Result<(), StorageError> {
+        identity.save(&self.folder.root)?;
+        self.folder.identity = identity;
+        Ok(())
+    }
+
+    /// Starts a new segment, which repeats the vote so that older ones may be removed.
+    fn rotate(&mut self) -> Result<(), StorageError> {
+        let number = self.open.closed.number + 1;
+        let records = [self.vote.clone()];
+        let next = OpenSegment::create(&self.folder.log(), number, &records)?;
+        let full = std::mem::replace(&mut self.open, next);
+        self.closed.push(full.closed);
+        Ok(())
+    }
+}
+
+/// Writes a snapshot of the instance's own state durably.
+pub(super) fn save_snapshot(folder: &Path, own: &StateSnapshot) -> Result<(), StorageError> {
+    snapshot::save(folder, own)
+}
+
+fn check_sequence(segments: &[ClosedSegment], position: usize) -> Result<(), StorageError> {
+    let Some(earlier) = position.checked_sub(1).map(|before| &segments[before]) else {
+        return Ok(());
+    };
+    if earlier.number + 1 == segments[position].number {
+        return Ok(());
+    }
+    Err(StorageError::Gap {
+        path: segments[position].path.clone(),
+        index: earlier.last_index + 1,
+    })
+}
+
+/// Puts the records of all segments together.
+#[derive(Debug, Default)]
+struct LogReplay {
+    term: Term,
+    vote: Option<InstanceId>,
+    /// Entries in order, without gaps.
+    entries: Vec<LogEntry>,
+    /// Where the log starts anew, until entries follow.
+    reset: Option<LogPosition>,
+}
+
+impl LogReplay {
+    fn take(&mut self, record: LogRecord, path: &Path) -> Result<(), StorageError> {
+        match record {
+            LogRecord::Vote { term, vote } => {
+                self.term = term;
+                self.vote = vote;
+            }
+            LogRecord::Append(entries) => self.append(entries, path)?,
+            LogRecord::Reset(last) => {
+                self.entries.clear();
+                self.reset = Some(last);
+            }
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, entries: Vec<LogEntry>, path: &Path) -> Result<(), StorageError> {
+        let Some(from) = entries.first().map(|entry| entry.position.index) else {
+            return Ok(());
+        };
+        self.entries.truncate(
+            self.entries
+                .partition_point(|entry| entry.position.index < from),
+        );
+        let end = self.entries.last().map(|entry| entry.position.index);
+        let end = end.or(self.reset.map(|reset| reset.index));
+        if end.is_some_and(|end| end + 1 != from) {
+            return Err(StorageError::Gap {
+                path: path.to_owned(),
+                index: from,
+            });
+        }
+        self.entries.extend(entries);
+        Ok(())
+    }
+
+    /// Fits the entries to the snapshot; returns where the log must start anew, if it must.
+    fn fit(
+        &mut self,
+        snapshot: Option<&StateSnapshot>,
+        path: &Path,
+    ) -> Result<Option<LogPosition>, StorageError> {
+        let base = snapshot.map(|snapshot| snapshot.last).unwrap_or_default();
+        let Some(first) = self.entries.first().map(|entry| entry.position.index) else {
+            let stale = base.index > 0 && self.reset != Some(base);
+            return Ok(stale.then_some(base));
+        };
+        if first > base.index + 1 {
+            return Err(StorageError::Gap {
+                path: path.to_owned(),
+                index: first,
+            });
+        }
+        let at_base = self
+            .entries
+            .iter()
+            .find(|entry| entry.position.index == base.index);
+        let continues = at_base.is_some_and(|entry| entry.position.term == base.term)
+            || first == base.index + 1;
+        if !continues {
+            self.entries.clear();
+            return Ok(Some(base));
+        }
+        self.entries
+            .retain(|entry| entry.position.index > base.index);
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/replica/tests/group.rs
@@ -0,0 +1,169 @@
+//! Replicas in one process over an in-memory link, on real disks.
+
+#[path = "support/group.rs"]
+mod support;
+
+use std::time::Duration;
+
+use quorum::MemberDuty;
+use replica::MemberChange;
+use replica::ProposeError;
+use replica::ReplicaFault;
+use replica::ReplicatedState;
+
+use crate::support::TestGroup;
+
+/// Outcome that a test waits for at most this long before it fails, in seconds.
+const PATIENCE_S: u64 = 60;
+
+/// Runs a test's body and fails when it does not end.
+fn run(body: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    runtime.block_on(async {
+        tokio::time::timeout(Duration::from_secs(PATIENCE_S), body)
+            .await
+            .expect("the test ends in time");
+    });
+}
+
+#[test]
+fn single_member_commits_and_recovers() {
+    run(async {
+        let mut group = TestGroup::new(&[1]);
+        group.start(1);
+        assert_eq!(group.propose(b"a").await, 1);
+        assert_eq!(group.propose(b"b").await, 2);
+        group.stop(1).await;
+        group.start(1);
+        assert_eq!(group.propose(b"c").await, 3);
+        group.stop_all().await;
+    });
+}
+
+#[test]
+fn three_members_agree_and_followers_read_what_was_acknowledged() {
+    run(async {
+        let mut group = TestGroup::new(&[1, 2, 3]);
+        group.start_all();
+        for count in 1..=50 {
+            assert_eq!(group.propose(b"entry").await, count);
+            for id in [1, 2, 3] {
+                group.handle(id).confirm().await.expect("a quorum answers");
+                let seen = group.handle(id).read(|journal| journal.entries.len());
+                assert!(seen >= usize::try_from(count).expect("a small number"));
+            }
+        }
+        group.stop_all().await;
+    });
+}
+
+#[test]
+fn leadership_moves_and_nothing_acknowledged_is_lost() {
+    run(async {
+        let mut group = TestGroup::new(&[1, 2, 3]);
+        group.start_all();
+        for round in 0..4_u64 {
+            for step in 0..10 {
+                let entry = format!("{round}-{step}");
+                group.propose(entry.as_bytes()).await;
+            }
+            let leader = group.leader().await;
+            group.stop(leader).await;
+            group.propose(b"while one is away").await;
+            group.start(leader);
+        }
+        let counts = group.settled_lengths().await;
+        assert!(
+            counts
+                .iter()
+                .all(|&count| count == counts[0] && count >= 44)
+        );
+        group.stop_all().await;
+    });
+}
+
+#[test]
+fn follower_refuses_proposals_and_names_the_leader() {
+    run(async {
+        let mut group = TestGroup::new(&[1, 2, 3]);
+        group.start_all();
+        let leader = group.leader().await;
+        let follower = [1, 2, 3]
+            .into_iter()
+            .find(|&id| id != leader)
+            .expect("two follow");
+        group
+            .wait(follower, |status| status.leader == Some(leader))
+            .await;
+        let refused = group.handle(follower).propose(b"x".to_vec()).await;
+        assert_eq!(
+            refused,
+            Err(ProposeError::NotLeader {
+                leader: Some(leader)
+            })
+        );
+        group.stop_all().await;
+    });
+}
+
+#[test]
+fn learner_joins_by_snapshot_and_replaces_a_voter() {
+    run(async {
+        let mut group = TestGroup::new(&[1, 2, 3]);
+        group.compact_bytes = 4_096;
+        group.message_bytes = 1_024;
+        group.trailing_entries = 4;
+        group.start_all();
+        for _ in 0..100 {
+            group.propose(&[7; 200]).await;
+        }
+        let leader = group.leader().await;
+        let lost = [1, 2, 3]
+            .into_iter()
+            .find(|&id| id != leader)
+            .expect("two follow");
+        group.stop(lost).await;
+        group.start_joining(4);
+        group
+            .wait(4, |status| status.duty == MemberDuty::Follower)
+            .await;
+        group.change_members(MemberChange::Remove(lost)).await;
+        group.propose(b"after the replacement").await;
+        let counts = group.settled_lengths().await;
+        assert!(
+            counts
+                .iter()
+                .all(|&count| count == counts[0] && count >= 101)
+        );
+        group.stop_all().await;
+    });
+}
+
+#[test]
+fn wiped_folder_is_refused_under_its_old_identity() {
+    run(async {
+        let mut group = TestGroup::new(&[1, 2, 3]);
+        group.start_all();
+        group.propose(b"kept").await;
+        group
+            .wait(2, |status| status.admitted && status.applied > 0)
+            .await;
+        group.stop(2).await;
+        group.wipe(2);
+        group.start(2);
+        group.wait(2, |status| status.fault.is_some()).await;
+        let fault = group.handle(2).status().fault.expect("a fault");
+        assert!(matches!(fault, ReplicaFault::WipedFolder { instance: 2 }));
+        group.stop(2).await;
+        group.wipe(2);
+        group.start_joining(2);
+        group.wait(2, |status| status.fault.is_some()).await;
+        let fault = group.handle(2).status().fault.expect("a fault");
+        assert!(matches!(fault, ReplicaFault::WipedFolder { instance: 2 }));
+        group.stop_all().await;
+    });
+}
