Add the ledger, the state that the control instances agree on

A change takes effect once two different owners in force signed its hash and its base is the version in force; accepted and refused changes keep their first answer, also when the owners have been replaced since. Invalid texts and bad signatures are not remembered, so that nobody can spoil a hash for its owners. Each owner has room of their own for pending changes.

Ownership of a team names the epoch that it replaces, so that of two takers one fails; epochs are never used twice, also when a team leaves and comes back.

--- /dev/null
+++ b/crates/ledger/src/config/pending.rs
@@ -0,0 +1,77 @@
+//! Changes that one owner signed.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use model::change::ProposedChange;
+use model::ids::ChangeHash;
+use model::ids::OwnerKey;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Most pending changes of one owner; the oldest one makes room.
+const PENDING_PER_OWNER: usize = 16;
+
+/// A change that waits for the other owner.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct PendingChange {
+    /// Position in the order of arrival.
+    order: u64,
+    change: ProposedChange,
+    signers: BTreeSet<OwnerKey>,
+}
+
+/// All pending changes; each is based on the version in force.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct PendingTable {
+    next_order: u64,
+    changes: BTreeMap<ChangeHash, PendingChange>,
+}
+
+impl PendingTable {
+    pub(crate) fn contains(&self, hash: &ChangeHash) -> bool {
+        self.changes.contains_key(hash)
+    }
+
+    /// Adds signers to a change and returns how many owners have signed it.
+    pub(crate) fn sign(
+        &mut self,
+        hash: ChangeHash,
+        change: ProposedChange,
+        signers: &[OwnerKey],
+    ) -> usize {
+        let order = self.next_order;
+        self.next_order += 1;
+        let pending = self.changes.entry(hash).or_insert_with(|| PendingChange {
+            order,
+            change,
+            signers: BTreeSet::new(),
+        });
+        pending.signers.extend(signers);
+        let signed = pending.signers.len();
+        for signer in signers {
+            self.enforce_limit(signer);
+        }
+        signed
+    }
+
+    /// Drops all changes and returns their hashes.
+    pub(crate) fn take_all(&mut self) -> Vec<ChangeHash> {
+        let changes = std::mem::take(&mut self.changes);
+        changes.into_keys().collect()
+    }
+
+    /// Each owner has room of their own, so that neither pushes out the other.
+    fn enforce_limit(&mut self, owner: &OwnerKey) {
+        let signed = self.changes.iter();
+        let signed = signed.filter(|(_, pending)| pending.signers.contains(owner));
+        let mut orders: Vec<(u64, ChangeHash)> = signed
+            .map(|(hash, pending)| (pending.order, *hash))
+            .collect();
+        orders.sort_unstable();
+        let excess = orders.len().saturating_sub(PENDING_PER_OWNER);
+        for (_, hash) in orders.into_iter().take(excess) {
+            self.changes.remove(&hash);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/ledger/main.rs
@@ -0,0 +1,7 @@
+//! The state that control instances agree on.
+
+mod changes;
+mod sequences;
+mod snapshots;
+mod support;
+mod teams;
--- /dev/null
+++ b/crates/ledger/tests/ledger/snapshots.rs
@@ -0,0 +1,60 @@
+//! What is refused as an entry or a snapshot.
+
+use ledger::LedgerOutcome;
+use ledger::LedgerState;
+use replica::StateMachine;
+
+use crate::support::TestOwners;
+use crate::support::submit;
+
+fn filled() -> LedgerState {
+    let owners = TestOwners::new();
+    let mut state = owners.founded();
+    let both = [&owners.first, &owners.second];
+    submit(&mut state, &owners.change(0, &["a", "b"]), &both);
+    submit(&mut state, &owners.change(1, &["c"]), &[&owners.first]);
+    state
+}
+
+#[test]
+fn a_damaged_snapshot_is_refused_and_leaves_the_state_as_it_is() {
+    let snapshot = filled().snapshot();
+    for position in 0..snapshot.len() {
+        let mut damaged = snapshot.clone();
+        damaged[position] ^= 0x11;
+        let mut state = LedgerState::default();
+        let before = state.digest();
+        assert!(state.restore(&damaged).is_err(), "byte {position}");
+        assert_eq!(state.digest(), before);
+    }
+    for length in 0..snapshot.len() {
+        let mut state = LedgerState::default();
+        assert!(state.restore(&snapshot[..length]).is_err());
+    }
+}
+
+#[test]
+fn a_snapshot_of_another_version_is_refused_by_name() {
+    let mut snapshot = filled().snapshot();
+    snapshot[0] = 9;
+    let error = LedgerState::default()
+        .restore(&snapshot)
+        .expect_err("refused");
+    let text = format!("{error:#}");
+    assert_eq!(
+        text,
+        "snapshot of the ledger: version 9 is not supported, expected 1"
+    );
+}
+
+#[test]
+fn entries_that_are_no_commands_change_nothing() {
+    let mut state = filled();
+    let before = state.digest();
+    let entries: [&[u8]; 4] = [&[], &[1], &[9, 0], &[1, 200, 1, 1, 1, 1]];
+    for entry in entries {
+        let outcome = state.apply(1, entry);
+        assert!(matches!(outcome, LedgerOutcome::Refused(_)), "{outcome:?}");
+    }
+    assert_eq!(state.digest(), before);
+}
--- /dev/null
+++ b/crates/ledger/tests/ledger/support.rs
@@ -0,0 +1,93 @@
+//! Owners, declarations and short ways to submit them.
+
+use std::fmt::Write;
+
+use ed25519_dalek::SigningKey;
+use ledger::LedgerCommand;
+use ledger::LedgerOutcome;
+use ledger::LedgerState;
+use model::change::ChangeStatus;
+use model::change::OwnerSignature;
+use model::change::ProposedChange;
+use model::hex;
+use replica::StateMachine;
+
+/// The two owners that a group starts with, and two others.
+pub(crate) struct TestOwners {
+    pub(crate) first: SigningKey,
+    pub(crate) second: SigningKey,
+    pub(crate) third: SigningKey,
+    pub(crate) stranger: SigningKey,
+}
+
+impl TestOwners {
+    pub(crate) fn new() -> Self {
+        Self {
+            first: SigningKey::from_bytes(&[1; 32]),
+            second: SigningKey::from_bytes(&[2; 32]),
+            third: SigningKey::from_bytes(&[3; 32]),
+            stranger: SigningKey::from_bytes(&[4; 32]),
+        }
+    }
+
+    /// Returns a state that was founded by the first two owners.
+    pub(crate) fn founded(&self) -> LedgerState {
+        let mut state = LedgerState::default();
+        let owners = vec![public(&self.first), public(&self.second)];
+        let outcome = apply(&mut state, &LedgerCommand::Genesis { owners });
+        assert_eq!(outcome, LedgerOutcome::Done);
+        state
+    }
+
+    /// Returns a change to a declaration with the teams named.
+    pub(crate) fn change(&self, base: u64, teams: &[&str]) -> ProposedChange {
+        change_by(&self.first, &self.second, base, teams)
+    }
+}
+
+pub(crate) fn change_by(
+    first: &SigningKey,
+    second: &SigningKey,
+    base: u64,
+    teams: &[&str],
+) -> ProposedChange {
+    let owners = [first, second].map(|key| hex::encode(&public(key)));
+    let mut text = format!("owners = [\"{}\", \"{}\"]\n", owners[0], owners[1]);
+    for team in teams {
+        let _ = write!(text, "[[team]]\nname = \"{team}\"\nrate = 5\nburst = 10\n");
+    }
+    ProposedChange { base, text }
+}
+
+pub(crate) fn public(key: &SigningKey) -> [u8; 32] {
+    key.verifying_key().to_bytes()
+}
+
+pub(crate) fn apply(state: &mut LedgerState, command: &LedgerCommand) -> LedgerOutcome {
+    state.apply(1, &command.encode().expect("encodes"))
+}
+
+pub(crate) fn submit(
+    state: &mut LedgerState,
+    change: &ProposedChange,
+    signers: &[&SigningKey],
+) -> ChangeStatus {
+    let hash = change.hash();
+    let signatures = signers.iter().map(|key| OwnerSignature::sign(key, &hash));
+    submit_signed(state, change, signatures.collect())
+}
+
+pub(crate) fn submit_signed(
+    state: &mut LedgerState,
+    change: &ProposedChange,
+    signatures: Vec<OwnerSignature>,
+) -> ChangeStatus {
+    let command = LedgerCommand::Submit {
+        change: change.clone(),
+        signatures,
+    };
+    match apply(state, &command) {
+        LedgerOutcome::Change(status) => status,
+        other => panic!("unexpected {other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/ledger/teams.rs
@@ -0,0 +1,59 @@
+//! Owners of the teams' rates and bursts.
+
+use ledger::LedgerCommand;
+use ledger::LedgerOutcome;
+use ledger::LedgerState;
+use ledger::TeamAssignment;
+use ledger::TeamOwner;
+
+use crate::support::TestOwners;
+use crate::support::apply;
+use crate::support::submit;
+
+fn assign(state: &mut LedgerState, team: &str, instance: u64, replaces: u64) -> Option<TeamOwner> {
+    let assignment = TeamAssignment {
+        team: team.into(),
+        instance,
+        replaces,
+    };
+    let command = LedgerCommand::AssignOwners {
+        assignments: vec![assignment],
+    };
+    match apply(state, &command) {
+        LedgerOutcome::Owners(mut owners) => owners.pop(),
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+#[test]
+fn of_two_instances_that_take_a_team_one_gets_it() {
+    let owners = TestOwners::new();
+    let mut state = owners.founded();
+    let both = [&owners.first, &owners.second];
+    submit(&mut state, &owners.change(0, &["a"]), &both);
+    let first = assign(&mut state, "a", 1, 0).expect("owned");
+    let second = assign(&mut state, "a", 2, 0).expect("owned");
+    assert_eq!(second, first);
+    assert_eq!(first.instance, 1);
+    // An instance that lost its counts takes its own team again.
+    let third = assign(&mut state, "a", 1, first.epoch).expect("owned");
+    assert!(third.epoch > first.epoch);
+    let taken = assign(&mut state, "a", 2, third.epoch).expect("owned");
+    assert_eq!(taken.instance, 2);
+    assert_eq!(state.owners().owner("a"), Some(&taken));
+}
+
+#[test]
+fn a_team_that_left_has_no_owner_and_comes_back_under_a_new_epoch() {
+    let owners = TestOwners::new();
+    let mut state = owners.founded();
+    let both = [&owners.first, &owners.second];
+    assert_eq!(assign(&mut state, "a", 1, 0), None);
+    submit(&mut state, &owners.change(0, &["a"]), &both);
+    let first = assign(&mut state, "a", 1, 0).expect("owned");
+    submit(&mut state, &owners.change(1, &[]), &both);
+    assert_eq!(state.owners().owner("a"), None);
+    submit(&mut state, &owners.change(2, &["a"]), &both);
+    let second = assign(&mut state, "a", 1, 0).expect("owned");
+    assert!(second.epoch > first.epoch);
+}
--- a/crates/model/src/declaration/delta.rs
+++ b/crates/model/src/declaration/delta.rs
@@ -207,8 +207,9 @@
         })
     }
 
-    /// Sorts all items by name, the order in which deltas keep them.
+    /// Sorts owners, and all items by name, the order in which deltas keep them.
     pub(crate) fn sort(&mut self) {
+        self.owners.sort_unstable();
         sort_by_name(&mut self.services);
         sort_by_name(&mut self.classes);
         sort_by_name(&mut self.routes);
