Keep the floor of members when others leave, and bound evictions

The property test found that ejected members stayed out when the others drained, so less than half of the working members were left. Ejections now end early, oldest first. A slow start passes members over by share in place of raising their score, since an idle service never picked them.

--- a/crates/admit/src/suspect.rs
+++ b/crates/admit/src/suspect.rs
@@ -21,6 +21,8 @@
 const AMBIGUOUS_S: u64 = 60;
 /// Suspects remembered for all services together.
 const SUSPECTS_MAX: usize = 8192;
+/// Suspects evicted together, least crashes and oldest first, when there are too many.
+const EVICTED_AT_ONCE: usize = 1024;
 /// Suspects taken from one report.
 const REPORTED_MAX: usize = 1024;
 /// Crashes remembered, so that a repeated report counts once.
@@ -187,9 +189,14 @@
         if self.suspects.len() < SUSPECTS_MAX {
             return;
         }
-        let least = self.suspects.iter();
-        let least = least.min_by_key(|(_, record)| (record.crashes, record.forgotten_at));
-        let least = least.map(|(key, _)| key.clone());
-        least.map(|key| self.suspects.remove(&key));
+        let mut order: Vec<_> = self
+            .suspects
+            .iter()
+            .map(|(key, record)| (record.crashes, record.forgotten_at, key.clone()))
+            .collect();
+        order.sort_unstable_by_key(|(crashes, forgotten_at, _)| (*crashes, *forgotten_at));
+        for (_, _, key) in order.into_iter().take(EVICTED_AT_ONCE) {
+            self.suspects.remove(&key);
+        }
     }
 }
--- a/crates/admit/src/trial.rs
+++ b/crates/admit/src/trial.rs
@@ -21,6 +21,8 @@
 const TRIAL_RETRY_MS: u32 = 100;
 /// Suspects remembered at a node.
 const SUSPECTS_MAX: usize = 8192;
+/// Suspects evicted together, oldest first, when there are too many.
+const EVICTED_AT_ONCE: usize = 1024;
 /// Completed fingerprints remembered at a node; a power of two.
 const COMPLETED_SLOTS: usize = 4096;
 /// Time for which a completion clears a fingerprint of later crashes, in seconds.
@@ -176,9 +178,13 @@
     fn make_room(&mut self, now: Instant) {
         self.held.retain(|_, held| held.forgotten_at > now);
         if self.held.len() >= SUSPECTS_MAX {
-            let first = self.held.iter().min_by_key(|(_, held)| held.forgotten_at);
-            let first = first.map(|(fingerprint, _)| *fingerprint);
-            first.map(|fingerprint| self.held.remove(&fingerprint));
+            let mut order: Vec<_> = self.held.iter().collect();
+            order.sort_unstable_by_key(|(_, held)| held.forgotten_at);
+            let oldest = order.into_iter().take(EVICTED_AT_ONCE);
+            let oldest: Vec<Fingerprint> = oldest.map(|(fingerprint, _)| *fingerprint).collect();
+            for fingerprint in oldest {
+                self.held.remove(&fingerprint);
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/admit/tests/suspects.rs
@@ -0,0 +1,145 @@
+//! A request that crashes backend servers, and innocents beside it, on virtual time.
+
+use std::time::Duration;
+
+use admit::SuspectBook;
+use admit::TrialBook;
+use admit::TrialDecision;
+use clock::VirtualClock;
+use model::exchange::CrashReport;
+use model::ids::Fingerprint;
+use model::ids::NodeId;
+
+/// The request that crashes what runs it.
+const POISON: Fingerprint = 666;
+/// Innocent requests that are re-sent together with it.
+const INNOCENTS: u64 = 40;
+/// Time between two exchanges with control.
+const EXCHANGE: Duration = Duration::from_millis(500);
+/// Time that a call runs.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+
+fn report(node: NodeId, crash: u32, suspects: Vec<Fingerprint>) -> CrashReport {
+    CrashReport {
+        service: "stock".into(),
+        node,
+        crash,
+        suspects,
+    }
+}
+
+/// Nodes of one service with control between them.
+struct CrashTrial {
+    clock: VirtualClock,
+    control: SuspectBook<VirtualClock>,
+    nodes: Vec<TrialBook<VirtualClock>>,
+    crashes: u32,
+}
+
+impl CrashTrial {
+    fn new(nodes: usize) -> Self {
+        let clock = VirtualClock::new();
+        let node = TrialBook::new(clock.clone(), "stock".into());
+        Self {
+            control: SuspectBook::new(clock.clone()),
+            nodes: vec![node; nodes],
+            clock,
+            crashes: 0,
+        }
+    }
+
+    fn exchange(&mut self) {
+        let notices = self.control.notices();
+        for node in &mut self.nodes {
+            node.update(&notices);
+        }
+        self.clock.advance(EXCHANGE);
+    }
+
+    /// Sends all requests to one node at once and returns those that completed.
+    fn send_together(&mut self, node: usize, requests: &[Fingerprint]) -> Vec<Fingerprint> {
+        let book = &mut self.nodes[node];
+        let allowed =
+            |request: &Fingerprint| !matches!(book.check(*request), TrialDecision::Refuse(_));
+        let running: Vec<_> = requests.iter().copied().filter(allowed).collect();
+        self.clock.advance(SERVICE_TIME);
+        if running.contains(&POISON) {
+            self.crashes += 1;
+            let suspects = self.nodes[node].crashed(&running);
+            self.control
+                .record(&report(node as u64, self.crashes, suspects));
+            return Vec::new();
+        }
+        for request in &running {
+            self.nodes[node].ended(*request, true);
+        }
+        running
+    }
+}
+
+#[test]
+fn a_poison_request_crashes_two_servers_at_most_and_every_innocent_completes() {
+    let mut trial = CrashTrial::new(4);
+    let mut waiting: Vec<Fingerprint> = (0..INNOCENTS).collect();
+    waiting.push(POISON);
+    for round in 0..400 {
+        let done = trial.send_together(round % 4, &waiting);
+        waiting.retain(|request| !done.contains(request));
+        trial.exchange();
+    }
+    assert_eq!(trial.crashes, 2);
+    assert_eq!(waiting, [POISON]);
+    let quarantined = trial.control.notices();
+    assert!(
+        quarantined
+            .iter()
+            .all(|notice| notice.fingerprint == POISON)
+    );
+}
+
+#[test]
+fn a_repeated_report_counts_once() {
+    let mut book = SuspectBook::new(VirtualClock::new());
+    assert!(book.record(&report(1, 1, vec![POISON])).is_empty());
+    assert!(book.record(&report(1, 1, vec![POISON])).is_empty());
+    assert_eq!(book.record(&report(1, 2, vec![POISON])), [POISON]);
+}
+
+#[test]
+fn what_completed_lately_is_no_suspect() {
+    let mut book = TrialBook::new(VirtualClock::new(), "stock".into());
+    book.ended(5, true);
+    assert_eq!(book.crashed(&[5, POISON]), [POISON]);
+}
+
+#[test]
+fn an_exonerated_suspect_starts_again_from_nothing() {
+    let mut book = SuspectBook::new(VirtualClock::new());
+    book.record(&report(1, 1, vec![7]));
+    book.exonerate(&"stock".into(), 7);
+    assert!(book.record(&report(2, 1, vec![7])).is_empty());
+}
+
+#[test]
+fn a_quarantine_lasts_while_the_request_is_sent_again() {
+    let clock = VirtualClock::new();
+    let mut control = SuspectBook::new(clock.clone());
+    let mut node = TrialBook::new(clock.clone(), "stock".into());
+    control.record(&report(1, 1, vec![POISON]));
+    control.record(&report(2, 1, vec![POISON]));
+    node.update(&control.notices());
+    for _ in 0..20 {
+        clock.advance(Duration::from_mins(30));
+        assert!(matches!(node.check(POISON), TrialDecision::Refuse(_)));
+    }
+}
+
+#[test]
+fn suspects_stay_bounded() {
+    let mut book = SuspectBook::new(VirtualClock::new());
+    for crash in 0..20 {
+        let first = u64::from(crash) * 1000;
+        book.record(&report(1, crash, (first..first + 1000).collect()));
+    }
+    assert!(book.notices().len() <= 8192);
+}
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -82,6 +82,11 @@
         self.ejected_until.filter(|until| now < *until)
     }
 
+    /// Ends an ejection before its time.
+    pub(crate) fn end_ejection(&mut self) {
+        self.ejected_until = None;
+    }
+
     /// Forgets earlier ejections once the member has done well.
     pub(crate) fn forgive(&mut self) {
         if self.calls >= CALLS_MIN * CALLS_MIN && self.failed_share < FAILED_SHARE / 2.0 {
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -32,7 +32,7 @@
     pub(crate) own_in_flight: u32,
     load: ServerLoad,
     load_at: Option<Instant>,
-    sent_since: u32,
+    drift: i64,
     ramp_start: Option<Instant>,
     refused_until: Option<Instant>,
 }
@@ -46,7 +46,7 @@
             health: HealthRecord::default(),
             own_in_flight: 0,
             load_at: None,
-            sent_since: 0,
+            drift: 0,
             ramp_start,
             refused_until: None,
         }
@@ -71,17 +71,18 @@
 
     pub(crate) fn sent(&mut self) {
         self.own_in_flight += 1;
-        self.sent_since += 1;
+        self.drift += 1;
     }
 
     pub(crate) fn ended(&mut self) {
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
+        self.drift -= 1;
     }
 
     pub(crate) fn reported(&mut self, load: ServerLoad, now: Instant) {
         self.load = load;
         self.load_at = Some(now);
-        self.sent_since = 0;
+        self.drift = 0;
     }
 
     pub(crate) fn refused(&mut self, now: Instant) {
@@ -92,20 +93,20 @@
         self.ramp_start = Some(at);
     }
 
-    /// Returns the expected load as a multiple of the limit, higher during a slow start.
+    /// Returns the expected load as a multiple of the limit.
     pub(crate) fn score(&self, now: Instant) -> f64 {
         let limit = match self.load.limit {
             0 => LIMIT_ASSUMED,
             limit => f64::from(limit),
         };
-        let mut score = (self.expected_calls(now) + 1.0) / limit / self.share(now);
+        let mut score = (self.expected_calls(now) + 1.0) / limit;
         if self.refused_until.is_some_and(|until| now < until) {
             score += REFUSED_LOAD;
         }
         score
     }
 
-    /// Counts the calls that the member has, from its last report and from what was sent since.
+    /// Counts the calls that the member has, from its last report and what this node did since.
     ///
     /// A report that is not fresh is ignored, since it may lag by seconds.
     fn expected_calls(&self, now: Instant) -> f64 {
@@ -116,11 +117,12 @@
             return own;
         }
         let reported = self.load.in_flight.saturating_add(self.load.queued);
-        let reported = f64::from(reported) + f64::from(self.sent_since);
-        reported.max(own)
+        let current = f64::from(reported) + self.drift as f64;
+        current.max(own)
     }
 
-    fn share(&self, now: Instant) -> f64 {
+    /// Returns the share of its draws that the member takes, below 1 during a slow start.
+    pub(crate) fn share(&self, now: Instant) -> f64 {
         if self.record.state == ServerState::Starting {
             return STARTING_SHARE;
         }
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -193,6 +193,9 @@
     }
 
     /// Takes the first member from a random place on that is neither excluded nor `taken`.
+    ///
+    /// A member in its slow start is passed over unless its share says
+    /// otherwise or no other is left.
     fn draw(
         &self,
         from: &[usize],
@@ -203,18 +206,29 @@
     ) -> Option<ScoredMember> {
         let start = scaled(seed, from.len());
         let (before, after) = from.split_at(start);
-        let mut candidates = after.iter().chain(before);
-        let is_free = |position: &&usize| {
-            let node = self.members[**position].record.node;
-            taken != Some(**position) && !exclude.contains(&node)
-        };
-        let position = *candidates.find(is_free)?;
+        let threshold = mix(seed) as f64 / u64::MAX as f64;
+        let mut passed_over = None;
+        for position in after.iter().chain(before).copied() {
+            let member = &self.members[position];
+            if taken == Some(position) || exclude.contains(&member.record.node) {
+                continue;
+            }
+            if member.share(now) >= threshold {
+                return Some(self.scored(position, now));
+            }
+            passed_over = passed_over.or(Some(position));
+        }
+        passed_over.map(|position| self.scored(position, now))
+    }
+
+    fn scored(&self, position: usize, now: Instant) -> ScoredMember {
         let score = self.members[position].score(now);
-        Some(ScoredMember { position, score })
+        ScoredMember { position, score }
     }
 
     /// Rebuilds the lists of members that may be picked.
     fn refresh(&mut self, now: Instant) {
+        self.end_ejections(now);
         self.all.clear();
         self.local.clear();
         self.changes_at = None;
@@ -233,12 +247,34 @@
         }
     }
 
+    /// Ends ejections early, the oldest first, when others left and the floor is not met.
+    fn end_ejections(&mut self, now: Instant) {
+        let floor = self.floor();
+        let working = self.members.iter().filter(|member| member.takes_work());
+        let healthy = working.filter(|member| member.health.ejected_until(now).is_none());
+        let missing = floor.saturating_sub(healthy.count());
+        for _ in 0..missing {
+            let working = self.members.iter_mut().filter(|member| member.takes_work());
+            let ejected = working.filter(|member| member.health.ejected_until(now).is_some());
+            let first = ejected.min_by_key(|member| member.health.ejected_until(now));
+            let Some(first) = first else {
+                return;
+            };
+            first.health.end_ejection();
+            first.begin_ramp(now);
+        }
+    }
+
+    /// Returns how many working members must not be ejected.
+    fn floor(&self) -> usize {
+        let working = self.members.iter().filter(|member| member.takes_work());
+        working.count().div_ceil(FLOOR_DIVISOR)
+    }
+
     /// Ejects a member unless that would leave less than the floor.
     fn eject(&mut self, position: usize, now: Instant) {
         self.refresh(now);
-        let working = self.members.iter().filter(|member| member.takes_work());
-        let floor = working.count().div_ceil(FLOOR_DIVISOR);
-        if self.all.len() <= floor || !self.all.contains(&position) {
+        if self.all.len() <= self.floor() || !self.all.contains(&position) {
             return;
         }
         let member = &mut self.members[position];
--- /dev/null
+++ b/crates/route/tests/picker.rs
@@ -0,0 +1,213 @@
+//! Choice among the members of a service, on virtual time.
+
+use std::time::Duration;
+
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+use clock::VirtualClock;
+use model::context::ServerLoad;
+use model::exchange::MemberRecord;
+use model::exchange::ServerState;
+use model::ids::NodeId;
+use route::CallResult;
+use route::ServerPicker;
+
+/// Picks over which shares are counted.
+const PICKS: u64 = 2000;
+/// Length of the random input of one property run, in bytes.
+const INPUT_BYTES: u32 = 4096;
+/// Fixed seeds of the property, so that the verdict is the same every time.
+const SEEDS: u64 = 40;
+
+fn member(node: NodeId, data_centre: &str, state: ServerState) -> MemberRecord {
+    MemberRecord {
+        node,
+        address: ([127, 0, 0, 1], 9000).into(),
+        data_centre: data_centre.into(),
+        service: "stock".into(),
+        state,
+        load: ServerLoad::default(),
+    }
+}
+
+fn load(in_flight: u32, limit: u32) -> ServerLoad {
+    ServerLoad {
+        in_flight,
+        queued: 0,
+        limit,
+    }
+}
+
+fn picker(clock: &VirtualClock, members: &[MemberRecord]) -> ServerPicker<VirtualClock> {
+    let mut picker = ServerPicker::new(clock.clone(), "here".into());
+    picker.update(members);
+    picker
+}
+
+/// Picks many times, each call answered at once, and counts those of `node`.
+fn share(picker: &mut ServerPicker<VirtualClock>, node: NodeId) -> f64 {
+    let mut count = 0_u32;
+    for seed in 0..PICKS {
+        let chosen = picker.pick(&[], seed).expect("a member takes work");
+        count += u32::from(chosen.node == node);
+        picker.learn(chosen.node, CallResult::Cancelled, None);
+    }
+    f64::from(count) / PICKS as f64
+}
+
+#[test]
+fn draining_absent_and_excluded_members_get_nothing() {
+    let clock = VirtualClock::new();
+    let members = [
+        member(1, "here", ServerState::Draining),
+        member(2, "here", ServerState::Absent),
+        member(3, "here", ServerState::Ready),
+        member(4, "there", ServerState::Ready),
+    ];
+    let mut picker = picker(&clock, &members);
+    for seed in 0..100 {
+        let chosen = picker.pick(&[3], seed).expect("one member is left");
+        assert_eq!(chosen.node, 4);
+        picker.learn(4, CallResult::Cancelled, None);
+    }
+    assert_eq!(picker.pick(&[3, 4], 7), None);
+    picker.learn(4, CallResult::Leaving, None);
+    assert_eq!(picker.pick(&[3], 7), None);
+}
+
+#[test]
+fn the_own_data_centre_is_preferred_until_it_is_loaded() {
+    let clock = VirtualClock::new();
+    let members = [
+        member(1, "here", ServerState::Ready),
+        member(2, "here", ServerState::Ready),
+        member(3, "there", ServerState::Ready),
+    ];
+    let mut picker = picker(&clock, &members);
+    assert!(share(&mut picker, 3) < f64::EPSILON);
+    for node in 1..=2 {
+        picker.learn(node, CallResult::Cancelled, Some(load(10, 10)));
+    }
+    picker.learn(3, CallResult::Cancelled, Some(load(1, 10)));
+    assert!(share(&mut picker, 3) > 0.5);
+}
+
+#[test]
+fn a_member_that_joins_later_starts_slowly() {
+    let clock = VirtualClock::new();
+    let mut members = vec![
+        member(1, "here", ServerState::Ready),
+        member(2, "here", ServerState::Ready),
+    ];
+    let mut picker = picker(&clock, &members);
+    for node in 1..=2 {
+        picker.learn(node, CallResult::Cancelled, Some(load(3, 10)));
+    }
+    members.push(member(3, "here", ServerState::Ready));
+    picker.update(&members);
+    picker.learn(3, CallResult::Cancelled, Some(load(1, 10)));
+    assert!(share(&mut picker, 3) < 0.1);
+    clock.advance(Duration::from_secs(6));
+    for node in 1..=3 {
+        picker.learn(node, CallResult::Cancelled, Some(load(3, 10)));
+    }
+    assert!(share(&mut picker, 3) > 0.2);
+}
+
+#[test]
+fn a_refusal_steers_away_for_a_moment() {
+    let clock = VirtualClock::new();
+    let members = [
+        member(1, "here", ServerState::Ready),
+        member(2, "here", ServerState::Ready),
+    ];
+    let mut picker = picker(&clock, &members);
+    picker.learn(1, CallResult::Refused, None);
+    assert!(share(&mut picker, 1) < f64::EPSILON);
+    clock.advance(Duration::from_millis(300));
+    assert!(share(&mut picker, 1) > 0.3);
+}
+
+#[test]
+fn a_slow_outlier_is_ejected_and_comes_back() {
+    let clock = VirtualClock::new();
+    let members: Vec<_> = (1..=4)
+        .map(|node| member(node, "here", ServerState::Ready))
+        .collect();
+    let mut picker = picker(&clock, &members);
+    for call in 0..400_u64 {
+        let node = call % 4 + 1;
+        let latency = Duration::from_millis(if node == 4 { 100 } else { 10 });
+        picker.learn(node, CallResult::Answered { latency }, None);
+    }
+    assert_eq!(picker.available(), 3);
+    assert!(share(&mut picker, 4) < f64::EPSILON);
+    clock.advance(Duration::from_secs(3));
+    assert!(share(&mut picker, 4) > 0.0);
+}
+
+fn any_history(input: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    let clock = VirtualClock::new();
+    let nodes: u64 = input.int_in_range(1..=6)?;
+    let states = [
+        ServerState::Ready,
+        ServerState::Starting,
+        ServerState::Draining,
+        ServerState::Absent,
+    ];
+    let mut members: Vec<_> = (1..=nodes)
+        .map(|node| member(node, "here", ServerState::Ready))
+        .collect();
+    let mut picker = picker(&clock, &members);
+    while !input.is_empty() {
+        match input.int_in_range(0..=3)? {
+            0 => {
+                let member = input.int_in_range(0..=members.len() - 1)?;
+                members[member].state = *input.choose(&states)?;
+                picker.update(&members);
+            }
+            1 => clock.advance(Duration::from_millis(input.int_in_range(0..=3000)?)),
+            _ => call_once(&mut picker, &members, input)?,
+        }
+        let working = members.iter().filter(|member| takes_work(member)).count();
+        assert!(picker.available() >= working.div_ceil(2));
+        assert!(picker.available() <= working);
+    }
+    Ok(())
+}
+
+fn call_once(
+    picker: &mut ServerPicker<VirtualClock>,
+    members: &[MemberRecord],
+    input: &mut Unstructured<'_>,
+) -> arbtest::arbitrary::Result<()> {
+    let chosen = picker.pick(&[], input.arbitrary()?);
+    let working = members.iter().any(takes_work);
+    assert_eq!(chosen.is_some(), working);
+    let Some(chosen) = chosen else {
+        return Ok(());
+    };
+    let record = members.iter().find(|member| member.node == chosen.node);
+    assert!(record.is_some_and(takes_work));
+    let latency = Duration::from_millis(input.int_in_range(1..=500)?);
+    let results = [
+        CallResult::Answered { latency },
+        CallResult::Failed,
+        CallResult::Failed,
+        CallResult::Refused,
+    ];
+    picker.learn(chosen.node, *input.choose(&results)?, None);
+    Ok(())
+}
+
+fn takes_work(member: &MemberRecord) -> bool {
+    matches!(member.state, ServerState::Ready | ServerState::Starting)
+}
+
+#[test]
+fn ejection_keeps_a_floor_and_only_working_members_are_picked() {
+    for seed in 0..SEEDS {
+        let seed = (seed << 32) | u64::from(INPUT_BYTES);
+        arbtest(any_history).seed(seed).run();
+    }
+}
