--- a/crates/limit/src/escrow.rs
+++ b/crates/limit/src/escrow.rs
@@ -70,7 +70,9 @@
     ///
     /// Everything but `reserved_milli`, which the earlier owner had promised
     /// through the log not to grant, counts as out at nodes until
-    /// `lease_length` has passed or [`Self::all_reported`] says otherwise.
+    /// `lease_length` has passed or [`Self::all_reported`] says otherwise. Pass
+    /// the largest burst in force within the last `lease_length`, and then
+    /// [`Self::declare`] the present limit.
     #[must_use]
     pub fn take_over(
         limit: TeamLimit,
--- a/crates/limit/tests/escrow.rs
+++ b/crates/limit/tests/escrow.rs
@@ -184,3 +184,47 @@
     }
     assert_eq!(owner.free_milli(), 77_000_231_000);
 }
+
+#[test]
+fn reserved_tokens_are_not_granted() {
+    let clock = VirtualClock::new();
+    let mut owner = EscrowOwner::new(limit(0, 10), 1, LEASE, clock.clone());
+    assert_eq!(owner.reserve(6000), 6000);
+    let mut holder = holder(&clock);
+    for _ in 0..10 {
+        holder.take();
+    }
+    ask(&mut owner, 1, &mut holder, &clock);
+    assert_eq!(holder.held_milli(), 4000);
+}
+
+#[test]
+fn grant_that_comes_after_its_lease_is_void() {
+    let clock = VirtualClock::new();
+    let mut owner = EscrowOwner::new(limit(10, 10), 1, LEASE, clock.clone());
+    let mut holder = holder(&clock);
+    holder.take();
+    let lease_end = clock.now() + LEASE;
+    let demand = holder.demand().expect("a call waits");
+    let grant = owner.grant(1, &demand);
+    clock.advance(LEASE);
+    assert_eq!(holder.accept(&grant, lease_end), GrantEffect::Ignored);
+    assert_eq!(holder.held_milli(), 0);
+}
+
+#[test]
+fn tokens_of_an_earlier_owner_keep_their_end_until_counted() {
+    let clock = VirtualClock::new();
+    let mut earlier = EscrowOwner::new(limit(10, 10), 1, LEASE, clock.clone());
+    let mut holder = holder(&clock);
+    for _ in 0..5 {
+        holder.take();
+    }
+    ask(&mut earlier, 1, &mut holder, &clock);
+    assert!(holder.held_milli() >= 5000);
+    let mut owner = EscrowOwner::take_over(limit(10, 10), 2, LEASE, 0, clock.clone());
+    clock.advance(LEASE.saturating_sub(Duration::from_millis(1)));
+    ask(&mut owner, 1, &mut holder, &clock);
+    clock.advance(Duration::from_millis(1));
+    assert_eq!(holder.held_milli(), 0);
+}
