--- /dev/null
+++ b/crates/bench/src/group/ports.rs
@@ -0,0 +1,65 @@
+//! Free ports on a loopback address that no other group uses.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+/// Groups made by this process so far.
+static GROUPS: AtomicU32 = AtomicU32::new(0);
+/// Groups that one process can make before addresses repeat.
+const GROUPS_MAX: u32 = 64;
+
+/// Hands out ports of one loopback address.
+///
+/// Outgoing connections come from 127.0.0.1, so on any other address of
+/// 127.0.0.0/8 a port stays free between its reservation and its use.
+#[derive(Clone, Copy, Debug)]
+pub struct PortPool {
+    address: Ipv4Addr,
+}
+
+impl PortPool {
+    /// Takes an address of its own for a new group.
+    #[must_use]
+    pub fn new() -> Self {
+        let group = GROUPS.fetch_add(1, Ordering::Relaxed) % GROUPS_MAX;
+        let number = std::process::id().wrapping_mul(GROUPS_MAX) + group;
+        let [_, second, third, fourth] = number.to_be_bytes();
+        let address = Ipv4Addr::new(127, 1 | second, third, fourth.clamp(1, 254));
+        Self { address }
+    }
+
+    /// Returns the address of the group.
+    #[must_use]
+    pub fn address(&self) -> IpAddr {
+        IpAddr::V4(self.address)
+    }
+
+    /// Reserves a TCP port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address has no free port.
+    pub fn tcp(&self) -> std::io::Result<SocketAddr> {
+        TcpListener::bind((self.address, 0))?.local_addr()
+    }
+
+    /// Reserves a UDP port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address has no free port.
+    pub fn udp(&self) -> std::io::Result<SocketAddr> {
+        UdpSocket::bind((self.address, 0))?.local_addr()
+    }
+}
+
+impl Default for PortPool {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/group/process.rs
@@ -0,0 +1,152 @@
+//! One process of a group.
+
+use std::fs::OpenOptions;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use anyhow::bail;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+use crate::group::program_folder;
+
+/// Interval in which an ending process is looked at, in milliseconds.
+const LOOK_MS: u64 = 10;
+
+/// A started process; dropping it kills it.
+#[derive(Debug)]
+pub struct ManagedProcess {
+    name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl ManagedProcess {
+    /// Starts a program of this workspace; its standard error goes to `log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn start(
+        program: &str,
+        name: &str,
+        arguments: &[String],
+        log: &Path,
+    ) -> anyhow::Result<Self> {
+        let file = OpenOptions::new().create(true).append(true).open(log)?;
+        let path = program_folder()?.join(program);
+        let child = Command::new(&path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(file)
+            .spawn()
+            .with_context(|| format!("starting {} as {name}", path.display()))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            log: log.to_owned(),
+        })
+    }
+
+    /// Returns the name it was started under.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Asks it to stop gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal cannot be sent.
+    pub fn terminate(&self) -> anyhow::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Freezes it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal cannot be sent.
+    pub fn freeze(&self) -> anyhow::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen one go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal cannot be sent.
+    pub fn thaw(&self) -> anyhow::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Kills it and waits until it is gone; one that ended is left alone.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot be killed.
+    pub fn kill(&mut self) -> anyhow::Result<()> {
+        if self.child.try_wait()?.is_none() {
+            self.child.kill()?;
+            self.child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Returns how it ended, if it did.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not tell.
+    pub fn ended(&mut self) -> anyhow::Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+
+    /// Waits until it ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not end in time, or not with success.
+    pub fn wait_ended(&mut self, timeout: Duration) -> anyhow::Result<()> {
+        let end = Instant::now() + timeout;
+        while Instant::now() < end {
+            match self.child.try_wait()? {
+                Some(status) if status.success() => return Ok(()),
+                Some(status) => {
+                    bail!("{} ended with {status}, see {}", self.name, self.log.display())
+                }
+                None => std::thread::sleep(Duration::from_millis(LOOK_MS)),
+            }
+        }
+        bail!("{} did not end in time, see {}", self.name, self.log.display())
+    }
+
+    fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let id = i32::try_from(self.child.id())?;
+        let id = Pid::from_raw(id).context("the process id is 0")?;
+        kill_process(id, signal).with_context(|| format!("signalling {}", self.name))
+    }
+}
+
+impl Drop for ManagedProcess {
+    fn drop(&mut self) {
+        // There is nobody left to tell that it could not be killed.
+        let _ = self.kill();
+    }
+}
