Keep the start of an owning instance with a team's ownership

A restarted instance does not know what it granted, so the ownership names its start; and an ownership says whether the team never had one before, also when the team left and came back, since its tokens may still be out.

--- a/crates/ledger/src/owners.rs
+++ b/crates/ledger/src/owners.rs
@@ -1,6 +1,7 @@
 //! Which control instance issues the tokens of a team.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use model::ids::InstanceId;
 use model::ids::TeamName;
@@ -14,6 +15,8 @@
     pub team: TeamName,
     /// The instance that takes it.
     pub instance: InstanceId,
+    /// Start of that instance; a restarted one does not know what it granted.
+    pub incarnation: u64,
     /// Epoch of the ownership that it replaces, 0 when there is none.
     pub replaces: u64,
 }
@@ -25,8 +28,12 @@
     pub team: TeamName,
     /// The instance that issues its tokens.
     pub instance: InstanceId,
+    /// Start of that instance.
+    pub incarnation: u64,
     /// Number of this ownership; never used twice, and each later one is larger.
     pub epoch: u64,
+    /// Whether the team never had an owner before, so that no tokens can be out.
+    pub first: bool,
 }
 
 /// Owners of all teams.
@@ -38,6 +45,8 @@
 pub struct OwnerTable {
     last_epoch: u64,
     owners: BTreeMap<TeamName, TeamOwner>,
+    /// Teams that ever had an owner, those that left included.
+    known: BTreeSet<TeamName>,
 }
 
 impl OwnerTable {
@@ -62,7 +71,9 @@
         let owner = TeamOwner {
             team: assignment.team.clone(),
             instance: assignment.instance,
+            incarnation: assignment.incarnation,
             epoch: self.last_epoch,
+            first: self.known.insert(assignment.team.clone()),
         };
         self.owners.insert(assignment.team.clone(), owner);
     }
--- a/crates/ledger/tests/ledger/sequences.rs
+++ b/crates/ledger/tests/ledger/sequences.rs
@@ -110,6 +110,7 @@
             assignments: vec![TeamAssignment {
                 team: (*random.choose(&TEAMS)?).into(),
                 instance: random.int_in_range(1..=3)?,
+                incarnation: random.int_in_range(1..=2)?,
                 replaces: random.int_in_range(0..=6)?,
             }],
         },
--- a/crates/ledger/tests/ledger/teams.rs
+++ b/crates/ledger/tests/ledger/teams.rs
@@ -14,6 +14,7 @@
     let assignment = TeamAssignment {
         team: team.into(),
         instance,
+        incarnation: 7,
         replaces,
     };
     let command = LedgerCommand::AssignOwners {
@@ -34,10 +35,11 @@
     let first = assign(&mut state, "a", 1, 0).expect("owned");
     let second = assign(&mut state, "a", 2, 0).expect("owned");
     assert_eq!(second, first);
-    assert_eq!(first.instance, 1);
+    assert_eq!((first.instance, first.incarnation), (1, 7));
+    assert!(first.first);
     // An instance that lost its counts takes its own team again.
     let third = assign(&mut state, "a", 1, first.epoch).expect("owned");
-    assert!(third.epoch > first.epoch);
+    assert!(third.epoch > first.epoch && !third.first);
     let taken = assign(&mut state, "a", 2, third.epoch).expect("owned");
     assert_eq!(taken.instance, 2);
     assert_eq!(state.owners().owner("a"), Some(&taken));
@@ -55,5 +57,6 @@
     assert_eq!(state.owners().owner("a"), None);
     submit(&mut state, &owners.change(2, &["a"]), &both);
     let second = assign(&mut state, "a", 1, 0).expect("owned");
-    assert!(second.epoch > first.epoch);
+    // Tokens of the first ownership may still be out.
+    assert!(second.epoch > first.epoch && !second.first);
 }
