Find the limit by dips that tell queueing from slowness

Tried and dropped: a base that creeps up while the limit binds; the limit ran away to 1400 for 150 slots. A dip that checks the limit every 5 s or 40 service times does the same work. Payments wait in a longer queue, bounded by half of the time they have left, since a queue of 4 refused some behind other payments.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -3,6 +3,7 @@
 mod demand;
 mod limit;
 mod queue;
+mod window;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -27,6 +28,8 @@
 const PERIOD_MS: u64 = 100;
 /// Time that the queue may hold work for, in milliseconds.
 const QUEUE_MS: u64 = 60;
+/// Share of its time left that a call of the class refused last may wait, in a longer queue.
+const LAST_PATIENCE: f64 = 0.5;
 /// Calls that may wait, at least and at most.
 const QUEUE_MIN: usize = 4;
 const QUEUE_MAX: usize = 512;
@@ -305,14 +308,26 @@
     }
 
     fn wait(&mut self, offer: CallOffer, now: Instant, actions: &mut GateActions) -> AdmitDecision {
+        let refused_last = offer.rank.importance() == u8::MAX;
+        let leave_by = now + Duration::from_millis(WAIT_MAX_MS);
         let call = WaitingCall {
             id: offer.id,
             rank: offer.rank,
             deadline: offer.deadline,
-            leave_by: now + Duration::from_millis(WAIT_MAX_MS),
+            leave_by: if refused_last {
+                offer.deadline
+            } else {
+                leave_by
+            },
             fingerprint: offer.fingerprint,
         };
-        if self.queue.len() >= self.queue_limit() {
+        let time_left = offer.deadline.saturating_duration_since(now);
+        let patience = if refused_last {
+            time_left.mul_f64(LAST_PATIENCE)
+        } else {
+            Duration::from_millis(QUEUE_MS)
+        };
+        if self.queue.len() >= self.queue_limit(patience) {
             let Some(lowest) = self.queue.lowest().filter(|lowest| lowest.rank < call.rank) else {
                 self.period.refused += 1;
                 return refusal(FailureCause::Overloaded);
@@ -374,14 +389,18 @@
         self.period_end = now + length;
     }
 
-    fn queue_limit(&self) -> usize {
-        let work = self.limit.capacity_per_s() * Duration::from_millis(QUEUE_MS).as_secs_f64();
+    /// Returns how many calls may wait, if the last of them is to start within `patience`.
+    fn queue_limit(&self, patience: Duration) -> usize {
+        let work = self.limit.capacity_per_s() * patience.as_secs_f64();
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "clamped right after"
         )]
         let calls = work as usize;
+        if calls == 0 {
+            return self.limit.current() as usize;
+        }
         calls.clamp(QUEUE_MIN, QUEUE_MAX)
     }
 
--- a/crates/admit/src/gate/limit.rs
+++ b/crates/admit/src/gate/limit.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::gate::window::WindowResult;
+use crate::gate::window::WindowSum;
+
 /// Limit before anything is known.
 const LIMIT_START: f64 = 32.0;
 /// Smallest and largest limit.
@@ -15,55 +18,45 @@
 const WINDOW_MAX_MS: u64 = 3000;
 /// Completions that end a window, at least.
 const WINDOW_CALLS: u32 = 64;
-/// Completions without which a window says nothing.
-const WINDOW_CALLS_MIN: u32 = 8;
-/// Share of a window in which the limit must bind for it to count as busy.
-const BUSY_SHARE: f64 = 0.7;
+/// Completions that end the measurement of a dip, at least.
+const DIP_CALLS: u32 = 40;
 /// Service time over its base up to which the limit may grow.
 const GROW_BELOW: f64 = 1.12;
 /// Service time over its base above which a dip must tell queueing from slowness.
-const DIP_ABOVE: f64 = 1.3;
+const DIP_ABOVE: f64 = 1.5;
 /// Factor by which the limit grows in a window.
 const GROW_FACTOR: f64 = 1.1;
+/// Service time over its base above which the limit grows slowly from then on.
+const BOUNDED_ABOVE: f64 = 1.3;
+/// Factor by which it grows until service times rise for the first time.
+const GROW_FIRST_FACTOR: f64 = 1.5;
 /// Part of the limit that a dip leaves.
 const DIP_FACTOR: f64 = 0.6;
 /// Throughput in a dip, relative to before, above which the backend server was still saturated.
 const DIP_SATURATED: f64 = 0.88;
+/// Service time in a dip, relative to the base, up to which queueing explains the rest.
+const DIP_EXPLAINED: f64 = 1.2;
 /// Part of a service time for which a dip settles before it is measured.
 const DIP_SETTLE: f64 = 0.3;
 /// Service times between two dips.
 const DIP_GAP: f64 = 15.0;
+/// Service times, and least time, after which a dip checks a limit that seems right.
+const CHECK_GAP: f64 = 40.0;
+const CHECK_AFTER: Duration = Duration::from_secs(5);
 /// Limit over the measured capacity after a dip.
 const HEADROOM: f64 = 1.1;
 /// Ratio to the base below which a service time replaces it at once.
 const BASE_DROP: f64 = 0.7;
 
-/// Averages over one window, by Little's law: time in service = calls × time / completions.
-#[derive(Clone, Copy, Debug)]
-struct WindowSum {
-    start: Instant,
-    area: f64,
-    busy_s: f64,
-    completions: u32,
-}
-
-impl WindowSum {
-    fn new(start: Instant) -> Self {
-        Self {
-            start,
-            area: 0.0,
-            busy_s: 0.0,
-            completions: 0,
-        }
-    }
-}
-
-/// What a finished window says.
-#[derive(Clone, Copy, Debug)]
-struct WindowResult {
-    service_s: f64,
-    throughput: f64,
-    busy: bool,
+/// Where the limit comes from.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum LimitSource {
+    /// From a hint, or nothing yet.
+    Hinted,
+    /// Grown without having met the capacity.
+    Grown,
+    /// Measured on both sides of the capacity.
+    Bounded,
 }
 
 /// Step of the search.
@@ -92,7 +85,8 @@
 pub(super) struct LimitTracker {
     limit: f64,
     cold: bool,
-    learned: bool,
+    source: LimitSource,
+    verified: bool,
     base_s: f64,
     service_s: f64,
     throughput: f64,
@@ -102,6 +96,7 @@
     updated: Instant,
     in_flight: u32,
     next_dip: Instant,
+    next_check: Instant,
 }
 
 impl LimitTracker {
@@ -109,16 +104,18 @@
         Self {
             limit: LIMIT_START,
             cold: false,
-            learned: false,
+            source: LimitSource::Hinted,
+            verified: false,
             base_s: 0.0,
             service_s: 0.0,
             throughput: 0.0,
             slow_windows: 0,
             phase: SearchPhase::Cruise,
-            window: WindowSum::new(now),
+            window: WindowSum::new(now, 0),
             updated: now,
             in_flight: 0,
             next_dip: now,
+            next_check: now + CHECK_AFTER,
         }
     }
 
@@ -157,7 +154,7 @@
 
     /// Takes over the announced number of slots unless measurements already say more.
     pub(super) fn hint(&mut self, slots: u32) {
-        if !self.learned && slots > 0 {
+        if self.source == LimitSource::Hinted && slots > 0 {
             self.limit = (f64::from(slots) * HEADROOM).clamp(LIMIT_MIN, LIMIT_MAX);
         }
     }
@@ -185,7 +182,7 @@
         let bound = f64::from(in_flight).max(LIMIT_MIN);
         if bound < self.limit {
             self.limit = bound.max(self.limit * 0.9);
-            self.learned = true;
+            self.source = LimitSource::Bounded;
         }
     }
 
@@ -218,44 +215,54 @@
 
     fn end_window(&mut self, now: Instant) -> Option<WindowResult> {
         let length = now.saturating_duration_since(self.window.start);
-        let enough = self.window.completions >= WINDOW_CALLS.max(self.current() / 2);
+        let enough = self.window.completions >= self.window_calls();
         let long = length >= Duration::from_millis(WINDOW_MAX_MS);
         if !long && (!enough || length < Duration::from_millis(WINDOW_MIN_MS)) {
             return None;
         }
-        let sum = self.window;
-        self.window = WindowSum::new(now);
-        if sum.completions < WINDOW_CALLS_MIN {
-            return None;
-        }
-        let completions = f64::from(sum.completions);
-        let length_s = length.as_secs_f64();
-        Some(WindowResult {
-            service_s: sum.area / completions,
-            throughput: completions / length_s,
-            busy: sum.busy_s >= BUSY_SHARE * length_s,
-        })
+        let result = self.window.result(length, self.in_flight);
+        self.window = WindowSum::new(now, self.in_flight);
+        result
+    }
+
+    fn window_calls(&self) -> u32 {
+        let calls = match self.phase {
+            SearchPhase::Cruise => WINDOW_CALLS,
+            SearchPhase::Settle { .. } | SearchPhase::Dip { .. } => DIP_CALLS,
+        };
+        calls.max(self.current() / 2)
     }
 
     fn cruise(&mut self, result: WindowResult, now: Instant) {
         self.service_s = result.service_s;
         self.throughput = result.throughput;
-        self.lower_base(result.service_s);
+        if result.steady || self.base_s <= 0.0 {
+            self.lower_base(result.service_s);
+        }
         if !result.busy {
+            self.verified |= result.steady;
             self.slow_windows = 0;
             return;
         }
         let ratio = result.service_s / self.base_s;
         if ratio <= GROW_BELOW {
-            self.limit = (self.limit * GROW_FACTOR).min(LIMIT_MAX);
-            self.learned = true;
+            let factor = match self.source {
+                LimitSource::Bounded => GROW_FACTOR,
+                LimitSource::Hinted | LimitSource::Grown => GROW_FIRST_FACTOR,
+            };
+            self.limit = (self.limit * factor).min(LIMIT_MAX);
+            self.source = self.source.max(LimitSource::Grown);
+        }
+        if ratio > BOUNDED_ABOVE {
+            self.source = LimitSource::Bounded;
         }
         self.slow_windows = if ratio > DIP_ABOVE {
             self.slow_windows + 1
         } else {
             0
         };
-        if self.slow_windows >= 2 && now >= self.next_dip {
+        let wanted = self.slow_windows >= 2 || !self.verified || now >= self.next_check;
+        if wanted && now >= self.next_dip {
             self.begin_dip(self.limit, result.throughput);
         }
     }
@@ -303,7 +310,7 @@
             };
             return;
         }
-        self.window = WindowSum::new(now);
+        self.window = WindowSum::new(now, self.in_flight);
         self.phase = SearchPhase::Dip { limit, throughput };
     }
 
@@ -313,28 +320,35 @@
             return;
         }
         let saturated = result.throughput >= DIP_SATURATED * throughput;
-        if saturated && limit > LIMIT_MIN {
+        let explained = self.verified && result.service_s <= DIP_EXPLAINED * self.base_s;
+        if saturated && !explained && limit > LIMIT_MIN {
             self.begin_dip(limit, throughput);
             return;
         }
         let capacity = throughput * result.service_s;
         let target = (capacity * HEADROOM).clamp(limit, self.limit * 1.25);
-        self.limit = if (target / self.limit - 1.0).abs() < 0.2 {
-            f64::midpoint(self.limit, target)
-        } else {
+        let repeated = limit < self.limit * DIP_FACTOR * 0.99;
+        self.limit = if repeated || explained {
             target
+        } else {
+            f64::midpoint(self.limit, target)
         };
         self.limit = self.limit.clamp(LIMIT_MIN, LIMIT_MAX);
-        self.base_s = result.service_s;
-        self.learned = true;
+        if !explained || !saturated {
+            self.base_s = result.service_s;
+        }
+        self.source = LimitSource::Bounded;
+        self.verified = true;
         self.end_dip(now);
     }
 
     fn end_dip(&mut self, now: Instant) {
         let gap = Duration::from_secs_f64(self.service_s * DIP_GAP);
         self.next_dip = now + gap.max(Duration::from_secs(1));
+        let check = Duration::from_secs_f64(self.service_s * CHECK_GAP);
+        self.next_check = now + check.max(CHECK_AFTER);
         self.slow_windows = 0;
         self.phase = SearchPhase::Cruise;
-        self.window = WindowSum::new(now);
+        self.window = WindowSum::new(now, self.in_flight);
     }
 }
