--- /dev/null
+++ b/crates/node/src/server.rs
@@ -0,0 +1,121 @@
+//! The backend server beside this node, as it announced itself.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use clock::Clock;
+use model::announce::ServerAnnouncement;
+use model::exchange::ServerState;
+use model::ids::ServiceName;
+
+/// Time without an announcement after which a backend server counts as gone, in milliseconds.
+const SILENCE_MS: u64 = 3_000;
+
+/// Time after which every node knows that a backend server drains, in milliseconds.
+const DRAIN_NOTICE_MS: u64 = 1_500;
+
+/// What the last announcement said.
+#[derive(Clone, Debug)]
+struct HeardServer {
+    announcement: ServerAnnouncement,
+    heard: Instant,
+    drained_since: Option<Instant>,
+    crashed: bool,
+}
+
+/// Knows whether the backend server takes new work.
+#[derive(Debug)]
+pub(crate) struct ServerWatch<C> {
+    clock: C,
+    server: Mutex<Option<HeardServer>>,
+}
+
+/// Where the backend server is and what it serves.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerTarget {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its state.
+    pub state: ServerState,
+    /// Requests that it says it can run at once.
+    pub slots: u32,
+}
+
+impl<C: Clock> ServerWatch<C> {
+    /// Creates a watch that has heard nothing.
+    pub(crate) fn new(clock: C) -> Self {
+        Self {
+            clock,
+            server: Mutex::new(None),
+        }
+    }
+
+    /// Takes an announcement; returns whether the state changed.
+    pub(crate) fn announce(&self, announcement: ServerAnnouncement) -> bool {
+        let before = self.state();
+        let now = self.clock.now();
+        let mut server = self.lock();
+        let drained_since = server.as_ref().and_then(|server| server.drained_since);
+        let is_draining = announcement.state == ServerState::Draining;
+        *server = Some(HeardServer {
+            announcement,
+            heard: now,
+            drained_since: is_draining.then_some(drained_since.unwrap_or(now)),
+            crashed: false,
+        });
+        drop(server);
+        self.state() != before
+    }
+
+    /// Records that the backend server at `address` does not accept connections any more.
+    ///
+    /// Returns false when that was known, or another one announced itself since.
+    pub(crate) fn crashed(&self, address: SocketAddr) -> bool {
+        match self.lock().as_mut() {
+            Some(server) if server.announcement.address == address => {
+                !std::mem::replace(&mut server.crashed, true)
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the backend server, unless it is gone.
+    pub(crate) fn target(&self) -> Option<ServerTarget> {
+        let now = self.clock.now();
+        let server = self.lock();
+        let server = server.as_ref()?;
+        let silence = now.saturating_duration_since(server.heard);
+        if server.crashed || silence > Duration::from_millis(SILENCE_MS) {
+            return None;
+        }
+        Some(ServerTarget {
+            service: server.announcement.service.clone(),
+            address: server.announcement.address,
+            state: server.announcement.state,
+            slots: server.announcement.slots,
+        })
+    }
+
+    /// Returns whether the backend server drains and every node knows.
+    pub(crate) fn is_drain_known(&self) -> bool {
+        let notice = Duration::from_millis(DRAIN_NOTICE_MS);
+        let since = self.lock().as_ref().and_then(|server| server.drained_since);
+        since.is_some_and(|since| self.clock.now().saturating_duration_since(since) >= notice)
+    }
+
+    /// Returns the state of the backend server.
+    pub(crate) fn state(&self) -> ServerState {
+        self.target()
+            .map_or(ServerState::Absent, |target| target.state)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<HeardServer>> {
+        self.server.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
