--- /dev/null
+++ b/crates/control/tests/control/admin.rs
@@ -0,0 +1,120 @@
+//! The listener for operators.
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::rt::TokioIo;
+use model::admin::ChangeReport;
+use model::admin::ChangeSubmission;
+use model::admin::DeclarationText;
+use model::admin::StatusReport;
+use model::admin::TimelineReport;
+use model::change::ChangeStatus;
+use model::change::ProposedChange;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio_rustls::TlsConnector;
+use wire::role::PeerRole;
+
+use crate::common::TestGroup;
+use crate::common::TestInstance;
+use crate::common::fake_log::FakeGroup;
+
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl Answer {
+    fn json<T: DeserializeOwned>(&self) -> T {
+        assert_eq!(self.status, StatusCode::OK);
+        serde_json::from_slice(&self.body).unwrap()
+    }
+}
+
+async fn call(group: &TestGroup, instance: &TestInstance, request: Request<Full<Bytes>>) -> Answer {
+    let identity = group.authority.identity(PeerRole::Operator);
+    let tls = identity.tcp_client(PeerRole::Control).unwrap();
+    let stream = TcpStream::connect(instance.admin).await.unwrap();
+    let connector = TlsConnector::from(tls.config);
+    let stream = connector.connect(tls.server_name, stream).await.unwrap();
+    let io = TokioIo::new(stream);
+    // The listener offers HTTP/2 first, and the client takes it.
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let (mut sender, connection) = hyper::client::conn::http2::handshake(executor, io)
+        .await
+        .unwrap();
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await.unwrap();
+    let status = response.status();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    Answer { status, body }
+}
+
+async fn get(group: &TestGroup, instance: &TestInstance, path: &str) -> Answer {
+    let request = Request::get(format!("https://control.ragwortplank{path}"));
+    call(group, instance, request.body(Full::default()).unwrap()).await
+}
+
+async fn submit(group: &TestGroup, instance: &TestInstance, body: Vec<u8>) -> Answer {
+    let request = Request::post("https://control.ragwortplank/changes");
+    let request = request.body(Full::from(body)).unwrap();
+    call(group, instance, request).await
+}
+
+#[tokio::test]
+async fn any_instance_takes_a_change_and_tells_of_it() {
+    let log = FakeGroup::new(2);
+    let group = TestGroup::start(&log, 2).await;
+    let submission = ChangeSubmission {
+        change: ProposedChange {
+            base: 0,
+            text: "text".to_owned(),
+        },
+        signatures: Vec::new(),
+    };
+    let body = serde_json::to_vec(&submission).unwrap();
+    let follower = &group.instances[0];
+    let taken: ChangeReport = submit(&group, follower, body).await.json();
+    assert_eq!(taken.status, ChangeStatus::Pending);
+    for instance in &group.instances {
+        let path = format!("/changes/{}", taken.hash);
+        let told: ChangeReport = get(&group, instance, &path).await.json();
+        assert_eq!(told, taken);
+    }
+    let timeline: TimelineReport = get(&group, follower, "/timeline?since=0").await.json();
+    let mut events = timeline.events.iter();
+    assert!(events.any(|event| event.change.as_ref() == Some(&taken.hash)));
+}
+
+#[tokio::test]
+async fn a_cut_instance_tells_its_status_and_no_declaration() {
+    let log = FakeGroup::new(1);
+    let group = TestGroup::start(&log, 1).await;
+    let instance = &group.instances[0];
+    let told: DeclarationText = get(&group, instance, "/declaration").await.json();
+    assert_eq!(told.version, 0);
+    instance.log.cut(true);
+    let refused = get(&group, instance, "/declaration").await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    let status: StatusReport = get(&group, instance, "/status").await.json();
+    assert!(matches!(status, StatusReport::Control(status) if status.instance == 1));
+    let metrics = get(&group, instance, "/metrics").await;
+    let metrics = String::from_utf8(metrics.body.to_vec()).unwrap();
+    assert!(metrics.contains("ragwortplank_control_exchanges_total"));
+}
+
+#[tokio::test]
+async fn malformed_requests_are_refused() {
+    let log = FakeGroup::new(1);
+    let group = TestGroup::start(&log, 1).await;
+    let instance = &group.instances[0];
+    let refused = submit(&group, instance, b"{}".to_vec()).await;
+    assert_eq!(refused.status, StatusCode::BAD_REQUEST);
+    let refused = get(&group, instance, "/changes/zz").await;
+    assert_eq!(refused.status, StatusCode::BAD_REQUEST);
+    let refused = get(&group, instance, "/else").await;
+    assert_eq!(refused.status, StatusCode::NOT_FOUND);
+}
--- /dev/null
+++ b/crates/control/tests/control/group.rs
@@ -0,0 +1,187 @@
+//! Two control instances with nodes on loopback.
+
+use std::time::Duration;
+
+use control::log::ControlLog;
+use model::declaration::TeamSpec;
+use model::exchange::ExchangeReply;
+use model::exchange::ExchangeRequest;
+use model::exchange::ServerState;
+use model::exchange::TokenDemand;
+use model::exchange::TokenGrant;
+use model::once::ClaimOutcome;
+use model::once::OnceClaim;
+use model::once::OnceKey;
+use wire::client::ControlClient;
+use wire::quic::LinkTiming;
+use wire::quic::QuicEndpoint;
+use wire::role::PeerRole;
+
+use crate::common::LOOPBACK;
+use crate::common::TestGroup;
+use crate::common::fake_log::FakeGroup;
+use crate::common::request;
+use crate::common::until;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+async fn leased(client: &ControlClient, request: &ExchangeRequest) -> ExchangeReply {
+    loop {
+        if let Ok(reply) = client.exchange(request).await
+            && reply.lease.is_some()
+        {
+            return reply;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_node_moves_from_a_cut_instance_and_gets_no_lease_there() {
+    let group = FakeGroup::new(2);
+    let running = TestGroup::start(&group, 2).await;
+    let client = running.client(0);
+    let request = request(1, "orders", &[]);
+    leased(&client, &request).await;
+    assert_eq!(client.instance(), 1);
+    running.instances[0].log.cut(true);
+    let reply = client.exchange(&request).await.unwrap();
+    assert!(reply.lease.is_some());
+    assert_eq!(client.instance(), 2);
+    let cut = &running.instances[0].core;
+    let refused = cut.exchange(request.clone()).await.unwrap();
+    assert_eq!(refused.lease, None);
+}
+
+#[tokio::test]
+async fn a_stop_moves_the_nodes_and_cuts_nothing() {
+    let group = FakeGroup::new(2);
+    let mut running = TestGroup::start(&group, 2).await;
+    let client = running.client(0);
+    let request = request(1, "orders", &[]);
+    leased(&client, &request).await;
+    let stopped = running.instances.remove(0);
+    stopped.core.stop.cancel();
+    let reply = client.exchange(&request).await.unwrap();
+    assert!(reply.lease.is_some());
+    assert_eq!(client.instance(), 2);
+    stopped.served.await.unwrap().unwrap();
+}
+
+#[tokio::test]
+async fn members_of_one_instance_reach_nodes_of_the_other() {
+    let group = FakeGroup::new(1);
+    let running = TestGroup::start(&group, 2).await;
+    let (first, second) = (running.client(0), running.client(1));
+    let mut backend = request(1, "orders", &[]);
+    leased(&first, &backend).await;
+    let other = &running.instances[1].core;
+    until(|| other.hub.len() == 1).await;
+    let mut caller = request(2, "desk", &["orders"]);
+    let known = leased(&second, &caller).await;
+    assert_eq!(known.members.joined.len(), 1);
+
+    backend.member.state = ServerState::Draining;
+    caller.feed = known.members.feed;
+    caller.member_cursor = known.members.cursor;
+    leased(&first, &backend).await;
+    let news = loop {
+        let reply = leased(&second, &caller).await;
+        if !reply.members.joined.is_empty() {
+            break reply.members;
+        }
+    };
+    assert!(!news.full);
+    assert_eq!(news.joined[0].state, ServerState::Draining);
+}
+
+#[tokio::test]
+async fn claims_reach_the_leader_through_any_instance() {
+    let group = FakeGroup::new(2);
+    let running = TestGroup::start(&group, 2).await;
+    let mut claim = OnceClaim {
+        key: OnceKey {
+            team: "team".into(),
+            route: "route".into(),
+            key: "01890a5d-ac96-774b-bcce-b302099a8057".parse().unwrap(),
+        },
+        body: [0; 32],
+        node: 1,
+        attempt: 1,
+    };
+    for first in [0, 1] {
+        let outcome = running.client(first).claim(&claim, LIMIT).await.unwrap();
+        assert_eq!(outcome, ClaimOutcome::Fresh);
+    }
+    claim.attempt = 2;
+    let outcome = running.client(0).claim(&claim, LIMIT).await.unwrap();
+    assert_eq!(outcome, ClaimOutcome::Pending);
+}
+
+#[tokio::test]
+async fn tokens_come_from_the_owner_through_any_instance() {
+    let group = FakeGroup::new(1);
+    let teams: Vec<_> = ["a", "b"]
+        .map(|name| TeamSpec {
+            name: name.into(),
+            rate_milli: 1,
+            burst_milli: 10_000,
+        })
+        .into();
+    group.declare(&teams);
+    let running = TestGroup::start(&group, 2).await;
+    let owners = || running.instances[0].core.log.owners();
+    until(|| owners().len() == 2).await;
+    let client = running.client(0);
+    let mut sequence = 0;
+    for team in &teams {
+        let mut asked = request(1, "orders", &[]);
+        let grant = loop {
+            sequence += 1;
+            asked.demands = vec![demand(&team.name, sequence)];
+            let reply = leased(&client, &asked).await;
+            if let Some(grant) = granted(&reply) {
+                break grant;
+            }
+        };
+        assert_eq!(grant.granted_milli, 4_000);
+        // Repeated, as after a lost answer: the same grant, not another one.
+        let reply = loop {
+            let reply = leased(&client, &asked).await;
+            if !reply.grants.is_empty() {
+                break reply;
+            }
+        };
+        assert_eq!(reply.grants, [grant]);
+    }
+}
+
+fn demand(team: &str, sequence: u64) -> TokenDemand {
+    TokenDemand {
+        team: team.into(),
+        sequence,
+        term: 0,
+        want_milli: 4_000,
+        urgent_milli: 4_000,
+        held_milli: 0,
+        returned_milli: 0,
+        spent_milli: 0,
+    }
+}
+
+fn granted(reply: &ExchangeReply) -> Option<TokenGrant> {
+    let mut grants = reply.grants.iter();
+    grants.find(|grant| grant.granted_milli > 0).cloned()
+}
+
+#[tokio::test]
+async fn an_operator_gets_no_connection_of_a_node() {
+    let group = FakeGroup::new(1);
+    let running = TestGroup::start(&group, 1).await;
+    let identity = running.authority.identity(PeerRole::Operator);
+    let timing = LinkTiming::default();
+    let endpoint = QuicEndpoint::bind_client(LOOPBACK, &identity, timing).unwrap();
+    let addresses = [running.instances[0].address.clone()];
+    let forged = ControlClient::new(&endpoint, &addresses, 0);
+    assert!(forged.exchange(&request(1, "orders", &[])).await.is_err());
+    assert!(running.instances[0].core.hub.is_empty());
+}
