--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -50,11 +50,12 @@
 }
 
 /// Answers a request of a caller.
-pub async fn serve_caller<C: Clock>(
+pub(crate) async fn serve_caller<C: Clock>(
     state: Arc<NodeState<C>>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let begun = state.clock.now();
+    let _entered = state.enter();
     let (head, body) = request.into_parts();
     let checked = match check(&state, &head, begun) {
         Ok(checked) => checked,
