Check the cut with entry nodes in the loop, and believe a leaving node

Capacity now comes from throughput while the limit binds, and the time that a call needs from all calls that end, so that cancelled calls do not make the backend server look slower than it is. A picker took a lagging record that says ready over the refusal of the leaving node itself and sent it calls again; the new test failed before.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -1,5 +1,6 @@
 //! Guard of one backend server: how many calls run, which wait, which are refused.
 
+mod call;
 mod demand;
 mod limit;
 mod queue;
@@ -16,8 +17,15 @@
 use model::ids::Fingerprint;
 use model::verdict::CallFailure;
 use model::verdict::FailureCause;
-use smallvec::SmallVec;
 
+pub use crate::gate::call::AdmitDecision;
+pub use crate::gate::call::CallOffer;
+pub use crate::gate::call::CallOutcome;
+pub use crate::gate::call::CrashedCalls;
+pub use crate::gate::call::GateAction;
+pub use crate::gate::call::GateActions;
+pub use crate::gate::call::GateStats;
+pub use crate::gate::call::OfferOutcome;
 use crate::gate::demand::DemandMap;
 use crate::gate::demand::PeriodLoad;
 use crate::gate::limit::LimitTracker;
@@ -43,88 +51,6 @@
 /// Delay named to callers that are refused, in milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
 
-/// A call that asks to run on the backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct CallOffer {
-    /// Number of the call, unique among those that have not ended.
-    pub id: u64,
-    /// Rank fixed at the entry node.
-    pub rank: CallRank,
-    /// Time at which the caller gives up.
-    pub deadline: Instant,
-    /// Digest of what the request asks for, returned if the backend server dies.
-    pub fingerprint: Fingerprint,
-}
-
-/// What becomes of an offered call.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum AdmitDecision {
-    /// It runs now; [`AdmitGate::finish`] must be called when it ends.
-    Run,
-    /// It waits; a later [`GateAction`] starts or refuses it.
-    Queued,
-    /// It is refused, and did not run.
-    Refuse(CallFailure),
-}
-
-/// What is due for a call that was queued.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum GateAction {
-    /// It runs now; [`AdmitGate::finish`] must be called when it ends.
-    Start(u64),
-    /// It is refused, and did not run.
-    Refuse(u64, CallFailure),
-}
-
-/// Actions that one event leads to, in order.
-pub type GateActions = SmallVec<[GateAction; 2]>;
-
-/// Decision on an offered call, with what it means for calls that waited.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct OfferOutcome {
-    /// What becomes of the offered call.
-    pub decision: AdmitDecision,
-    /// What is due for others.
-    pub actions: GateActions,
-}
-
-/// How a call that ran has ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CallOutcome {
-    /// The backend server answered.
-    Completed,
-    /// The backend server refused it for its load.
-    Shed,
-    /// The connection was lost or the answer was broken.
-    Failed,
-    /// The caller hung up or the deadline passed.
-    Cancelled,
-}
-
-/// What a dead backend server leaves behind.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct CrashedCalls {
-    /// Calls that ran; they may have run.
-    pub running: Vec<u64>,
-    /// Fingerprints of the calls that ran.
-    pub fingerprints: Vec<Fingerprint>,
-    /// Refusals of the calls that waited.
-    pub actions: GateActions,
-}
-
-/// Figures for metrics; they only grow.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct GateStats {
-    /// Calls offered.
-    pub offered: u64,
-    /// Calls started.
-    pub started: u64,
-    /// Calls refused, displaced or expired.
-    pub refused: u64,
-    /// Calls that completed.
-    pub completed: u64,
-}
-
 /// A call that runs.
 #[derive(Clone, Copy, Debug)]
 struct RunningCall {
--- a/crates/admit/src/gate/limit.rs
+++ b/crates/admit/src/gate/limit.rs
@@ -22,6 +22,12 @@
 const DIP_CALLS: u32 = 40;
 /// Service time over its base up to which the limit may grow.
 const GROW_BELOW: f64 = 1.12;
+/// Factor for the limit after a window in which calls were cancelled and none completed.
+const FRUITLESS_FACTOR: f64 = 0.8;
+/// Weight of the newest busy window in the capacity.
+const CAPACITY_WEIGHT: f64 = 0.3;
+/// Ratio, or its inverse, from which on a new capacity replaces the old one at once.
+const CAPACITY_JUMP: f64 = 1.4;
 /// Service time over its base above which a dip must tell queueing from slowness.
 const DIP_ABOVE: f64 = 1.5;
 /// Factor by which the limit grows in a window.
@@ -89,7 +95,8 @@
     verified: bool,
     base_s: f64,
     service_s: f64,
-    throughput: f64,
+    stay_s: f64,
+    capacity_per_s: f64,
     slow_windows: u32,
     phase: SearchPhase,
     window: WindowSum,
@@ -108,7 +115,8 @@
             verified: false,
             base_s: 0.0,
             service_s: 0.0,
-            throughput: 0.0,
+            stay_s: 0.0,
+            capacity_per_s: 0.0,
             slow_windows: 0,
             phase: SearchPhase::Cruise,
             window: WindowSum::new(now, 0),
@@ -141,15 +149,12 @@
 
     /// Returns the mean time in service, zero before it is known.
     pub(super) fn service_time(&self) -> Duration {
-        Duration::from_secs_f64(self.service_s)
+        Duration::from_secs_f64(self.stay_s)
     }
 
     /// Returns the calls per second that the backend server completes at its limit.
     pub(super) fn capacity_per_s(&self) -> f64 {
-        if self.service_s <= 0.0 {
-            return 0.0;
-        }
-        f64::from(self.current()) / self.service_s
+        self.capacity_per_s
     }
 
     /// Takes over the announced number of slots unless measurements already say more.
@@ -170,10 +175,12 @@
     pub(super) fn completed(&mut self, now: Instant, in_flight: u32) {
         self.change(now, in_flight);
         self.window.completions += 1;
+        self.window.departures += 1;
     }
 
     pub(super) fn released(&mut self, now: Instant, in_flight: u32) {
         self.change(now, in_flight);
+        self.window.departures += 1;
     }
 
     /// Notes that the backend server refused a call with `in_flight` others running.
@@ -220,6 +227,9 @@
         if !long && (!enough || length < Duration::from_millis(WINDOW_MIN_MS)) {
             return None;
         }
+        if self.window.is_fruitless() {
+            self.limit = (self.limit * FRUITLESS_FACTOR).max(LIMIT_MIN);
+        }
         let result = self.window.result(length, self.in_flight);
         self.window = WindowSum::new(now, self.in_flight);
         result
@@ -235,7 +245,8 @@
 
     fn cruise(&mut self, result: WindowResult, now: Instant) {
         self.service_s = result.service_s;
-        self.throughput = result.throughput;
+        self.stay_s = result.stay_s;
+        self.update_capacity(result);
         if result.steady || self.base_s <= 0.0 {
             self.lower_base(result.service_s);
         }
@@ -267,6 +278,20 @@
         }
     }
 
+    /// Takes the throughput while the limit binds, and what Little's law promises otherwise.
+    fn update_capacity(&mut self, result: WindowResult) {
+        if !result.busy {
+            self.capacity_per_s = self.limit / result.service_s;
+            return;
+        }
+        let ratio = result.throughput / self.capacity_per_s.max(f64::MIN_POSITIVE);
+        if (1.0 / CAPACITY_JUMP..=CAPACITY_JUMP).contains(&ratio) {
+            self.capacity_per_s += CAPACITY_WEIGHT * (result.throughput - self.capacity_per_s);
+        } else {
+            self.capacity_per_s = result.throughput;
+        }
+    }
+
     fn lower_base(&mut self, service_s: f64) {
         if self.base_s <= 0.0 || service_s < self.base_s * BASE_DROP {
             self.base_s = service_s;
--- a/crates/admit/src/gate/window.rs
+++ b/crates/admit/src/gate/window.rs
@@ -19,6 +19,7 @@
     pub(super) area: f64,
     pub(super) busy_s: f64,
     pub(super) completions: u32,
+    pub(super) departures: u32,
     pub(super) in_flight: u32,
 }
 
@@ -30,19 +31,27 @@
             area: 0.0,
             busy_s: 0.0,
             completions: 0,
+            departures: 0,
         }
     }
 
+    /// Returns whether calls ended here, but hardly any of them by an answer.
+    pub(super) fn is_fruitless(&self) -> bool {
+        self.completions < WINDOW_CALLS_MIN && self.departures >= WINDOW_CALLS_MIN
+    }
+
     /// Returns what the window says when it ends after `length` with `in_flight` calls.
     pub(super) fn result(&self, length: Duration, in_flight: u32) -> Option<WindowResult> {
         if self.completions < WINDOW_CALLS_MIN {
             return None;
         }
         let completions = f64::from(self.completions);
+        let departures = f64::from(self.departures);
         let length_s = length.as_secs_f64();
         let drift = f64::from(in_flight.abs_diff(self.in_flight));
         Some(WindowResult {
             service_s: self.area / completions,
+            stay_s: self.area / departures,
             throughput: completions / length_s,
             busy: self.busy_s >= BUSY_SHARE * length_s,
             steady: drift <= DRIFT_MIN.max(DRIFT_SHARE * self.area / length_s),
@@ -53,7 +62,10 @@
 /// What a finished window says.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WindowResult {
+    /// Time in service for each completion; it counts the time of cancelled calls too.
     pub(super) service_s: f64,
+    /// Time in service of a call, however it ended.
+    pub(super) stay_s: f64,
     pub(super) throughput: f64,
     pub(super) busy: bool,
     pub(super) steady: bool,
--- a/crates/admit/tests/backend.rs
+++ b/crates/admit/tests/backend.rs
@@ -11,18 +11,25 @@
 use admit::AdmitGate;
 use admit::CallOffer;
 use admit::CallOutcome;
+use admit::CutBook;
 use admit::GateAction;
 use admit::GateActions;
 use admit::RankPolicy;
 use clock::Clock;
 use clock::VirtualClock;
 use model::context::CallRank;
+use model::context::CutNotice;
 use model::declaration::RefusalOrder;
+use model::ids::RouteName;
 
 /// Time between two calls of `expire`.
 const EXPIRE_EVERY: Duration = Duration::from_millis(10);
+/// Time between an entry node and the gate, each way.
+const UPSTREAM: Duration = Duration::from_millis(20);
 /// Share of goodput that the target asks for under overload.
 const GOODPUT_SHARE: f64 = 0.9;
+/// Share of the goodput before that must be back two seconds after the cause ended.
+const RECOVERED_SHARE: f64 = 0.95;
 /// Seeds of every measurement.
 const SEEDS: [u64; 4] = [1, 2, 3, 4];
 
@@ -30,6 +37,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum TrialEvent {
     Arrive,
+    Reach(u64),
+    Learn(usize, CallRank),
     Done(u64),
     Expire,
 }
@@ -64,6 +73,11 @@
     /// Seconds between which service takes `slowdown` times as long.
     slow_s: (u64, u64),
     slowdown: f64,
+    /// Seconds between which the overload lasts; before and after it is `calm`.
+    surge_s: (u64, u64),
+    calm: f64,
+    /// Entry nodes that learn cuts from answers; none sends everything to the gate.
+    entries: usize,
     seed: u64,
 }
 
@@ -77,6 +91,9 @@
             overload: 3.0,
             slow_s: (0, 0),
             slowdown: 1.0,
+            surge_s: (0, u64::MAX),
+            calm: 0.0,
+            entries: 0,
             seed,
         }
     }
@@ -86,7 +103,6 @@
 struct BackendTrial {
     setup: TrialSetup,
     clock: VirtualClock,
-    start: Instant,
     gate: AdmitGate<VirtualClock>,
     random: RandomSource,
     events: BinaryHeap<Reverse<(Duration, TrialEvent)>>,
@@ -94,7 +110,11 @@
     busy: usize,
     deadlines: HashMap<u64, Instant>,
     ranks: HashMap<u64, CallRank>,
+    books: Vec<CutBook<VirtualClock>>,
+    route: RouteName,
     good: Vec<f64>,
+    /// Calls refused at an entry node in each second.
+    refused_early: Vec<f64>,
     last_refused: u64,
     next_id: u64,
 }
@@ -106,8 +126,6 @@
         gate.hint_slots(setup.hint);
         let mut trial = Self {
             setup,
-            start: clock.now(),
-            clock,
             gate,
             random: RandomSource(setup.seed),
             events: BinaryHeap::new(),
@@ -115,9 +133,13 @@
             busy: 0,
             deadlines: HashMap::new(),
             ranks: HashMap::new(),
+            books: vec![CutBook::new(clock.clone()); setup.entries],
+            route: "stock".into(),
             good: vec![0.0; length_s + 1],
+            refused_early: vec![0.0; length_s + 1],
             last_refused: 0,
             next_id: 0,
+            clock,
         };
         trial.schedule(Duration::ZERO, TrialEvent::Arrive);
         trial.schedule(EXPIRE_EVERY, TrialEvent::Expire);
@@ -140,6 +162,17 @@
     fn step(&mut self, event: TrialEvent) {
         match event {
             TrialEvent::Arrive => self.arrive(),
+            TrialEvent::Reach(id) => self.reach(id),
+            TrialEvent::Learn(entry, cut) => {
+                let service = self.route.clone();
+                let notices = [CutNotice { service, cut }];
+                let cuts = if cut > CallRank::MIN {
+                    &notices[..]
+                } else {
+                    &[]
+                };
+                self.books[entry].learn(&self.route, cuts);
+            }
             TrialEvent::Done(id) => self.done(id),
             TrialEvent::Expire => {
                 let actions = self.gate.expire();
@@ -161,10 +194,39 @@
         let deadline = self.clock.now() + self.setup.time_left;
         self.deadlines.insert(id, deadline);
         self.ranks.insert(id, rank);
+        self.enter(id, rank);
+        let capacity = self.setup.slots as f64 / self.setup.service.as_secs_f64();
+        let (from, to) = self.setup.surge_s;
+        let in_surge = (from..to).contains(&self.clock.elapsed().as_secs());
+        let load = if in_surge {
+            self.setup.overload
+        } else {
+            self.setup.calm
+        };
+        let mean = Duration::from_secs_f64(1.0 / (capacity * load));
+        let gap = self.random.exponential(mean);
+        self.schedule(gap, TrialEvent::Arrive);
+    }
+
+    /// Checks the cut at the call's entry node and sends the call on.
+    fn enter(&mut self, id: u64, rank: CallRank) {
+        let Some(entry) = self.entry_of(id) else {
+            self.reach(id);
+            return;
+        };
+        if self.books[entry].check(&self.route, rank).is_err() {
+            let second = self.second();
+            self.refused_early[second] += 1.0;
+            return;
+        }
+        self.schedule(UPSTREAM, TrialEvent::Reach(id));
+    }
+
+    fn reach(&mut self, id: u64) {
         let outcome = self.gate.offer(CallOffer {
             id,
-            rank,
-            deadline,
+            rank: self.ranks[&id],
+            deadline: self.deadlines[&id],
             fingerprint: id,
         });
         self.apply(&outcome.actions);
@@ -173,10 +235,23 @@
             AdmitDecision::Queued => {}
             AdmitDecision::Refuse(_) => self.refused(id),
         }
-        let capacity = self.setup.slots as f64 / self.setup.service.as_secs_f64();
-        let mean = Duration::from_secs_f64(1.0 / (capacity * self.setup.overload));
-        let gap = self.random.exponential(mean);
-        self.schedule(gap, TrialEvent::Arrive);
+    }
+
+    fn entry_of(&self, id: u64) -> Option<usize> {
+        id.checked_rem(self.books.len() as u64)
+            .and_then(|entry| usize::try_from(entry).ok())
+    }
+
+    /// Sends the cut back to the call's entry node, as every answer does.
+    fn answer(&mut self, id: u64) {
+        if let Some(entry) = self.entry_of(id) {
+            let cut = self.gate.cut();
+            self.schedule(UPSTREAM, TrialEvent::Learn(entry, cut));
+        }
+    }
+
+    fn second(&self) -> usize {
+        usize::try_from(self.clock.elapsed().as_secs()).unwrap_or(0)
     }
 
     fn apply(&mut self, actions: &GateActions) {
@@ -189,6 +264,7 @@
     }
 
     fn refused(&mut self, id: u64) {
+        self.answer(id);
         let importance = self.ranks[&id].importance();
         if importance == RankPolicy::importance(RefusalOrder::Last) {
             self.last_refused += 1;
@@ -215,10 +291,11 @@
 
     fn done(&mut self, id: u64) {
         self.busy -= 1;
-        let second = (self.clock.now() - self.start).as_secs();
         if self.clock.now() <= self.deadlines[&id] {
-            self.good[usize::try_from(second).unwrap_or(0)] += 1.0;
+            let second = self.second();
+            self.good[second] += 1.0;
         }
+        self.answer(id);
         if let Some(next) = self.inner.pop_front() {
             self.serve(next);
         }
@@ -265,7 +342,7 @@
         let after = trial.goodput(42, 60, full);
         assert!(before >= GOODPUT_SHARE, "seed {seed}: {before}");
         assert!(slow >= GOODPUT_SHARE, "seed {seed}: {slow}");
-        assert!(after >= 0.95 * before, "seed {seed}: {after}");
+        assert!(after >= RECOVERED_SHARE * before, "seed {seed}: {after}");
     }
 }
 
@@ -286,3 +363,28 @@
         }
     }
 }
+
+/// Sums a figure per second between two seconds.
+fn sum(figure: &[f64], from_s: usize, to_s: usize) -> f64 {
+    figure[from_s..to_s].iter().sum()
+}
+
+#[test]
+fn entry_nodes_refuse_what_the_gate_would_and_stop_when_the_surge_ends() {
+    for seed in SEEDS {
+        let setup = TrialSetup {
+            surge_s: (5, 25),
+            calm: 0.6,
+            entries: 8,
+            ..TrialSetup::new(100, 100, seed)
+        };
+        let trial = BackendTrial::run(setup, 35);
+        let goodput = trial.goodput(7, 25, capacity(&setup));
+        let after = trial.goodput(27, 35, capacity(&setup)) / setup.calm;
+        let refused_after = sum(&trial.refused_early, 27, 35);
+        assert!(goodput >= GOODPUT_SHARE, "seed {seed}: {goodput}");
+        assert!(after >= RECOVERED_SHARE, "seed {seed}: {after}");
+        assert!(refused_after < 1.0, "seed {seed}: {refused_after}");
+        assert_eq!(trial.last_refused, 0, "seed {seed}");
+    }
+}
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -19,6 +19,8 @@
 const STARTING_SHARE: f64 = 0.1;
 /// Time for which a refusal steers calls away, in milliseconds.
 const REFUSED_MS: u64 = 200;
+/// Time for which a record that calls a leaving member ready is not believed, in milliseconds.
+const LEAVING_MS: u64 = 2000;
 /// Load added by a recent refusal, in multiples of the limit.
 const REFUSED_LOAD: f64 = 1.0;
 /// Limit assumed before a member reported one.
@@ -35,6 +37,7 @@
     drift: i64,
     ramp_start: Option<Instant>,
     refused_until: Option<Instant>,
+    leaving_until: Option<Instant>,
 }
 
 impl MemberState {
@@ -49,12 +52,19 @@
             drift: 0,
             ramp_start,
             refused_until: None,
+            leaving_until: None,
         }
     }
 
     /// Takes over a newer record; a member that became ready starts slowly.
+    ///
+    /// What the member's own node said of leaving counts more for a while,
+    /// since records lag.
     pub(crate) fn update(&mut self, record: &MemberRecord, now: Instant) {
         let was = self.record.state;
+        if self.leaving_until.is_some_and(|until| now < until) {
+            return;
+        }
         if record.state == ServerState::Ready && was != ServerState::Ready {
             self.ramp_start = Some(now);
         }
@@ -89,6 +99,12 @@
         self.refused_until = Some(now + Duration::from_millis(REFUSED_MS));
     }
 
+    /// Notes that the member's own node said that it takes no more work.
+    pub(crate) fn leaving(&mut self, now: Instant) {
+        self.record.state = ServerState::Draining;
+        self.leaving_until = Some(now + Duration::from_millis(LEAVING_MS));
+    }
+
     pub(crate) fn begin_ramp(&mut self, at: Instant) {
         self.ramp_start = Some(at);
     }
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -7,7 +7,6 @@
 use clock::Clock;
 use model::context::ServerLoad;
 use model::exchange::MemberRecord;
-use model::exchange::ServerState;
 use model::ids::DataCentreName;
 use model::ids::NodeId;
 
@@ -153,7 +152,7 @@
             }
             CallResult::Refused => member.refused(now),
             CallResult::Leaving => {
-                member.record.state = ServerState::Draining;
+                member.leaving(now);
                 self.refresh(now);
             }
             CallResult::Failed => {
--- a/crates/route/tests/picker.rs
+++ b/crates/route/tests/picker.rs
@@ -75,6 +75,19 @@
     assert_eq!(picker.pick(&[3], 7), None);
 }
 
+#[test]
+fn a_lagging_record_does_not_bring_a_leaving_member_back() {
+    let clock = VirtualClock::new();
+    let members = [member(1, "here", ServerState::Ready)];
+    let mut picker = picker(&clock, &members);
+    picker.learn(1, CallResult::Leaving, None);
+    picker.update(&members);
+    assert_eq!(picker.pick(&[], 1), None);
+    clock.advance(Duration::from_secs(3));
+    picker.update(&members);
+    assert!(picker.pick(&[], 1).is_some());
+}
+
 #[test]
 fn the_own_data_centre_is_preferred_until_it_is_loaded() {
     let clock = VirtualClock::new();
