--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -59,7 +59,7 @@
     pub fn status(&self) -> StatusReport {
         let position = self.log.position();
         StatusReport::Control(ControlStatus {
-            process: self.process.clone(),
+            process: self.names.process.clone(),
             instance: self.own,
             duty: position.duty,
             term: position.term,
@@ -67,8 +67,8 @@
             voters: position.voters,
             committed: position.committed,
             applied: position.applied,
-            digest: position.digest,
-            version: self.log.version(),
+            digest: self.log.digest(),
+            version: self.log.read(|state| state.config().version()),
             nodes: self.hub.leases(),
         })
     }
@@ -96,11 +96,10 @@
         if !self.confirmed().await {
             return no_quorum();
         }
-        let config = self.log.config();
-        let report = DeclarationText {
-            version: config.declaration.version,
-            text: config.text.to_string(),
-        };
+        let report = self.log.read(|state| DeclarationText {
+            version: state.config().version(),
+            text: state.config().text().to_owned(),
+        });
         json(StatusCode::OK, &report)
     }
 
@@ -111,7 +110,7 @@
         if !self.confirmed().await {
             return no_quorum();
         }
-        let status = self.log.change_status(&hash);
+        let status = self.log.read(|state| state.config().status(&hash));
         json(StatusCode::OK, &self.change_report(&hash, status))
     }
 
@@ -128,7 +127,7 @@
         let hash = submission.change.hash();
         let deadline = Instant::now() + Duration::from_millis(SUBMIT_TIMEOUT_MS);
         self.metrics.submissions.inc();
-        match self.propose(submission, deadline).await {
+        match self.submit(submission, deadline).await {
             Ok(status) => {
                 let report = self.change_report(&hash, status);
                 self.note_submission(&report);
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -1,16 +1,17 @@
 //! What the tasks of a control instance share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use clock::Clock;
 use model::ids::InstanceId;
+use model::ids::OwnerKey;
 use timeline::EventRing;
 use timeline::StampClock;
 use tokio_util::sync::CancellationToken;
 use wire::peer::PeerMesh;
 
-use crate::config::ConfigHistory;
 use crate::force::ForceTracker;
 use crate::forward::GrantForwarder;
 use crate::hub::MembershipHub;
@@ -55,10 +56,8 @@
 pub struct CoreInner<L, C> {
     /// Identity in the group.
     pub own: InstanceId,
-    /// Drawn at random when the process started.
-    pub incarnation: u64,
-    /// Name of the process.
-    pub process: String,
+    /// What the settings say.
+    pub names: CoreNames,
     /// The clock.
     pub clock: C,
     /// The replicated log.
@@ -71,8 +70,6 @@
     pub bank: TokenBank<C>,
     /// Demands for teams owned elsewhere.
     pub forwarder: GrantForwarder,
-    /// Recent declarations.
-    pub history: ConfigHistory,
     /// Versions on their way into force.
     pub force: ForceTracker<C>,
     /// Requests that crashed backend servers.
@@ -85,13 +82,17 @@
     pub stop: CancellationToken,
 }
 
-/// Names of a control instance.
+/// What a control instance is told by its settings.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CoreNames {
     /// Identity in the group.
     pub own: InstanceId,
+    /// Where the other instances reach it.
+    pub address: SocketAddr,
     /// Name of the process.
     pub process: String,
+    /// The two owners at the first start of the group.
+    pub owners: Vec<OwnerKey>,
 }
 
 impl<L: ControlLog, C: Clock> ControlCore<L, C> {
@@ -107,22 +108,19 @@
         clock: C,
         stop: CancellationToken,
     ) -> anyhow::Result<Self> {
-        let CoreNames { own, process } = names;
-        let incarnation = rand::random::<u64>();
+        let own = names.own;
         let lease = Duration::from_millis(LEASE_MS + DRIFT_MS);
         let stamps = StampClock::new(clock.clone());
         let inner = CoreInner {
             own,
-            incarnation,
-            hub: MembershipHub::new(own, incarnation, clock.clone()),
-            bank: TokenBank::new(own, incarnation, lease, clock.clone()),
+            hub: MembershipHub::new(own, rand::random(), clock.clone()),
+            bank: TokenBank::new(own, lease, clock.clone()),
             forwarder: GrantForwarder::new(mesh.clone()),
-            history: ConfigHistory::default(),
             force: ForceTracker::new(clock.clone(), lease),
             suspects: SuspectDesk::new(clock.clone()),
-            events: EventRing::new(&process, TIMELINE_EVENTS, stamps),
+            events: EventRing::new(&names.process, TIMELINE_EVENTS, stamps),
             metrics: ControlMetrics::new()?,
-            process,
+            names,
             clock,
             log,
             mesh,
--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use clock::Clock;
+use ledger::LedgerState;
 use model::exchange::ConfigUpdate;
 use model::exchange::ExchangeReply;
 use model::exchange::ExchangeRequest;
@@ -11,6 +12,7 @@
 use model::exchange::PROTOCOL_VERSION;
 use model::exchange::QuarantineNotice;
 use model::exchange::TokenGrant;
+use model::ids::ConfigVersion;
 use model::ids::NodeId;
 use timeline::EventRecord;
 use tracing::info;
@@ -75,11 +77,13 @@
         let length = Duration::from_millis(LEASE_MS);
         // Before the version is read, as `MembershipHub::renew` demands.
         self.hub.renew(&request.member, request.applied, length);
-        let declaration = self.log.config().declaration;
-        let version = declaration.version;
+        let (version, config) = self.log.read(|state| {
+            let version = state.config().version();
+            (version, config_update(state, request.applied))
+        });
         ExchangeReply {
             lease: Some(LeaseGrant { version, length }),
-            config: self.history.update(request.applied, &declaration),
+            config,
             members: self.members(request),
             grants: self.grants(node, request, remote),
             quarantined: self.quarantined(request),
@@ -126,3 +130,12 @@
         }
     }
 }
+
+/// Returns the way to the declaration in force; a node that has none gets all of it.
+fn config_update(state: &LedgerState, applied: ConfigVersion) -> ConfigUpdate {
+    let declaration = state.config().declaration();
+    if applied == 0 && declaration.version > 0 {
+        return ConfigUpdate::Full(Box::new(declaration.as_ref().clone()));
+    }
+    state.config().update_from(applied)
+}
--- a/crates/control/src/force.rs
+++ b/crates/control/src/force.rs
@@ -40,19 +40,9 @@
 #[derive(Clone, Copy, Debug)]
 struct PeerVersion {
     version: ConfigVersion,
-    incarnation: u64,
     heard: Instant,
 }
 
-/// An instance that told of its nodes a short time ago.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LiveInstance {
-    /// The instance.
-    pub instance: InstanceId,
-    /// Its start.
-    pub incarnation: u64,
-}
-
 impl<C: Clock> ForceTracker<C> {
     /// Creates a tracker; `lease` must include the allowance for clock drift.
     pub fn new(clock: C, lease: Duration) -> Self {
@@ -79,28 +69,21 @@
     }
 
     /// Notes that a peer told of all leases that it granted under versions before `version`.
-    pub fn heard(&self, peer: LiveInstance, version: ConfigVersion) {
-        let news = PeerVersion {
-            version,
-            incarnation: peer.incarnation,
-            heard: self.clock.now(),
-        };
-        self.lock().peers.insert(peer.instance, news);
+    pub fn heard(&self, peer: InstanceId, version: ConfigVersion) {
+        let heard = self.clock.now();
+        let news = PeerVersion { version, heard };
+        self.lock().peers.insert(peer, news);
     }
 
     /// Returns the peers that told of their nodes within `limit`.
-    pub fn live_peers(&self, limit: Duration) -> Vec<LiveInstance> {
+    pub fn live_peers(&self, limit: Duration) -> Vec<InstanceId> {
         let now = self.clock.now();
         let state = self.lock();
         let live = state
             .peers
             .iter()
             .filter(|(_, peer)| now.saturating_duration_since(peer.heard) < limit);
-        live.map(|(instance, peer)| LiveInstance {
-            instance: *instance,
-            incarnation: peer.incarnation,
-        })
-        .collect()
+        live.map(|(instance, _)| *instance).collect()
     }
 
     /// Returns whether `version` is in force, given all other instances of the group.
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -65,12 +65,17 @@
         demands: &[TokenDemand],
     ) -> Vec<TokenGrant> {
         let mut owners: BTreeMap<InstanceId, Vec<TokenDemand>> = BTreeMap::new();
-        for demand in demands {
-            let owner = core.log.owner(&demand.team);
-            if let Some(owner) = owner.filter(|owner| owner.instance != core.own) {
-                let demands = owners.entry(owner.instance).or_default();
-                demands.push(demand.clone());
+        core.log.read(|state| {
+            for demand in demands {
+                let owner = state.owners().owner(&demand.team);
+                if let Some(owner) = owner.filter(|owner| owner.instance != core.own) {
+                    let demands = owners.entry(owner.instance).or_default();
+                    demands.push(demand.clone());
+                }
             }
+        });
+        if owners.is_empty() {
+            return Vec::new();
         }
         let asked = owners
             .into_iter()
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -132,12 +132,18 @@
 
     /// Returns the nodes of this instance for a peer that knows them up to `since`.
     #[must_use]
-    pub fn batch(&self, since: Option<u64>, version: ConfigVersion) -> HubBatch {
+    pub fn batch(
+        &self,
+        address: SocketAddr,
+        since: Option<u64>,
+        version: ConfigVersion,
+    ) -> HubBatch {
         let now = self.clock.now();
         let state = self.lock();
         let known = since.filter(|since| state.feed.reaches(*since));
         let mut batch = HubBatch {
             from: self.own,
+            address,
             feed: self.feed,
             cursor: state.feed.cursor(),
             full: known.is_none(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,7 +1,6 @@
 //! The control instance: leases, membership, tokens and the admin listener.
 
 pub mod admin;
-pub mod config;
 pub mod core;
 pub mod exchange;
 pub mod force;
@@ -10,8 +9,12 @@
 pub mod log;
 pub mod metrics;
 pub mod owners;
+pub mod propose;
+pub mod run;
 pub mod server;
 pub mod service;
 pub mod suspects;
 pub mod sync;
 pub mod tokens;
+
+pub use crate::run::run;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -1,45 +1,18 @@
 //! What the control instance needs of the replicated log and its state.
 
 use std::future::Future;
-use std::sync::Arc;
 
-use model::admin::ChangeSubmission;
-use model::change::ChangeStatus;
-use model::declaration::Declaration;
-use model::ids::ChangeHash;
-use model::ids::ConfigVersion;
+use ledger::LedgerCommand;
+use ledger::LedgerOutcome;
+use ledger::LedgerState;
+use model::hex;
 use model::ids::InstanceId;
 use model::ids::LogIndex;
-use model::ids::TeamName;
-use model::once::ClaimOutcome;
-use model::once::OnceClaim;
-use model::once::OnceSettle;
 use replica::ConfirmError;
 use replica::ProposeError;
-
-/// The declaration in force with the text that the owners signed.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct DeclaredConfig {
-    /// The checked declaration.
-    pub declaration: Arc<Declaration>,
-    /// Its TOML text.
-    pub text: Arc<str>,
-}
-
-/// Which instance owns the tokens of a team, as the log says.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct TeamOwner {
-    /// The team.
-    pub team: TeamName,
-    /// The instance that grants its tokens.
-    pub instance: InstanceId,
-    /// Start of that instance; a restarted one does not know what it granted.
-    pub incarnation: u64,
-    /// Term of the ownership, above 0; it grows with every change.
-    pub term: u64,
-    /// Whether the team never had an owner before, so that no tokens can be out.
-    pub first: bool,
-}
+use replica::ReplicaHandle;
+use replica::ReplicatedState;
+use tracing::error;
 
 /// Where this instance stands in the group.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -56,55 +29,87 @@
     pub committed: LogIndex,
     /// Last index applied.
     pub applied: LogIndex,
-    /// Digest of the applied state in hexadecimal.
-    pub digest: String,
 }
 
-/// The replicated log with the state on top of it.
+/// The replicated log with the ledger on top of it.
 pub trait ControlLog: Clone + Send + Sync + 'static {
     /// Waits until a quorum confirmed, after this call began, who leads, and
     /// everything committed by then is applied here.
     fn confirm(&self) -> impl Future<Output = Result<LogIndex, ConfirmError>> + Send;
 
-    /// Commits a claim; only on the leader.
-    fn claim(
+    /// Commits a command and returns what it answered; only on the leader.
+    fn propose(
         &self,
-        claim: OnceClaim,
-    ) -> impl Future<Output = Result<ClaimOutcome, ProposeError>> + Send;
-
-    /// Commits the end of an attempt; only on the leader.
-    fn settle(&self, settle: OnceSettle) -> impl Future<Output = Result<(), ProposeError>> + Send;
-
-    /// Commits a change or a signature; only on the leader.
-    fn submit(
-        &self,
-        submission: ChangeSubmission,
-    ) -> impl Future<Output = Result<ChangeStatus, ProposeError>> + Send;
-
-    /// Commits owners of teams, with terms that the state assigns; only on the leader.
-    fn assign(
-        &self,
-        owners: Vec<TeamOwner>,
-    ) -> impl Future<Output = Result<(), ProposeError>> + Send;
-
-    /// Returns the version applied here.
-    fn version(&self) -> ConfigVersion;
+        command: &LedgerCommand,
+    ) -> impl Future<Output = Result<LedgerOutcome, ProposeError>> + Send;
 
-    /// Returns the declaration applied here.
-    fn config(&self) -> DeclaredConfig;
-
-    /// Returns where a change stands, as applied here.
-    fn change_status(&self, hash: &ChangeHash) -> ChangeStatus;
-
-    /// Returns the owner of a team, as applied here.
-    fn owner(&self, team: &TeamName) -> Option<TeamOwner>;
-
-    /// Returns the owners of all teams, as applied here.
-    fn owners(&self) -> Vec<TeamOwner>;
+    /// Reads the state applied here.
+    fn read<R>(&self, reader: impl FnOnce(&LedgerState) -> R) -> R;
 
     /// Returns where this instance stands.
     fn position(&self) -> LogPosition;
 
     /// Hands in a message of another member.
     fn receive(&self, from: InstanceId, message: Vec<u8>);
+
+    /// Returns the digest of the applied state in hexadecimal.
+    fn digest(&self) -> String {
+        self.read(|state| hex::encode(&state.digest()))
+    }
+}
+
+/// The ledger on a replica.
+#[derive(Clone, Debug)]
+pub struct LedgerLog {
+    replica: ReplicaHandle<LedgerState>,
+}
+
+impl LedgerLog {
+    /// Uses a running replica.
+    #[must_use]
+    pub fn new(replica: ReplicaHandle<LedgerState>) -> Self {
+        Self { replica }
+    }
+
+    /// Returns the replica.
+    #[must_use]
+    pub fn replica(&self) -> &ReplicaHandle<LedgerState> {
+        &self.replica
+    }
+}
+
+impl ControlLog for LedgerLog {
+    async fn confirm(&self) -> Result<LogIndex, ConfirmError> {
+        self.replica.confirm().await
+    }
+
+    async fn propose(&self, command: &LedgerCommand) -> Result<LedgerOutcome, ProposeError> {
+        match command.encode() {
+            Ok(entry) => self.replica.propose(entry).await,
+            Err(error) => {
+                error!(event = "command-not-encoded", %error);
+                Err(ProposeError::Unknown)
+            }
+        }
+    }
+
+    fn read<R>(&self, reader: impl FnOnce(&LedgerState) -> R) -> R {
+        self.replica.read(reader)
+    }
+
+    fn position(&self) -> LogPosition {
+        let status = self.replica.status();
+        LogPosition {
+            duty: status.duty.to_string(),
+            term: status.term,
+            leader: status.leader,
+            voters: status.membership.voters().collect(),
+            committed: status.committed,
+            applied: status.applied,
+        }
+    }
+
+    fn receive(&self, from: InstanceId, message: Vec<u8>) {
+        self.replica.receive(from, message);
+    }
 }
--- a/crates/control/src/owners.rs
+++ b/crates/control/src/owners.rs
@@ -1,33 +1,38 @@
-//! The leader's choice of which instance grants the tokens of which team.
+//! The choice of which instance grants the tokens of which team.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
+use std::time::Instant;
 
 use clock::Clock;
+use ledger::LedgerCommand;
+use ledger::OwnerTable;
+use ledger::TeamAssignment;
 use model::declaration::Declaration;
 use model::ids::InstanceId;
-use model::ids::TeamName;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tracing::info;
 use tracing::warn;
 
 use crate::core::ControlCore;
-use crate::force::LiveInstance;
 use crate::log::ControlLog;
-use crate::log::TeamOwner;
 
-/// Period in which the leader checks the owners, in milliseconds.
-const CHECK_PERIOD_MS: u64 = 200;
+/// Period in which the owners are checked, in milliseconds.
+const CHECK_PERIOD_MS: u64 = 100;
 /// Silence after which an instance loses its teams, in milliseconds.
 const SILENCE_MS: u64 = 2_000;
+/// Time for which a new leader waits to hear of all peers, in milliseconds.
+const GREETING_MS: u64 = 500;
+/// Time to commit an assignment, in milliseconds.
+const ASSIGN_TIMEOUT_MS: u64 = 1_000;
 
-/// Assigns teams without a live owner while this instance leads.
+/// Keeps every team owned by a live instance, until this one stops.
 ///
 /// # Errors
 ///
 /// Never fails; the result fits the supervisor.
-pub async fn assign_owners<L: ControlLog, C: Clock>(core: ControlCore<L, C>) -> anyhow::Result<()> {
+pub async fn keep_owners<L: ControlLog, C: Clock>(core: ControlCore<L, C>) -> anyhow::Result<()> {
     let mut ticks = interval(Duration::from_millis(CHECK_PERIOD_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut leading_since = None;
@@ -36,80 +41,97 @@
             () = core.stop.cancelled() => return Ok(()),
             _ = ticks.tick() => {}
         }
+        let stale = core.log.read(|state| core.bank.stale_teams(state));
+        core.assign(stale).await;
         if core.log.position().leader != Some(core.own) {
             leading_since = None;
             continue;
         }
         // Peers are heard of only after a while, and must not lose their teams before.
         let since = *leading_since.get_or_insert_with(|| core.clock.now());
-        let silence = Duration::from_millis(SILENCE_MS);
-        let settled = core.clock.now() >= since + silence;
-        assign_once(&core, settled).await;
+        let led = core.clock.now().saturating_duration_since(since);
+        core.found_group().await;
+        core.assign(core.planned_owners(led)).await;
     }
 }
 
-async fn assign_once<L: ControlLog, C: Clock>(core: &ControlCore<L, C>, settled: bool) {
-    let mut live = core.force.live_peers(Duration::from_millis(SILENCE_MS));
-    live.push(LiveInstance {
-        instance: core.own,
-        incarnation: core.incarnation,
-    });
-    let owners = core.log.owners();
-    let config = core.log.config();
-    let planned = plan_owners(&config.declaration, &owners, &live, settled);
-    if planned.is_empty() {
-        return;
+impl<L: ControlLog, C: Clock> ControlCore<L, C> {
+    /// Sets the first owners of a new group.
+    async fn found_group(&self) {
+        let founded = self
+            .log
+            .read(|state| !state.config().declaration().owners.is_empty());
+        if founded {
+            return;
+        }
+        let owners = self.names.owners.clone();
+        match self.log.propose(&LedgerCommand::Genesis { owners }).await {
+            Ok(outcome) => info!(event = "group-founded", outcome = ?outcome),
+            Err(error) => warn!(event = "group-not-founded", %error),
+        }
     }
-    let teams = planned.len();
-    match core.log.assign(planned).await {
-        Ok(()) => info!(event = "owners-assigned", teams),
-        Err(error) => warn!(event = "owners-not-assigned", teams, %error),
+
+    /// Plans what a leader commits that has led for the time `led`.
+    fn planned_owners(&self, led: Duration) -> Vec<TeamAssignment> {
+        let silence = Duration::from_millis(SILENCE_MS);
+        let mut live = self.force.live_peers(silence);
+        let all_heard = live.len() >= self.mesh.peers().len();
+        if !all_heard && led < Duration::from_millis(GREETING_MS) {
+            return Vec::new();
+        }
+        let settled = led >= silence;
+        live.push(self.own);
+        self.log.read(|state| {
+            let declaration = state.config().declaration();
+            plan_owners(declaration, state.owners(), &live, settled)
+        })
+    }
+
+    async fn assign(&self, assignments: Vec<TeamAssignment>) {
+        if assignments.is_empty() {
+            return;
+        }
+        let teams = assignments.len();
+        let command = LedgerCommand::AssignOwners { assignments };
+        let deadline = Instant::now() + Duration::from_millis(ASSIGN_TIMEOUT_MS);
+        match self.propose(&command, deadline).await {
+            Ok(_) => info!(event = "owners-assigned", teams),
+            Err(error) => warn!(event = "owners-not-assigned", teams, %error),
+        }
     }
 }
 
-/// Returns the owners to commit: for teams that have none, and, once
-/// `settled`, for those whose owner is not live or was restarted.
+/// Returns assignments for teams without an owner and, once `settled`, for
+/// those whose owner is not live.
 #[must_use]
 pub fn plan_owners(
     declaration: &Declaration,
-    owners: &[TeamOwner],
-    live: &[LiveInstance],
+    owners: &OwnerTable,
+    live: &[InstanceId],
     settled: bool,
-) -> Vec<TeamOwner> {
-    let known: BTreeMap<&TeamName, &TeamOwner> =
-        owners.iter().map(|owner| (&owner.team, owner)).collect();
-    let mut counts: BTreeMap<InstanceId, usize> =
-        live.iter().map(|live| (live.instance, 0)).collect();
-    for owner in owners {
+) -> Vec<TeamAssignment> {
+    let mut counts: BTreeMap<InstanceId, usize> = live.iter().map(|live| (*live, 0)).collect();
+    for owner in owners.iter() {
         if let Some(count) = counts.get_mut(&owner.instance) {
             *count += 1;
         }
     }
     let mut planned = Vec::new();
     for team in &declaration.teams {
-        let owner = known.get(&team.name);
-        if owner.is_some_and(|owner| keeps_team(owner, live, settled)) {
+        let owner = owners.owner(&team.name);
+        let kept = owner.is_some_and(|owner| !settled || live.contains(&owner.instance));
+        if kept {
             continue;
         }
-        let Some(chosen) = live.iter().min_by_key(|live| counts[&live.instance]) else {
+        let Some((&instance, count)) = counts.iter_mut().min_by_key(|(_, count)| **count) else {
             continue;
         };
-        *counts.entry(chosen.instance).or_default() += 1;
-        planned.push(TeamOwner {
+        *count += 1;
+        planned.push(TeamAssignment {
             team: team.name.clone(),
-            instance: chosen.instance,
-            incarnation: chosen.incarnation,
-            term: owner.map_or(0, |owner| owner.term) + 1,
-            first: owner.is_none(),
+            instance,
+            replaces: owner.map_or(0, |owner| owner.epoch),
         });
     }
     planned
 }
-
-fn keeps_team(owner: &TeamOwner, live: &[LiveInstance], settled: bool) -> bool {
-    let heard = live.iter().find(|live| live.instance == owner.instance);
-    match heard {
-        Some(heard) => heard.incarnation == owner.incarnation,
-        None => !settled,
-    }
-}
--- /dev/null
+++ b/crates/control/src/run.rs
@@ -0,0 +1,140 @@
+//! Runs a control instance as its settings say.
+
+use anyhow::Context;
+use clock::Clock;
+use ledger::LedgerState;
+use replica::ReplicaConfig;
+use replica::ReplicaHandle;
+use settings::ControlSettings;
+use tokio_util::sync::CancellationToken;
+use wire::identity::TlsIdentity;
+use wire::peer::PeerMesh;
+use wire::quic::LinkTiming;
+use wire::quic::QuicEndpoint;
+use wire::role::PeerRole;
+
+use crate::core::ControlCore;
+use crate::core::CoreNames;
+use crate::log::LedgerLog;
+use crate::server::ControlListeners;
+
+/// A control instance whose replica runs and whose listeners are bound.
+pub struct ControlServer<C> {
+    core: ControlCore<LedgerLog, C>,
+    listeners: ControlListeners,
+    replica_stop: CancellationToken,
+}
+
+/// Runs a control instance until `stop` is cancelled.
+///
+/// # Errors
+///
+/// Fails when an address, file or data folder of the settings cannot be used,
+/// or when the replica stops by itself.
+pub async fn run<C: Clock>(
+    settings: ControlSettings,
+    clock: C,
+    stop: CancellationToken,
+) -> anyhow::Result<()> {
+    let identity = TlsIdentity::load(&settings.tls)?;
+    let roles = [PeerRole::Node, PeerRole::Control];
+    let quic = QuicEndpoint::bind(settings.listen, &identity, &roles, LinkTiming::default())?;
+    let server = ControlServer::start(&settings, &identity, quic, clock, stop).await?;
+    server.serve().await
+}
+
+impl<C: Clock> ControlServer<C> {
+    /// Starts the replica and binds the listener for operators.
+    ///
+    /// # Errors
+    ///
+    /// As [`run`].
+    pub async fn start(
+        settings: &ControlSettings,
+        identity: &TlsIdentity,
+        quic: QuicEndpoint,
+        clock: C,
+        stop: CancellationToken,
+    ) -> anyhow::Result<Self> {
+        let listeners = ControlListeners::bind(quic.clone(), settings.admin, identity).await?;
+        let mesh = PeerMesh::new(settings.instance, quic);
+        for member in &settings.group {
+            mesh.add(member.instance, member.address);
+        }
+        let group = settings.group.iter().map(|member| member.instance);
+        let mut config =
+            ReplicaConfig::new(settings.instance, group.collect(), settings.data.clone());
+        config.join = settings.join;
+        // Stopped last, so that calls in flight can still be committed.
+        let replica_stop = CancellationToken::new();
+        let replica = ReplicaHandle::start(
+            config,
+            mesh.clone(),
+            LedgerState::default(),
+            clock.clone(),
+            replica_stop.clone(),
+        );
+        let replica = replica.context("opening the data folder")?;
+        let core = ControlCore::new(
+            core_names(settings),
+            LedgerLog::new(replica),
+            mesh,
+            clock,
+            stop,
+        )?;
+        Ok(Self {
+            core,
+            listeners,
+            replica_stop,
+        })
+    }
+
+    /// Returns the shared state.
+    #[must_use]
+    pub fn core(&self) -> &ControlCore<LedgerLog, C> {
+        &self.core
+    }
+
+    /// Returns the listeners.
+    #[must_use]
+    pub fn listeners(&self) -> &ControlListeners {
+        &self.listeners
+    }
+
+    /// Serves until the stop is asked for, then hands leadership over and ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the replica stopped by itself or calls in flight had to be cut.
+    pub async fn serve(self) -> anyhow::Result<()> {
+        let replica = self.core.log.replica().clone();
+        let stop = self.core.stop.clone();
+        let faulty = replica.clone();
+        let watch = tokio::spawn(async move {
+            faulty.stopped().await;
+            stop.cancel();
+        });
+        let (replica_stop, stopping) = (self.replica_stop, replica.clone());
+        let hand_over = async move {
+            replica_stop.cancel();
+            stopping.stopped().await;
+        };
+        let served = self.core.serve(self.listeners, hand_over).await;
+        watch.abort();
+        match replica.status().fault {
+            Some(fault) => Err(fault).context("the replica stopped"),
+            None => served,
+        }
+    }
+}
+
+fn core_names(settings: &ControlSettings) -> CoreNames {
+    let mut group = settings.group.iter();
+    let own = group.find(|member| member.instance == settings.instance);
+    CoreNames {
+        own: settings.instance,
+        address: own.map_or(settings.listen, |member| member.address),
+        process: settings.process.clone(),
+        owners: settings.owners.clone(),
+    }
+}
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -18,9 +18,9 @@
 
 use crate::core::ControlCore;
 use crate::log::ControlLog;
-use crate::owners::assign_owners;
+use crate::owners::keep_owners;
 use crate::service::accept_links;
-use crate::sync::sync_peer;
+use crate::sync::sync_peers;
 
 /// Period in which ended leases and new versions are looked for, in milliseconds.
 const SWEEP_PERIOD_MS: u64 = 50;
@@ -66,21 +66,28 @@
 impl<L: ControlLog, C: Clock> ControlCore<L, C> {
     /// Serves until the stop is asked for, then lets calls in flight end.
     ///
+    /// `hand_over` runs when the nodes have moved, while the peers can still
+    /// be reached.
+    ///
     /// # Errors
     ///
     /// Fails when operators' calls in flight had to be cut.
-    pub async fn serve(self, listeners: ControlListeners) -> anyhow::Result<()> {
+    pub async fn serve(
+        self,
+        listeners: ControlListeners,
+        hand_over: impl Future<Output = ()>,
+    ) -> anyhow::Result<()> {
         let ControlListeners { quic, admin } = listeners;
         self.events.push(EventRecord::new("control-started"));
         info!(event = "control-started", instance = self.own);
         let links = tokio::spawn(accept_links(self.clone(), quic.clone()));
         let mut tasks = TaskSupervisor::new(self.clock.clone(), self.stop.clone());
-        for peer in self.mesh.peers() {
-            let core = self.clone();
-            tasks.spawn("sync", move || sync_peer(core.clone(), peer));
-        }
         let core = self.clone();
-        tasks.spawn("owners", move || assign_owners(core.clone()));
+        tasks.spawn("sync", move || sync_peers(core.clone()));
+        let core = self.clone();
+        tasks.spawn("owners", move || keep_owners(core.clone()));
+        let core = self.clone();
+        tasks.spawn("opening", move || open_bank(core.clone()));
         let core = self.clone();
         tasks.spawn("sweep", move || sweep(core.clone()));
         let core = self.clone();
@@ -92,6 +99,7 @@
         let admin = admin.serve(service, self.stop.clone(), drain);
         let (tasks, admin) = tokio::join!(tasks.join(), admin);
         self.say_farewell().await;
+        hand_over.await;
         quic.close();
         quic.wait_idle().await;
         links.abort();
@@ -132,16 +140,18 @@
             info!(event = "lease-ended", node = member.node, address = %member.address);
         }
         self.suspects.expire();
-        self.follow_config();
+        self.follow_log();
         self.metrics.nodes.set(gauge(self.hub.len() as u64));
     }
 
-    fn follow_config(&self) {
-        let declaration = self.log.config().declaration;
-        self.bank.refresh(&self.log.owners(), &declaration);
-        if self.force.applied(declaration.version) {
-            self.history.remember(&declaration);
-            let version = declaration.version;
+    fn follow_log(&self) {
+        self.log.read(|state| self.bank.refresh(state));
+        let version = self.log.read(|state| state.config().version());
+        let position = self.log.position();
+        self.metrics.applied.set(gauge(position.applied));
+        let leads = position.leader == Some(self.own);
+        self.metrics.leader.set(i64::from(leads));
+        if self.force.applied(version) {
             self.metrics.version.set(gauge(version));
             self.events
                 .push(EventRecord::new("config-applied").field("version", &version));
@@ -150,6 +160,19 @@
     }
 }
 
+/// Lets the bank own teams once the state is known to be current.
+async fn open_bank<L: ControlLog, C: Clock>(core: ControlCore<L, C>) -> anyhow::Result<()> {
+    let mut ticks = interval(Duration::from_millis(SWEEP_PERIOD_MS));
+    while !core.confirmed().await {
+        tokio::select! {
+            () = core.stop.cancelled() => return Ok(()),
+            _ = ticks.tick() => {}
+        }
+    }
+    core.log.read(|state| core.bank.open(state));
+    Ok(())
+}
+
 fn gauge(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,18 +1,13 @@
 //! The tarpc services, on top of the shared state.
 
-mod propose;
-
 use clock::Clock;
 use futures::StreamExt;
-use model::admin::ChangeSubmission;
-use model::change::ChangeStatus;
 use model::exchange::ExchangeReply;
 use model::exchange::ExchangeRequest;
 use model::ids::InstanceId;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
 use model::once::OnceSettle;
-use replica::ProposeError;
 use tarpc::context::Context;
 use tarpc::server::Channel;
 use tracing::debug;
@@ -70,12 +65,12 @@
 
     async fn claim(self, context: Context, claim: OnceClaim) -> Result<ClaimOutcome, ControlError> {
         self.core.metrics.once_calls.inc();
-        self.core.propose(claim, context.deadline).await
+        self.core.claim(claim, context.deadline).await
     }
 
     async fn settle(self, context: Context, settle: OnceSettle) -> Result<(), ControlError> {
         self.core.metrics.once_calls.inc();
-        self.core.propose(settle, context.deadline).await
+        self.core.settle(settle, context.deadline).await
     }
 }
 
@@ -108,32 +103,8 @@
         Ok(granted.collect())
     }
 
-    async fn propose_claim(
-        self,
-        _: Context,
-        claim: OnceClaim,
-    ) -> Result<ClaimOutcome, ForwardError> {
-        self.core.log.claim(claim).await.map_err(forward_error)
-    }
-
-    async fn propose_settle(self, _: Context, settle: OnceSettle) -> Result<(), ForwardError> {
-        self.core.log.settle(settle).await.map_err(forward_error)
-    }
-
-    async fn propose_change(
-        self,
-        _: Context,
-        submission: ChangeSubmission,
-    ) -> Result<ChangeStatus, ForwardError> {
-        let outcome = self.core.log.submit(submission).await;
-        outcome.map_err(forward_error)
-    }
-}
-
-fn forward_error(error: ProposeError) -> ForwardError {
-    match error {
-        ProposeError::NotLeader { leader } => ForwardError::NotLeader { leader },
-        ProposeError::Unknown => ForwardError::Unknown,
+    async fn propose(self, _: Context, command: Vec<u8>) -> Result<Vec<u8>, ForwardError> {
+        self.core.propose_forwarded(&command).await
     }
 }
 
--- a/crates/control/src/sync.rs
+++ b/crates/control/src/sync.rs
@@ -1,9 +1,11 @@
 //! Tells the other instances about the nodes that exchange with this one.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use clock::Clock;
 use model::ids::InstanceId;
+use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tracing::debug;
@@ -12,11 +14,10 @@
 use wire::service::HubBatch;
 
 use crate::core::ControlCore;
-use crate::force::LiveInstance;
 use crate::log::ControlLog;
 
 /// Period of the batches to each peer, in milliseconds.
-pub const SYNC_PERIOD_MS: u64 = 200;
+const SYNC_PERIOD_MS: u64 = 200;
 /// Time that a peer has to take a batch over, in milliseconds.
 const SYNC_TIMEOUT_MS: u64 = 500;
 
@@ -29,48 +30,60 @@
     crashes: u64,
 }
 
-/// Sends batches to one peer until the instance stops.
+/// Sends batches to the peers until the instance stops.
 ///
 /// # Errors
 ///
 /// Never fails; the result fits the supervisor.
-pub async fn sync_peer<L: ControlLog, C: Clock>(
-    core: ControlCore<L, C>,
-    peer: InstanceId,
-) -> anyhow::Result<()> {
-    let mut told = ToldState::default();
+pub async fn sync_peers<L: ControlLog, C: Clock>(core: ControlCore<L, C>) -> anyhow::Result<()> {
+    // A peer that is being told has no state here.
+    let mut told: BTreeMap<InstanceId, Option<ToldState>> = BTreeMap::new();
+    let mut tells = JoinSet::new();
     let mut ticks = interval(Duration::from_millis(SYNC_PERIOD_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             () = core.stop.cancelled() => return Ok(()),
-            _ = ticks.tick() => told = tell(&core, peer, told).await,
+            Some(ended) = tells.join_next() => {
+                let (peer, state) = ended?;
+                told.insert(peer, Some(state));
+            }
+            _ = ticks.tick() => {
+                for peer in core.mesh.peers() {
+                    let state = told.entry(peer).or_insert(Some(ToldState::default()));
+                    if let Some(state) = state.take() {
+                        tells.spawn(tell(core.clone(), peer, state));
+                    }
+                }
+            }
         }
     }
 }
 
 async fn tell<L: ControlLog, C: Clock>(
-    core: &ControlCore<L, C>,
+    core: ControlCore<L, C>,
     peer: InstanceId,
     told: ToldState,
-) -> ToldState {
+) -> (InstanceId, ToldState) {
     // Read before the nodes, as `HubBatch::version` promises.
-    let version = core.log.version();
-    let mut batch = core.hub.batch(told.hub.map(|(_, cursor)| cursor), version);
+    let version = core.log.read(|state| state.config().version());
+    let since = told.hub.map(|(_, cursor)| cursor);
+    let mut batch = core.hub.batch(core.names.address, since, version);
     let reports = core.suspects.since(told.crashes);
     batch.crashes = reports.reports;
     let cursor = batch.cursor;
-    let Some(ack) = send(core, peer, batch).await else {
-        return told;
+    let Some(ack) = send(&core, peer, batch).await else {
+        return (peer, told);
     };
     let same_feed = told.hub.is_none_or(|(feed, _)| feed == ack.feed);
-    if ack.understood && same_feed {
-        return ToldState {
-            hub: Some((ack.feed, cursor)),
-            crashes: reports.cursor,
-        };
+    if !ack.understood || !same_feed {
+        return (peer, ToldState::default());
     }
-    ToldState::default()
+    let told = ToldState {
+        hub: Some((ack.feed, cursor)),
+        crashes: reports.cursor,
+    };
+    (peer, told)
 }
 
 async fn send<L: ControlLog, C: Clock>(
@@ -100,14 +113,12 @@
     /// Takes over what a peer tells.
     #[must_use]
     pub fn absorb(&self, batch: &HubBatch) -> HubAck {
+        // An instance that joined the group is not in older settings.
+        self.mesh.add(batch.from, batch.address);
         let understood = self.hub.absorb(batch);
         self.suspects.absorb(&batch.crashes);
         if understood {
-            let peer = LiveInstance {
-                instance: batch.from,
-                incarnation: batch.feed,
-            };
-            self.force.heard(peer, batch.version);
+            self.force.heard(batch.from, batch.version);
         }
         HubAck {
             feed: self.hub.feed(),
--- a/crates/control/tests/control/admin.rs
+++ b/crates/control/tests/control/admin.rs
@@ -12,7 +12,6 @@
 use model::admin::StatusReport;
 use model::admin::TimelineReport;
 use model::change::ChangeStatus;
-use model::change::ProposedChange;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio_rustls::TlsConnector;
@@ -68,21 +67,24 @@
 async fn any_instance_takes_a_change_and_tells_of_it() {
     let log = FakeGroup::new(2);
     let group = TestGroup::start(&log, 2).await;
-    let submission = ChangeSubmission {
-        change: ProposedChange {
-            base: 0,
-            text: "text".to_owned(),
-        },
-        signatures: Vec::new(),
+    let change = log.change("");
+    let signatures = log.sign(&change);
+    let mut submission = ChangeSubmission {
+        change,
+        signatures: signatures[..1].to_vec(),
     };
-    let body = serde_json::to_vec(&submission).unwrap();
     let follower = &group.instances[0];
+    let body = serde_json::to_vec(&submission).unwrap();
     let taken: ChangeReport = submit(&group, follower, body).await.json();
     assert_eq!(taken.status, ChangeStatus::Pending);
+    submission.signatures = signatures[1..].to_vec();
+    let body = serde_json::to_vec(&submission).unwrap();
+    let taken: ChangeReport = submit(&group, follower, body).await.json();
+    assert_eq!(taken.status, ChangeStatus::Accepted(1));
     for instance in &group.instances {
         let path = format!("/changes/{}", taken.hash);
         let told: ChangeReport = get(&group, instance, &path).await.json();
-        assert_eq!(told, taken);
+        assert_eq!(told.status, taken.status);
     }
     let timeline: TimelineReport = get(&group, follower, "/timeline?since=0").await.json();
     let mut events = timeline.events.iter();
--- a/crates/control/tests/control/common.rs
+++ b/crates/control/tests/control/common.rs
@@ -69,15 +69,16 @@
                 mesh.add(peer, endpoints[index(peer)].local_addr().unwrap());
             }
             let log = group.log(own);
-            let core = core(own, log.clone(), mesh, SystemClock);
+            let address = quic.local_addr().unwrap();
+            let core = core(own, address, log.clone(), mesh, SystemClock);
             let address = ControlAddress {
                 instance: own,
-                address: quic.local_addr().unwrap(),
+                address,
             };
             let bound = ControlListeners::bind(quic, LOOPBACK, &identity).await;
             let listeners = bound.unwrap();
             let admin = listeners.admin.local_addr().unwrap();
-            let served = tokio::spawn(core.clone().serve(listeners));
+            let served = tokio::spawn(core.clone().serve(listeners, std::future::ready(())));
             instances.push(TestInstance {
                 core,
                 log,
@@ -114,13 +115,16 @@
 /// Puts together an instance without listeners.
 pub(crate) fn core<C: Clock>(
     own: InstanceId,
+    address: SocketAddr,
     log: FakeLog,
     mesh: PeerMesh,
     clock: C,
 ) -> ControlCore<FakeLog, C> {
     let names = CoreNames {
         own,
+        address,
         process: format!("control-{own}"),
+        owners: log.owner_keys(),
     };
     ControlCore::new(names, log, mesh, clock, CancellationToken::new()).unwrap()
 }
@@ -129,7 +133,7 @@
 pub(crate) fn lone_core<C: Clock>(log: FakeLog, clock: C) -> ControlCore<FakeLog, C> {
     let identity = TestAuthority::new().identity(PeerRole::Control);
     let mesh = PeerMesh::new(1, control_endpoint(&identity));
-    core(1, log, mesh, clock)
+    core(1, LOOPBACK, log, mesh, clock)
 }
 
 /// Returns a ready backend server of a service.
--- a/crates/control/tests/control/common/fake_log.rs
+++ b/crates/control/tests/control/common/fake_log.rs
@@ -1,6 +1,5 @@
 //! A log that several instances share in memory.
 
-use std::collections::BTreeMap;
 use std::future::pending;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -8,37 +7,33 @@
 use std::sync::atomic::Ordering;
 
 use control::log::ControlLog;
-use control::log::DeclaredConfig;
 use control::log::LogPosition;
-use control::log::TeamOwner;
-use model::admin::ChangeSubmission;
+use ed25519_dalek::SigningKey;
+use ledger::LedgerCommand;
+use ledger::LedgerOutcome;
+use ledger::LedgerState;
 use model::change::ChangeStatus;
-use model::declaration::Declaration;
-use model::declaration::TeamSpec;
-use model::ids::ChangeHash;
+use model::change::OwnerSignature;
+use model::change::ProposedChange;
+use model::hex;
 use model::ids::ConfigVersion;
 use model::ids::InstanceId;
 use model::ids::LogIndex;
-use model::ids::TeamName;
-use model::once::ClaimOutcome;
-use model::once::OnceClaim;
-use model::once::OnceSettle;
+use model::ids::OwnerKey;
 use replica::ConfirmError;
 use replica::ProposeError;
 
 #[derive(Debug, Default)]
 struct SharedState {
     leader: Option<InstanceId>,
-    config: DeclaredConfig,
-    owners: BTreeMap<TeamName, TeamOwner>,
-    claims: Vec<OnceClaim>,
-    changes: Vec<ChangeHash>,
+    ledger: LedgerState,
 }
 
-/// The shared state of all instances.
-#[derive(Clone, Debug, Default)]
+/// The shared state of all instances, with the keys of both owners.
+#[derive(Clone, Debug)]
 pub(crate) struct FakeGroup {
     state: Arc<Mutex<SharedState>>,
+    owners: [SigningKey; 2],
 }
 
 /// The log as one instance sees it.
@@ -52,8 +47,13 @@
 impl FakeGroup {
     /// Creates a group that `leader` leads.
     pub(crate) fn new(leader: InstanceId) -> Self {
-        let group = Self::default();
+        let group = Self {
+            state: Arc::default(),
+            owners: [1, 2].map(|seed| SigningKey::from_bytes(&[seed; 32])),
+        };
         group.elect(Some(leader));
+        let owners = group.owner_keys();
+        group.execute(LedgerCommand::Genesis { owners });
         group
     }
 
@@ -69,19 +69,49 @@
         }
     }
 
-    /// Commits a declaration with these teams under the next version.
-    pub(crate) fn declare(&self, teams: &[TeamSpec]) -> ConfigVersion {
-        let mut state = self.state.lock().unwrap();
-        let version = state.config.declaration.version + 1;
-        state.config = DeclaredConfig {
-            declaration: Arc::new(Declaration {
-                version,
-                teams: teams.to_vec(),
-                ..Declaration::default()
-            }),
-            text: Arc::from("text"),
-        };
-        version
+    /// Returns a change to the owners with these items, on top of the version in force.
+    pub(crate) fn change(&self, items: &str) -> ProposedChange {
+        let owners = self.owner_keys();
+        let owners: Vec<_> = owners.iter().map(|key| hex::encode(key)).collect();
+        let owners = owners.join("\", \"");
+        ProposedChange {
+            base: self.read(|ledger| ledger.config().version()),
+            text: format!("owners = [\"{owners}\"]\n{items}"),
+        }
+    }
+
+    /// Signs a change as both owners.
+    pub(crate) fn sign(&self, change: &ProposedChange) -> Vec<OwnerSignature> {
+        let hash = change.hash();
+        let signed = self
+            .owners
+            .iter()
+            .map(|key| OwnerSignature::sign(key, &hash));
+        signed.collect()
+    }
+
+    /// Commits a declaration with these items under the next version.
+    pub(crate) fn declare(&self, items: &str) -> ConfigVersion {
+        let change = self.change(items);
+        let signatures = self.sign(&change);
+        let outcome = self.execute(LedgerCommand::Submit { change, signatures });
+        match outcome {
+            LedgerOutcome::Change(ChangeStatus::Accepted(version)) => version,
+            other => panic!("not accepted: {other:?}"),
+        }
+    }
+
+    fn owner_keys(&self) -> Vec<OwnerKey> {
+        let keys = self.owners.iter();
+        keys.map(|key| key.verifying_key().to_bytes()).collect()
+    }
+
+    fn execute(&self, command: LedgerCommand) -> LedgerOutcome {
+        self.state.lock().unwrap().ledger.execute(command)
+    }
+
+    fn read<R>(&self, reader: impl FnOnce(&LedgerState) -> R) -> R {
+        reader(&self.state.lock().unwrap().ledger)
     }
 }
 
@@ -91,102 +121,40 @@
         self.cut.store(cut, Ordering::SeqCst);
     }
 
-    fn is_cut(&self) -> bool {
-        self.cut.load(Ordering::SeqCst)
+    pub(crate) fn owner_keys(&self) -> Vec<OwnerKey> {
+        self.group.owner_keys()
     }
 
-    async fn lead<R>(&self, commit: impl FnOnce(&mut SharedState) -> R) -> Result<R, ProposeError> {
-        if self.is_cut() {
+    async fn reach_others(&self) {
+        if self.cut.load(Ordering::SeqCst) {
             pending::<()>().await;
         }
-        let mut state = self.group.state.lock().unwrap();
-        if state.leader != Some(self.own) {
-            let leader = state.leader;
-            return Err(ProposeError::NotLeader { leader });
-        }
-        Ok(commit(&mut state))
-    }
-
-    fn read<R>(&self, read: impl FnOnce(&SharedState) -> R) -> R {
-        read(&self.group.state.lock().unwrap())
     }
 }
 
 impl ControlLog for FakeLog {
     async fn confirm(&self) -> Result<LogIndex, ConfirmError> {
-        if self.is_cut() {
-            pending::<()>().await;
-        }
-        let leader = self.read(|state| state.leader);
+        self.reach_others().await;
+        let leader = self.position().leader;
         leader.map(|_| 1).ok_or(ConfirmError)
     }
 
-    async fn claim(&self, claim: OnceClaim) -> Result<ClaimOutcome, ProposeError> {
-        self.lead(|state| {
-            let held = state.claims.iter().find(|held| held.key == claim.key);
-            let held = held.map(|held| held.attempt);
-            match held {
-                Some(attempt) if attempt == claim.attempt => ClaimOutcome::Fresh,
-                Some(_) => ClaimOutcome::Pending,
-                None => {
-                    state.claims.push(claim);
-                    ClaimOutcome::Fresh
-                }
-            }
-        })
-        .await
-    }
-
-    async fn settle(&self, settle: OnceSettle) -> Result<(), ProposeError> {
-        self.lead(|state| state.claims.retain(|held| held.key != settle.key))
-            .await
-    }
-
-    async fn submit(&self, submission: ChangeSubmission) -> Result<ChangeStatus, ProposeError> {
-        self.lead(|state| {
-            state.changes.push(submission.change.hash());
-            ChangeStatus::Pending
-        })
-        .await
-    }
-
-    async fn assign(&self, owners: Vec<TeamOwner>) -> Result<(), ProposeError> {
-        self.lead(|state| {
-            for owner in owners {
-                state.owners.insert(owner.team.clone(), owner);
-            }
-        })
-        .await
-    }
-
-    fn version(&self) -> ConfigVersion {
-        self.read(|state| state.config.declaration.version)
-    }
-
-    fn config(&self) -> DeclaredConfig {
-        self.read(|state| state.config.clone())
-    }
-
-    fn change_status(&self, hash: &ChangeHash) -> ChangeStatus {
-        let known = self.read(|state| state.changes.contains(hash));
-        if known {
-            ChangeStatus::Pending
-        } else {
-            ChangeStatus::Unknown
+    async fn propose(&self, command: &LedgerCommand) -> Result<LedgerOutcome, ProposeError> {
+        self.reach_others().await;
+        let leader = self.position().leader;
+        if leader != Some(self.own) {
+            return Err(ProposeError::NotLeader { leader });
         }
+        Ok(self.group.execute(command.clone()))
     }
 
-    fn owner(&self, team: &TeamName) -> Option<TeamOwner> {
-        self.read(|state| state.owners.get(team).cloned())
-    }
-
-    fn owners(&self) -> Vec<TeamOwner> {
-        self.read(|state| state.owners.values().cloned().collect())
+    fn read<R>(&self, reader: impl FnOnce(&LedgerState) -> R) -> R {
+        self.group.read(reader)
     }
 
     fn position(&self) -> LogPosition {
         LogPosition {
-            leader: self.read(|state| state.leader),
+            leader: self.group.state.lock().unwrap().leader,
             ..LogPosition::default()
         }
     }
--- a/crates/control/tests/control/exchange.rs
+++ b/crates/control/tests/control/exchange.rs
@@ -17,9 +17,8 @@
 #[tokio::test]
 async fn a_lease_names_the_version_and_brings_it() {
     let group = FakeGroup::new(1);
-    group.declare(&[]);
+    group.declare("");
     let core = lone_core(group.log(1), SystemClock);
-    core.sweep();
     let reply = core.exchange(request(1, "orders", &[])).await.unwrap();
     let lease = reply.lease.unwrap();
     assert_eq!(lease.version, 1);
@@ -31,7 +30,7 @@
     let reply = core.exchange(known.clone()).await.unwrap();
     assert_eq!(reply.config, ConfigUpdate::Current);
 
-    group.declare(&[]);
+    group.declare("");
     let reply = core.exchange(known).await.unwrap();
     assert_eq!(reply.lease.unwrap().version, 2);
     let ConfigUpdate::Delta(delta) = reply.config else {
@@ -43,7 +42,7 @@
 #[tokio::test(start_paused = true)]
 async fn no_quorum_means_no_lease_and_nothing_else_of_value() {
     let group = FakeGroup::new(1);
-    group.declare(&[]);
+    group.declare("");
     let log = group.log(1);
     let core = lone_core(log.clone(), VirtualClock::new());
     log.cut(true);
--- a/crates/control/tests/control/force.rs
+++ b/crates/control/tests/control/force.rs
@@ -4,16 +4,12 @@
 
 use clock::VirtualClock;
 use control::force::ForceTracker;
-use control::force::LiveInstance;
 use control::hub::MembershipHub;
 
 use crate::common::member;
 
 const LEASE: Duration = Duration::from_millis(2_450);
-const PEER: LiveInstance = LiveInstance {
-    instance: 2,
-    incarnation: 5,
-};
+const PEER: u64 = 2;
 
 #[test]
 fn a_version_is_in_force_once_every_lease_names_it() {
--- a/crates/control/tests/control/group.rs
+++ b/crates/control/tests/control/group.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use control::log::ControlLog;
-use model::declaration::TeamSpec;
 use model::exchange::ExchangeReply;
 use model::exchange::ExchangeRequest;
 use model::exchange::ServerState;
@@ -12,6 +11,7 @@
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
 use model::once::OnceKey;
+use uuid::Uuid;
 use wire::client::ControlClient;
 use wire::quic::LinkTiming;
 use wire::quic::QuicEndpoint;
@@ -102,7 +102,7 @@
         key: OnceKey {
             team: "team".into(),
             route: "route".into(),
-            key: "01890a5d-ac96-774b-bcce-b302099a8057".parse().unwrap(),
+            key: Uuid::now_v7(),
         },
         body: [0; 32],
         node: 1,
@@ -120,24 +120,30 @@
 #[tokio::test]
 async fn tokens_come_from_the_owner_through_any_instance() {
     let group = FakeGroup::new(1);
-    let teams: Vec<_> = ["a", "b"]
-        .map(|name| TeamSpec {
-            name: name.into(),
-            rate_milli: 1,
-            burst_milli: 10_000,
-        })
-        .into();
-    group.declare(&teams);
+    group.declare(
+        r#"
+        [[team]]
+        name = "a"
+        rate = 0.001
+        burst = 10
+        [[team]]
+        name = "b"
+        rate = 0.001
+        burst = 10
+        "#,
+    );
     let running = TestGroup::start(&group, 2).await;
-    let owners = || running.instances[0].core.log.owners();
+    let log = &running.instances[0].log;
+    let owners = || log.read(|state| state.owners().iter().cloned().collect::<Vec<_>>());
     until(|| owners().len() == 2).await;
+    assert_ne!(owners()[0].instance, owners()[1].instance);
     let client = running.client(0);
     let mut sequence = 0;
-    for team in &teams {
+    for team in ["a", "b"] {
         let mut asked = request(1, "orders", &[]);
         let grant = loop {
             sequence += 1;
-            asked.demands = vec![demand(&team.name, sequence)];
+            asked.demands = vec![demand(team, sequence)];
             let reply = leased(&client, &asked).await;
             if let Some(grant) = granted(&reply) {
                 break grant;
--- a/crates/control/tests/control/hub.rs
+++ b/crates/control/tests/control/hub.rs
@@ -9,6 +9,7 @@
 use model::ids::NodeId;
 use model::ids::ServiceName;
 
+use crate::common::LOOPBACK;
 use crate::common::member;
 
 const LEASE: Duration = Duration::from_millis(2_400);
@@ -125,7 +126,7 @@
     );
     one.renew(&member(1, "orders"), 5, LEASE);
     one.renew(&member(2, "orders"), 5, LEASE);
-    let first = one.batch(None, 5);
+    let first = one.batch(LOOPBACK, None, 5);
     assert!(first.full);
     assert!(two.absorb(&first));
     assert_eq!(two.leases().len(), 2);
@@ -133,7 +134,7 @@
     clock.advance(LEASE / 2);
     one.renew(&member(1, "orders"), 6, LEASE);
     one.leave(2);
-    let second = one.batch(Some(first.cursor), 6);
+    let second = one.batch(LOOPBACK, Some(first.cursor), 6);
     assert!(second.changed.is_empty());
     assert_eq!(second.renewed.len(), 1);
     assert_eq!(second.left, [2]);
@@ -144,8 +145,8 @@
 
     // A renewal of a node that is unknown there asks for all of them.
     let restarted = MembershipHub::new(2, 23, clock.clone());
-    assert!(!restarted.absorb(&one.batch(Some(second.cursor), 6)));
-    assert!(restarted.absorb(&one.batch(None, 6)));
+    assert!(!restarted.absorb(&one.batch(LOOPBACK, Some(second.cursor), 6)));
+    assert!(restarted.absorb(&one.batch(LOOPBACK, None, 6)));
     assert_eq!(restarted.leases().len(), 1);
 }
 
@@ -157,14 +158,18 @@
         MembershipHub::new(2, 22, clock.clone()),
     );
     one.renew(&member(1, "orders"), 5, LEASE);
-    let mut stale = one.batch(None, 5);
+    let mut stale = one.batch(LOOPBACK, None, 5);
     clock.advance(LEASE / 4);
     let mut draining = member(1, "orders");
     draining.state = ServerState::Draining;
     two.renew(&draining, 5, LEASE);
-    assert!(one.absorb(&two.batch(None, 5)));
+    assert!(one.absorb(&two.batch(LOOPBACK, None, 5)));
     assert_eq!(one.served_here(), 0);
-    assert!(one.batch(Some(stale.cursor), 5).renewed.is_empty());
+    assert!(
+        one.batch(LOOPBACK, Some(stale.cursor), 5)
+            .renewed
+            .is_empty()
+    );
     // Arrives late, and its lease ends before the one known.
     clock.advance(Duration::from_millis(1));
     stale.changed[0].lease.time_left = LEASE / 2;
--- a/crates/control/tests/control/owners.rs
+++ b/crates/control/tests/control/owners.rs
@@ -1,63 +1,175 @@
 //! Which instance owns which team's tokens.
 
-use control::force::LiveInstance;
-use control::log::TeamOwner;
+use std::time::Duration;
+
+use clock::SystemClock;
+use clock::VirtualClock;
+use control::log::ControlLog;
 use control::owners::plan_owners;
-use model::declaration::Declaration;
-use model::declaration::TeamSpec;
+use control::tokens::TokenBank;
+use ledger::LedgerCommand;
+use ledger::TeamAssignment;
+use model::exchange::TokenDemand;
+
+use crate::common::fake_log::FakeGroup;
+use crate::common::fake_log::FakeLog;
+use crate::common::lone_core;
+
+const LEASE: Duration = Duration::from_millis(2_450);
+const TEAMS: &str = r#"
+    [[team]]
+    name = "a"
+    rate = 0.001
+    burst = 10
+    [[team]]
+    name = "b"
+    rate = 0.001
+    burst = 10
+"#;
 
-fn live(instance: u64) -> LiveInstance {
-    LiveInstance {
+async fn assign(log: &FakeLog, assignments: Vec<TeamAssignment>) {
+    let command = LedgerCommand::AssignOwners { assignments };
+    log.propose(&command).await.unwrap();
+}
+
+fn assignment(instance: u64, replaces: u64) -> TeamAssignment {
+    TeamAssignment {
+        team: "a".into(),
         instance,
-        incarnation: 10 * instance,
+        replaces,
     }
 }
 
-fn declaration(teams: &[&str]) -> Declaration {
-    let teams = teams.iter().map(|team| TeamSpec {
-        name: (*team).into(),
-        rate_milli: 1_000,
-        burst_milli: 1_000,
-    });
-    Declaration {
-        teams: teams.collect(),
-        ..Declaration::default()
+fn demand(sequence: u64) -> TokenDemand {
+    TokenDemand {
+        team: "a".into(),
+        sequence,
+        term: 0,
+        want_milli: 4_000,
+        urgent_milli: 4_000,
+        held_milli: 0,
+        returned_milli: 0,
+        spent_milli: 0,
     }
 }
 
-#[test]
-fn teams_spread_over_the_live_instances_and_stay_there() {
-    let declaration = declaration(&["a", "b", "c", "d"]);
-    let group = [live(1), live(2)];
-    let planned = plan_owners(&declaration, &[], &group, false);
-    let first = planned.iter().filter(|owner| owner.instance == 1).count();
-    assert_eq!((planned.len(), first), (4, 2));
-    assert!(planned.iter().all(|owner| owner.first && owner.term == 1));
-    assert!(plan_owners(&declaration, &planned, &group, true).is_empty());
+fn granted(bank: &TokenBank<VirtualClock>, log: &FakeLog, sequence: u64) -> Option<u64> {
+    let grants = bank.grant(log, 1, &[demand(sequence)]);
+    grants.first().map(|grant| grant.granted_milli)
 }
 
-#[test]
-fn a_lost_or_restarted_owner_is_replaced_under_a_higher_term() {
-    let declaration = declaration(&["a"]);
-    let owner = TeamOwner {
-        team: "a".into(),
-        instance: 2,
-        incarnation: 20,
-        term: 3,
-        first: true,
+fn refreshed(bank: &TokenBank<VirtualClock>, log: &FakeLog) {
+    log.read(|state| bank.refresh(state));
+}
+
+#[tokio::test]
+async fn teams_spread_over_the_live_instances_and_stay_there() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    let planned = |live: &[u64], settled| {
+        log.read(|state| {
+            let declaration = state.config().declaration();
+            plan_owners(declaration, state.owners(), live, settled)
+        })
     };
-    let owners = [owner];
-    // A new leader has not heard of the owner yet, and waits.
-    assert!(plan_owners(&declaration, &owners, &[live(1)], false).is_empty());
-    let lost = plan_owners(&declaration, &owners, &[live(1)], true);
-    assert_eq!((lost[0].instance, lost[0].term), (1, 4));
-    assert!(!lost[0].first);
-
-    let restarted = LiveInstance {
-        instance: 2,
-        incarnation: 21,
+    let first = planned(&[1, 2], false);
+    assert_eq!(first.len(), 2);
+    assert_ne!(first[0].instance, first[1].instance);
+    assign(&log, first).await;
+    assert!(planned(&[1, 2], true).is_empty());
+    // A new leader has not heard of the others yet, and waits.
+    assert!(planned(&[1], false).is_empty());
+    let moved = planned(&[1], true);
+    assert_eq!(moved.len(), 1);
+    assert_eq!(moved[0].instance, 1);
+    assert_ne!(moved[0].replaces, 0);
+}
+
+#[tokio::test]
+async fn the_first_owner_of_a_team_has_the_whole_burst_at_once() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    let bank = TokenBank::new(1, LEASE, VirtualClock::new());
+    log.read(|state| bank.open(state));
+    assign(&log, vec![assignment(1, 0)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 1), Some(4_000));
+}
+
+#[tokio::test]
+async fn a_later_owner_waits_until_earlier_tokens_have_died() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    let clock = VirtualClock::new();
+    let bank = TokenBank::new(1, LEASE, clock.clone());
+    log.read(|state| bank.open(state));
+    assign(&log, vec![assignment(2, 0)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 1), None);
+    assign(&log, vec![assignment(1, 1)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 2), Some(0));
+    clock.advance(LEASE);
+    // The rate of 0.001/s gives nothing within a lease: the burst counts as spent.
+    assert_eq!(granted(&bank, &log, 3), Some(0));
+    // Owned by another instance again: what is kept here grants nothing.
+    assign(&log, vec![assignment(2, 2)]).await;
+    assert_eq!(granted(&bank, &log, 4), None);
+}
+
+#[tokio::test]
+async fn a_team_that_was_declared_before_counts_as_spent() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    let bank = TokenBank::new(1, LEASE, VirtualClock::new());
+    log.read(|state| bank.open(state));
+    assign(&log, vec![assignment(1, 0)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 1), Some(4_000));
+    group.declare("");
+    group.declare(TEAMS);
+    assign(&log, vec![assignment(1, 0)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 2), Some(0));
+}
+
+#[tokio::test]
+async fn a_restarted_owner_takes_its_teams_again() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    assign(&log, vec![assignment(1, 0)]).await;
+    let bank = TokenBank::new(1, LEASE, VirtualClock::new());
+    assert!(log.read(|state| bank.stale_teams(state)).is_empty());
+    log.read(|state| bank.open(state));
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 1), None);
+    let again = log.read(|state| bank.stale_teams(state));
+    assert_eq!(again, [assignment(1, 1)]);
+    assign(&log, again).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 2), Some(0));
+    assert!(log.read(|state| bank.stale_teams(state)).is_empty());
+}
+
+#[tokio::test]
+async fn a_command_is_committed_once_a_leader_is_found() {
+    let group = FakeGroup::new(2);
+    group.declare(TEAMS);
+    let core = lone_core(group.log(1), SystemClock);
+    group.elect(None);
+    let command = LedgerCommand::AssignOwners {
+        assignments: vec![assignment(1, 0)],
     };
-    let again = plan_owners(&declaration, &owners, &[restarted], false);
-    assert_eq!((again[0].incarnation, again[0].term), (21, 4));
-    assert!(!again[0].first);
+    let deadline = std::time::Instant::now() + Duration::from_secs(30);
+    let (outcome, ()) = tokio::join!(core.propose(&command, deadline), async {
+        tokio::task::yield_now().await;
+        group.elect(Some(1));
+    });
+    outcome.unwrap();
+    assert_eq!(core.log.read(|state| state.owners().iter().count()), 1);
 }
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -70,6 +70,9 @@
     },
 }
 
+/// Version of encoded outcomes.
+const OUTCOME_VERSION: u8 = 1;
+
 /// What an entry answers to its proposer.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum LedgerOutcome {
@@ -104,3 +107,23 @@
         codec::decode(COMMAND_VERSION, entry)
     }
 }
+
+impl LedgerOutcome {
+    /// Encodes the outcome, for the instance that forwarded the command.
+    ///
+    /// # Errors
+    ///
+    /// Fails only when the codec has no encoding for a value.
+    pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+        codec::encode(OUTCOME_VERSION, self)
+    }
+
+    /// Decodes an outcome.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no outcome of the version that this process reads.
+    pub fn decode(outcome: &[u8]) -> Result<Self, CodecError> {
+        codec::decode(OUTCOME_VERSION, outcome)
+    }
+}
--- a/crates/ledger/src/owners.rs
+++ b/crates/ledger/src/owners.rs
@@ -1,6 +1,7 @@
 //! Which control instance issues the tokens of a team.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use model::ids::InstanceId;
 use model::ids::TeamName;
@@ -38,6 +39,8 @@
 pub struct OwnerTable {
     last_epoch: u64,
     owners: BTreeMap<TeamName, TeamOwner>,
+    /// Teams that had an owner before the present one, or have none any more.
+    succeeded: BTreeSet<TeamName>,
 }
 
 impl OwnerTable {
@@ -47,6 +50,12 @@
         self.owners.get(team)
     }
 
+    /// Returns whether the team never had another owner, so that no tokens can be out.
+    #[must_use]
+    pub fn is_first(&self, team: &str) -> bool {
+        !self.succeeded.contains(team)
+    }
+
     /// Returns the owners of all teams, ordered by team.
     pub fn iter(&self) -> impl Iterator<Item = &TeamOwner> {
         self.owners.values()
@@ -58,6 +67,9 @@
         if epoch != assignment.replaces {
             return;
         }
+        if epoch > 0 {
+            self.succeeded.insert(assignment.team.clone());
+        }
         self.last_epoch += 1;
         let owner = TeamOwner {
             team: assignment.team.clone(),
@@ -69,6 +81,7 @@
 
     /// Drops the owners of teams that are not declared any more.
     pub(crate) fn retain(&mut self, declared: impl Fn(&str) -> bool) {
-        self.owners.retain(|team, _| declared(team));
+        let gone = self.owners.extract_if(.., |team, _| !declared(team));
+        self.succeeded.extend(gone.map(|(team, _)| team));
     }
 }
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -4,8 +4,6 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use model::admin::ChangeSubmission;
-use model::change::ChangeStatus;
 use model::exchange::ExchangeReply;
 use model::exchange::ExchangeRequest;
 use model::ids::InstanceId;
@@ -80,12 +78,8 @@
     /// Asks the owner of teams for tokens, on behalf of nodes.
     async fn grant(demands: Vec<NodeDemands>) -> Result<Vec<NodeGrants>, ControlError>;
 
-    /// Proposes a claim; only the leader commits it.
-    async fn propose_claim(claim: OnceClaim) -> Result<ClaimOutcome, ForwardError>;
-
-    /// Proposes the end of an attempt; only the leader commits it.
-    async fn propose_settle(settle: OnceSettle) -> Result<(), ForwardError>;
-
-    /// Proposes a change; only the leader commits it.
-    async fn propose_change(submission: ChangeSubmission) -> Result<ChangeStatus, ForwardError>;
+    /// Proposes an encoded command of the ledger; only the leader commits it.
+    ///
+    /// Returns the encoded outcome.
+    async fn propose(command: Vec<u8>) -> Result<Vec<u8>, ForwardError>;
 }
--- a/crates/wire/src/service/message.rs
+++ b/crates/wire/src/service/message.rs
@@ -1,5 +1,6 @@
 //! Messages between the control instances.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use model::exchange::CrashReport;
@@ -37,6 +38,8 @@
 pub struct HubBatch {
     /// The instance that tells.
     pub from: InstanceId,
+    /// Where the other instances reach it.
+    pub address: SocketAddr,
     /// Its feed, new with every start.
     pub feed: u64,
     /// Position in its feed up to which this batch tells.
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -10,8 +10,6 @@
 
 use authority::TestAuthority;
 use futures::StreamExt;
-use model::admin::ChangeSubmission;
-use model::change::ChangeStatus;
 use model::exchange::ExchangeReply;
 use model::exchange::ExchangeRequest;
 use model::ids::InstanceId;
@@ -101,20 +99,8 @@
         Err(ControlError::NoQuorum)
     }
 
-    async fn propose_claim(self, _: Context, _: OnceClaim) -> Result<ClaimOutcome, ForwardError> {
-        Err(ForwardError::Unknown)
-    }
-
-    async fn propose_settle(self, _: Context, _: OnceSettle) -> Result<(), ForwardError> {
-        Err(ForwardError::Unknown)
-    }
-
-    async fn propose_change(
-        self,
-        _: Context,
-        _: ChangeSubmission,
-    ) -> Result<ChangeStatus, ForwardError> {
-        Err(ForwardError::Unknown)
+    async fn propose(self, _: Context, command: Vec<u8>) -> Result<Vec<u8>, ForwardError> {
+        Ok(command)
     }
 }
 
