--- a/crates/bench/src/bin/try.rs
+++ b/crates/bench/src/bin/try.rs
@@ -6,7 +6,6 @@
 use std::process::ExitCode;
 
 use anyhow::Context;
-use bench::group::ProcessGroup;
 use bench::journal;
 use bench::load;
 use bench::load::CallRecord;
--- a/crates/bench/src/group.rs
+++ b/crates/bench/src/group.rs
@@ -1,5 +1,6 @@
 //! Groups of real processes on loopback: control instances, nodes and stand-ins.
 
+mod admin;
 mod files;
 mod plan;
 mod ports;
@@ -13,6 +14,7 @@
 
 use anyhow::Context;
 
+pub use admin::AdminClient;
 pub use files::GroupFiles;
 pub use plan::ControlPlan;
 pub use plan::GroupPlan;
@@ -21,7 +23,9 @@
 pub use ports::PortPool;
 pub use process::ManagedProcess;
 pub use tool::OperatorTool;
+pub use tool::TeamKey;
 pub use tool::ToolOutput;
+pub use tool::make_team_key;
 
 /// A group of processes; dropping it kills what still runs.
 pub struct ProcessGroup {
@@ -119,6 +123,12 @@
         self.plan.nodes.iter().map(|node| node.callers).collect()
     }
 
+    /// Returns a client of the admin listeners.
+    #[must_use]
+    pub fn admin(&self) -> AdminClient {
+        AdminClient::new(self.files.operator())
+    }
+
     /// Returns a tool that speaks to the first control instance.
     #[must_use]
     pub fn tool(&self) -> OperatorTool {
--- a/crates/bench/src/group/files.rs
+++ b/crates/bench/src/group/files.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 
 use anyhow::Context;
+use settings::TlsFiles;
 
 use crate::group::ControlPlan;
 use crate::group::GroupPlan;
@@ -14,9 +15,9 @@
 use crate::group::tool;
 
 /// Names of the two owners.
-pub const OWNERS: [&str; 2] = ["owner-a", "owner-b"];
+pub(crate) const OWNERS: [&str; 2] = ["owner-a", "owner-b"];
 /// Name of the operator's certificate.
-pub const OPERATOR: &str = "operator";
+pub(crate) const OPERATOR: &str = "operator";
 
 /// Where the files of a group are.
 #[derive(Clone, Debug)]
@@ -85,6 +86,22 @@
         self.folder.join(format!("{owner}.key"))
     }
 
+    /// Returns the private key files of both owners.
+    #[must_use]
+    pub fn owner_keys(&self) -> [PathBuf; 2] {
+        OWNERS.map(|owner| self.owner_key(owner))
+    }
+
+    /// Returns the TLS files of the operator.
+    #[must_use]
+    pub fn operator(&self) -> TlsFiles {
+        TlsFiles {
+            authority: self.authority(),
+            certificate: self.tls().join(format!("{OPERATOR}.pem")),
+            key: self.tls().join(format!("{OPERATOR}.key")),
+        }
+    }
+
     /// Returns the settings file of a process.
     #[must_use]
     pub fn settings(&self, name: &str) -> PathBuf {
--- a/crates/bench/src/group/tool.rs
+++ b/crates/bench/src/group/tool.rs
@@ -8,6 +8,7 @@
 
 use anyhow::Context;
 use anyhow::bail;
+use serde::Deserialize;
 
 use crate::group::GroupFiles;
 use crate::group::files::OPERATOR;
@@ -15,6 +16,8 @@
 
 /// Name of the tool's program.
 const TOOL: &str = "ragwortplank";
+/// Exit status of a proposal that waits for the other owner.
+const PENDING_STATUS: i32 = 4;
 
 /// What the tool printed, and how it ended.
 #[derive(Clone, Debug)]
@@ -87,3 +90,130 @@
         output(command)
     }
 }
+
+impl OperatorTool {
+    /// Proposes a declaration as the first owner and signs it as the second.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the change is not in force everywhere in time.
+    pub fn apply(&self, file: &Path, keys: &[PathBuf; 2]) -> anyhow::Result<()> {
+        let file = file.display().to_string();
+        let [first, second] = keys.each_ref().map(|key| key.display().to_string());
+        let pending = self.control(&["propose", &file, "--key", &first])?;
+        if pending.status != PENDING_STATUS {
+            pending.success()?;
+            bail!("one signature was enough");
+        }
+        self.control(&["propose", &file, "--key", &second, "--wait", "20"])?
+            .success()?;
+        Ok(())
+    }
+
+    /// Returns how a person calls the tool with the same certificate.
+    #[must_use]
+    pub fn describe(&self) -> String {
+        let controls: Vec<_> = self.controls.iter().map(ToString::to_string).collect();
+        let file = |name: String| self.tls.join(name).display().to_string();
+        format!(
+            "export RAGWORTPLANK_TLS_AUTHORITY={}\nexport RAGWORTPLANK_TLS_CERTIFICATE={}\n\
+             export RAGWORTPLANK_TLS_KEY={}\nragwortplank status {}",
+            file("authority.pem".to_owned()),
+            file(format!("{OPERATOR}.pem")),
+            file(format!("{OPERATOR}.key")),
+            controls.join(" ")
+        )
+    }
+}
+
+/// A key with its digest.
+#[derive(Clone, Debug)]
+pub struct TeamKey {
+    /// What a caller shows.
+    pub key: String,
+    /// What the declaration holds, in hexadecimal.
+    pub digest: String,
+}
+
+/// What `keygen owner` prints.
+#[derive(Deserialize)]
+struct OwnerOutput {
+    public: String,
+}
+
+/// What `keygen team-key` prints.
+#[derive(Deserialize)]
+struct TeamKeyOutput {
+    key: String,
+    digest: String,
+}
+
+/// Makes an owner's key file and returns the public key in hexadecimal.
+pub(crate) fn make_owner(file: &Path) -> anyhow::Result<String> {
+    let file = file.display().to_string();
+    let text = plain(&["keygen", "owner", "--out", &file])?;
+    let made: OwnerOutput = serde_json::from_str(&text).context("reading the tool's output")?;
+    Ok(made.public)
+}
+
+/// Makes a key for a team.
+///
+/// # Errors
+///
+/// Fails when the tool fails.
+pub fn make_team_key() -> anyhow::Result<TeamKey> {
+    let text = plain(&["keygen", "team-key"])?;
+    let made: TeamKeyOutput = serde_json::from_str(&text).context("reading the tool's output")?;
+    Ok(TeamKey {
+        key: made.key,
+        digest: made.digest,
+    })
+}
+
+/// Makes the authority of a group.
+pub(crate) fn make_authority(folder: &Path) -> anyhow::Result<()> {
+    let folder = folder.display().to_string();
+    plain(&["cert", "authority", "--out", &folder]).map(drop)
+}
+
+/// Issues the certificate of a process.
+pub(crate) fn issue(folder: &Path, name: &str, role: &str, ip: IpAddr) -> anyhow::Result<()> {
+    let folder = folder.display().to_string();
+    let ip = ip.to_string();
+    let arguments = [
+        "cert",
+        "issue",
+        "--authority",
+        &folder,
+        "--out",
+        &folder,
+        "--name",
+        name,
+        "--role",
+        role,
+        "--ip",
+        &ip,
+    ];
+    plain(&arguments).map(drop)
+}
+
+/// Runs a command that needs no connection.
+fn plain(arguments: &[&str]) -> anyhow::Result<String> {
+    let mut command = tool()?;
+    command.args(["--output", "json"]);
+    command.args(arguments);
+    output(command)?.success()
+}
+
+fn tool() -> anyhow::Result<Command> {
+    Ok(Command::new(program_folder()?.join(TOOL)))
+}
+
+fn output(mut command: Command) -> anyhow::Result<ToolOutput> {
+    let output = command.output().context("starting the tool")?;
+    Ok(ToolOutput {
+        status: output.status.code().unwrap_or(-1),
+        output: String::from_utf8_lossy(&output.stdout).into_owned(),
+        errors: String::from_utf8_lossy(&output.stderr).into_owned(),
+    })
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,3 +4,5 @@
 pub mod journal;
 pub mod load;
 pub mod standin;
+pub mod trial;
+pub mod wait;
--- a/crates/bench/src/trial.rs
+++ b/crates/bench/src/trial.rs
@@ -14,6 +14,7 @@
 
 use crate::group::GroupPlan;
 use crate::group::ProcessGroup;
+use crate::group::TeamKey;
 use crate::load::CallerProfile;
 use crate::wait;
 
@@ -129,15 +130,6 @@
     hostel: TeamKey,
 }
 
-/// A key with its digest.
-#[derive(Clone, Debug)]
-pub struct TeamKey {
-    /// What a caller shows.
-    pub key: String,
-    /// What the declaration holds, in hexadecimal.
-    pub digest: String,
-}
-
 impl TeamKeys {
     fn make() -> anyhow::Result<Self> {
         Ok(Self {
--- /dev/null
+++ b/crates/bench/src/wait.rs
@@ -0,0 +1,101 @@
+//! Waits for conditions of a group, instead of for time to pass.
+
+use std::future::Future;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::bail;
+use model::admin::ControlStatus;
+use model::admin::NodeStatus;
+use model::admin::StatusReport;
+use model::exchange::ServerState;
+
+use crate::group::ProcessGroup;
+
+/// Time after which a condition is given up, in seconds.
+const GIVE_UP_S: u64 = 60;
+/// Pause between two looks, in milliseconds.
+const LOOK_MS: u64 = 50;
+
+/// Looks again and again until `look` returns a value.
+///
+/// # Errors
+///
+/// Fails with what the last look said when the condition does not come true.
+pub async fn until<T, F>(what: &str, look: impl Fn() -> F) -> anyhow::Result<T>
+where
+    F: Future<Output = anyhow::Result<T>>,
+{
+    let end = Instant::now() + Duration::from_secs(GIVE_UP_S);
+    loop {
+        match look().await {
+            Ok(value) => return Ok(value),
+            Err(error) if Instant::now() >= end => bail!("waiting for {what}: {error:#}"),
+            Err(_) => tokio::time::sleep(Duration::from_millis(LOOK_MS)).await,
+        }
+    }
+}
+
+/// Waits until a control instance leads, and returns its position.
+///
+/// # Errors
+///
+/// Fails when none does in time.
+pub async fn leader(group: &ProcessGroup) -> anyhow::Result<usize> {
+    until("a leader", async || {
+        for position in 0..group.plan.controls.len() {
+            let status = control_status(group, position).await;
+            if status.is_ok_and(|status| status.duty == "leader") {
+                return Ok(position);
+            }
+        }
+        bail!("no control instance leads")
+    })
+    .await
+}
+
+/// Waits until every node holds a lease and its backend server is ready.
+///
+/// # Errors
+///
+/// Fails when one does not in time.
+pub async fn nodes_ready(group: &ProcessGroup) -> anyhow::Result<()> {
+    for position in 0..group.plan.nodes.len() {
+        until("a ready node", async || {
+            let status = node_status(group, position).await?;
+            let ready = status.member.state == ServerState::Ready && status.lease_left_ms > 0;
+            if ready && status.applied > 0 {
+                return Ok(());
+            }
+            bail!("{} is not ready: {status:?}", status.process)
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// Returns the status of a control instance.
+///
+/// # Errors
+///
+/// Fails when it does not answer.
+pub async fn control_status(group: &ProcessGroup, position: usize) -> anyhow::Result<ControlStatus> {
+    let address = group.plan.controls[position].admin;
+    match group.admin().status(address).await? {
+        StatusReport::Control(status) => Ok(status),
+        StatusReport::Node(_) => bail!("{address} is a node"),
+    }
+}
+
+/// Returns the status of a node.
+///
+/// # Errors
+///
+/// Fails when it does not answer.
+pub async fn node_status(group: &ProcessGroup, position: usize) -> anyhow::Result<NodeStatus> {
+    let address = group.plan.nodes[position].admin;
+    match group.admin().status(address).await? {
+        StatusReport::Node(status) => Ok(status),
+        StatusReport::Control(_) => bail!("{address} is a control instance"),
+    }
+}
