Add the command-line tool

Keys, certificates, checks, plans, proposals, offline signatures, status, merged time lines, draining and completions; results as a table or as JSON, and an exit code for each way to end.

A proposal whose text is in force already is not sent again, so that an owner who lost every answer makes no second version. Within one run the same change goes to the next control address; its hash makes that safe.

The tests run the tool against the real ledger behind admin listeners with certificates that the tool itself issued.

clap's env feature is new, for the addresses and TLS files of an operator.

--- /dev/null
+++ b/crates/cli/src/arguments/build.rs
@@ -0,0 +1,342 @@
+//! The shape of the command line.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgGroup;
+use clap::Command;
+use clap::builder::PossibleValuesParser;
+use clap::value_parser;
+use clap_complete::Shell;
+
+use crate::arguments::SinceTime;
+use crate::certificate::AUTHORITY_DAYS;
+use crate::certificate::PROCESS_DAYS;
+use crate::exit::EXIT_HELP;
+
+/// Seconds that `--wait` waits, unless told otherwise.
+const WAIT_DEFAULT_S: &str = "10";
+
+/// Returns the whole command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("ragwortplank")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Checks, proposes and observes what the owners declare")
+        .after_help(EXIT_HELP)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(output())
+        .subcommands(file_commands())
+        .subcommands(change_commands())
+        .subcommands(operation_commands())
+}
+
+fn output() -> Arg {
+    Arg::new("output")
+        .long("output")
+        .global(true)
+        .value_parser(PossibleValuesParser::new(["table", "json"]))
+        .default_value("table")
+        .help("How results are shown")
+}
+
+/// Commands that need no connection.
+fn file_commands() -> [Command; 5] {
+    [
+        keygen(),
+        cert(),
+        Command::new("check")
+            .about("Check declarations and print what they declare")
+            .arg(file_argument().num_args(1..)),
+        sign(),
+        Command::new("completions")
+            .about("Print a completion script")
+            .arg(
+                Arg::new("shell")
+                    .required(true)
+                    .value_parser(value_parser!(Shell)),
+            ),
+    ]
+}
+
+/// Commands that read or change the declaration in force.
+fn change_commands() -> [Command; 3] {
+    [
+        Command::new("plan")
+            .about("Show what a declaration would change")
+            .arg(file_argument())
+            .args(control_arguments()),
+        propose(),
+        Command::new("team")
+            .about("Change what a team may do")
+            .subcommand_required(true)
+            .subcommand(team_key()),
+    ]
+}
+
+/// Commands that look at processes or act on them.
+fn operation_commands() -> [Command; 3] {
+    [
+        Command::new("status")
+            .about("Show the state of processes, and whether control instances agree")
+            .arg(addresses_argument())
+            .args(tls_arguments()),
+        timeline(),
+        Command::new("drain")
+            .about("Let a node finish what it has and take no new work")
+            .arg(
+                Arg::new("address")
+                    .value_name("ADDRESS")
+                    .required(true)
+                    .value_parser(value_parser!(SocketAddr))
+                    .help("Admin listener of the node"),
+            )
+            .args(tls_arguments()),
+    ]
+}
+
+fn keygen() -> Command {
+    Command::new("keygen")
+        .about("Make keys")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("owner")
+                .about("Create an owner's key file and print the public key")
+                .arg(path("out", "FILE", "File to create").required(true)),
+        )
+        .subcommand(Command::new("team-key").about("Print a new key for a team, with its digest"))
+}
+
+fn cert() -> Command {
+    Command::new("cert")
+        .about("Make TLS certificates")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("authority")
+                .about("Create the authority that signs all certificates of a deployment")
+                .arg(
+                    path(
+                        "out",
+                        "FOLDER",
+                        "Folder for authority.pem and authority.key",
+                    )
+                    .required(true),
+                )
+                .arg(text("name", "Name of the deployment").default_value("ragwortplank"))
+                .arg(days(AUTHORITY_DAYS)),
+        )
+        .subcommand(
+            Command::new("issue")
+                .about("Issue the certificate of a process")
+                .arg(path("authority", "FOLDER", "Folder of the authority").required(true))
+                .arg(path("out", "FOLDER", "Folder for NAME.pem and NAME.key").required(true))
+                .arg(text("name", "Name of the process, and of the files").required(true))
+                .arg(role())
+                .arg(
+                    Arg::new("ip")
+                        .long("ip")
+                        .action(ArgAction::Append)
+                        .value_parser(value_parser!(IpAddr))
+                        .help("Address that callers reach the process by"),
+                )
+                .arg(text("dns", "Further DNS name").action(ArgAction::Append))
+                .arg(days(PROCESS_DAYS)),
+        )
+}
+
+fn sign() -> Command {
+    Command::new("sign")
+        .about("Sign a change without a connection; `propose --signature` sends it")
+        .arg(
+            Arg::new("subject")
+                .value_name("HASH|FILE")
+                .required(true)
+                .help("Hash of a change, or a declaration together with --base"),
+        )
+        .arg(base())
+        .arg(owner_key().required(true))
+}
+
+fn propose() -> Command {
+    Command::new("propose")
+        .about("Propose a declaration, or add the second signature to it")
+        .arg(file_argument())
+        .arg(base())
+        .arg(owner_key())
+        .arg(path("signature", "FILE", "Signature made by `sign`").action(ArgAction::Append))
+        .group(
+            ArgGroup::new("signers")
+                .args(["key", "signature"])
+                .multiple(true)
+                .required(true),
+        )
+        .arg(wait())
+        .args(control_arguments())
+}
+
+fn team_key() -> Command {
+    Command::new("key")
+        .about("Propose to grant or withdraw a key")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("grant")
+                .about("Propose to grant a key; without --digest a key is made and printed")
+                .arg(Arg::new("team").value_name("TEAM").required(true))
+                .arg(text("name", "Name under which the key is withdrawn").required(true))
+                .arg(
+                    text("digest", "Digest of a key that exists, 64 hex digits")
+                        .value_parser(parse_hex),
+                )
+                .args(edit_arguments()),
+        )
+        .subcommand(
+            Command::new("withdraw")
+                .about("Propose to withdraw a key")
+                .arg(Arg::new("name").value_name("NAME").required(true))
+                .args(edit_arguments()),
+        )
+}
+
+fn timeline() -> Command {
+    Command::new("timeline")
+        .about("Show events of several processes, causes before effects")
+        .arg(addresses_argument())
+        .arg(text("request", "Only events of this request"))
+        .arg(text("change", "Only events of this change"))
+        .arg(text("process", "Only events of this process"))
+        .arg(
+            Arg::new("since")
+                .long("since")
+                .value_name("TIME")
+                .value_parser(value_parser!(SinceTime))
+                .help(
+                    "Only later events: milliseconds since the epoch, or `90s`, `15m`, `2h` back",
+                ),
+        )
+        .args(tls_arguments())
+}
+
+fn edit_arguments() -> Vec<Arg> {
+    let mut arguments = vec![
+        owner_key().required(true),
+        path(
+            "write",
+            "FILE",
+            "Write the edited declaration here, for version control",
+        ),
+        wait(),
+    ];
+    arguments.extend(control_arguments());
+    arguments
+}
+
+fn control_arguments() -> Vec<Arg> {
+    let control = Arg::new("control")
+        .long("control")
+        .value_name("ADDRESS")
+        .env("RAGWORTPLANK_CONTROL")
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .required(true)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Admin listeners of control instances, tried in turn");
+    let mut arguments = vec![control];
+    arguments.extend(tls_arguments());
+    arguments
+}
+
+fn tls_arguments() -> [Arg; 3] {
+    [
+        path(
+            "tls-authority",
+            "FILE",
+            "Authority that signed all certificates",
+        )
+        .env("RAGWORTPLANK_TLS_AUTHORITY")
+        .required(true),
+        path("tls-certificate", "FILE", "Certificate of the operator")
+            .env("RAGWORTPLANK_TLS_CERTIFICATE")
+            .required(true),
+        path("tls-key", "FILE", "Private key of the operator")
+            .env("RAGWORTPLANK_TLS_KEY")
+            .required(true),
+    ]
+}
+
+fn file_argument() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Declaration (TOML)")
+}
+
+fn addresses_argument() -> Arg {
+    Arg::new("addresses")
+        .value_name("ADDRESS")
+        .required(true)
+        .num_args(1..)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Admin listeners of nodes and control instances")
+}
+
+fn owner_key() -> Arg {
+    path("key", "FILE", "Key file of the owner who signs")
+}
+
+fn base() -> Arg {
+    Arg::new("base")
+        .long("base")
+        .value_name("VERSION")
+        .value_parser(value_parser!(u64))
+        .help("Version that the declaration was made from")
+}
+
+fn wait() -> Arg {
+    Arg::new("wait")
+        .long("wait")
+        .value_name("SECONDS")
+        .num_args(0..=1)
+        .default_missing_value(WAIT_DEFAULT_S)
+        .value_parser(value_parser!(u64))
+        .help("Wait until the change is in force everywhere")
+}
+
+fn role() -> Arg {
+    Arg::new("role")
+        .long("role")
+        .required(true)
+        .value_parser(PossibleValuesParser::new(["node", "control", "operator"]))
+        .help("Role that other processes check")
+}
+
+fn days(default: u32) -> Arg {
+    Arg::new("days")
+        .long("days")
+        .default_value(default.to_string())
+        .value_parser(value_parser!(u32).range(1..=36_500))
+        .help("Days until the certificate ends")
+}
+
+fn path(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name(value)
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+fn text(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name(name.to_uppercase())
+        .help(help)
+}
+
+fn parse_hex(text: &str) -> Result<[u8; 32], String> {
+    model::hex::decode_32(text).ok_or_else(|| "expected 64 hexadecimal digits".to_owned())
+}
--- /dev/null
+++ b/crates/cli/src/arguments/since.rs
@@ -0,0 +1,54 @@
+//! The time from which events are shown.
+
+use std::str::FromStr;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use derive_more::Display;
+use derive_more::Error;
+
+/// A time, absolute or counted back from now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SinceTime {
+    /// Milliseconds since the epoch.
+    Wall(u64),
+    /// So long before now.
+    Ago(Duration),
+}
+
+/// A text that is no time.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[display("expected milliseconds since the epoch, or a time back such as `90s`, `15m` or `2h`")]
+pub struct SinceError;
+
+impl SinceTime {
+    /// Returns the time in milliseconds since the epoch.
+    #[must_use]
+    pub fn wall_ms(self, now: SystemTime) -> u64 {
+        match self {
+            Self::Wall(wall_ms) => wall_ms,
+            Self::Ago(ago) => {
+                let now = now.duration_since(UNIX_EPOCH).unwrap_or_default();
+                let since = now.saturating_sub(ago);
+                u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+            }
+        }
+    }
+}
+
+impl FromStr for SinceTime {
+    type Err = SinceError;
+
+    fn from_str(text: &str) -> Result<Self, SinceError> {
+        let units = [('s', 1), ('m', 60), ('h', 60 * 60), ('d', 24 * 60 * 60)];
+        for (unit, unit_s) in units {
+            if let Some(count) = text.strip_suffix(unit) {
+                let count: u64 = count.parse().map_err(|_| SinceError)?;
+                let seconds = count.checked_mul(unit_s).ok_or(SinceError)?;
+                return Ok(Self::Ago(Duration::from_secs(seconds)));
+            }
+        }
+        text.parse().map(Self::Wall).map_err(|_| SinceError)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/certificate.rs
@@ -0,0 +1,160 @@
+//! The authority of a deployment and the certificates of its processes.
+
+use std::fs;
+use std::net::IpAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use anyhow::Context;
+use rcgen::BasicConstraints;
+use rcgen::Certificate;
+use rcgen::CertificateParams;
+use rcgen::DistinguishedName;
+use rcgen::DnType;
+use rcgen::ExtendedKeyUsagePurpose;
+use rcgen::IsCa;
+use rcgen::Issuer;
+use rcgen::KeyPair;
+use rcgen::KeyUsagePurpose;
+use rcgen::SanType;
+use rcgen::date_time_ymd;
+use wire::role::PeerRole;
+
+use crate::secret_file::create_secret;
+
+/// Days for which an authority is valid, unless told otherwise.
+pub const AUTHORITY_DAYS: u32 = 3_650;
+/// Days for which a process's certificate is valid, unless told otherwise.
+pub const PROCESS_DAYS: u32 = 365;
+/// Seconds of a day.
+const DAY_S: u64 = 24 * 60 * 60;
+/// Seconds that a certificate is valid before it was made, for clocks that differ.
+const BACKDATE_S: u64 = 60 * 60;
+
+/// Certificate and private key as PEM files.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PemPair {
+    /// The certificate.
+    pub certificate: PathBuf,
+    /// The private key.
+    pub key: PathBuf,
+}
+
+impl PemPair {
+    /// Names the files `NAME.pem` and `NAME.key` in a folder.
+    #[must_use]
+    pub fn named(folder: &Path, name: &str) -> Self {
+        Self {
+            certificate: folder.join(format!("{name}.pem")),
+            key: folder.join(format!("{name}.key")),
+        }
+    }
+
+    fn create(&self, certificate: &Certificate, key: &KeyPair) -> anyhow::Result<()> {
+        if let Some(folder) = self.key.parent() {
+            fs::create_dir_all(folder)
+                .with_context(|| format!("{} cannot be created", folder.display()))?;
+        }
+        create_secret(&self.key, &key.serialize_pem())?;
+        fs::write(&self.certificate, certificate.pem())
+            .with_context(|| format!("{} cannot be written", self.certificate.display()))
+    }
+}
+
+/// What a process's certificate says.
+#[derive(Clone, Debug)]
+pub struct ProcessSubject {
+    /// Name of the process, for people who look.
+    pub name: String,
+    /// Role, which other processes check.
+    pub role: PeerRole,
+    /// Addresses that callers reach the process by.
+    pub addresses: Vec<IpAddr>,
+    /// Further DNS names that callers reach the process by.
+    pub names: Vec<String>,
+    /// Days until the certificate ends.
+    pub days: u32,
+}
+
+/// Creates the authority that signs all certificates of a deployment.
+///
+/// # Errors
+///
+/// Fails when the key file exists or a file cannot be written.
+pub fn create_authority(files: &PemPair, name: &str, days: u32) -> anyhow::Result<()> {
+    let mut params = lasting_params(days);
+    params
+        .distinguished_name
+        .push(DnType::CommonName, format!("{name} authority"));
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    let key = KeyPair::generate()?;
+    let certificate = params.self_signed(&key)?;
+    files.create(&certificate, &key)
+}
+
+/// Issues a process's certificate.
+///
+/// # Errors
+///
+/// Fails when the authority cannot be read, a name is not valid, the key
+/// file exists or a file cannot be written.
+pub fn issue_certificate(
+    authority: &PemPair,
+    subject: &ProcessSubject,
+    files: &PemPair,
+) -> anyhow::Result<()> {
+    let issuer = read_authority(authority)?;
+    let mut params = lasting_params(subject.days);
+    params
+        .distinguished_name
+        .push(DnType::CommonName, subject.name.as_str());
+    params.subject_alt_names = alternative_names(subject)?;
+    params.is_ca = IsCa::ExplicitNoCa;
+    params.use_authority_key_identifier_extension = true;
+    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ServerAuth,
+        ExtendedKeyUsagePurpose::ClientAuth,
+    ];
+    let key = KeyPair::generate()?;
+    let certificate = params.signed_by(&key, &issuer)?;
+    files.create(&certificate, &key)
+}
+
+fn read_authority(files: &PemPair) -> anyhow::Result<Issuer<'static, KeyPair>> {
+    let key = KeyPair::from_pem(&read(&files.key)?)
+        .with_context(|| format!("{} holds no private key", files.key.display()))?;
+    Issuer::from_ca_cert_pem(&read(&files.certificate)?, key)
+        .with_context(|| format!("{} holds no authority", files.certificate.display()))
+}
+
+fn read(path: &Path) -> anyhow::Result<String> {
+    fs::read_to_string(path).with_context(|| format!("{} cannot be read", path.display()))
+}
+
+/// The role is a DNS name, since that is what TLS libraries compare.
+fn alternative_names(subject: &ProcessSubject) -> anyhow::Result<Vec<SanType>> {
+    let mut names = vec![SanType::DnsName(subject.role.dns_name().try_into()?)];
+    for name in &subject.names {
+        let dns_name = name.as_str().try_into();
+        let dns_name = dns_name.with_context(|| format!("`{name}` is no DNS name"))?;
+        names.push(SanType::DnsName(dns_name));
+    }
+    names.extend(subject.addresses.iter().copied().map(SanType::IpAddress));
+    Ok(names)
+}
+
+fn lasting_params(days: u32) -> CertificateParams {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now = since_epoch.unwrap_or_default();
+    let epoch = date_time_ymd(1970, 1, 1);
+    let mut params = CertificateParams::default();
+    params.not_before = epoch + now.saturating_sub(Duration::from_secs(BACKDATE_S));
+    params.not_after = epoch + now + Duration::from_secs(u64::from(days) * DAY_S);
+    params.distinguished_name = DistinguishedName::new();
+    params
+}
--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,282 @@
+//! Talks to the admin listeners of control instances and nodes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::anyhow;
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use settings::TlsFiles;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_rustls::TlsConnector;
+use tokio_rustls::client::TlsStream;
+use wire::identity::TcpClientTls;
+use wire::identity::TlsIdentity;
+use wire::role::PeerRole;
+
+use crate::exit::CliError;
+
+/// Time to connect and shake hands, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 3_000;
+/// Time for a whole request, in milliseconds; a commit may take an election.
+const REQUEST_TIMEOUT_MS: u64 = 10_000;
+/// Largest answer, in bytes.
+const ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why one address gave no answer.
+#[derive(Debug, Display, Error)]
+pub enum ClientError {
+    /// No connection, no answer in time, or no quorum behind it: another address may do.
+    #[display("{address}: {reason}")]
+    Unreachable {
+        /// The address.
+        address: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+    /// The process answered that the request cannot be done.
+    #[display("{address}: {status}: {reason}")]
+    Refused {
+        /// The address.
+        address: SocketAddr,
+        /// HTTP status.
+        status: StatusCode,
+        /// Text of the answer.
+        reason: String,
+    },
+}
+
+/// Client of admin listeners, with an operator's certificate.
+#[derive(Clone, Debug)]
+pub struct AdminClient {
+    control: TcpClientTls,
+    node: TcpClientTls,
+}
+
+/// A request to an admin listener.
+#[derive(Clone, Debug)]
+pub struct AdminRequest {
+    method: Method,
+    path: String,
+    body: Bytes,
+}
+
+impl AdminRequest {
+    /// Asks for a resource.
+    #[must_use]
+    pub fn get(path: impl Into<String>) -> Self {
+        Self {
+            method: Method::GET,
+            path: path.into(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Sends a value as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the value has no JSON form.
+    pub fn post(path: impl Into<String>, body: &impl Serialize) -> anyhow::Result<Self> {
+        Ok(Self {
+            method: Method::POST,
+            path: path.into(),
+            body: Bytes::from(serde_json::to_vec(body)?),
+        })
+    }
+}
+
+impl AdminClient {
+    /// Reads the operator's TLS files.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file cannot be used.
+    pub fn new(files: &TlsFiles) -> anyhow::Result<Self> {
+        let identity = TlsIdentity::load(files)?;
+        Ok(Self {
+            control: http1_only(identity.tcp_client(PeerRole::Control)?),
+            node: http1_only(identity.tcp_client(PeerRole::Node)?),
+        })
+    }
+
+    /// Asks control instances in turn until one answers.
+    ///
+    /// Every request may be sent again: changes are known by their hash.
+    ///
+    /// # Errors
+    ///
+    /// Fails when none can be reached or one refuses the request.
+    pub async fn ask_control<T: DeserializeOwned>(
+        &self,
+        addresses: &[SocketAddr],
+        request: &AdminRequest,
+    ) -> Result<T, CliError> {
+        let mut reasons = Vec::new();
+        for address in addresses {
+            match self.ask(*address, PeerRole::Control, request).await {
+                Ok(answer) => return decode(*address, &answer),
+                Err(error @ ClientError::Unreachable { .. }) => reasons.push(error.to_string()),
+                Err(error @ ClientError::Refused { .. }) => {
+                    return Err(CliError::Failed(error.into()));
+                }
+            }
+        }
+        let reasons = reasons.join("; ");
+        Err(CliError::Unreachable(anyhow!(
+            "no control instance answered: {reasons}"
+        )))
+    }
+
+    /// Asks a process of either role.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot be reached or refuses the request.
+    pub async fn ask_any<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: &AdminRequest,
+    ) -> Result<T, CliError> {
+        let first = self.ask(address, PeerRole::Control, request).await;
+        // A certificate of the other role fails the handshake.
+        let answer = match first {
+            Err(ClientError::Unreachable { reason, .. }) => {
+                let second = self.ask(address, PeerRole::Node, request).await;
+                second.map_err(|error| both_roles(error, &reason))
+            }
+            answer => answer,
+        };
+        decode(address, &answer.map_err(into_cli_error)?)
+    }
+
+    /// Tells a node something and returns the text of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot be reached or refuses the request.
+    pub async fn tell_node(
+        &self,
+        address: SocketAddr,
+        request: &AdminRequest,
+    ) -> Result<String, CliError> {
+        let answer = self.ask(address, PeerRole::Node, request).await;
+        let answer = answer.map_err(into_cli_error)?;
+        Ok(String::from_utf8_lossy(&answer).into_owned())
+    }
+
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        role: PeerRole,
+        request: &AdminRequest,
+    ) -> Result<Bytes, ClientError> {
+        let exchange = self.exchange(address, role, request);
+        let limit = Duration::from_millis(REQUEST_TIMEOUT_MS);
+        let answered = timeout(limit, exchange).await;
+        let (status, body) = answered
+            .unwrap_or_else(|_| Err(anyhow!("no answer within {REQUEST_TIMEOUT_MS} ms")))
+            .map_err(|error| ClientError::Unreachable {
+                address,
+                reason: format!("{error:#}"),
+            })?;
+        if status.is_success() {
+            return Ok(body);
+        }
+        let reason = String::from_utf8_lossy(&body).into_owned();
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(ClientError::Unreachable { address, reason });
+        }
+        Err(ClientError::Refused {
+            address,
+            status,
+            reason,
+        })
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        role: PeerRole,
+        request: &AdminRequest,
+    ) -> anyhow::Result<(StatusCode, Bytes)> {
+        let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let stream = timeout(limit, self.connect(address, role)).await;
+        let stream = stream.context("no connection in time")??;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let driver = tokio::spawn(connection);
+        let request = Request::builder()
+            .method(&request.method)
+            .uri(&request.path)
+            .header(HOST, address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(request.body.clone()))?;
+        let response = sender.send_request(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_BYTES);
+        let body = body.collect().await.map_err(|error| anyhow!(error))?;
+        driver.abort();
+        Ok((status, body.to_bytes()))
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        role: PeerRole,
+    ) -> anyhow::Result<TlsStream<TcpStream>> {
+        let tls = match role {
+            PeerRole::Node => &self.node,
+            PeerRole::Control | PeerRole::Operator => &self.control,
+        };
+        let stream = TcpStream::connect(address).await?;
+        let connector = TlsConnector::from(Arc::clone(&tls.config));
+        Ok(connector.connect(tls.server_name.clone(), stream).await?)
+    }
+}
+
+fn http1_only(mut tls: TcpClientTls) -> TcpClientTls {
+    Arc::make_mut(&mut tls.config).alpn_protocols = vec![b"http/1.1".to_vec()];
+    tls
+}
+
+fn decode<T: DeserializeOwned>(address: SocketAddr, answer: &[u8]) -> Result<T, CliError> {
+    let decoded = serde_json::from_slice(answer);
+    let decoded = decoded.with_context(|| format!("{address}: the answer cannot be read"))?;
+    Ok(decoded)
+}
+
+/// Names what went wrong for either role, unless it is the same.
+fn both_roles(error: ClientError, as_control: &str) -> ClientError {
+    match error {
+        ClientError::Unreachable { address, reason } if reason != as_control => {
+            ClientError::Unreachable {
+                address,
+                reason: format!("as a control instance: {as_control}; as a node: {reason}"),
+            }
+        }
+        error => error,
+    }
+}
+
+fn into_cli_error(error: ClientError) -> CliError {
+    match error {
+        ClientError::Unreachable { .. } => CliError::Unreachable(error.into()),
+        ClientError::Refused { .. } => CliError::Failed(error.into()),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,115 @@
+//! The commands: each collects a report and says how it ended.
+
+mod change;
+mod edit;
+mod local;
+mod process;
+mod propose;
+
+use std::future::Future;
+use std::io::Write;
+
+use anyhow::Context;
+
+use crate::arguments;
+use crate::arguments::CliArguments;
+use crate::arguments::CliCommand;
+use crate::arguments::OutputFormat;
+use crate::exit::CliError;
+use crate::exit::ExitKind;
+use crate::present::ShownReport;
+use crate::present::show;
+
+pub use edit::grant_key;
+pub use edit::withdraw_key;
+pub use process::merge_events;
+
+/// Name under which completion scripts complete.
+const PROGRAM_NAME: &str = "ragwortplank";
+
+/// Runs a command and writes its report.
+///
+/// # Errors
+///
+/// Fails when the command came to no result or the output is closed.
+pub fn run(arguments: &CliArguments, output: &mut impl Write) -> Result<ExitKind, CliError> {
+    let mut printer = ReportPrinter {
+        format: arguments.output,
+        output,
+    };
+    match arguments.command.clone() {
+        CliCommand::KeygenOwner { out } => printer.done(&local::keygen_owner(&out)?),
+        CliCommand::KeygenTeamKey => printer.done(&local::keygen_team_key()),
+        CliCommand::CertAuthority(arguments) => printer.done(&local::cert_authority(&arguments)?),
+        CliCommand::CertIssue(arguments) => printer.done(&local::cert_issue(arguments)?),
+        CliCommand::Check { files } => printer.done(&local::check(&files)?),
+        CliCommand::Sign(arguments) => printer.done(&local::sign(&arguments)?),
+        CliCommand::Completions { shell } => {
+            let mut command = arguments::command();
+            clap_complete::generate(shell, &mut command, PROGRAM_NAME, printer.output);
+            Ok(ExitKind::Done)
+        }
+        CliCommand::Plan { file, control } => {
+            printer.done(&block_on(change::plan(&file, &control))?)
+        }
+        CliCommand::Propose(arguments) => {
+            let outcome = block_on(propose::propose(&arguments))?;
+            printer.ended(&outcome, outcome.exit())
+        }
+        CliCommand::TeamKeyGrant {
+            team,
+            name,
+            digest,
+            edit,
+        } => {
+            let outcome = block_on(change::grant(&team, &name, digest, &edit))?;
+            printer.ended(&outcome, outcome.change.exit())
+        }
+        CliCommand::TeamKeyWithdraw { name, edit } => {
+            let outcome = block_on(change::withdraw(&name, &edit))?;
+            printer.ended(&outcome, outcome.change.exit())
+        }
+        CliCommand::Status { addresses, tls } => {
+            let table = block_on(process::status(&addresses, &tls))?;
+            printer.ended(&table, table.exit())
+        }
+        CliCommand::Timeline(arguments) => {
+            let merged = block_on(process::timeline(&arguments))?;
+            let exit = if merged.unreachable.is_empty() {
+                ExitKind::Done
+            } else {
+                ExitKind::Unreachable
+            };
+            printer.ended(&merged, exit)
+        }
+        CliCommand::Drain { address, tls } => {
+            printer.done(&block_on(process::drain(address, &tls))?)
+        }
+    }
+}
+
+/// Writes reports in the form asked for.
+struct ReportPrinter<'a, W> {
+    format: OutputFormat,
+    output: &'a mut W,
+}
+
+impl<W: Write> ReportPrinter<'_, W> {
+    fn done(&mut self, report: &impl ShownReport) -> Result<ExitKind, CliError> {
+        self.ended(report, ExitKind::Done)
+    }
+
+    fn ended(&mut self, report: &impl ShownReport, exit: ExitKind) -> Result<ExitKind, CliError> {
+        show(report, self.format, self.output)?;
+        Ok(exit)
+    }
+}
+
+/// Runs a command that talks to processes.
+fn block_on<T>(command: impl Future<Output = Result<T, CliError>>) -> Result<T, CliError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("no runtime")?;
+    runtime.block_on(command)
+}
--- /dev/null
+++ b/crates/cli/src/command/change.rs
@@ -0,0 +1,91 @@
+//! Plans, and changes of single keys.
+
+use std::fs;
+use std::path::Path;
+
+use anyhow::Context;
+use model::admin::DeclarationText;
+use model::change::OwnerSignature;
+use model::change::ProposedChange;
+use model::declaration::Declaration;
+use model::hex;
+use model::ids::KeyDigest;
+
+use crate::arguments::ControlArguments;
+use crate::arguments::EditArguments;
+use crate::command::edit::grant_key;
+use crate::command::edit::withdraw_key;
+use crate::command::local::keygen_team_key;
+use crate::command::local::read_declaration;
+use crate::command::propose::ChangeProposer;
+use crate::command::propose::plan_between;
+use crate::exit::CliError;
+use crate::keyfile::read_owner_key;
+use crate::report::ChangeOutcome;
+use crate::report::KeyOutcome;
+use crate::report::PlanReport;
+
+pub(super) async fn plan(file: &Path, control: &ControlArguments) -> Result<PlanReport, CliError> {
+    let (_, declaration) = read_declaration(file)?;
+    let current = ChangeProposer::connect(control)?.in_force().await?;
+    plan_between(&current, &declaration)
+}
+
+pub(super) async fn grant(
+    team: &str,
+    name: &str,
+    digest: Option<KeyDigest>,
+    edit: &EditArguments,
+) -> Result<KeyOutcome, CliError> {
+    let made = digest.is_none().then(keygen_team_key);
+    let made_digest = made.as_ref().and_then(|made| hex::decode_32(&made.digest));
+    let digest = digest.or(made_digest).context("no digest")?;
+    let change = propose_edit(edit, |text| grant_key(text, name, team, &digest)).await?;
+    Ok(KeyOutcome {
+        key: made.map(|made| made.key),
+        digest: Some(hex::encode(&digest)),
+        change,
+    })
+}
+
+pub(super) async fn withdraw(name: &str, edit: &EditArguments) -> Result<KeyOutcome, CliError> {
+    let change = propose_edit(edit, |text| withdraw_key(text, name)).await?;
+    Ok(KeyOutcome {
+        key: None,
+        digest: None,
+        change,
+    })
+}
+
+/// Edits the text in force and proposes the result.
+async fn propose_edit(
+    arguments: &EditArguments,
+    edit: impl FnOnce(&str) -> anyhow::Result<String>,
+) -> Result<ChangeOutcome, CliError> {
+    let key = read_owner_key(&arguments.key).map_err(CliError::Usage)?;
+    let proposer = ChangeProposer::connect(&arguments.control)?;
+    let current = proposer.in_force().await?;
+    let text = edit(&current.text).map_err(CliError::Usage)?;
+    let declaration = Declaration::parse(&text, 0).context("the edited declaration");
+    let plan = plan_between(&current, &declaration.map_err(CliError::Usage)?)?;
+    if let Some(file) = &arguments.write {
+        write_text(file, &text)?;
+    }
+    let change = edited(&current, text);
+    let signature = OwnerSignature::sign(&key, &change.hash());
+    let submitted = proposer.submit(change, vec![signature], plan, arguments.wait);
+    submitted.await
+}
+
+fn edited(current: &DeclarationText, text: String) -> ProposedChange {
+    ProposedChange {
+        base: current.version,
+        text,
+    }
+}
+
+fn write_text(file: &Path, text: &str) -> Result<(), CliError> {
+    let written = fs::write(file, text);
+    let written = written.with_context(|| format!("{} cannot be written", file.display()));
+    written.map_err(CliError::Usage)
+}
--- /dev/null
+++ b/crates/cli/src/command/process.rs
@@ -0,0 +1,99 @@
+//! State and events of processes, and draining them.
+
+use std::net::SocketAddr;
+use std::time::SystemTime;
+
+use futures::future::join_all;
+use model::admin::StatusReport;
+use model::admin::TimelineReport;
+use settings::TlsFiles;
+use timeline::EventRecord;
+
+use crate::arguments::TimelineArguments;
+use crate::client::AdminClient;
+use crate::client::AdminRequest;
+use crate::exit::CliError;
+use crate::report::DrainReport;
+use crate::report::MergedTimeline;
+use crate::report::ProcessRow;
+use crate::report::StatusTable;
+
+pub(super) async fn status(
+    addresses: &[SocketAddr],
+    tls: &TlsFiles,
+) -> Result<StatusTable, CliError> {
+    let client = AdminClient::new(tls).map_err(CliError::Usage)?;
+    let request = AdminRequest::get("/status");
+    let asked = addresses.iter().map(|address| {
+        let answer = client.ask_any::<StatusReport>(*address, &request);
+        async move { process_row(*address, answer.await) }
+    });
+    Ok(StatusTable::new(join_all(asked).await))
+}
+
+pub(super) async fn timeline(arguments: &TimelineArguments) -> Result<MergedTimeline, CliError> {
+    let client = AdminClient::new(&arguments.tls).map_err(CliError::Usage)?;
+    let since = arguments
+        .since
+        .map(|since| since.wall_ms(SystemTime::now()));
+    let request = AdminRequest::get(format!("/timeline?since={}", since.unwrap_or_default()));
+    let addresses = arguments.addresses.iter();
+    let asked = addresses.map(|address| client.ask_any::<TimelineReport>(*address, &request));
+    let mut reports = Vec::new();
+    let mut unreachable = Vec::new();
+    for answer in join_all(asked).await {
+        match answer {
+            Ok(report) => reports.push(report),
+            Err(error) => unreachable.push(error.to_string()),
+        }
+    }
+    let mut events = merge_events(reports);
+    events.retain(|event| is_asked_for(event, arguments));
+    Ok(MergedTimeline {
+        timeline: TimelineReport { events },
+        unreachable,
+    })
+}
+
+pub(super) async fn drain(address: SocketAddr, tls: &TlsFiles) -> Result<DrainReport, CliError> {
+    let client = AdminClient::new(tls).map_err(CliError::Usage)?;
+    let request = AdminRequest::post("/drain", &())?;
+    let answer = client.tell_node(address, &request).await?;
+    Ok(DrainReport {
+        address: address.to_string(),
+        answer,
+    })
+}
+
+/// Merges the events of several processes, by stamp and then by process.
+#[must_use]
+pub fn merge_events(reports: Vec<TimelineReport>) -> Vec<EventRecord> {
+    let events = reports.into_iter().flat_map(|report| report.events);
+    let mut events: Vec<EventRecord> = events.collect();
+    events.sort_by(|left, right| {
+        let stamps = left.stamp.cmp(&right.stamp);
+        stamps.then_with(|| left.process.cmp(&right.process))
+    });
+    events
+}
+
+fn process_row(address: SocketAddr, answer: Result<StatusReport, CliError>) -> ProcessRow {
+    let (report, error) = match answer {
+        Ok(report) => (Some(report), None),
+        Err(error) => (None, Some(error.to_string())),
+    };
+    ProcessRow {
+        address: address.to_string(),
+        report,
+        error,
+    }
+}
+
+fn is_asked_for(event: &EventRecord, arguments: &TimelineArguments) -> bool {
+    let matches = |asked: &Option<String>, found: Option<&str>| {
+        asked.as_ref().is_none_or(|asked| found == Some(asked))
+    };
+    matches(&arguments.request, event.request.as_deref())
+        && matches(&arguments.change, event.change.as_deref())
+        && matches(&arguments.process, Some(&event.process))
+}
--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,82 @@
+//! How a command ended.
+
+use std::process::ExitCode;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+
+/// Text about exit codes for `--help`.
+pub const EXIT_HELP: &str = "\
+Exit status: 0 done, 1 failed, 2 the command line or a file cannot be used, \
+3 another change was accepted first, 4 the other owner's signature is missing, \
+5 no address could be reached or no quorum answered, 6 accepted but not yet in force.";
+
+/// How a command ended, as its exit code tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExitKind {
+    /// Done.
+    Done,
+    /// Failed for another reason than those below.
+    Failed,
+    /// The command line or a file cannot be used.
+    Usage,
+    /// Another change on the same base was accepted first.
+    Conflict,
+    /// The other owner's signature is missing.
+    Pending,
+    /// No address could be reached, or no quorum answered.
+    Unreachable,
+    /// Accepted, but not in force everywhere within the time given.
+    NotInForce,
+}
+
+impl ExitKind {
+    /// Returns the exit code.
+    #[must_use]
+    pub const fn code(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Failed => 1,
+            Self::Usage => 2,
+            Self::Conflict => 3,
+            Self::Pending => 4,
+            Self::Unreachable => 5,
+            Self::NotInForce => 6,
+        }
+    }
+}
+
+impl From<ExitKind> for ExitCode {
+    fn from(exit: ExitKind) -> Self {
+        Self::from(exit.code())
+    }
+}
+
+/// Why a command did not come to a result.
+#[derive(Debug, Display, Error, From)]
+pub enum CliError {
+    /// The command line or a file cannot be used.
+    #[display("{_0:#}")]
+    #[from(ignore)]
+    Usage(#[error(not(source))] anyhow::Error),
+    /// No address could be reached, or no quorum answered.
+    #[display("{_0:#}")]
+    #[from(ignore)]
+    Unreachable(#[error(not(source))] anyhow::Error),
+    /// Anything else.
+    #[display("{_0:#}")]
+    Failed(#[error(not(source))] anyhow::Error),
+}
+
+impl CliError {
+    /// Returns how the command ended.
+    #[must_use]
+    pub const fn exit(&self) -> ExitKind {
+        match self {
+            Self::Usage(_) => ExitKind::Usage,
+            Self::Unreachable(_) => ExitKind::Unreachable,
+            Self::Failed(_) => ExitKind::Failed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/present.rs
@@ -0,0 +1,41 @@
+//! How reports are shown.
+
+mod change;
+mod process;
+mod simple;
+mod text_table;
+
+use std::io::Write;
+
+use anyhow::Context;
+use serde::Serialize;
+
+use crate::arguments::OutputFormat;
+
+pub use text_table::TextTable;
+
+/// A report that has a form for people.
+pub trait ShownReport: Serialize {
+    /// Returns the report as text, with a line break at the end.
+    fn text(&self) -> String;
+}
+
+/// Writes a report in the form asked for.
+///
+/// # Errors
+///
+/// Fails when the output is closed.
+pub fn show(
+    report: &impl ShownReport,
+    format: OutputFormat,
+    output: &mut impl Write,
+) -> anyhow::Result<()> {
+    let text = match format {
+        OutputFormat::Table => report.text(),
+        OutputFormat::Json => format!("{}\n", serde_json::to_string_pretty(report)?),
+    };
+    output
+        .write_all(text.as_bytes())
+        .and_then(|()| output.flush())
+        .context("the result cannot be written")
+}
--- /dev/null
+++ b/crates/cli/src/report.rs
@@ -0,0 +1,87 @@
+//! What commands find out, as plain data.
+
+mod change;
+mod plan;
+mod status;
+
+use model::admin::TimelineReport;
+use serde::Serialize;
+
+pub use change::ChangeOutcome;
+pub use change::KeyOutcome;
+pub use change::SignatureFile;
+pub use plan::PlanAction;
+pub use plan::PlanReport;
+pub use plan::PlanRow;
+pub use status::ProcessRow;
+pub use status::StatusTable;
+
+/// A new owner's key.
+#[derive(Clone, Debug, Serialize)]
+pub struct OwnerReport {
+    /// Public key in hexadecimal, for `owners`.
+    pub public: String,
+    /// File with the private key.
+    pub file: String,
+}
+
+/// A new key of a team; it is shown once and kept nowhere.
+#[derive(Clone, Debug, Serialize)]
+pub struct TeamKeyReport {
+    /// The key, for the caller.
+    pub key: String,
+    /// Its digest in hexadecimal, for the declaration.
+    pub digest: String,
+}
+
+/// Files of a new certificate.
+#[derive(Clone, Debug, Serialize)]
+pub struct CertificateReport {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key.
+    pub key: String,
+}
+
+/// What a valid declaration declares.
+#[derive(Clone, Debug, Serialize)]
+pub struct CheckRow {
+    /// The file.
+    pub file: String,
+    /// Number of services.
+    pub services: usize,
+    /// Number of classes.
+    pub classes: usize,
+    /// Number of routes.
+    pub routes: usize,
+    /// Number of teams.
+    pub teams: usize,
+    /// Number of keys.
+    pub keys: usize,
+}
+
+/// All declarations checked.
+#[derive(Clone, Debug, Serialize)]
+pub struct CheckReport {
+    /// One row for each file.
+    pub files: Vec<CheckRow>,
+}
+
+/// A node that was told to drain.
+#[derive(Clone, Debug, Serialize)]
+pub struct DrainReport {
+    /// Its admin listener.
+    pub address: String,
+    /// What it answered.
+    pub answer: String,
+}
+
+/// Events of several processes, oldest first.
+#[derive(Clone, Debug, Serialize)]
+pub struct MergedTimeline {
+    /// The events.
+    #[serde(flatten)]
+    pub timeline: TimelineReport,
+    /// Processes that gave no answer, with the reason.
+    pub unreachable: Vec<String>,
+}
--- /dev/null
+++ b/crates/cli/tests/cli/arguments.rs
@@ -0,0 +1,74 @@
+//! The command line itself.
+
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use cli::arguments::CliArguments;
+use cli::arguments::SinceTime;
+use cli::arguments::command;
+use cli::exit::ExitKind;
+
+use crate::support::run;
+
+#[test]
+fn the_command_line_is_consistent_and_tells_its_exit_codes() {
+    command().debug_assert();
+    let help = command().render_long_help().to_string();
+    let help = help.split_whitespace().collect::<Vec<_>>().join(" ");
+    for part in [
+        "0 done",
+        "3 another change was accepted first",
+        "5 no address could be reached",
+    ] {
+        assert!(help.contains(part), "{help}");
+    }
+}
+
+#[test]
+fn what_is_missing_is_a_usage_error() {
+    for words in [
+        &["ragwortplank"][..],
+        &["ragwortplank", "plan", "a.toml"],
+        &["ragwortplank", "team", "key", "grant", "a"],
+        &["ragwortplank", "cert", "issue", "--role", "owner"],
+        &["ragwortplank", "status", "localhost"],
+    ] {
+        let error = CliArguments::parse_from(words).expect_err("refused");
+        assert_eq!(error.exit_code(), 2, "{words:?}");
+    }
+}
+
+#[test]
+fn exit_codes_differ() {
+    let kinds = [
+        ExitKind::Done,
+        ExitKind::Failed,
+        ExitKind::Usage,
+        ExitKind::Conflict,
+        ExitKind::Pending,
+        ExitKind::Unreachable,
+        ExitKind::NotInForce,
+    ];
+    let codes: Vec<u8> = kinds.iter().map(|kind| kind.code()).collect();
+    assert_eq!(codes, [0, 1, 2, 3, 4, 5, 6]);
+}
+
+#[test]
+fn times_are_absolute_or_counted_back() {
+    let now = UNIX_EPOCH + Duration::from_secs(10_000);
+    let wall_ms = |text: &str| text.parse::<SinceTime>().map(|since| since.wall_ms(now));
+    assert_eq!(wall_ms("1234"), Ok(1_234));
+    assert_eq!(wall_ms("90s"), Ok(9_910_000));
+    assert_eq!(wall_ms("2h"), Ok(2_800_000));
+    assert_eq!(wall_ms("9d"), Ok(0));
+    for text in ["", "s", "-1", "1.5h", "99999999999999999999d", "10 m"] {
+        assert!(wall_ms(text).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn completions_name_the_program() {
+    let script = run(&["completions", "bash"]);
+    assert_eq!(script.exit, ExitKind::Done);
+    assert!(script.output.contains("ragwortplank"));
+}
--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -127,7 +127,7 @@
 }
 
 /// Answer to `GET /timeline`.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct TimelineReport {
     /// Events, oldest first.
     pub events: Vec<EventRecord>,
