--- a/crates/cli/src/arguments/build.rs
+++ b/crates/cli/src/arguments/build.rs
@@ -1,8 +1,9 @@
 //! The shape of the command line.
 
+mod shared;
+
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 
 use clap::Arg;
 use clap::ArgAction;
@@ -13,13 +14,22 @@
 use clap_complete::Shell;
 
 use crate::arguments::SinceTime;
+use crate::arguments::build::shared::addresses_argument;
+use crate::arguments::build::shared::base;
+use crate::arguments::build::shared::control_arguments;
+use crate::arguments::build::shared::days;
+use crate::arguments::build::shared::file_argument;
+use crate::arguments::build::shared::owner_key;
+use crate::arguments::build::shared::parse_hex;
+use crate::arguments::build::shared::path;
+use crate::arguments::build::shared::role;
+use crate::arguments::build::shared::text;
+use crate::arguments::build::shared::tls_arguments;
+use crate::arguments::build::shared::wait;
 use crate::certificate::AUTHORITY_DAYS;
 use crate::certificate::PROCESS_DAYS;
 use crate::exit::EXIT_HELP;
 
-/// Seconds that `--wait` waits, unless told otherwise.
-const WAIT_DEFAULT_S: &str = "10";
-
 /// Returns the whole command line.
 #[must_use]
 pub fn command() -> Command {
@@ -233,110 +243,3 @@
     arguments.extend(control_arguments());
     arguments
 }
-
-fn control_arguments() -> Vec<Arg> {
-    let control = Arg::new("control")
-        .long("control")
-        .value_name("ADDRESS")
-        .env("RAGWORTPLANK_CONTROL")
-        .value_delimiter(',')
-        .action(ArgAction::Append)
-        .required(true)
-        .value_parser(value_parser!(SocketAddr))
-        .help("Admin listeners of control instances, tried in turn");
-    let mut arguments = vec![control];
-    arguments.extend(tls_arguments());
-    arguments
-}
-
-fn tls_arguments() -> [Arg; 3] {
-    [
-        path(
-            "tls-authority",
-            "FILE",
-            "Authority that signed all certificates",
-        )
-        .env("RAGWORTPLANK_TLS_AUTHORITY")
-        .required(true),
-        path("tls-certificate", "FILE", "Certificate of the operator")
-            .env("RAGWORTPLANK_TLS_CERTIFICATE")
-            .required(true),
-        path("tls-key", "FILE", "Private key of the operator")
-            .env("RAGWORTPLANK_TLS_KEY")
-            .required(true),
-    ]
-}
-
-fn file_argument() -> Arg {
-    Arg::new("file")
-        .value_name("FILE")
-        .required(true)
-        .value_parser(value_parser!(PathBuf))
-        .help("Declaration (TOML)")
-}
-
-fn addresses_argument() -> Arg {
-    Arg::new("addresses")
-        .value_name("ADDRESS")
-        .required(true)
-        .num_args(1..)
-        .value_parser(value_parser!(SocketAddr))
-        .help("Admin listeners of nodes and control instances")
-}
-
-fn owner_key() -> Arg {
-    path("key", "FILE", "Key file of the owner who signs")
-}
-
-fn base() -> Arg {
-    Arg::new("base")
-        .long("base")
-        .value_name("VERSION")
-        .value_parser(value_parser!(u64))
-        .help("Version that the declaration was made from")
-}
-
-fn wait() -> Arg {
-    Arg::new("wait")
-        .long("wait")
-        .value_name("SECONDS")
-        .num_args(0..=1)
-        .default_missing_value(WAIT_DEFAULT_S)
-        .value_parser(value_parser!(u64))
-        .help("Wait until the change is in force everywhere")
-}
-
-fn role() -> Arg {
-    Arg::new("role")
-        .long("role")
-        .required(true)
-        .value_parser(PossibleValuesParser::new(["node", "control", "operator"]))
-        .help("Role that other processes check")
-}
-
-fn days(default: u32) -> Arg {
-    Arg::new("days")
-        .long("days")
-        .default_value(default.to_string())
-        .value_parser(value_parser!(u32).range(1..=36_500))
-        .help("Days until the certificate ends")
-}
-
-fn path(name: &'static str, value: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .value_name(value)
-        .value_parser(value_parser!(PathBuf))
-        .help(help)
-}
-
-fn text(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .value_name(name.to_uppercase())
-        .help(help)
-}
-
-fn parse_hex(text: &str) -> Result<[u8; 32], String> {
-    model::hex::decode_32(text).ok_or_else(|| "expected 64 hexadecimal digits".to_owned())
-}
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,5 +1,8 @@
 //! Talks to the admin listeners of control instances and nodes.
 
+mod error;
+mod request;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,9 +10,6 @@
 use anyhow::Context;
 use anyhow::anyhow;
 use bytes::Bytes;
-use derive_more::Display;
-use derive_more::Error;
-use http::Method;
 use http::Request;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
@@ -19,7 +19,6 @@
 use http_body_util::Limited;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 use settings::TlsFiles;
 use tokio::net::TcpStream;
@@ -32,6 +31,9 @@
 
 use crate::exit::CliError;
 
+pub use error::ClientError;
+pub use request::AdminRequest;
+
 /// Time to connect and shake hands, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 3_000;
 /// Time for a whole request, in milliseconds; a commit may take an election.
@@ -39,29 +41,6 @@
 /// Largest answer, in bytes.
 const ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
-/// Why one address gave no answer.
-#[derive(Debug, Display, Error)]
-pub enum ClientError {
-    /// No connection, no answer in time, or no quorum behind it: another address may do.
-    #[display("{address}: {reason}")]
-    Unreachable {
-        /// The address.
-        address: SocketAddr,
-        /// What went wrong.
-        reason: String,
-    },
-    /// The process answered that the request cannot be done.
-    #[display("{address}: {status}: {reason}")]
-    Refused {
-        /// The address.
-        address: SocketAddr,
-        /// HTTP status.
-        status: StatusCode,
-        /// Text of the answer.
-        reason: String,
-    },
-}
-
 /// Client of admin listeners, with an operator's certificate.
 #[derive(Clone, Debug)]
 pub struct AdminClient {
@@ -69,39 +48,6 @@
     node: TcpClientTls,
 }
 
-/// A request to an admin listener.
-#[derive(Clone, Debug)]
-pub struct AdminRequest {
-    method: Method,
-    path: String,
-    body: Bytes,
-}
-
-impl AdminRequest {
-    /// Asks for a resource.
-    #[must_use]
-    pub fn get(path: impl Into<String>) -> Self {
-        Self {
-            method: Method::GET,
-            path: path.into(),
-            body: Bytes::new(),
-        }
-    }
-
-    /// Sends a value as JSON.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the value has no JSON form.
-    pub fn post(path: impl Into<String>, body: &impl Serialize) -> anyhow::Result<Self> {
-        Ok(Self {
-            method: Method::POST,
-            path: path.into(),
-            body: Bytes::from(serde_json::to_vec(body)?),
-        })
-    }
-}
-
 impl AdminClient {
     /// Reads the operator's TLS files.
     ///
@@ -159,11 +105,11 @@
         let answer = match first {
             Err(ClientError::Unreachable { reason, .. }) => {
                 let second = self.ask(address, PeerRole::Node, request).await;
-                second.map_err(|error| both_roles(error, &reason))
+                second.map_err(|error| error.after_control(&reason))
             }
             answer => answer,
         };
-        decode(address, &answer.map_err(into_cli_error)?)
+        decode(address, &answer?)
     }
 
     /// Tells a node something and returns the text of its answer.
@@ -177,7 +123,7 @@
         request: &AdminRequest,
     ) -> Result<String, CliError> {
         let answer = self.ask(address, PeerRole::Node, request).await;
-        let answer = answer.map_err(into_cli_error)?;
+        let answer = answer?;
         Ok(String::from_utf8_lossy(&answer).into_owned())
     }
 
@@ -260,23 +206,3 @@
     let decoded = decoded.with_context(|| format!("{address}: the answer cannot be read"))?;
     Ok(decoded)
 }
-
-/// Names what went wrong for either role, unless it is the same.
-fn both_roles(error: ClientError, as_control: &str) -> ClientError {
-    match error {
-        ClientError::Unreachable { address, reason } if reason != as_control => {
-            ClientError::Unreachable {
-                address,
-                reason: format!("as a control instance: {as_control}; as a node: {reason}"),
-            }
-        }
-        error => error,
-    }
-}
-
-fn into_cli_error(error: ClientError) -> CliError {
-    match error {
-        ClientError::Unreachable { .. } => CliError::Unreachable(error.into()),
-        ClientError::Refused { .. } => CliError::Failed(error.into()),
-    }
-}
--- a/crates/cli/tests/cli/changes.rs
+++ b/crates/cli/tests/cli/changes.rs
@@ -90,6 +90,23 @@
     assert_eq!(rows[1]["name"], "right");
 }
 
+#[test]
+fn a_change_that_was_overtaken_on_its_way_is_compared_with_the_winner() {
+    let workplace = Workplace::new();
+    let control = FakeControl::start(&workplace, 1);
+    let seen = control.state.lock().expect("state").declaration();
+    let left = workplace.declaration("left.toml", &["left"]);
+    for owner in ["first.key", "second.key"] {
+        workplace.propose(&left, owner, &control.first());
+    }
+    control.state.lock().expect("state").stale = Some(seen);
+    let right = workplace.declaration("right.toml", &["right"]);
+    let refused = workplace.propose(&right, "first.key", &control.first());
+    assert_eq!(refused.exit, ExitKind::Conflict);
+    assert_eq!(refused.json()["plan"]["version"], 1);
+    assert_eq!(refused.json()["plan"]["rows"][0]["name"], "left");
+}
+
 #[test]
 fn waiting_tells_accepted_from_in_force() {
     let workplace = Workplace::new();
--- a/crates/cli/tests/cli/fake_control.rs
+++ b/crates/cli/tests/cli/fake_control.rs
@@ -42,6 +42,8 @@
     /// Submissions whose answer is lost after they were applied.
     pub(crate) lost_answers: usize,
     pub(crate) in_force: bool,
+    /// What the next question for the declaration is answered with.
+    pub(crate) stale: Option<DeclarationText>,
     pub(crate) submissions: usize,
     pub(crate) statuses: Vec<StatusReport>,
     pub(crate) timeline: TimelineReport,
@@ -128,11 +130,8 @@
     let mut state = state.lock().expect("state");
     match (method, path.as_str()) {
         (Method::GET, "/declaration") => {
-            let config = state.ledger.config();
-            let report = DeclarationText {
-                version: config.version(),
-                text: config.text().to_owned(),
-            };
+            let report = state.stale.take();
+            let report = report.unwrap_or_else(|| state.declaration());
             json(StatusCode::OK, &report)
         }
         (Method::POST, "/changes") => {
@@ -159,6 +158,14 @@
 }
 
 impl FakeState {
+    pub(crate) fn declaration(&self) -> DeclarationText {
+        let config = self.ledger.config();
+        DeclarationText {
+            version: config.version(),
+            text: config.text().to_owned(),
+        }
+    }
+
     fn submit(&mut self, submission: ChangeSubmission) -> Response<JsonBody> {
         self.submissions += 1;
         let hash = submission.change.hash();
