--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -56,6 +56,8 @@
 pub struct CoreInner<L, C> {
     /// Identity in the group.
     pub own: InstanceId,
+    /// This start of the instance, drawn at random.
+    pub incarnation: u64,
     /// What the settings say.
     pub names: CoreNames,
     /// The clock.
@@ -109,17 +111,19 @@
         stop: CancellationToken,
     ) -> anyhow::Result<Self> {
         let own = names.own;
+        let incarnation = rand::random();
         let lease = Duration::from_millis(LEASE_MS + DRIFT_MS);
         let stamps = StampClock::new(clock.clone());
         let inner = CoreInner {
             own,
-            hub: MembershipHub::new(own, rand::random(), clock.clone()),
-            bank: TokenBank::new(own, lease, clock.clone()),
+            hub: MembershipHub::new(own, incarnation, clock.clone()),
+            bank: TokenBank::new(own, incarnation, lease, clock.clone()),
             forwarder: GrantForwarder::new(mesh.clone()),
             force: ForceTracker::new(clock.clone(), lease),
             suspects: SuspectDesk::new(clock.clone()),
             events: EventRing::new(&names.process, TIMELINE_EVENTS, stamps),
             metrics: ControlMetrics::new()?,
+            incarnation,
             names,
             clock,
             log,
--- a/crates/control/src/force.rs
+++ b/crates/control/src/force.rs
@@ -36,10 +36,20 @@
     peers: BTreeMap<InstanceId, PeerVersion>,
 }
 
+/// One start of an instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LiveInstance {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Drawn at random when it started.
+    pub incarnation: u64,
+}
+
 /// Version up to which an instance told of its leases, and when it did.
 #[derive(Clone, Copy, Debug)]
 struct PeerVersion {
     version: ConfigVersion,
+    incarnation: u64,
     heard: Instant,
 }
 
@@ -69,21 +79,28 @@
     }
 
     /// Notes that a peer told of all leases that it granted under versions before `version`.
-    pub fn heard(&self, peer: InstanceId, version: ConfigVersion) {
-        let heard = self.clock.now();
-        let news = PeerVersion { version, heard };
-        self.lock().peers.insert(peer, news);
+    pub fn heard(&self, peer: LiveInstance, version: ConfigVersion) {
+        let news = PeerVersion {
+            version,
+            incarnation: peer.incarnation,
+            heard: self.clock.now(),
+        };
+        self.lock().peers.insert(peer.instance, news);
     }
 
     /// Returns the peers that told of their nodes within `limit`.
-    pub fn live_peers(&self, limit: Duration) -> Vec<InstanceId> {
+    pub fn live_peers(&self, limit: Duration) -> Vec<LiveInstance> {
         let now = self.clock.now();
         let state = self.lock();
         let live = state
             .peers
             .iter()
             .filter(|(_, peer)| now.saturating_duration_since(peer.heard) < limit);
-        live.map(|(instance, _)| *instance).collect()
+        let live = live.map(|(instance, peer)| LiveInstance {
+            instance: *instance,
+            incarnation: peer.incarnation,
+        });
+        live.collect()
     }
 
     /// Returns whether `version` is in force, given all other instances of the group.
--- a/crates/control/src/sync.rs
+++ b/crates/control/src/sync.rs
@@ -14,6 +14,7 @@
 use wire::service::HubBatch;
 
 use crate::core::ControlCore;
+use crate::force::LiveInstance;
 use crate::log::ControlLog;
 
 /// Period of the batches to each peer, in milliseconds.
@@ -118,7 +119,11 @@
         let understood = self.hub.absorb(batch);
         self.suspects.absorb(&batch.crashes);
         if understood {
-            self.force.heard(batch.from, batch.version);
+            let peer = LiveInstance {
+                instance: batch.from,
+                incarnation: batch.feed,
+            };
+            self.force.heard(peer, batch.version);
         }
         HubAck {
             feed: self.hub.feed(),
--- /dev/null
+++ b/crates/control/tests/control/replicated.rs
@@ -0,0 +1,214 @@
+//! Three control instances on loopback with their logs on disk.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use clock::SystemClock;
+use control::core::ControlCore;
+use control::log::ControlLog;
+use control::log::LedgerLog;
+use control::run::ControlServer;
+use model::admin::ChangeSubmission;
+use model::change::ChangeStatus;
+use model::exchange::ExchangeRequest;
+use model::ids::InstanceId;
+use settings::ControlAddress;
+use settings::ControlSettings;
+use tempfile::TempDir;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use wire::client::ControlClient;
+use wire::quic::LinkTiming;
+use wire::quic::QuicEndpoint;
+use wire::role::PeerRole;
+
+use crate::common::LOOPBACK;
+use crate::common::authority::TestAuthority;
+use crate::common::fake_log::FakeGroup;
+use crate::common::request;
+use crate::common::until;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+struct RunningInstance {
+    core: ControlCore<LedgerLog, SystemClock>,
+    stop: CancellationToken,
+    served: JoinHandle<anyhow::Result<()>>,
+}
+
+impl RunningInstance {
+    fn leads(&self) -> bool {
+        self.core.log.position().leader == Some(self.core.own)
+    }
+
+    async fn stop(self) {
+        self.stop.cancel();
+        self.served.await.unwrap().unwrap();
+    }
+}
+
+struct ReplicatedGroup {
+    authority: TestAuthority,
+    folder: TempDir,
+    owners: FakeGroup,
+    addresses: Vec<ControlAddress>,
+    running: Vec<RunningInstance>,
+}
+
+impl ReplicatedGroup {
+    async fn start() -> Self {
+        let mut group = Self {
+            authority: TestAuthority::new(),
+            folder: TempDir::new().unwrap(),
+            owners: FakeGroup::new(1),
+            addresses: Vec::new(),
+            running: Vec::new(),
+        };
+        let endpoints: Vec<_> = (0..3).map(|_| group.endpoint(LOOPBACK)).collect();
+        let numbered = (1..).zip(&endpoints);
+        group.addresses = numbered
+            .map(|(instance, endpoint)| ControlAddress {
+                instance,
+                address: endpoint.local_addr().unwrap(),
+            })
+            .collect();
+        for (instance, endpoint) in (1..).zip(endpoints) {
+            let started = group.start_instance(instance, endpoint).await;
+            group.running.push(started);
+        }
+        group
+    }
+
+    fn endpoint(&self, address: SocketAddr) -> QuicEndpoint {
+        let identity = self.authority.identity(PeerRole::Control);
+        let roles = [PeerRole::Node, PeerRole::Control];
+        QuicEndpoint::bind(address, &identity, &roles, LinkTiming::default()).unwrap()
+    }
+
+    async fn start_instance(&self, own: InstanceId, quic: QuicEndpoint) -> RunningInstance {
+        let settings = ControlSettings {
+            process: format!("control-{own}"),
+            data_centre: "south".into(),
+            instance: own,
+            listen: quic.local_addr().unwrap(),
+            admin: LOOPBACK,
+            data: self.data(own),
+            group: self.addresses.clone(),
+            join: false,
+            owners: self.owners.owner_keys(),
+            tls: self.authority.files(PeerRole::Control.dns_name()),
+        };
+        let identity = self.authority.identity(PeerRole::Control);
+        let stop = CancellationToken::new();
+        let started = ControlServer::start(&settings, &identity, quic, SystemClock, stop.clone());
+        let started = started.await.unwrap();
+        let core = started.core().clone();
+        let served = tokio::spawn(started.serve());
+        RunningInstance { core, stop, served }
+    }
+
+    fn data(&self, own: InstanceId) -> std::path::PathBuf {
+        Path::new(self.folder.path()).join(format!("data-{own}"))
+    }
+
+    fn client(&self, first: u64) -> ControlClient {
+        let identity = self.authority.identity(PeerRole::Node);
+        let timing = LinkTiming::default();
+        let endpoint = QuicEndpoint::bind_client(LOOPBACK, &identity, timing).unwrap();
+        ControlClient::new(&endpoint, &self.addresses, first)
+    }
+
+    /// Submits a change with both signatures at an instance.
+    async fn declare(&self, position: usize, items: &str) -> ChangeStatus {
+        let core = &self.running[position].core;
+        let mut change = self.owners.change(items);
+        change.base = core.log.read(|state| state.config().version());
+        let signatures = self.owners.sign(&change);
+        let submission = ChangeSubmission { change, signatures };
+        core.submit(submission, Instant::now() + LIMIT)
+            .await
+            .unwrap()
+    }
+
+    async fn founded(&self) {
+        for instance in &self.running {
+            let log = &instance.core.log;
+            until(|| log.read(|state| !state.config().declaration().owners.is_empty())).await;
+        }
+    }
+}
+
+/// Exchanges until a lease names `version`, and keeps the node's state.
+async fn leased(client: &ControlClient, request: &mut ExchangeRequest, version: u64) {
+    loop {
+        if let Ok(reply) = client.exchange(request).await
+            && let Some(lease) = reply.lease
+        {
+            assert!(lease.version >= request.applied, "a version went back");
+            request.applied = lease.version;
+            if lease.version >= version {
+                return;
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_survives_the_leader_and_a_restart_of_all() {
+    let mut group = ReplicatedGroup::start().await;
+    group.founded().await;
+    assert_eq!(group.declare(0, "").await, ChangeStatus::Accepted(1));
+    let client = group.client(0);
+    let mut request = request(1, "orders", &[]);
+    leased(&client, &mut request, 1).await;
+
+    // The leader stops; the others elect another one and the node moves on.
+    let leader = group.running.iter().position(RunningInstance::leads);
+    let leader = group.running.remove(leader.unwrap());
+    leader.stop().await;
+    assert_eq!(group.declare(1, "").await, ChangeStatus::Accepted(2));
+    leased(&client, &mut request, 2).await;
+
+    // All stop, and start again from what is on disk.
+    for instance in group.running.drain(..) {
+        instance.stop().await;
+    }
+    for address in group.addresses.clone() {
+        let endpoint = group.endpoint(address.address);
+        let started = group.start_instance(address.instance, endpoint).await;
+        group.running.push(started);
+    }
+    leased(&client, &mut request, 2).await;
+    let cores: Vec<_> = group
+        .running
+        .iter()
+        .map(|instance| &instance.core)
+        .collect();
+    for core in &cores {
+        assert!(core.log.confirm().await.is_ok());
+        assert_eq!(core.log.read(|state| state.config().version()), 2);
+    }
+    until(|| {
+        let digests: Vec<_> = cores.iter().map(|core| core.log.digest()).collect();
+        digests.iter().all(|digest| *digest == digests[0])
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_without_the_others_renews_no_lease() {
+    let mut group = ReplicatedGroup::start().await;
+    group.founded().await;
+    let mut request = request(1, "orders", &[]);
+    leased(&group.client(0), &mut request, 0).await;
+    let last = group.running.remove(0);
+    for instance in group.running.drain(..) {
+        instance.stop().await;
+    }
+    // It may have led, and still knows all the state, but no quorum confirms it.
+    let reply = last.core.exchange(request).await.unwrap();
+    assert_eq!(reply.lease, None);
+    last.stop().await;
+}
