--- a/crates/control/src/owners.rs
+++ b/crates/control/src/owners.rs
@@ -1,6 +1,5 @@
 //! The choice of which instance grants the tokens of which team.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,13 +8,13 @@
 use ledger::OwnerTable;
 use ledger::TeamAssignment;
 use model::declaration::Declaration;
-use model::ids::InstanceId;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tracing::info;
 use tracing::warn;
 
 use crate::core::ControlCore;
+use crate::force::LiveInstance;
 use crate::log::ControlLog;
 
 /// Period in which the owners are checked, in milliseconds.
@@ -80,7 +79,10 @@
             return Vec::new();
         }
         let settled = led >= silence;
-        live.push(self.own);
+        live.push(LiveInstance {
+            instance: self.own,
+            incarnation: self.incarnation,
+        });
         self.log.read(|state| {
             let declaration = state.config().declaration();
             plan_owners(declaration, state.owners(), &live, settled)
@@ -103,35 +105,54 @@
 
 /// Returns assignments for teams without an owner and, once `settled`, for
 /// those whose owner is not live.
+///
+/// A restarted instance takes its teams again by itself.
 #[must_use]
 pub fn plan_owners(
     declaration: &Declaration,
     owners: &OwnerTable,
-    live: &[InstanceId],
+    live: &[LiveInstance],
     settled: bool,
 ) -> Vec<TeamAssignment> {
-    let mut counts: BTreeMap<InstanceId, usize> = live.iter().map(|live| (*live, 0)).collect();
-    for owner in owners.iter() {
-        if let Some(count) = counts.get_mut(&owner.instance) {
-            *count += 1;
-        }
-    }
+    let mut loads: Vec<_> = live
+        .iter()
+        .map(|live| OwnerLoad::of(*live, owners))
+        .collect();
     let mut planned = Vec::new();
     for team in &declaration.teams {
         let owner = owners.owner(&team.name);
-        let kept = owner.is_some_and(|owner| !settled || live.contains(&owner.instance));
-        if kept {
+        let is_live = |instance| live.iter().any(|live| live.instance == instance);
+        if owner.is_some_and(|owner| !settled || is_live(owner.instance)) {
             continue;
         }
-        let Some((&instance, count)) = counts.iter_mut().min_by_key(|(_, count)| **count) else {
+        let Some(least) = loads.iter_mut().min_by_key(|load| load.teams) else {
             continue;
         };
-        *count += 1;
+        least.teams += 1;
         planned.push(TeamAssignment {
             team: team.name.clone(),
-            instance,
+            instance: least.live.instance,
+            incarnation: least.live.incarnation,
             replaces: owner.map_or(0, |owner| owner.epoch),
         });
     }
     planned
 }
+
+/// Teams that a live instance owns.
+struct OwnerLoad {
+    live: LiveInstance,
+    teams: usize,
+}
+
+impl OwnerLoad {
+    fn of(live: LiveInstance, owners: &OwnerTable) -> Self {
+        let own = owners
+            .iter()
+            .filter(|owner| owner.instance == live.instance);
+        Self {
+            live,
+            teams: own.count(),
+        }
+    }
+}
