--- a/crates/cli/src/command/propose.rs
+++ b/crates/cli/src/command/propose.rs
@@ -128,11 +128,19 @@
     current: &DeclarationText,
     new: &Declaration,
 ) -> Result<PlanReport, CliError> {
-    let old = Declaration::parse(&current.text, current.version);
-    let old = old.context("the declaration in force cannot be read by this version")?;
+    let old = in_force(current)?;
     Ok(PlanReport::between(&old, new))
 }
 
+/// Reads the declaration in force; a group without a first change has an empty one.
+fn in_force(current: &DeclarationText) -> anyhow::Result<Declaration> {
+    if current.version == 0 {
+        return Ok(Declaration::default());
+    }
+    let declaration = Declaration::parse(&current.text, current.version);
+    declaration.context("the declaration in force cannot be read by this version")
+}
+
 fn is_open(report: &ChangeReport) -> bool {
     match report.status {
         ChangeStatus::Pending => true,
