--- a/crates/bench/src/group/files.rs
+++ b/crates/bench/src/group/files.rs
@@ -59,7 +59,7 @@
         }
         for node in &plan.nodes {
             tool::issue(&files.tls(), &node.name, "node", address)?;
-            files.save(&node.name, &files.node_settings(plan, node)?)?;
+            files.save(&node.name, &node_settings(plan, node)?)?;
         }
         Ok(files)
     }
@@ -144,25 +144,25 @@
         }
         Ok(text)
     }
+}
 
-    fn node_settings(&self, plan: &GroupPlan, node: &NodePlan) -> anyhow::Result<String> {
-        let mut text = String::new();
-        writeln!(text, "role = \"node\"")?;
-        writeln!(text, "process = \"{}\"", node.name)?;
-        writeln!(text, "data-centre = \"{}\"", node.data_centre)?;
-        writeln!(text, "[listen]")?;
-        writeln!(text, "callers = \"{}\"", node.callers)?;
-        writeln!(text, "peers = \"{}\"", node.peers)?;
-        writeln!(text, "local = \"{}\"", node.local)?;
-        writeln!(text, "admin = \"{}\"", node.admin)?;
-        write_tls(&mut text, &node.name)?;
-        for (position, member) in plan.controls.iter().enumerate() {
-            let relayed = node.control.as_ref().map(|relays| relays[position]);
-            let address = relayed.unwrap_or(member.quic);
-            write_member(&mut text, "control", member.instance, address)?;
-        }
-        Ok(text)
+fn node_settings(plan: &GroupPlan, node: &NodePlan) -> anyhow::Result<String> {
+    let mut text = String::new();
+    writeln!(text, "role = \"node\"")?;
+    writeln!(text, "process = \"{}\"", node.name)?;
+    writeln!(text, "data-centre = \"{}\"", node.data_centre)?;
+    writeln!(text, "[listen]")?;
+    writeln!(text, "callers = \"{}\"", node.callers)?;
+    writeln!(text, "peers = \"{}\"", node.peers)?;
+    writeln!(text, "local = \"{}\"", node.local)?;
+    writeln!(text, "admin = \"{}\"", node.admin)?;
+    write_tls(&mut text, &node.name)?;
+    for (position, member) in plan.controls.iter().enumerate() {
+        let relayed = node.control.as_ref().map(|relays| relays[position]);
+        let address = relayed.unwrap_or(member.quic);
+        write_member(&mut text, "control", member.instance, address)?;
     }
+    Ok(text)
 }
 
 fn write_tls(text: &mut String, name: &str) -> std::fmt::Result {
