Check the consensus core under faults, and mend what that showed

It checks: one leader in a term, logs agree, nothing committed is lost, no read older than a write acknowledged before it began; and that the healed group commits again.

Faults it found, each mended: - A voter that is being removed could not campaign although only it held entries the others needed: it may now until the removal is committed. - A learner refused votes until it knew a membership, which blocked its own promotion.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -39,7 +39,10 @@
             state.metrics.in_flight.set(in_flight);
             let traffic = state.control.traffic();
             let bytes = traffic.sent_bytes + traffic.received_bytes;
-            state.metrics.control_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+            state
+                .metrics
+                .control_bytes
+                .set(i64::try_from(bytes).unwrap_or(i64::MAX));
             text(StatusCode::OK, &state.metrics.encode())
         }
         (Method::POST, "/drain") => {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -27,7 +27,10 @@
 const LEAVE_TIMEOUT_MS: u64 = 1_000;
 
 /// Exchanges with control until the node stops, then says that it leaves.
-pub async fn run<C: Clock>(state: Arc<NodeState<C>>, stop: CancellationToken) -> anyhow::Result<()> {
+pub async fn run<C: Clock>(
+    state: Arc<NodeState<C>>,
+    stop: CancellationToken,
+) -> anyhow::Result<()> {
     while !stop.is_cancelled() {
         renew(&state).await;
         tokio::time::sleep(Duration::from_millis(SPACING_MS)).await;
@@ -73,7 +76,9 @@
         let kind = if holds { "lease-gained" } else { "lease-lost" };
         tracing::info!(event = kind, version = state.view.get().version());
         let version = state.view.get().version();
-        state.events.push(EventRecord::new(kind).field("version", &version));
+        state
+            .events
+            .push(EventRecord::new(kind).field("version", &version));
     }
 }
 
@@ -129,7 +134,10 @@
     let view = state.view.get();
     if view.version() != before {
         state.standings().update(&view.declaration.teams);
-        state.metrics.applied.set(i64::try_from(view.version()).unwrap_or(i64::MAX));
+        state
+            .metrics
+            .applied
+            .set(i64::try_from(view.version()).unwrap_or(i64::MAX));
         tracing::info!(event = "config-applied", version = view.version());
         let event = EventRecord::new("config-applied").field("version", &view.version());
         state.events.push(event);
@@ -154,7 +162,12 @@
 
 /// Opens connections to new nodes before the first call needs them.
 fn connect_ahead<C: Clock>(state: &Arc<NodeState<C>>, fresh: &[MemberRecord]) {
-    let known: Vec<SocketAddr> = state.members.records().iter().map(|record| record.address).collect();
+    let known: Vec<SocketAddr> = state
+        .members
+        .records()
+        .iter()
+        .map(|record| record.address)
+        .collect();
     state.peers.retain(|address| known.contains(address));
     for record in fresh {
         let address = record.address;
--- a/crates/node/src/execute.rs
+++ b/crates/node/src/execute.rs
@@ -103,9 +103,8 @@
     let state = Arc::clone(state);
     let context = context.clone();
     let tracker = state.background.clone();
-    let running = tracker.spawn(async move {
-        claim_and_run(&state, &context, deadline, &request).await
-    });
+    let running =
+        tracker.spawn(async move { claim_and_run(&state, &context, deadline, &request).await });
     match running.await {
         Ok(executed) => executed,
         Err(_) => {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -88,7 +88,10 @@
             retries: counter("ragwortplank_retries_total", "Attempts beyond the first")?,
             renewals: counter("ragwortplank_renewals_total", "Leases renewed")?,
             renewal_failures: counter("ragwortplank_renewal_failures_total", "Renewals failed")?,
-            applied: gauge("ragwortplank_applied_version", "Declaration version applied")?,
+            applied: gauge(
+                "ragwortplank_applied_version",
+                "Declaration version applied",
+            )?,
             control_bytes: gauge("ragwortplank_control_bytes", "Bytes exchanged with control")?,
             in_flight: gauge("ragwortplank_in_flight", "Calls the backend server runs")?,
             registry,
--- a/crates/node/src/parent.rs
+++ b/crates/node/src/parent.rs
@@ -52,7 +52,10 @@
     /// Returns what the backend server runs now.
     pub fn fingerprints(&self) -> Vec<model::ids::Fingerprint> {
         let calls = self.lock();
-        calls.values().map(|call| call.context.fingerprint).collect()
+        calls
+            .values()
+            .map(|call| call.context.fingerprint)
+            .collect()
     }
 
     /// Returns the number of calls in flight.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -69,17 +69,51 @@
 
     let mut public = TaskSupervisor::new(clock.clone(), stages.public.clone());
     let callers = state.settings.callers;
-    listen(&mut public, "callers", &state, callers, Some(caller_tls), serve_caller, &stages.public);
+    listen(
+        &mut public,
+        "callers",
+        &state,
+        callers,
+        Some(caller_tls),
+        serve_caller,
+        &stages.public,
+    );
     let peers = state.settings.peers;
-    listen(&mut public, "peers", &state, peers, Some(peer_tls), serve_peer, &stages.public);
+    listen(
+        &mut public,
+        "peers",
+        &state,
+        peers,
+        Some(peer_tls),
+        serve_peer,
+        &stages.public,
+    );
 
     let mut inner = TaskSupervisor::new(clock, stages.local.clone());
     let local = state.settings.local;
-    listen(&mut inner, "local", &state, local, None, serve_local, &stages.local);
+    listen(
+        &mut inner,
+        "local",
+        &state,
+        local,
+        None,
+        serve_local,
+        &stages.local,
+    );
     let admin = state.settings.admin;
-    listen(&mut inner, "admin", &state, admin, Some(admin_tls), serve_admin, &stages.local);
+    listen(
+        &mut inner,
+        "admin",
+        &state,
+        admin,
+        Some(admin_tls),
+        serve_admin,
+        &stages.local,
+    );
     let ticking = (Arc::clone(&state), stages.local.clone());
-    inner.spawn("tick", move || tick(Arc::clone(&ticking.0), ticking.1.clone()));
+    inner.spawn("tick", move || {
+        tick(Arc::clone(&ticking.0), ticking.1.clone())
+    });
     let exchanging = (Arc::clone(&state), stages.local.clone());
     inner.spawn("exchange", move || {
         exchange::run(Arc::clone(&exchanging.0), exchanging.1.clone())
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -111,7 +111,8 @@
 
     /// Returns the state of the backend server.
     pub fn state(&self) -> ServerState {
-        self.target().map_or(ServerState::Absent, |target| target.state)
+        self.target()
+            .map_or(ServerState::Absent, |target| target.state)
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<HeardServer>> {
--- a/crates/node/src/tokens.rs
+++ b/crates/node/src/tokens.rs
@@ -76,7 +76,10 @@
     /// Returns what to tell control with the next exchange.
     pub fn demands(&self) -> Vec<TokenDemand> {
         let mut holders = self.lock();
-        holders.values_mut().filter_map(TokenHolder::demand).collect()
+        holders
+            .values_mut()
+            .filter_map(TokenHolder::demand)
+            .collect()
     }
 
     /// Takes over grants that die at `lease_end`.
@@ -112,11 +115,7 @@
         held.collect()
     }
 
-    fn with_holder<R>(
-        &self,
-        team: &TeamName,
-        action: impl FnOnce(&mut TokenHolder<C>) -> R,
-    ) -> R {
+    fn with_holder<R>(&self, team: &TeamName, action: impl FnOnce(&mut TokenHolder<C>) -> R) -> R {
         let mut holders = self.lock();
         let holder = holders.entry(team.clone()).or_insert_with(|| {
             let ahead = Duration::from_millis(AHEAD_MS);
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -217,6 +217,10 @@
         if self.fault.is_some() || from == self.id {
             return;
         }
+        if message.folder.is_some_and(|folder| folder != self.folder) {
+            self.fault = Some(CoreFault::OtherFolder { instance: self.id });
+            return;
+        }
         if !self.admit_term(from, &message, now) {
             return;
         }
@@ -410,18 +414,24 @@
 
     /// Queues a message that does not depend on unsynced writes.
     fn send(&mut self, to: InstanceId, body: MessageBody) {
-        let message = PeerMessage {
-            term: self.term,
-            body,
-        };
+        let message = self.message(to, self.term, body);
         self.output.messages.push(OutgoingMessage { to, message });
     }
 
     /// Queues a message that must not leave before all earlier writes are synced.
     fn send_synced(&mut self, to: InstanceId, term: Term, body: MessageBody) {
-        let message = PeerMessage { term, body };
+        let message = self.message(to, term, body);
         self.output
             .synced_messages
             .push(OutgoingMessage { to, message });
     }
+
+    fn message(&self, to: InstanceId, term: Term, body: MessageBody) -> PeerMessage {
+        let member = self.log.membership().member(to);
+        PeerMessage {
+            term,
+            folder: member.map(|member| member.folder),
+            body,
+        }
+    }
 }
--- a/crates/quorum/src/core/election.rs
+++ b/crates/quorum/src/core/election.rs
@@ -117,6 +117,10 @@
         self.finish_pre_vote(now);
     }
 
+    /// Answers a pre-vote.
+    ///
+    /// A learner whose promotion only the sender has seen may hold the newest log,
+    /// and it is then the only member that can be elected by the voters that it knows.
     pub(super) fn on_pre_vote(
         &mut self,
         from: InstanceId,
@@ -124,11 +128,14 @@
         last: LogPosition,
         now: Instant,
     ) {
-        let granted = proposed > self.term
-            && !self.trusts_leader(now)
-            && last.is_up_to_date_with(self.log.last());
+        let up_to_date = last.is_up_to_date_with(self.log.last());
+        let granted = proposed > self.term && !self.trusts_leader(now) && up_to_date;
         let term = if granted { proposed } else { self.term };
         self.send_synced(from, term, MessageBody::PreVoteReply { granted });
+        let needed = !up_to_date && !self.is_voter() && !self.trusts_leader(now);
+        if needed && matches!(self.role, CoreRole::Follower) {
+            self.start_pre_vote(now);
+        }
     }
 
     pub(super) fn on_pre_vote_reply(
@@ -178,8 +185,7 @@
     pub(super) fn on_vote(&mut self, from: InstanceId, last: LogPosition, now: Instant) {
         let free = self.vote.is_none_or(|vote| vote == from)
             && matches!(self.role, CoreRole::Follower | CoreRole::PreCandidate(_))
-            && self.leader.is_none()
-            && !self.log.membership().members().is_empty();
+            && self.leader.is_none();
         let granted = free && last.is_up_to_date_with(self.log.last());
         if granted {
             if self.vote.is_none() {
--- a/crates/quorum/src/core/members.rs
+++ b/crates/quorum/src/core/members.rs
@@ -40,12 +40,27 @@
         if let MemberChange::Promote(instance) = change {
             self.check_caught_up(instance, now)?;
         }
+        if !membership.has_quorum(|voter| self.heard_lately(voter, now)) {
+            return Err(ChangeError::NoQuorum);
+        }
         self.append_own(vec![EntryPayload::Members(membership)]);
         self.follow_membership(now);
         self.replicate(now);
         Ok(self.log.membership_index())
     }
 
+    /// Returns whether the member answered within the shortest election timeout.
+    fn heard_lately(&self, member: InstanceId, now: Instant) -> bool {
+        let CoreRole::Leader(state) = &self.role else {
+            return false;
+        };
+        member == self.id
+            || state
+                .peers
+                .get(&member)
+                .is_some_and(|peer| now < peer.heard_at + self.timing.election_min)
+    }
+
     /// Returns whether the learner is close enough to the end of the log to vote.
     fn check_caught_up(&self, instance: InstanceId, now: Instant) -> Result<(), ChangeError> {
         let CoreRole::Leader(state) = &self.role else {
@@ -57,9 +72,7 @@
             .index
             .saturating_sub(self.timing.promotion_lag_entries);
         let near = state.peers.get(&instance).is_some_and(|peer| {
-            peer.matched > 0
-                && peer.matched >= needed
-                && now < peer.heard_at + self.timing.election_min
+            peer.matched > 0 && peer.matched >= needed && self.heard_lately(instance, now)
         });
         if near {
             Ok(())
@@ -89,10 +102,10 @@
         }
     }
 
-    /// Steps down once the removal of this leader is committed.
+    /// Lets a leader without a vote step down once the membership that says so is committed.
     pub(super) fn finish_membership(&mut self, now: Instant) {
-        let removed = self.log.membership().member(self.id).is_none();
-        if removed && self.committed >= self.log.membership_index() {
+        let votes = self.log.membership().is_voter(self.id);
+        if !votes && self.committed >= self.log.membership_index() {
             self.broadcast_commit();
             self.become_follower(self.term, None, now);
         }
--- a/crates/quorum/src/core/snapshots.rs
+++ b/crates/quorum/src/core/snapshots.rs
@@ -109,10 +109,11 @@
             peer.next = peer.matched + 1;
             peer.probing = false;
             self.send_entries(from);
-        } else if received > progress.received || received == 0 {
-            let moved = received != progress.received;
+        } else {
+            // A restarted member may hold less than it once acknowledged.
+            let advanced = received > progress.received;
             progress.received = received;
-            if moved {
+            if advanced {
                 self.resume_snapshot(from);
             }
         }
--- a/crates/quorum/src/core/status.rs
+++ b/crates/quorum/src/core/status.rs
@@ -98,8 +98,13 @@
         self.log.term_at(index)
     }
 
+    /// Returns whether this member may start elections.
+    ///
+    /// One that is being removed still may: until the removal is committed, it
+    /// may be the only one with an entry that the others need.
     pub(super) fn is_voter(&self) -> bool {
         self.log.membership().is_voter(self.id)
+            || self.log.membership_at(self.committed).is_voter(self.id)
     }
 
     pub(super) fn other_leader(&self) -> Option<InstanceId> {
--- a/crates/quorum/src/membership.rs
+++ b/crates/quorum/src/membership.rs
@@ -62,6 +62,9 @@
     /// The learner lags too far behind.
     #[display("the learner has not caught up")]
     NotCaughtUp,
+    /// No quorum of the voters after the change was heard of lately.
+    #[display("no quorum of the voters after the change was heard of lately")]
+    NoQuorum,
     /// The last voter cannot be removed.
     #[display("the last voter cannot be removed")]
     LastVoter,
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::FolderId;
 use crate::LogEntry;
 use crate::LogIndex;
 use crate::LogPosition;
@@ -15,6 +16,9 @@
 pub struct PeerMessage {
     /// Sender's term; in pre-votes the term that the sender would start.
     pub term: Term,
+    /// Receiver's data folder as the sender's membership names it, so that a
+    /// wiped receiver does not act under its old identity.
+    pub folder: Option<FolderId>,
     /// What the message says.
     pub body: MessageBody,
 }
--- /dev/null
+++ b/crates/quorum/tests/support/disk.rs
@@ -0,0 +1,78 @@
+//! A disk that loses what was not synced when its member crashes.
+
+use std::collections::VecDeque;
+
+use quorum::BatchNumber;
+use quorum::DurableState;
+use quorum::DurableWrite;
+use quorum::OutgoingMessage;
+
+/// Writes of one batch with the messages that wait for them.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingBatch {
+    pub(crate) batch: BatchNumber,
+    pub(crate) writes: Vec<DurableWrite>,
+    pub(crate) messages: Vec<OutgoingMessage>,
+}
+
+/// Synced state, and batches that are not synced yet.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SimDisk {
+    pub(crate) synced: DurableState,
+    pub(crate) pending: VecDeque<PendingBatch>,
+}
+
+impl SimDisk {
+    /// Syncs the oldest `count` batches together; returns the last one's number and all messages.
+    pub(crate) fn sync(&mut self, count: usize) -> Option<(BatchNumber, Vec<OutgoingMessage>)> {
+        let mut last = None;
+        let mut messages = Vec::new();
+        for _ in 0..count {
+            let Some(batch) = self.pending.pop_front() else {
+                break;
+            };
+            for write in batch.writes {
+                self.write(write);
+            }
+            messages.extend(batch.messages);
+            last = Some(batch.batch);
+        }
+        last.map(|batch| (batch, messages))
+    }
+
+    /// Loses power after `survivors` more batches reached the disk.
+    pub(crate) fn crash(&mut self, survivors: usize) {
+        self.sync(survivors);
+        self.pending.clear();
+    }
+
+    fn write(&mut self, write: DurableWrite) {
+        let state = &mut self.synced;
+        match write {
+            DurableWrite::Vote { term, vote } => {
+                state.term = term;
+                state.vote = vote;
+            }
+            DurableWrite::Append(entries) => {
+                let from = entries[0].position.index;
+                state.entries.retain(|entry| entry.position.index < from);
+                state.entries.extend(entries);
+            }
+            DurableWrite::Compact(snapshot) => {
+                let index = snapshot.last.index;
+                let older = state
+                    .snapshot
+                    .as_ref()
+                    .is_none_or(|held| held.last.index < index);
+                if older {
+                    state.entries.retain(|entry| entry.position.index > index);
+                    state.snapshot = Some(snapshot);
+                }
+            }
+            DurableWrite::Install(snapshot) => {
+                state.entries.clear();
+                state.snapshot = Some(snapshot);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/support/group.rs
@@ -0,0 +1,321 @@
+//! A group of cores with disks and a network that loses, repeats and reorders.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use quorum::AppliedEffect;
+use quorum::CoreTiming;
+use quorum::DurableState;
+use quorum::FolderId;
+use quorum::INITIAL_FOLDER;
+use quorum::InstanceId;
+use quorum::LogIndex;
+use quorum::LogPosition;
+use quorum::MemberDuty;
+use quorum::Membership;
+use quorum::OutgoingMessage;
+use quorum::QuorumCore;
+use quorum::ReadTicket;
+
+use crate::disk::PendingBatch;
+use crate::disk::SimDisk;
+use crate::history::GroupHistory;
+use crate::history::SimMachine;
+
+/// Messages on their way beyond which the oldest are lost.
+const IN_FLIGHT_MAX: usize = 400;
+
+/// Entries kept behind a snapshot.
+const TRAILING_ENTRIES: u64 = 3;
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct SimMessage {
+    pub(crate) from: InstanceId,
+    pub(crate) outgoing: OutgoingMessage,
+}
+
+/// A read and the writes that had been acknowledged when it began.
+#[derive(Clone, Copy, Debug)]
+struct PendingRead {
+    ticket: ReadTicket,
+    acknowledged: LogIndex,
+}
+
+/// One member: its disk, and while it runs its core and state machine.
+#[derive(Debug)]
+pub(crate) struct SimMember {
+    pub(crate) folder: FolderId,
+    pub(crate) disk: SimDisk,
+    pub(crate) core: Option<QuorumCore>,
+    pub(crate) machine: SimMachine,
+    proposals: Vec<LogPosition>,
+    reads: Vec<PendingRead>,
+}
+
+/// The whole group in virtual time.
+#[derive(Debug)]
+pub(crate) struct SimGroup {
+    pub(crate) now: Instant,
+    pub(crate) members: BTreeMap<InstanceId, SimMember>,
+    pub(crate) in_flight: Vec<SimMessage>,
+    pub(crate) cuts: BTreeSet<(InstanceId, InstanceId)>,
+    /// Members that neither tick nor receive.
+    pub(crate) paused: BTreeSet<InstanceId>,
+    pub(crate) history: GroupHistory,
+    pub(crate) reads_checked: u64,
+    timing: CoreTiming,
+    seed: u64,
+    next_ticket: ReadTicket,
+}
+
+impl SimGroup {
+    pub(crate) fn new(initial: &[InstanceId], message_bytes: usize, seed: u64) -> Self {
+        let timing = CoreTiming {
+            message_bytes,
+            trailing_entries: TRAILING_ENTRIES,
+            ..CoreTiming::default()
+        };
+        let mut group = Self {
+            now: Instant::now(),
+            members: BTreeMap::new(),
+            in_flight: Vec::new(),
+            cuts: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            history: GroupHistory::default(),
+            reads_checked: 0,
+            timing,
+            seed,
+            next_ticket: 0,
+        };
+        let membership = Membership::initial(initial);
+        for &id in initial {
+            group.add(id, INITIAL_FOLDER, membership.clone());
+        }
+        group
+    }
+
+    /// Adds an instance with an empty disk and starts it.
+    pub(crate) fn add(&mut self, id: InstanceId, folder: FolderId, initial: Membership) {
+        let mut disk = SimDisk::default();
+        disk.synced.initial = initial;
+        let member = SimMember {
+            folder,
+            disk,
+            core: None,
+            machine: SimMachine::default(),
+            proposals: Vec::new(),
+            reads: Vec::new(),
+        };
+        self.members.insert(id, member);
+        self.start(id);
+    }
+
+    pub(crate) fn start(&mut self, id: InstanceId) {
+        self.seed = self.seed.wrapping_add(1);
+        let (seed, now) = (self.seed, self.now);
+        let timing = self.timing.clone();
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        if member.core.is_some() {
+            return;
+        }
+        let state: DurableState = member.disk.synced.clone();
+        member.machine = SimMachine::default();
+        member.core = Some(QuorumCore::new(id, member.folder, timing, state, seed, now));
+        self.settle(id);
+    }
+
+    /// Crashes a member after `survivors` of its unsynced batches reached the disk.
+    pub(crate) fn crash(&mut self, id: InstanceId, survivors: usize) {
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        member.core = None;
+        member.disk.crash(survivors);
+        member.proposals.clear();
+        member.reads.clear();
+    }
+
+    /// Lets an event happen at a running member, and performs what follows from it.
+    pub(crate) fn at<R>(
+        &mut self,
+        id: InstanceId,
+        event: impl FnOnce(&mut QuorumCore, Instant) -> R,
+    ) -> Option<R> {
+        let now = self.now;
+        let core = self.members.get_mut(&id)?.core.as_mut()?;
+        let result = event(core, now);
+        self.settle(id);
+        Some(result)
+    }
+
+    /// Hands out the effects of a member's events and checks them.
+    fn settle(&mut self, id: InstanceId) {
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        let Some(core) = member.core.as_mut() else {
+            return;
+        };
+        let output = core.take_output();
+        assert_eq!(core.fault(), None);
+        if core.duty() == MemberDuty::Leader {
+            self.history.check_leader(core);
+        } else {
+            member.proposals.clear();
+        }
+        if let Some(batch) = output.batch {
+            member.disk.pending.push_back(PendingBatch {
+                batch,
+                writes: output.writes,
+                messages: output.synced_messages,
+            });
+        }
+        for effect in output.applied {
+            if let AppliedEffect::Entry(entry) = &effect
+                && member.proposals.contains(&entry.position)
+            {
+                self.history.acknowledge(entry.position.index);
+            }
+            self.history.apply(&mut member.machine, effect);
+        }
+        for outcome in output.reads {
+            let position = member
+                .reads
+                .iter()
+                .position(|read| read.ticket == outcome.ticket);
+            let read = member
+                .reads
+                .swap_remove(position.expect("each read ends once"));
+            if let Some(index) = outcome.index {
+                assert!(
+                    index >= read.acknowledged,
+                    "a read is older than an acknowledged write"
+                );
+                self.reads_checked += 1;
+            }
+        }
+        self.post(id, output.messages);
+    }
+
+    pub(crate) fn post(&mut self, from: InstanceId, messages: Vec<OutgoingMessage>) {
+        for outgoing in messages {
+            if !self.cuts.contains(&(from, outgoing.to)) {
+                self.in_flight.push(SimMessage { from, outgoing });
+            }
+        }
+        let surplus = self.in_flight.len().saturating_sub(IN_FLIGHT_MAX);
+        self.in_flight.drain(..surplus);
+    }
+
+    pub(crate) fn deliver(&mut self, message: SimMessage) {
+        let SimMessage { from, outgoing } = message;
+        if self.paused.contains(&outgoing.to) {
+            return;
+        }
+        self.at(outgoing.to, |core, now| {
+            core.receive(from, outgoing.message, now);
+        });
+    }
+
+    pub(crate) fn sync(&mut self, id: InstanceId, count: usize) {
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        if member.core.is_none() {
+            return;
+        }
+        if let Some((batch, messages)) = member.disk.sync(count) {
+            self.at(id, |core, now| core.synced(batch, now));
+            self.post(id, messages);
+        }
+    }
+
+    pub(crate) fn advance(&mut self, step: Duration) {
+        self.now += step;
+        for id in self.ids() {
+            if self.paused.contains(&id) {
+                continue;
+            }
+            self.at(id, |core, now| {
+                if now >= core.next_due() {
+                    core.tick(now);
+                }
+            });
+        }
+    }
+
+    pub(crate) fn propose(&mut self, id: InstanceId, command: u8) {
+        let first = self.at(id, |core, now| {
+            core.propose(vec![Bytes::from(vec![command])], now)
+        });
+        if let (Some(Ok(position)), Some(member)) = (first, self.members.get_mut(&id)) {
+            member.proposals.push(position);
+            let applied = member.machine.applied;
+            // A single voter may have applied it by now.
+            if applied >= position.index {
+                self.history.acknowledge(position.index);
+            }
+        }
+    }
+
+    pub(crate) fn read(&mut self, id: InstanceId) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let acknowledged = self.history.acknowledged;
+        let Some(member) = self.members.get_mut(&id) else {
+            return;
+        };
+        if member.core.is_some() {
+            member.reads.push(PendingRead {
+                ticket,
+                acknowledged,
+            });
+            self.at(id, |core, now| core.read(ticket, now));
+        }
+    }
+
+    pub(crate) fn compact(&mut self, id: InstanceId) {
+        let Some(member) = self.members.get(&id) else {
+            return;
+        };
+        let applied = member.machine.applied;
+        let state = member.machine.encode();
+        self.at(id, |core, _| core.compact(applied, state));
+    }
+
+    pub(crate) fn ids(&self) -> Vec<InstanceId> {
+        self.members.keys().copied().collect()
+    }
+
+    pub(crate) fn leader(&self) -> Option<InstanceId> {
+        self.members
+            .iter()
+            .filter(|(_, member)| {
+                member
+                    .core
+                    .as_ref()
+                    .is_some_and(|core| core.duty() == MemberDuty::Leader)
+            })
+            .max_by_key(|(_, member)| member.core.as_ref().map(QuorumCore::term))
+            .map(|(&id, _)| id)
+    }
+
+    /// Describes the members, one a line, for the message of a failed check.
+    pub(crate) fn summary(&self) -> String {
+        let mut summary = format!("committed {}", self.history.committed());
+        for (id, member) in &self.members {
+            let status = member.core.as_ref().map(QuorumCore::status);
+            let applied = member.machine.applied;
+            // Writing to a string does not fail.
+            let _ = write!(summary, "\n{id}: applied {applied} {status:?}");
+        }
+        summary
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/support/history.rs
@@ -0,0 +1,102 @@
+//! What the group has shown so far, and what must hold of it.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use quorum::AppliedEffect;
+use quorum::EntryPayload;
+use quorum::InstanceId;
+use quorum::LogEntry;
+use quorum::LogIndex;
+use quorum::QuorumCore;
+use quorum::Term;
+
+/// State machine of one member: the commands applied so far.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct SimMachine {
+    pub(crate) applied: LogIndex,
+    pub(crate) commands: Vec<u8>,
+}
+
+impl SimMachine {
+    pub(crate) fn encode(&self) -> Bytes {
+        Bytes::from(self.commands.clone())
+    }
+}
+
+/// Everything that any member applied, and which member led each term.
+#[derive(Debug, Default)]
+pub(crate) struct GroupHistory {
+    leaders: BTreeMap<Term, InstanceId>,
+    committed: Vec<LogEntry>,
+    /// Highest index that a proposer was told to be applied.
+    pub(crate) acknowledged: LogIndex,
+}
+
+impl GroupHistory {
+    pub(crate) fn committed(&self) -> LogIndex {
+        self.committed.len() as LogIndex
+    }
+
+    /// Checks that no other member led the term of this leader.
+    pub(crate) fn check_leader(&mut self, core: &QuorumCore) {
+        let leader = *self.leaders.entry(core.term()).or_insert(core.id());
+        assert_eq!(leader, core.id(), "two leaders in term {}", core.term());
+    }
+
+    /// Applies to a member's state machine and checks that all members apply the same.
+    pub(crate) fn apply(&mut self, machine: &mut SimMachine, effect: AppliedEffect) {
+        match effect {
+            AppliedEffect::Entry(entry) => {
+                assert_eq!(
+                    entry.position.index,
+                    machine.applied + 1,
+                    "applied in order"
+                );
+                self.check_entry(&entry);
+                push_command(&mut machine.commands, &entry);
+                machine.applied = entry.position.index;
+            }
+            AppliedEffect::Restore(snapshot) => {
+                machine.applied = snapshot.last.index;
+                machine.commands = snapshot.state.to_vec();
+                let expected = self.state_at(machine.applied);
+                assert_eq!(machine.commands, expected, "snapshot equals the log");
+            }
+        }
+    }
+
+    /// Notes that a proposer was told that its entry is applied.
+    pub(crate) fn acknowledge(&mut self, index: LogIndex) {
+        self.acknowledged = self.acknowledged.max(index);
+    }
+
+    fn check_entry(&mut self, entry: &LogEntry) {
+        let index = usize::try_from(entry.position.index).expect("a short log");
+        if let Some(known) = self.committed.get(index - 1) {
+            assert_eq!(known, entry, "logs agree and nothing committed is lost");
+        } else {
+            assert_eq!(index, self.committed.len() + 1);
+            self.committed.push(entry.clone());
+        }
+    }
+
+    fn state_at(&self, applied: LogIndex) -> Vec<u8> {
+        let count = usize::try_from(applied).expect("a short log");
+        assert!(
+            count <= self.committed.len(),
+            "a snapshot holds committed entries only"
+        );
+        let mut commands = Vec::new();
+        for entry in &self.committed[..count] {
+            push_command(&mut commands, entry);
+        }
+        commands
+    }
+}
+
+fn push_command(commands: &mut Vec<u8>, entry: &LogEntry) {
+    if let EntryPayload::Command(command) = &entry.payload {
+        commands.extend_from_slice(command);
+    }
+}
--- a/crates/replica/src/status.rs
+++ b/crates/replica/src/status.rs
@@ -4,7 +4,6 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use derive_more::From;
 use quorum::CoreFault;
 use quorum::MemberDuty;
 use quorum::Membership;
@@ -15,10 +14,15 @@
 use crate::storage::StorageError;
 
 /// Why a replica stopped by itself.
-#[derive(Clone, Debug, Display, Error, From)]
+#[derive(Clone, Debug, Display, Error)]
 pub enum ReplicaFault {
-    /// The consensus cannot go on.
-    Core(CoreFault),
+    /// A leader contradicts a committed entry.
+    #[display("a leader contradicts the committed entry {index}")]
+    CommittedConflict {
+        /// Index of the entry.
+        #[error(not(source))]
+        index: LogIndex,
+    },
     /// The disk failed or holds something that must not be used.
     #[display("{_0}")]
     Storage(#[error(not(source))] Arc<StorageError>),
@@ -26,7 +30,6 @@
     #[display(
         "the group knows instance {instance} with another data folder; join under a new identity"
     )]
-    #[from(skip)]
     WipedFolder {
         /// Identity of this instance.
         #[error(not(source))]
@@ -34,7 +37,6 @@
     },
     /// The snapshot of a leader could not be restored.
     #[display("a snapshot could not be restored: {reason}")]
-    #[from(skip)]
     Restore {
         /// What the state machine said.
         #[error(not(source))]
@@ -42,6 +44,15 @@
     },
 }
 
+impl From<CoreFault> for ReplicaFault {
+    fn from(fault: CoreFault) -> Self {
+        match fault {
+            CoreFault::OtherFolder { instance } => Self::WipedFolder { instance },
+            CoreFault::CommittedConflict { index } => Self::CommittedConflict { index },
+        }
+    }
+}
+
 /// State of a replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaStatus {
