--- a/crates/quorum/tests/consensus.rs
+++ b/crates/quorum/tests/consensus.rs
@@ -27,7 +27,7 @@
 const RUNS: u64 = 500;
 
 /// Seeds of further runs: each failed before a fault was mended, or under a deliberate one.
-const FURTHER_RUNS: [u64; 3] = [0x194c, 0x2d97, 0x6a0c];
+const FURTHER_RUNS: [u64; 7] = [0xa20, 0x194c, 0x2d97, 0x3266, 0x58cc, 0x6a0c, 0x80be];
 
 /// Random bytes of one run.
 const RUN_BYTES: u64 = 12 * 1024;
