--- /dev/null
+++ b/crates/control/tests/control/owners.rs
@@ -0,0 +1,177 @@
+//! Which instance owns which team's tokens.
+
+use std::time::Duration;
+
+use clock::SystemClock;
+use clock::VirtualClock;
+use control::force::LiveInstance;
+use control::log::ControlLog;
+use control::owners::plan_owners;
+use control::tokens::TokenBank;
+use ledger::LedgerCommand;
+use ledger::TeamAssignment;
+use model::exchange::TokenDemand;
+
+use crate::common::fake_log::FakeGroup;
+use crate::common::fake_log::FakeLog;
+use crate::common::lone_core;
+
+const LEASE: Duration = Duration::from_millis(2_450);
+const TEAMS: &str = r#"
+    [[team]]
+    name = "a"
+    rate = 0.001
+    burst = 10
+    [[team]]
+    name = "b"
+    rate = 0.001
+    burst = 10
+"#;
+
+async fn assign(log: &FakeLog, assignments: Vec<TeamAssignment>) {
+    let command = LedgerCommand::AssignOwners { assignments };
+    log.propose(&command).await.unwrap();
+}
+
+fn assignment(instance: u64, replaces: u64) -> TeamAssignment {
+    TeamAssignment {
+        team: "a".into(),
+        instance,
+        incarnation: 10 * instance,
+        replaces,
+    }
+}
+
+fn demand(sequence: u64) -> TokenDemand {
+    TokenDemand {
+        team: "a".into(),
+        sequence,
+        term: 0,
+        want_milli: 4_000,
+        urgent_milli: 4_000,
+        held_milli: 0,
+        returned_milli: 0,
+        spent_milli: 0,
+    }
+}
+
+fn granted(bank: &TokenBank<VirtualClock>, log: &FakeLog, sequence: u64) -> Option<u64> {
+    let grants = bank.grant(log, 1, &[demand(sequence)]);
+    grants.first().map(|grant| grant.granted_milli)
+}
+
+fn refreshed(bank: &TokenBank<VirtualClock>, log: &FakeLog) {
+    log.read(|state| bank.refresh(state));
+}
+
+#[tokio::test]
+async fn teams_spread_over_the_live_instances_and_stay_there() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    let planned = |live: &[u64], settled| {
+        let live = live.iter().map(|instance| LiveInstance {
+            instance: *instance,
+            incarnation: 10 * instance,
+        });
+        let live: Vec<_> = live.collect();
+        log.read(|state| {
+            let declaration = state.config().declaration();
+            plan_owners(declaration, state.owners(), &live, settled)
+        })
+    };
+    let first = planned(&[1, 2], false);
+    assert_eq!(first.len(), 2);
+    assert_ne!(first[0].instance, first[1].instance);
+    assign(&log, first).await;
+    assert!(planned(&[1, 2], true).is_empty());
+    // A new leader has not heard of the others yet, and waits.
+    assert!(planned(&[1], false).is_empty());
+    let moved = planned(&[1], true);
+    assert_eq!(moved.len(), 1);
+    assert_eq!(moved[0].instance, 1);
+    assert_ne!(moved[0].replaces, 0);
+}
+
+#[tokio::test]
+async fn the_first_owner_of_a_team_has_the_whole_burst_at_once() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    let bank = TokenBank::new(1, 10, LEASE, VirtualClock::new());
+    assign(&log, vec![assignment(1, 0)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 1), Some(4_000));
+}
+
+#[tokio::test]
+async fn a_later_owner_waits_until_earlier_tokens_have_died() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    let clock = VirtualClock::new();
+    let bank = TokenBank::new(1, 10, LEASE, clock.clone());
+    assign(&log, vec![assignment(2, 0)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 1), None);
+    assign(&log, vec![assignment(1, 1)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 2), Some(0));
+    clock.advance(LEASE);
+    // The rate of 0.001/s gives nothing within a lease: the burst counts as spent.
+    assert_eq!(granted(&bank, &log, 3), Some(0));
+    // Owned by another instance again: what is kept here grants nothing.
+    assign(&log, vec![assignment(2, 2)]).await;
+    assert_eq!(granted(&bank, &log, 4), None);
+}
+
+#[tokio::test]
+async fn a_team_that_was_declared_before_counts_as_spent() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    let bank = TokenBank::new(1, 10, LEASE, VirtualClock::new());
+    assign(&log, vec![assignment(1, 0)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 1), Some(4_000));
+    group.declare("");
+    group.declare(TEAMS);
+    assign(&log, vec![assignment(1, 0)]).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 2), Some(0));
+}
+
+#[tokio::test]
+async fn a_restarted_owner_takes_its_teams_again() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let log = group.log(1);
+    assign(&log, vec![assignment(1, 0)]).await;
+    let bank = TokenBank::new(1, 11, LEASE, VirtualClock::new());
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 1), None);
+    let again = log.read(|state| bank.stale_teams(state));
+    assert_eq!((again[0].incarnation, again[0].replaces), (11, 1));
+    assign(&log, again).await;
+    refreshed(&bank, &log);
+    assert_eq!(granted(&bank, &log, 2), Some(0));
+    assert!(log.read(|state| bank.stale_teams(state)).is_empty());
+}
+
+#[tokio::test]
+async fn a_command_is_committed_once_a_leader_is_found() {
+    let group = FakeGroup::new(2);
+    group.declare(TEAMS);
+    let core = lone_core(group.log(1), SystemClock);
+    group.elect(None);
+    let command = LedgerCommand::AssignOwners {
+        assignments: vec![assignment(1, 0)],
+    };
+    let deadline = std::time::Instant::now() + Duration::from_secs(30);
+    let (outcome, ()) = tokio::join!(core.propose(&command, deadline), async {
+        tokio::task::yield_now().await;
+        group.elect(Some(1));
+    });
+    outcome.unwrap();
+    assert_eq!(core.log.read(|state| state.owners().iter().count()), 1);
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -21,7 +21,7 @@
 use crate::state::NodeState;
 
 /// Answers an operator.
-pub async fn serve_admin<C: Clock>(
+pub(crate) async fn serve_admin<C: Clock>(
     state: Arc<NodeState<C>>,
     request: Request<Incoming>,
 ) -> Response<JsonBody> {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -27,7 +27,7 @@
 const LEAVE_TIMEOUT_MS: u64 = 1_000;
 
 /// Exchanges with control until the node stops, then says that it leaves.
-pub async fn run<C: Clock>(
+pub(crate) async fn run<C: Clock>(
     state: Arc<NodeState<C>>,
     stop: CancellationToken,
 ) -> anyhow::Result<()> {
@@ -108,7 +108,7 @@
 }
 
 /// Returns this node as other nodes see it.
-pub fn member<C: Clock>(state: &NodeState<C>) -> MemberRecord {
+pub(crate) fn member<C: Clock>(state: &NodeState<C>) -> MemberRecord {
     let target = state.server.target();
     let service = target.map(|target| target.service);
     MemberRecord {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -124,6 +124,7 @@
     let stopping = stop_in_order(Arc::clone(&state), stop, stages.clone());
     let stopping = tokio::spawn(stopping);
     let public_ended = public.join().await;
+    state.close();
     state.background.close();
     state.background.wait().await;
     stages.local.cancel();
