Show with a state digest the command that it covers

Status read the log's position and the digest one after the other, so that an entry applied in between paired them wrongly and two instances in agreement could look diverged. Position of the last command and digest now come from one read of the ledger. The log's own applied index stays as it was: it also counts entries that are no commands.

--- a/crates/cli/src/report/status.rs
+++ b/crates/cli/src/report/status.rs
@@ -33,15 +33,17 @@
 }
 
 impl StatusTable {
-    /// Compares control instances that have applied the same entries.
+    /// Compares control instances that have applied the same commands.
     #[must_use]
     pub fn new(processes: Vec<ProcessRow>) -> Self {
         let mut digests: BTreeMap<LogIndex, &str> = BTreeMap::new();
         let mut diverged = Vec::new();
         for control in processes.iter().filter_map(ProcessRow::control) {
-            let digest = digests.entry(control.applied).or_insert(&control.digest);
-            if *digest != control.digest && !diverged.contains(&control.applied) {
-                diverged.push(control.applied);
+            let digest = digests
+                .entry(control.digest_index)
+                .or_insert(&control.digest);
+            if *digest != control.digest && !diverged.contains(&control.digest_index) {
+                diverged.push(control.digest_index);
             }
         }
         Self {
--- a/crates/cli/tests/cli/processes.rs
+++ b/crates/cli/tests/cli/processes.rs
@@ -22,6 +22,7 @@
         committed: applied,
         applied,
         digest: digest.to_owned(),
+        digest_index: applied,
         version: 7,
         nodes: Vec::new(),
     })
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -58,6 +58,10 @@
     #[must_use]
     pub fn status(&self) -> StatusReport {
         let position = self.log.position();
+        // One read, so that the digest is that of the position it stands with.
+        let (digest_index, digest) = self
+            .log
+            .read(|state| (state.applied(), hex::encode(&state.digest())));
         StatusReport::Control(ControlStatus {
             process: self.names.process.clone(),
             instance: self.own,
@@ -67,7 +71,8 @@
             voters: position.voters,
             committed: position.committed,
             applied: position.applied,
-            digest: self.log.digest(),
+            digest,
+            digest_index,
             version: self.log.read(|state| state.config().version()),
             nodes: self.hub.leases(),
         })
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -34,6 +34,8 @@
 /// equal states have equal digests.
 #[derive(Clone, Debug)]
 pub struct LedgerState {
+    /// Position of the last entry that was applied.
+    applied: LogIndex,
     config: ConfigState,
     owners: OwnerTable,
     once: OnceTable,
@@ -44,6 +46,7 @@
 /// What a snapshot holds, as it is read.
 #[derive(Deserialize)]
 struct LedgerSnapshot {
+    applied: LogIndex,
     config: ConfigState,
     owners: OwnerTable,
     once: OnceTable,
@@ -52,6 +55,7 @@
 /// What a snapshot holds, as it is written.
 #[derive(Serialize)]
 struct LedgerImage<'a> {
+    applied: LogIndex,
     config: &'a ConfigState,
     owners: &'a OwnerTable,
     once: &'a OnceTable,
@@ -71,6 +75,7 @@
     fn new(config: ConfigState, owners: OwnerTable, once: OnceTable) -> Self {
         let config_digest = digest_of(&config);
         Self {
+            applied: 0,
             config,
             owners,
             once,
@@ -96,6 +101,15 @@
         &self.once
     }
 
+    /// Returns the position of the last entry that was applied.
+    ///
+    /// Read together with [`Self::digest`], it tells which digests must be
+    /// equal; the log's own position may have moved on between two reads.
+    #[must_use]
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
     /// Returns a digest that is equal for equal states.
     #[must_use]
     pub fn digest(&self) -> StateDigest {
@@ -174,6 +188,7 @@
 
     fn encode(&self) -> Result<Vec<u8>, CodecError> {
         let image = LedgerImage {
+            applied: self.applied,
             config: &self.config,
             owners: &self.owners,
             once: &self.once,
@@ -183,14 +198,19 @@
 
     fn decode(snapshot: &[u8]) -> Result<Self, CodecError> {
         let snapshot: LedgerSnapshot = codec::decode_sealed(SNAPSHOT_VERSION, snapshot)?;
-        Ok(Self::new(snapshot.config, snapshot.owners, snapshot.once))
+        let state = Self::new(snapshot.config, snapshot.owners, snapshot.once);
+        Ok(Self {
+            applied: snapshot.applied,
+            ..state
+        })
     }
 }
 
 impl StateMachine for LedgerState {
     type Output = LedgerOutcome;
 
-    fn apply(&mut self, _index: LogIndex, entry: &[u8]) -> LedgerOutcome {
+    fn apply(&mut self, index: LogIndex, entry: &[u8]) -> LedgerOutcome {
+        self.applied = index;
         match LedgerCommand::decode(entry) {
             Ok(command) => self.execute(command),
             Err(error) => LedgerOutcome::Refused(error.to_string()),
--- a/crates/ledger/tests/ledger/snapshots.rs
+++ b/crates/ledger/tests/ledger/snapshots.rs
@@ -33,6 +33,19 @@
     }
 }
 
+#[test]
+fn a_snapshot_keeps_the_position_that_its_digest_belongs_to() {
+    let mut state = filled();
+    let outcome = state.apply(42, &[]);
+    assert!(matches!(outcome, LedgerOutcome::Refused(_)), "{outcome:?}");
+    let mut restored = LedgerState::default();
+    restored.restore(&state.snapshot()).expect("restores");
+    assert_eq!(
+        (restored.applied(), restored.digest()),
+        (42, state.digest())
+    );
+}
+
 #[test]
 fn a_snapshot_of_another_version_is_refused_by_name() {
     let mut snapshot = filled().snapshot();
--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -107,6 +107,9 @@
     pub applied: LogIndex,
     /// Digest of the applied state in hexadecimal.
     pub digest: String,
+    /// Last command that the digest covers; instances that show the same one
+    /// must show the same digest.
+    pub digest_index: LogIndex,
     /// Declaration version in force.
     pub version: ConfigVersion,
     /// Nodes that hold a lease from any instance, as far as known here.
