--- a/crates/cli/src/command/local.rs
+++ b/crates/cli/src/command/local.rs
@@ -99,10 +99,8 @@
             ProposedChange { base, text }.hash()
         }
     };
-    Ok(SignatureFile {
-        hash: hex::encode(&hash),
-        signature: OwnerSignature::sign(&key, &hash),
-    })
+    let signature = OwnerSignature::sign(&key, &hash);
+    Ok(SignatureFile::new(&hash, &signature))
 }
 
 /// Reads and checks a declaration; returns its text as well.
--- a/crates/cli/src/command/propose.rs
+++ b/crates/cli/src/command/propose.rs
@@ -183,5 +183,6 @@
         read.hash == expected,
         anyhow!("{name} signs change {}, not {expected}", read.hash)
     );
-    Ok(read.signature)
+    let signature = read.signature();
+    signature.with_context(|| format!("{name}: a value is not hexadecimal"))
 }
--- a/crates/cli/src/report/change.rs
+++ b/crates/cli/src/report/change.rs
@@ -2,6 +2,8 @@
 
 use model::change::ChangeStatus;
 use model::change::OwnerSignature;
+use model::hex;
+use model::ids::ChangeHash;
 use model::ids::ConfigVersion;
 use serde::Deserialize;
 use serde::Serialize;
@@ -54,12 +56,35 @@
     pub change: ChangeOutcome,
 }
 
-/// A signature in a file, made without a connection.
+/// A signature in a file, made without a connection; all values in hexadecimal.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SignatureFile {
-    /// Hash of the change in hexadecimal.
+    /// Hash of the change.
     pub hash: String,
+    /// The owner's public key.
+    pub owner: String,
     /// The signature.
-    pub signature: OwnerSignature,
+    pub signature: String,
+}
+
+impl SignatureFile {
+    /// Writes a signature over a hash.
+    #[must_use]
+    pub fn new(hash: &ChangeHash, signature: &OwnerSignature) -> Self {
+        Self {
+            hash: hex::encode(hash),
+            owner: hex::encode(&signature.owner),
+            signature: hex::encode(&signature.signature),
+        }
+    }
+
+    /// Returns the signature, unless a value is not hexadecimal.
+    #[must_use]
+    pub fn signature(&self) -> Option<OwnerSignature> {
+        Some(OwnerSignature {
+            owner: hex::decode_32(&self.owner)?,
+            signature: hex::decode(&self.signature)?,
+        })
+    }
 }
--- a/crates/cli/tests/cli/files.rs
+++ b/crates/cli/tests/cli/files.rs
@@ -46,6 +46,7 @@
     assert_eq!(signed.exit, ExitKind::Usage);
     let signed = run(&["sign", &file, "--base", "3", "--key", &key]);
     assert_eq!(signed.exit, ExitKind::Done);
+    assert_eq!(signed.json()["owner"], workplace.owners[0].as_str());
 }
 
 #[test]
--- a/crates/model/src/hex.rs
+++ b/crates/model/src/hex.rs
@@ -13,17 +13,23 @@
     text
 }
 
-/// Reads exactly 32 bytes from 64 hexadecimal digits of either case.
+/// Reads bytes from hexadecimal digits of either case.
 #[must_use]
-pub fn decode_32(text: &str) -> Option<[u8; 32]> {
-    if text.len() != 64 {
+pub fn decode(text: &str) -> Option<Vec<u8>> {
+    let (pairs, rest) = text.as_bytes().as_chunks::<2>();
+    if !rest.is_empty() {
         return None;
     }
-    let mut bytes = [0; 32];
-    for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks_exact(2)) {
-        *byte = (digit(pair[0])? << 4) | digit(pair[1])?;
-    }
-    Some(bytes)
+    let bytes = pairs
+        .iter()
+        .map(|[high, low]| Some((digit(*high)? << 4) | digit(*low)?));
+    bytes.collect()
+}
+
+/// Reads exactly 32 bytes from 64 hexadecimal digits of either case.
+#[must_use]
+pub fn decode_32(text: &str) -> Option<[u8; 32]> {
+    decode(text)?.try_into().ok()
 }
 
 fn digit(letter: u8) -> Option<u8> {
