--- a/crates/control/src/tokens.rs
+++ b/crates/control/src/tokens.rs
@@ -1,6 +1,7 @@
 //! Tokens of the teams that this instance owns.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -27,53 +28,36 @@
 #[derive(Debug)]
 pub struct TokenBank<C> {
     own: InstanceId,
+    incarnation: u64,
     lease: Duration,
     clock: C,
-    state: Mutex<BankState<C>>,
-}
-
-#[derive(Debug)]
-struct BankState<C> {
-    /// Last epoch of the time before this start, once it is known.
-    stale_epoch: Option<u64>,
-    escrows: BTreeMap<TeamName, EscrowOwner<C>>,
+    escrows: Mutex<BTreeMap<TeamName, EscrowOwner<C>>>,
 }
 
 impl<C: Clock> TokenBank<C> {
-    /// Creates a bank that owns nothing; `lease` must include the allowance for clock drift.
-    pub fn new(own: InstanceId, lease: Duration, clock: C) -> Self {
-        let state = BankState {
-            stale_epoch: None,
-            escrows: BTreeMap::new(),
-        };
+    /// Creates a bank that owns nothing.
+    ///
+    /// `incarnation` must be drawn at random when the process starts, and
+    /// `lease` must include the allowance for clock drift.
+    pub fn new(own: InstanceId, incarnation: u64, lease: Duration, clock: C) -> Self {
         Self {
             own,
+            incarnation,
             lease,
             clock,
-            state: Mutex::new(state),
+            escrows: Mutex::default(),
         }
     }
 
-    /// Starts to own teams; `state` must be confirmed after the start of this instance.
-    ///
-    /// Every epoch in it is taken for one of the time before.
-    pub fn open(&self, state: &LedgerState) {
-        let last = state.owners().iter().map(|owner| owner.epoch).max();
-        self.lock().stale_epoch.get_or_insert(last.unwrap_or(0));
-    }
-
     /// Returns the teams that an earlier start of this instance owned, to be taken again.
     #[must_use]
     pub fn stale_teams(&self, state: &LedgerState) -> Vec<TeamAssignment> {
-        let Some(stale_epoch) = self.lock().stale_epoch else {
-            return Vec::new();
-        };
         let owners = state.owners().iter();
-        let earlier =
-            owners.filter(|owner| owner.instance == self.own && owner.epoch <= stale_epoch);
+        let earlier = owners.filter(|owner| owner.instance == self.own && !self.owns(owner));
         let again = earlier.map(|owner| TeamAssignment {
             team: owner.team.clone(),
             instance: self.own,
+            incarnation: self.incarnation,
             replaces: owner.epoch,
         });
         again.collect()
@@ -81,26 +65,21 @@
 
     /// Takes over what the log assigns and the declaration says, and drops the rest.
     pub fn refresh(&self, state: &LedgerState) {
-        let mut bank = self.lock();
-        let Some(stale_epoch) = bank.stale_epoch else {
-            return;
-        };
-        let owns = |owner: &TeamOwner| owner.instance == self.own && owner.epoch > stale_epoch;
-        bank.escrows.retain(|team, escrow| {
+        let mut escrows = self.lock();
+        escrows.retain(|team, escrow| {
             let owner = state.owners().owner(team);
-            owner.is_some_and(|owner| owns(owner) && owner.epoch == escrow.term())
+            owner.is_some_and(|owner| self.owns(owner) && owner.epoch == escrow.term())
         });
-        for owner in state.owners().iter().filter(|owner| owns(owner)) {
+        for owner in state.owners().iter().filter(|owner| self.owns(owner)) {
             let Some(limit) = team_limit(state, &owner.team) else {
                 continue;
             };
-            if let Some(escrow) = bank.escrows.get_mut(&owner.team) {
-                escrow.declare(limit);
-                continue;
+            match escrows.entry(owner.team.clone()) {
+                Entry::Occupied(mut held) => held.get_mut().declare(limit),
+                Entry::Vacant(place) => {
+                    place.insert(self.escrow(owner, limit));
+                }
             }
-            let first = state.owners().is_first(&owner.team);
-            let escrow = self.escrow(owner, limit, first);
-            bank.escrows.insert(owner.team.clone(), escrow);
         }
     }
 
@@ -117,27 +96,31 @@
             return Vec::new();
         }
         log.read(|state| {
-            let mut bank = self.lock();
+            let mut escrows = self.lock();
             let granted = demands.iter().filter_map(|demand| {
                 let owner = state.owners().owner(&demand.team)?;
-                let escrow = bank.escrows.get_mut(&demand.team)?;
-                let current = owner.instance == self.own && owner.epoch == escrow.term();
+                let escrow = escrows.get_mut(&demand.team)?;
+                let current = self.owns(owner) && owner.epoch == escrow.term();
                 current.then(|| escrow.grant(node, demand))
             });
             granted.collect()
         })
     }
 
-    fn escrow(&self, owner: &TeamOwner, limit: TeamLimit, first: bool) -> EscrowOwner<C> {
+    fn owns(&self, owner: &TeamOwner) -> bool {
+        owner.instance == self.own && owner.incarnation == self.incarnation
+    }
+
+    fn escrow(&self, owner: &TeamOwner, limit: TeamLimit) -> EscrowOwner<C> {
         let clock = self.clock.clone();
-        if first {
+        if owner.first {
             return EscrowOwner::new(limit, owner.epoch, self.lease, clock);
         }
         EscrowOwner::take_over(limit, owner.epoch, self.lease, 0, clock)
     }
 
-    fn lock(&self) -> MutexGuard<'_, BankState<C>> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<TeamName, EscrowOwner<C>>> {
+        self.escrows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
