Lower the limit with less weight than it is raised

Cause: with 25 slots the throughput of a dip has a noise of about 17%. A dip taken for saturated went on to a second stage, and a capacity that came out too low cost 16% for 5 s until the limit had grown back. A dip now counts 64 calls in place of 40, saturation needs 0.92 of the throughput in place of 0.88, checks come every 80 service times in place of 40, and a measurement below the limit weighs 0.3.

--- a/crates/admit/src/gate/limit.rs
+++ b/crates/admit/src/gate/limit.rs
@@ -19,7 +19,7 @@
 /// Completions that end a window, at least.
 const WINDOW_CALLS: u32 = 64;
 /// Completions that end the measurement of a dip, at least.
-const DIP_CALLS: u32 = 40;
+const DIP_CALLS: u32 = 64;
 /// Service time over its base up to which the limit may grow.
 const GROW_BELOW: f64 = 1.12;
 /// Factor for the limit after a window in which calls were cancelled and none completed.
@@ -39,7 +39,7 @@
 /// Part of the limit that a dip leaves.
 const DIP_FACTOR: f64 = 0.6;
 /// Throughput in a dip, relative to before, above which the backend server was still saturated.
-const DIP_SATURATED: f64 = 0.88;
+const DIP_SATURATED: f64 = 0.92;
 /// Service time in a dip, relative to the base, up to which queueing explains the rest.
 const DIP_EXPLAINED: f64 = 1.2;
 /// Part of a service time for which a dip settles before it is measured.
@@ -47,8 +47,11 @@
 /// Service times between two dips.
 const DIP_GAP: f64 = 15.0;
 /// Service times, and least time, after which a dip checks a limit that seems right.
-const CHECK_GAP: f64 = 40.0;
+const CHECK_GAP: f64 = 80.0;
 const CHECK_AFTER: Duration = Duration::from_secs(5);
+/// Weight of a measurement below the limit: a limit that is too low costs
+/// throughput, one that is too high only some time in service.
+const LOWER_WEIGHT: f64 = 0.3;
 /// Limit over the measured capacity after a dip.
 const HEADROOM: f64 = 1.1;
 /// Ratio to the base below which a service time replaces it at once.
@@ -353,10 +356,10 @@
         let capacity = throughput * result.service_s;
         let target = (capacity * HEADROOM).clamp(limit, self.limit * 1.25);
         let repeated = limit < self.limit * DIP_FACTOR * 0.99;
-        self.limit = if repeated || explained {
+        self.limit = if repeated || target > self.limit {
             target
         } else {
-            f64::midpoint(self.limit, target)
+            self.limit + LOWER_WEIGHT * (target - self.limit)
         };
         self.limit = self.limit.clamp(LIMIT_MIN, LIMIT_MAX);
         if !explained || !saturated {
