--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod demand;
+mod estimate;
 mod limit;
 mod queue;
 mod window;
--- a/crates/admit/src/gate/limit.rs
+++ b/crates/admit/src/gate/limit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::gate::estimate::ServiceEstimate;
 use crate::gate::window::WindowResult;
 use crate::gate::window::WindowSum;
 
@@ -24,10 +25,6 @@
 const GROW_BELOW: f64 = 1.12;
 /// Factor for the limit after a window in which calls were cancelled and none completed.
 const FRUITLESS_FACTOR: f64 = 0.8;
-/// Weight of the newest busy window in the capacity.
-const CAPACITY_WEIGHT: f64 = 0.3;
-/// Ratio, or its inverse, from which on a new capacity replaces the old one at once.
-const CAPACITY_JUMP: f64 = 1.4;
 /// Service time over its base above which a dip must tell queueing from slowness.
 const DIP_ABOVE: f64 = 1.5;
 /// Factor by which the limit grows in a window.
@@ -54,8 +51,6 @@
 const LOWER_WEIGHT: f64 = 0.3;
 /// Limit over the measured capacity after a dip.
 const HEADROOM: f64 = 1.1;
-/// Ratio to the base below which a service time replaces it at once.
-const BASE_DROP: f64 = 0.7;
 
 /// Where the limit comes from.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -96,10 +91,7 @@
     cold: bool,
     source: LimitSource,
     verified: bool,
-    base_s: f64,
-    service_s: f64,
-    stay_s: f64,
-    capacity_per_s: f64,
+    estimate: ServiceEstimate,
     slow_windows: u32,
     phase: SearchPhase,
     window: WindowSum,
@@ -116,10 +108,7 @@
             cold: false,
             source: LimitSource::Hinted,
             verified: false,
-            base_s: 0.0,
-            service_s: 0.0,
-            stay_s: 0.0,
-            capacity_per_s: 0.0,
+            estimate: ServiceEstimate::default(),
             slow_windows: 0,
             phase: SearchPhase::Cruise,
             window: WindowSum::new(now, 0),
@@ -152,12 +141,12 @@
 
     /// Returns the mean time in service, zero before it is known.
     pub(super) fn service_time(&self) -> Duration {
-        Duration::from_secs_f64(self.stay_s)
+        Duration::from_secs_f64(self.estimate.stay_s)
     }
 
     /// Returns the calls per second that the backend server completes at its limit.
     pub(super) fn capacity_per_s(&self) -> f64 {
-        self.capacity_per_s
+        self.estimate.capacity
     }
 
     /// Takes over the announced number of slots unless measurements already say more.
@@ -203,13 +192,17 @@
             self.settle(now, waiting);
             return;
         }
-        let Some(result) = self.end_window(now) else {
+        if !self.window_is_over(now) {
             return;
-        };
-        match self.phase {
-            SearchPhase::Cruise => self.cruise(result, now),
-            SearchPhase::Dip { limit, throughput } => self.dip(limit, throughput, result, now),
-            SearchPhase::Settle { .. } => {}
+        }
+        let result = self.end_window(now);
+        match (self.phase, result) {
+            (SearchPhase::Cruise, Some(result)) => self.cruise(result, now),
+            (SearchPhase::Dip { limit, throughput }, Some(result)) => {
+                self.dip(limit, throughput, result, now);
+            }
+            (SearchPhase::Dip { .. }, None) => self.end_dip(now),
+            (SearchPhase::Cruise, None) | (SearchPhase::Settle { .. }, _) => {}
         }
     }
 
@@ -223,13 +216,17 @@
         self.in_flight = in_flight;
     }
 
-    fn end_window(&mut self, now: Instant) -> Option<WindowResult> {
+    fn window_is_over(&self, now: Instant) -> bool {
         let length = now.saturating_duration_since(self.window.start);
-        let enough = self.window.completions >= self.window_calls();
-        let long = length >= Duration::from_millis(WINDOW_MAX_MS);
-        if !long && (!enough || length < Duration::from_millis(WINDOW_MIN_MS)) {
-            return None;
+        if length < Duration::from_millis(WINDOW_MIN_MS) {
+            return false;
         }
+        let is_full = self.window.completions >= self.window_calls();
+        is_full || length >= Duration::from_millis(WINDOW_MAX_MS)
+    }
+
+    fn end_window(&mut self, now: Instant) -> Option<WindowResult> {
+        let length = now.saturating_duration_since(self.window.start);
         if self.window.is_fruitless() {
             self.limit = (self.limit * FRUITLESS_FACTOR).max(LIMIT_MIN);
         }
@@ -247,18 +244,13 @@
     }
 
     fn cruise(&mut self, result: WindowResult, now: Instant) {
-        self.service_s = result.service_s;
-        self.stay_s = result.stay_s;
-        self.update_capacity(result);
-        if result.steady || self.base_s <= 0.0 {
-            self.lower_base(result.service_s);
-        }
+        self.estimate.update(result, self.limit);
         if !result.busy {
             self.verified |= result.steady;
             self.slow_windows = 0;
             return;
         }
-        let ratio = result.service_s / self.base_s;
+        let ratio = result.service_s / self.estimate.base_s;
         if ratio <= GROW_BELOW {
             let factor = match self.source {
                 LimitSource::Bounded => GROW_FACTOR,
@@ -281,28 +273,6 @@
         }
     }
 
-    /// Takes the throughput while the limit binds, and what Little's law promises otherwise.
-    fn update_capacity(&mut self, result: WindowResult) {
-        if !result.busy {
-            self.capacity_per_s = self.limit / result.service_s;
-            return;
-        }
-        let ratio = result.throughput / self.capacity_per_s.max(f64::MIN_POSITIVE);
-        if (1.0 / CAPACITY_JUMP..=CAPACITY_JUMP).contains(&ratio) {
-            self.capacity_per_s += CAPACITY_WEIGHT * (result.throughput - self.capacity_per_s);
-        } else {
-            self.capacity_per_s = result.throughput;
-        }
-    }
-
-    fn lower_base(&mut self, service_s: f64) {
-        if self.base_s <= 0.0 || service_s < self.base_s * BASE_DROP {
-            self.base_s = service_s;
-        } else if service_s < self.base_s {
-            self.base_s += 0.2 * (service_s - self.base_s);
-        }
-    }
-
     fn begin_dip(&mut self, from: f64, throughput: f64) {
         let limit = (from * DIP_FACTOR).max(LIMIT_MIN);
         self.phase = SearchPhase::Settle {
@@ -328,7 +298,7 @@
             self.end_dip(now);
             return;
         }
-        let settle = Duration::from_secs_f64(self.service_s * DIP_SETTLE);
+        let settle = Duration::from_secs_f64(self.estimate.service_s * DIP_SETTLE);
         let until = until.unwrap_or(now + settle);
         if now < until {
             self.phase = SearchPhase::Settle {
@@ -348,7 +318,7 @@
             return;
         }
         let saturated = result.throughput >= DIP_SATURATED * throughput;
-        let explained = self.verified && result.service_s <= DIP_EXPLAINED * self.base_s;
+        let explained = self.verified && result.service_s <= DIP_EXPLAINED * self.estimate.base_s;
         if saturated && !explained && limit > LIMIT_MIN {
             self.begin_dip(limit, throughput);
             return;
@@ -363,7 +333,7 @@
         };
         self.limit = self.limit.clamp(LIMIT_MIN, LIMIT_MAX);
         if !explained || !saturated {
-            self.base_s = result.service_s;
+            self.estimate.base_s = result.service_s;
         }
         self.source = LimitSource::Bounded;
         self.verified = true;
@@ -371,9 +341,9 @@
     }
 
     fn end_dip(&mut self, now: Instant) {
-        let gap = Duration::from_secs_f64(self.service_s * DIP_GAP);
+        let gap = Duration::from_secs_f64(self.estimate.service_s * DIP_GAP);
         self.next_dip = now + gap.max(Duration::from_secs(1));
-        let check = Duration::from_secs_f64(self.service_s * CHECK_GAP);
+        let check = Duration::from_secs_f64(self.estimate.service_s * CHECK_GAP);
         self.next_check = now + check.max(CHECK_AFTER);
         self.slow_windows = 0;
         self.phase = SearchPhase::Cruise;
--- a/crates/admit/tests/backend.rs
+++ b/crates/admit/tests/backend.rs
@@ -388,3 +388,17 @@
         assert_eq!(trial.last_refused, 0, "seed {seed}");
     }
 }
+
+#[test]
+fn a_server_with_few_calls_a_second_does_not_stay_below_its_slots() {
+    for seed in SEEDS {
+        let setup = TrialSetup {
+            service: Duration::from_millis(2500),
+            time_left: Duration::from_secs(30),
+            ..TrialSetup::new(10, 10, seed)
+        };
+        let trial = BackendTrial::run(setup, 200);
+        let goodput = trial.goodput(50, 200, capacity(&setup));
+        assert!(goodput >= GOODPUT_SHARE, "seed {seed}: {goodput}");
+    }
+}
