--- a/crates/ledger/src/owners.rs
+++ b/crates/ledger/src/owners.rs
@@ -15,8 +15,6 @@
     pub team: TeamName,
     /// The instance that takes it.
     pub instance: InstanceId,
-    /// Start of that instance; a restarted one does not know what it granted.
-    pub incarnation: u64,
     /// Epoch of the ownership that it replaces, 0 when there is none.
     pub replaces: u64,
 }
@@ -28,12 +26,8 @@
     pub team: TeamName,
     /// The instance that issues its tokens.
     pub instance: InstanceId,
-    /// Start of that instance.
-    pub incarnation: u64,
     /// Number of this ownership; never used twice, and each later one is larger.
     pub epoch: u64,
-    /// Whether the team never had an owner before, so that no tokens can be out.
-    pub first: bool,
 }
 
 /// Owners of all teams.
@@ -45,8 +39,8 @@
 pub struct OwnerTable {
     last_epoch: u64,
     owners: BTreeMap<TeamName, TeamOwner>,
-    /// Teams that ever had an owner, those that left included.
-    known: BTreeSet<TeamName>,
+    /// Teams that had an owner before the present one, or have none any more.
+    succeeded: BTreeSet<TeamName>,
 }
 
 impl OwnerTable {
@@ -56,6 +50,12 @@
         self.owners.get(team)
     }
 
+    /// Returns whether the team never had another owner, so that no tokens can be out.
+    #[must_use]
+    pub fn is_first(&self, team: &str) -> bool {
+        !self.succeeded.contains(team)
+    }
+
     /// Returns the owners of all teams, ordered by team.
     pub fn iter(&self) -> impl Iterator<Item = &TeamOwner> {
         self.owners.values()
@@ -67,19 +67,21 @@
         if epoch != assignment.replaces {
             return;
         }
+        if epoch > 0 {
+            self.succeeded.insert(assignment.team.clone());
+        }
         self.last_epoch += 1;
         let owner = TeamOwner {
             team: assignment.team.clone(),
             instance: assignment.instance,
-            incarnation: assignment.incarnation,
             epoch: self.last_epoch,
-            first: self.known.insert(assignment.team.clone()),
         };
         self.owners.insert(assignment.team.clone(), owner);
     }
 
     /// Drops the owners of teams that are not declared any more.
     pub(crate) fn retain(&mut self, declared: impl Fn(&str) -> bool) {
-        self.owners.retain(|team, _| declared(team));
+        let gone = self.owners.extract_if(.., |team, _| !declared(team));
+        self.succeeded.extend(gone.map(|(team, _)| team));
     }
 }
