Add the experiment program: three ways of control on virtual time

The decision crates run against fakes of callers and backend servers over the two call graphs. Beside them run no control (three attempts in each layer) and a plain static limit with deadlines, under the same arrivals.

--- /dev/null
+++ b/crates/bench/src/bin/experiment.rs
@@ -0,0 +1,116 @@
+//! Runs an experiment on virtual time and prints three ways of control side by side.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bench::experiment::fixed::FixedLimit;
+use bench::experiment::graph;
+use bench::experiment::graph::UserGraph;
+use bench::experiment::managed::Managed;
+use bench::experiment::plain::NoControl;
+use bench::experiment::plot;
+use bench::experiment::scenario;
+use bench::experiment::scenario::Scenario;
+use bench::experiment::score;
+use bench::experiment::table::ScoreTable;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+/// Name that stands for all scenarios.
+const ALL: &str = "all";
+
+fn main() -> anyhow::Result<()> {
+    let matches = command().get_matches();
+    let name = text(&matches, "name");
+    let seed = *matches.get_one::<u64>("seed").unwrap_or(&1);
+    let seconds = *matches.get_one::<u64>("seconds").unwrap_or(&60);
+    let out = matches.get_one::<PathBuf>("out");
+    let length = Duration::from_secs(seconds);
+    for graph in graphs(&text(&matches, "user")) {
+        let names = scenario::NAMES.iter();
+        for name in names.filter(|known| name == ALL || name == **known) {
+            let Some(scenario) = Scenario::named(name, length) else {
+                continue;
+            };
+            run(&graph, &scenario, seed, out.map(PathBuf::as_path))?;
+        }
+    }
+    Ok(())
+}
+
+fn command() -> Command {
+    let names = scenario::NAMES.into_iter().chain([ALL]);
+    Command::new("experiment")
+        .about("Runs an experiment on virtual time")
+        .arg(
+            Arg::new("name")
+                .required(true)
+                .value_parser(names.collect::<Vec<_>>())
+                .help("What goes wrong"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_parser(value_parser!(u64))
+                .default_value("1")
+                .help("Seed of all draws"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_parser(value_parser!(u64))
+                .default_value("60")
+                .help("Virtual seconds for which the cause lasts"),
+        )
+        .arg(
+            Arg::new("user")
+                .long("user")
+                .value_parser(["plumon", "kervadec", "both"])
+                .default_value("both")
+                .help("Whose call graph"),
+        )
+        .arg(
+            Arg::new("out")
+                .long("out")
+                .value_parser(value_parser!(PathBuf))
+                .help("Folder for CSV and SVG files"),
+        )
+}
+
+fn text(matches: &ArgMatches, name: &str) -> String {
+    let value = matches.get_one::<String>(name);
+    value.cloned().unwrap_or_default()
+}
+
+fn graphs(user: &str) -> Vec<UserGraph> {
+    let graphs = [graph::plumon(), graph::kervadec()];
+    let chosen = |graph: &UserGraph| user == "both" || graph.name == user;
+    graphs.into_iter().filter(chosen).collect()
+}
+
+fn run(
+    graph: &UserGraph,
+    scenario: &Scenario,
+    seed: u64,
+    out: Option<&Path>,
+) -> anyhow::Result<()> {
+    let table = ScoreTable {
+        title: format!("{} {} seed {seed}", graph.name, scenario.name),
+        cards: vec![
+            score::run::<NoControl>(graph, scenario, seed),
+            score::run::<FixedLimit>(graph, scenario, seed),
+            score::run::<Managed>(graph, scenario, seed),
+        ],
+    };
+    println!("{table}");
+    let Some(out) = out else {
+        return Ok(());
+    };
+    std::fs::create_dir_all(out)?;
+    let stem = format!("{}-{}-{seed}", graph.name, scenario.name);
+    table.write_csv(&out.join(format!("{stem}.csv")))?;
+    plot::draw(&table, &out.join(format!("{stem}.svg")))
+}
--- /dev/null
+++ b/crates/bench/src/experiment/harness.rs
@@ -0,0 +1,218 @@
+//! Runs callers, nodes under one way of control, and backend servers on virtual time.
+
+mod callers;
+mod causes;
+mod flow;
+mod state;
+
+use std::time::Duration;
+
+use clock::Clock;
+use clock::VirtualClock;
+use model::declaration::RefusalOrder;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::experiment::backend::BackendFake;
+use crate::experiment::backend::CallNumber;
+use crate::experiment::control::CallControl;
+use crate::experiment::control::CallInfo;
+use crate::experiment::control::ControlAction;
+use crate::experiment::control::ControlActions;
+use crate::experiment::control::ControlSetup;
+use crate::experiment::control::HopRules;
+use crate::experiment::graph::ServerIndex;
+use crate::experiment::graph::UserGraph;
+use crate::experiment::harness::state::CallState;
+use crate::experiment::harness::state::EntryState;
+use crate::experiment::harness::state::HarnessEvent;
+use crate::experiment::harness::state::HopState;
+use crate::experiment::harness::state::IdealBucket;
+use crate::experiment::harness::state::RequestState;
+use crate::experiment::queue::EventQueue;
+use crate::experiment::scenario::Scenario;
+use crate::experiment::tally::RunTally;
+
+/// Fingerprint of the request that kills backend servers.
+const POISON_FINGERPRINT: u64 = 0xdead;
+
+/// One run of one scenario under one way of control.
+pub struct Harness<P: CallControl> {
+    graph: UserGraph,
+    scenario: Scenario,
+    clock: VirtualClock,
+    queue: EventQueue<HarnessEvent<P::Timer>>,
+    control: P,
+    rules: HopRules,
+    /// Draws that must be the same under every way of control.
+    arrivals: StdRng,
+    /// All other draws.
+    random: StdRng,
+    backends: Vec<BackendFake>,
+    cold_since: Vec<Option<Duration>>,
+    drained: Option<ServerIndex>,
+    /// Buckets that let in what they can of all that is sent.
+    ideal_buckets: Vec<IdealBucket>,
+    /// Buckets that are charged with what was let in.
+    entered_buckets: Vec<IdealBucket>,
+    requests: Vec<RequestState>,
+    entries: Vec<EntryState>,
+    hops: Vec<HopState>,
+    calls: Vec<CallState>,
+    tally: RunTally,
+}
+
+impl<P: CallControl> Harness<P> {
+    /// Runs a scenario to its end and returns the counts.
+    #[must_use]
+    pub fn run(graph: &UserGraph, scenario: &Scenario, seed: u64) -> RunTally {
+        let mut harness = Self::new(graph.clone(), scenario.clone(), seed);
+        harness.start_callers();
+        harness.schedule_cause();
+        while let Some(event) = harness.queue.next_until(scenario.total) {
+            harness.handle(event);
+        }
+        harness.finish()
+    }
+
+    fn new(graph: UserGraph, scenario: Scenario, seed: u64) -> Self {
+        let clock = VirtualClock::new();
+        let rates = scenario.rates(&graph);
+        let mut actions = Vec::new();
+        let setup = ControlSetup {
+            graph: graph.clone(),
+            rates: rates.clone(),
+            report_lag: scenario.report_lag,
+            false_hints: scenario.false_hints,
+            seed,
+            clock: clock.clone(),
+        };
+        let control = P::new(setup, &mut actions);
+        let servers = 0..graph.server_count();
+        let backend = |server| {
+            let shape = &graph.services[graph.service_of(server)];
+            BackendFake::new(shape.slots, shape.connections)
+        };
+        let mut harness = Self {
+            rules: control.rules(),
+            control,
+            queue: EventQueue::new(clock.clone()),
+            clock,
+            arrivals: StdRng::seed_from_u64(seed),
+            random: StdRng::seed_from_u64(seed ^ 0x5eed),
+            backends: servers.map(backend).collect(),
+            cold_since: vec![None; graph.server_count()],
+            drained: None,
+            ideal_buckets: rates.iter().map(IdealBucket::new).collect(),
+            entered_buckets: rates.iter().map(IdealBucket::new).collect(),
+            requests: Vec::new(),
+            entries: Vec::new(),
+            hops: Vec::new(),
+            calls: Vec::new(),
+            tally: RunTally::new(&graph, scenario.total),
+            graph,
+            scenario,
+        };
+        harness.act(actions);
+        harness
+    }
+
+    fn handle(&mut self, event: HarnessEvent<P::Timer>) {
+        match event {
+            HarnessEvent::Arrive { class, team } => self.arrive(class, team),
+            HarnessEvent::CallerSends(request) => self.caller_sends(request),
+            HarnessEvent::EntryReached(entry) => self.entry_reached(entry),
+            HarnessEvent::EntryDeadline(entry) => self.entry_deadline(entry),
+            HarnessEvent::CallerAnswered { entry, whole } => self.caller_answered(entry, whole),
+            HarnessEvent::CallReached(call) => self.call_reached(call),
+            HarnessEvent::WorkDone(call) => self.work_done(call),
+            HarnessEvent::AnswerReached { call, answer } => self.answer_reached(call, answer),
+            HarnessEvent::AttemptTimeout(call) => self.attempt_timeout(call),
+            HarnessEvent::CauseBegins => self.cause_begins(),
+            HarnessEvent::CauseEnds => self.cause_ends(),
+            HarnessEvent::Crash(server) => self.crash(server),
+            HarnessEvent::Restart(server) => self.restart(server),
+            HarnessEvent::Timer(timer) => {
+                let mut actions = Vec::new();
+                self.control.timer(timer, &mut actions);
+                self.act(actions);
+            }
+        }
+    }
+
+    /// Carries out what a decision led to.
+    fn act(&mut self, actions: ControlActions<P::Timer>) {
+        for action in actions {
+            match action {
+                ControlAction::Enter(entry) => self.enter(entry),
+                ControlAction::RefuseEntry(entry, cause) => self.refuse_entry(entry, cause),
+                ControlAction::Run(call) => self.run_call(call),
+                ControlAction::RefuseCall(call, cause) => self.refuse_call(call, cause),
+                ControlAction::Timer(delay, timer) => {
+                    self.queue.after(delay, HarnessEvent::Timer(timer));
+                }
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.queue.now()
+    }
+
+    fn order_of(&self, call: CallNumber) -> RefusalOrder {
+        let hop = &self.hops[self.calls[call].hop];
+        let class = self.entries[hop.entry].info.class;
+        self.graph.classes[class].refused
+    }
+
+    /// Describes an attempt to the way of control.
+    fn info(&self, call: CallNumber) -> CallInfo {
+        let state = &self.calls[call];
+        let hop = &self.hops[state.hop];
+        let entry = &self.entries[hop.entry];
+        CallInfo {
+            call,
+            hop: state.hop,
+            earlier_attempts: hop.attempts.saturating_sub(1),
+            parent: hop.parent,
+            entry: entry.info,
+            sender: hop.sender,
+            receiver: state.server,
+            route: hop.route,
+            service: self.graph.routes[hop.route].service,
+            deadline: self.clock.now() + entry.deadline.saturating_sub(self.now()),
+        }
+    }
+
+    /// Delay of a message between two nodes.
+    fn delay(&mut self, from: ServerIndex, to: ServerIndex) -> Duration {
+        let same = self.graph.data_centre_of(from) == self.graph.data_centre_of(to);
+        let base = if from == to {
+            Duration::ZERO
+        } else if same {
+            self.graph.inside
+        } else {
+            self.graph.between
+        };
+        base.mul_f64(self.random.random_range(0.9..1.3))
+    }
+
+    fn finish(mut self) -> RunTally {
+        for entry in &self.entries {
+            self.tally.extra_attempts_max = self.tally.extra_attempts_max.max(entry.extra_attempts);
+            if !entry.whole {
+                self.tally.wasted_work_s += entry.work_s;
+            }
+            self.tally.work_s += entry.work_s;
+        }
+        let poison = |fingerprint: &u64| *fingerprint == POISON_FINGERPRINT;
+        let quarantined = self.control.quarantined();
+        let innocent = quarantined
+            .iter()
+            .filter(|fingerprint| !poison(fingerprint));
+        self.tally.innocent_quarantined = innocent.count() as u64;
+        self.tally.requests = self.requests.iter().map(|state| state.record).collect();
+        self.tally
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/harness/callers.rs
@@ -0,0 +1,187 @@
+//! Callers: they send, wait, and send again.
+
+use std::time::Duration;
+
+use model::declaration::RefusalOrder;
+use model::verdict::FailureCause;
+use rand::Rng;
+
+use crate::experiment::control::CallControl;
+use crate::experiment::control::EntryDecision;
+use crate::experiment::control::EntryInfo;
+use crate::experiment::control::EntryNumber;
+use crate::experiment::graph::ClassIndex;
+use crate::experiment::graph::TeamIndex;
+use crate::experiment::harness::Harness;
+use crate::experiment::harness::state::EntryState;
+use crate::experiment::harness::state::HarnessEvent;
+use crate::experiment::harness::state::RequestNumber;
+use crate::experiment::harness::state::RequestState;
+use crate::experiment::tally::RequestRecord;
+
+/// Time between two sendings of the request that kills backend servers, in milliseconds.
+const POISON_PERIOD_MS: u64 = 200;
+
+impl<P: CallControl> Harness<P> {
+    pub(super) fn start_callers(&mut self) {
+        for class in 0..self.graph.classes.len() {
+            for team in 0..self.graph.teams.len() {
+                self.schedule_arrival(class, team);
+            }
+        }
+    }
+
+    fn schedule_arrival(&mut self, class: ClassIndex, team: TeamIndex) {
+        let per_s = self.graph.classes[class].per_s * self.graph.teams[team].share;
+        let rate = per_s * self.scenario.demand_factor(team, self.now());
+        let uniform: f64 = self.arrivals.random_range(f64::EPSILON..1.0);
+        let gap = Duration::from_secs_f64(-uniform.ln() / rate);
+        self.queue.after(gap, HarnessEvent::Arrive { class, team });
+    }
+
+    pub(super) fn arrive(&mut self, class: ClassIndex, team: TeamIndex) {
+        let fingerprint = self.arrivals.random();
+        let request = self.create_request(class, team, fingerprint, false);
+        self.caller_sends(request);
+        self.schedule_arrival(class, team);
+    }
+
+    pub(super) fn create_request(
+        &mut self,
+        class: ClassIndex,
+        team: TeamIndex,
+        fingerprint: u64,
+        poison: bool,
+    ) -> RequestNumber {
+        let id = self.arrivals.random();
+        self.requests.push(RequestState {
+            record: RequestRecord {
+                team,
+                class,
+                first_at: self.now(),
+                done_at: None,
+                refused: None,
+                poison,
+            },
+            id,
+            fingerprint,
+            sends: 0,
+        });
+        self.requests.len() - 1
+    }
+
+    /// Sends a request to any node.
+    pub(super) fn caller_sends(&mut self, request: RequestNumber) {
+        let node = self.random.random_range(0..self.graph.server_count());
+        let fresh_id = self.random.random();
+        let state = &mut self.requests[request];
+        state.sends += 1;
+        // Only callers of the class refused last send an idempotency key,
+        // from which the entry node derives the same id each time.
+        let keyed = self.graph.classes[state.record.class].refused == RefusalOrder::Last;
+        let info = EntryInfo {
+            entry: self.entries.len(),
+            node,
+            request: if keyed { state.id } else { fresh_id },
+            fingerprint: state.fingerprint,
+            team: state.record.team,
+            class: state.record.class,
+        };
+        self.entries.push(EntryState {
+            request,
+            info,
+            deadline: Duration::MAX,
+            open: true,
+            whole: false,
+            root: None,
+            within_rate: false,
+            extra_attempts: 0,
+            work_s: 0.0,
+        });
+        let reached = HarnessEvent::EntryReached(info.entry);
+        self.queue.after(self.graph.to_callers, reached);
+    }
+
+    pub(super) fn entry_reached(&mut self, entry: EntryNumber) {
+        let now = self.now();
+        let info = self.entries[entry].info;
+        let deadline = now + self.graph.classes[info.class].within;
+        self.entries[entry].deadline = deadline;
+        self.queue.at(deadline, HarnessEvent::EntryDeadline(entry));
+        let ideal = &mut self.ideal_buckets[info.team];
+        self.entries[entry].within_rate = ideal.take(now) && ideal.is_within_rate(now);
+        let mut actions = Vec::new();
+        match self.control.enter(&info, &mut actions) {
+            EntryDecision::Enter => self.enter(entry),
+            EntryDecision::Wait => {}
+            EntryDecision::Refuse(cause) => self.refuse_entry(entry, cause),
+        }
+        self.act(actions);
+    }
+
+    /// Sends a request on that its entry node let in.
+    pub(super) fn enter(&mut self, entry: EntryNumber) {
+        if !self.entries[entry].open {
+            return;
+        }
+        let info = self.entries[entry].info;
+        let now = self.now();
+        if !self.entered_buckets[info.team].take(now) {
+            self.tally.over_issued += 1;
+        }
+        let route = self.graph.classes[info.class].route;
+        self.launch(entry, None, route, info.node);
+    }
+
+    pub(super) fn refuse_entry(&mut self, entry: EntryNumber, cause: FailureCause) {
+        let state = &self.entries[entry];
+        if cause == FailureCause::RateExceeded && state.open {
+            self.tally.rate_refused += 1;
+            self.tally.rate_refused_wrongly += u64::from(state.within_rate);
+        }
+        self.requests[state.request].record.refused = Some(cause);
+        self.close_entry(entry, false);
+    }
+
+    /// Sends the outcome of a sending to its caller.
+    pub(super) fn close_entry(&mut self, entry: EntryNumber, whole: bool) {
+        if !std::mem::replace(&mut self.entries[entry].open, false) {
+            return;
+        }
+        let answered = HarnessEvent::CallerAnswered { entry, whole };
+        self.queue.after(self.graph.to_callers, answered);
+    }
+
+    pub(super) fn entry_deadline(&mut self, entry: EntryNumber) {
+        if !self.entries[entry].open {
+            return;
+        }
+        self.close_entry(entry, false);
+        let root = self.entries[entry].root;
+        if let Some(root) = root.filter(|_| self.rules.cancels) {
+            self.cancel_hop(root);
+        }
+    }
+
+    pub(super) fn caller_answered(&mut self, entry: EntryNumber, whole: bool) {
+        let now = self.now();
+        let request = self.entries[entry].request;
+        let state = &mut self.requests[request];
+        if whole {
+            state.record.done_at = state.record.done_at.or(Some(now));
+            state.record.refused = None;
+            self.entries[entry].whole = true;
+            return;
+        }
+        if state.record.poison {
+            let delay = Duration::from_millis(POISON_PERIOD_MS);
+            self.queue.after(delay, HarnessEvent::CallerSends(request));
+            return;
+        }
+        let habit = self.scenario.callers;
+        if state.sends < habit.sends_max {
+            let delay = habit.delay.mul_f64(self.random.random_range(0.5..1.5));
+            self.queue.after(delay, HarnessEvent::CallerSends(request));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/harness/causes.rs
@@ -0,0 +1,109 @@
+//! What goes wrong: slow, cold, crashing and draining backend servers.
+
+use std::time::Duration;
+
+use model::verdict::FailureCause;
+
+use crate::experiment::control::CallAnswer;
+use crate::experiment::control::CallControl;
+use crate::experiment::control::RunEnd;
+use crate::experiment::control::ServerChange;
+use crate::experiment::graph::ServerIndex;
+use crate::experiment::harness::Harness;
+use crate::experiment::harness::POISON_FINGERPRINT;
+use crate::experiment::harness::state::HarnessEvent;
+
+/// Factor on the time that work takes at a backend server that just started.
+const COLD_SLOWNESS: f64 = 4.0;
+/// Time until a backend server is warm, in seconds.
+const WARM_UP_S: f64 = 10.0;
+/// Time until a backend server that died runs again, in milliseconds.
+const RESTART_MS: u64 = 2000;
+/// Class and team of the request that kills backend servers.
+const POISON_CLASS: usize = 1;
+const POISON_TEAM: usize = 0;
+
+impl<P: CallControl> Harness<P> {
+    pub(super) fn schedule_cause(&mut self) {
+        let (begin, end) = (self.scenario.begin, self.scenario.end);
+        self.queue.at(begin, HarnessEvent::CauseBegins);
+        self.queue.at(end, HarnessEvent::CauseEnds);
+    }
+
+    pub(super) fn cause_begins(&mut self) {
+        let deep = self.graph.servers(self.graph.deep);
+        for server in deep.clone() {
+            self.backends[server].slowness = self.scenario.slowness;
+        }
+        if self.scenario.cold_start {
+            for server in (0..self.graph.server_count()).step_by(2) {
+                self.cold_since[server] = Some(self.now());
+                self.change(server, ServerChange::Started);
+            }
+        }
+        if self.scenario.drain {
+            self.drained = Some(deep.start);
+            self.change(deep.start, ServerChange::Draining);
+        }
+        if self.scenario.poison {
+            let poison = self.create_request(POISON_CLASS, POISON_TEAM, POISON_FINGERPRINT, true);
+            self.caller_sends(poison);
+        }
+    }
+
+    pub(super) fn cause_ends(&mut self) {
+        for server in self.graph.servers(self.graph.deep) {
+            self.backends[server].slowness = 1.0;
+        }
+    }
+
+    /// Part of work that begins now and falls into the time of the cause, in seconds.
+    pub(super) fn within_cause(&self, work: Duration) -> f64 {
+        let begin = self.now().max(self.scenario.begin);
+        let end = (self.now() + work).min(self.scenario.end);
+        end.saturating_sub(begin).as_secs_f64()
+    }
+
+    /// Factor on the time that work takes at a backend server now.
+    pub(super) fn slowness(&self, server: ServerIndex) -> f64 {
+        let cold = self.cold_since[server].map_or(1.0, |since| {
+            let age_s = self.now().saturating_sub(since).as_secs_f64();
+            let left = (1.0 - age_s / WARM_UP_S).max(0.0);
+            1.0 + (COLD_SLOWNESS - 1.0) * left
+        });
+        self.backends[server].slowness * cold
+    }
+
+    pub(super) fn crash(&mut self, server: ServerIndex) {
+        if !self.backends[server].up {
+            return;
+        }
+        self.tally.crashes += 1;
+        let lost = self.backends[server].crash();
+        self.change(server, ServerChange::Crashed);
+        for call in lost {
+            let child = self.calls[call].child.take();
+            let answer = CallAnswer::Failure {
+                cause: FailureCause::ConnectionLost,
+                not_run: false,
+            };
+            self.end_call(call, RunEnd::Lost, Some(answer));
+            if let Some(child) = child.filter(|_| self.rules.cancels) {
+                self.cancel_hop(child);
+            }
+        }
+        let restart = HarnessEvent::Restart(server);
+        self.queue.after(Duration::from_millis(RESTART_MS), restart);
+    }
+
+    pub(super) fn restart(&mut self, server: ServerIndex) {
+        self.backends[server].up = true;
+        self.change(server, ServerChange::Started);
+    }
+
+    fn change(&mut self, server: ServerIndex, change: ServerChange) {
+        let mut actions = Vec::new();
+        self.control.server_changed(server, change, &mut actions);
+        self.act(actions);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/harness/state.rs
@@ -0,0 +1,147 @@
+//! What the harness remembers of requests, calls and teams.
+
+use std::time::Duration;
+
+use crate::experiment::backend::CallNumber;
+use crate::experiment::control::CallAnswer;
+use crate::experiment::control::EntryInfo;
+use crate::experiment::control::EntryNumber;
+use crate::experiment::control::HopNumber;
+use crate::experiment::graph::ClassIndex;
+use crate::experiment::graph::RouteIndex;
+use crate::experiment::graph::ServerIndex;
+use crate::experiment::graph::TeamIndex;
+use crate::experiment::scenario::TeamRate;
+use crate::experiment::tally::RequestRecord;
+
+/// Number of a caller's request.
+pub(super) type RequestNumber = usize;
+
+/// Everything that happens in a run.
+pub(super) enum HarnessEvent<T> {
+    Arrive {
+        class: ClassIndex,
+        team: TeamIndex,
+    },
+    CallerSends(RequestNumber),
+    EntryReached(EntryNumber),
+    EntryDeadline(EntryNumber),
+    CallerAnswered {
+        entry: EntryNumber,
+        whole: bool,
+    },
+    CallReached(CallNumber),
+    WorkDone(CallNumber),
+    AnswerReached {
+        call: CallNumber,
+        answer: CallAnswer,
+    },
+    AttemptTimeout(CallNumber),
+    CauseBegins,
+    CauseEnds,
+    Crash(ServerIndex),
+    Restart(ServerIndex),
+    Timer(T),
+}
+
+/// A caller's request over all its sendings.
+pub(super) struct RequestState {
+    pub(super) record: RequestRecord,
+    pub(super) id: u128,
+    pub(super) fingerprint: u64,
+    pub(super) sends: u32,
+}
+
+/// One sending of a request.
+pub(super) struct EntryState {
+    pub(super) request: RequestNumber,
+    pub(super) info: EntryInfo,
+    pub(super) deadline: Duration,
+    pub(super) open: bool,
+    pub(super) whole: bool,
+    pub(super) root: Option<HopNumber>,
+    /// Whether a central bucket lets it in and its team was within its rate.
+    pub(super) within_rate: bool,
+    pub(super) extra_attempts: u32,
+    pub(super) work_s: f64,
+}
+
+/// A call with all its attempts.
+pub(super) struct HopState {
+    pub(super) entry: EntryNumber,
+    pub(super) parent: Option<CallNumber>,
+    pub(super) route: RouteIndex,
+    pub(super) sender: ServerIndex,
+    pub(super) attempts: u32,
+    pub(super) current: Option<CallNumber>,
+}
+
+/// Where an attempt is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum CallPlace {
+    /// On its way to its node.
+    Sent,
+    /// At the node, not yet decided on.
+    Waiting,
+    /// At the backend server, waiting for a slot.
+    Backlog,
+    /// In a slot.
+    Running,
+    /// Over.
+    Ended,
+}
+
+/// One attempt.
+pub(super) struct CallState {
+    pub(super) hop: HopNumber,
+    pub(super) server: ServerIndex,
+    pub(super) place: CallPlace,
+    pub(super) worked: bool,
+    pub(super) step: usize,
+    pub(super) child: Option<HopNumber>,
+    pub(super) sent_at: Duration,
+}
+
+/// Time without a refusal after which a team counts as within its rate, in seconds.
+const WITHIN_RATE_S: u64 = 2;
+
+/// A central token bucket that knows every request at once.
+pub(super) struct IdealBucket {
+    per_s: f64,
+    burst: f64,
+    level: f64,
+    at: Duration,
+    refused_at: Option<Duration>,
+}
+
+impl IdealBucket {
+    pub(super) fn new(rate: &TeamRate) -> Self {
+        Self {
+            per_s: rate.per_s,
+            burst: rate.burst,
+            level: rate.burst,
+            at: Duration::ZERO,
+            refused_at: None,
+        }
+    }
+
+    /// Takes a token; returns whether there was one.
+    pub(super) fn take(&mut self, now: Duration) -> bool {
+        let earned = self.per_s * now.saturating_sub(self.at).as_secs_f64();
+        self.level = (self.level + earned).min(self.burst);
+        self.at = now;
+        let taken = self.level >= 1.0 - 1e-6;
+        if taken {
+            self.level -= 1.0;
+        } else {
+            self.refused_at = Some(now);
+        }
+        taken
+    }
+
+    /// Returns whether the bucket refused nothing lately.
+    pub(super) fn is_within_rate(&self, now: Duration) -> bool {
+        let long_ago = |at| now.saturating_sub(at) > Duration::from_secs(WITHIN_RATE_S);
+        self.refused_at.is_none_or(long_ago)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/managed/side.rs
@@ -0,0 +1,146 @@
+//! What one node keeps.
+
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use admit::AdmitGate;
+use admit::CutBook;
+use admit::StandingBook;
+use admit::TrialBook;
+use clock::Clock;
+use clock::VirtualClock;
+use limit::ResendBook;
+use limit::TokenHolder;
+use model::context::ServerLoad;
+use model::exchange::CrashReport;
+use model::exchange::MemberRecord;
+use model::exchange::ServerState;
+use model::ids::ServiceName;
+use model::ids::TeamName;
+use route::ServerPicker;
+
+use crate::experiment::backend::CallNumber;
+use crate::experiment::control::EntryInfo;
+use crate::experiment::managed::PERIOD_MS;
+
+/// Window in which re-sends of a request are counted, in seconds.
+const RESEND_WINDOW_S: u64 = 60;
+/// Re-sends of a request by its caller that one node takes.
+const CALLER_RESENDS: u16 = 3;
+/// Requests remembered for that.
+const RESEND_CAPACITY: usize = 65_536;
+/// Extra attempts earned by each request, in thousandths.
+const EARNED_MILLI: u32 = 100;
+/// Most extra attempts saved up.
+const SAVED_MAX_MILLI: u32 = 20_000;
+/// Most extra attempts that one request is given.
+const GIVEN_MAX: u32 = 3;
+/// Thousandths of an attempt.
+const ATTEMPT_MILLI: u32 = 1000;
+
+/// A load report that waits until it has the age that the scenario asks for.
+struct LoadSample {
+    at: Instant,
+    load: ServerLoad,
+}
+
+/// One node with its books.
+pub(super) struct NodeSide {
+    pub(super) gate: AdmitGate<VirtualClock>,
+    pub(super) cuts: CutBook<VirtualClock>,
+    pub(super) standings: StandingBook<VirtualClock>,
+    pub(super) pickers: Vec<ServerPicker<VirtualClock>>,
+    pub(super) holders: Vec<TokenHolder<VirtualClock>>,
+    pub(super) trials: TrialBook<VirtualClock>,
+    pub(super) resends: ResendBook<VirtualClock>,
+    /// Requests that wait for a token.
+    pub(super) thirsty: VecDeque<EntryInfo>,
+    /// Calls that wait at the gate.
+    pub(super) waiting: HashSet<CallNumber>,
+    pub(super) reports: Vec<CrashReport>,
+    pub(super) crash_count: u32,
+    pub(super) state: ServerState,
+    /// Whether an exchange is under way or was just made.
+    pub(super) busy: bool,
+    /// Whether another exchange is wanted as soon as possible.
+    pub(super) wanted: bool,
+    saved_milli: u32,
+    samples: VecDeque<LoadSample>,
+}
+
+impl NodeSide {
+    pub(super) fn new(clock: &VirtualClock, service: ServiceName, teams: &[TeamName]) -> Self {
+        let ahead = Duration::from_millis(2 * PERIOD_MS);
+        let holder = |team: &TeamName| TokenHolder::new(team.clone(), ahead, clock.clone());
+        let window = Duration::from_secs(RESEND_WINDOW_S);
+        Self {
+            gate: AdmitGate::new(clock.clone()),
+            cuts: CutBook::new(clock.clone()),
+            standings: StandingBook::new(clock.clone()),
+            pickers: Vec::new(),
+            holders: teams.iter().map(holder).collect(),
+            trials: TrialBook::new(clock.clone(), service),
+            resends: ResendBook::new(window, CALLER_RESENDS, RESEND_CAPACITY, clock.clone()),
+            thirsty: VecDeque::new(),
+            waiting: HashSet::new(),
+            reports: Vec::new(),
+            crash_count: 0,
+            state: ServerState::Ready,
+            busy: false,
+            wanted: false,
+            saved_milli: SAVED_MAX_MILLI,
+            samples: VecDeque::new(),
+        }
+    }
+
+    /// Takes over the members of all services.
+    pub(super) fn update_members(
+        &mut self,
+        clock: &VirtualClock,
+        members: &[MemberRecord],
+        services: &[ServiceName],
+        data_centre: usize,
+    ) {
+        if self.pickers.is_empty() {
+            let name: Arc<str> = Arc::from(format!("dc{data_centre}").as_str());
+            let picker = |_| ServerPicker::new(clock.clone(), name.clone());
+            self.pickers = services.iter().map(picker).collect();
+        }
+        for (picker, service) in self.pickers.iter_mut().zip(services) {
+            let of_service = members.iter().filter(|member| member.service == *service);
+            let records: Vec<_> = of_service.cloned().collect();
+            picker.update(&records);
+        }
+    }
+
+    /// Earns for a request and reserves extra attempts for it.
+    pub(super) fn reserve_attempts(&mut self) -> u16 {
+        self.saved_milli = (self.saved_milli + EARNED_MILLI).min(SAVED_MAX_MILLI);
+        let given = (self.saved_milli / ATTEMPT_MILLI).min(GIVEN_MAX);
+        self.saved_milli -= given * ATTEMPT_MILLI;
+        u16::try_from(given).unwrap_or(u16::MAX)
+    }
+
+    /// Takes back extra attempts that a request did not spend.
+    pub(super) fn release_attempts(&mut self, unspent: u16) {
+        let returned_milli = u32::from(unspent) * ATTEMPT_MILLI;
+        self.saved_milli = (self.saved_milli + returned_milli).min(SAVED_MAX_MILLI);
+    }
+
+    /// Returns the load to report, which is as old as `lag`.
+    pub(super) fn reported_load(&mut self, clock: &VirtualClock, lag: Duration) -> ServerLoad {
+        let load = self.gate.load();
+        if lag.is_zero() {
+            return load;
+        }
+        let at = clock.now();
+        self.samples.push_back(LoadSample { at, load });
+        while self.samples.len() > 1 && self.samples[1].at + lag <= at {
+            self.samples.pop_front();
+        }
+        self.samples.front().map_or(load, |sample| sample.load)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiment/managed/tokens.rs
@@ -0,0 +1,203 @@
+//! Tokens, and the exchange with control that carries them.
+
+use std::time::Duration;
+
+use clock::Clock;
+use limit::GrantEffect;
+use limit::ResendVerdict;
+use limit::RetryAllowance;
+use limit::TakeOutcome;
+use limit::TokenHolder;
+use model::exchange::ServerState;
+use model::verdict::FailureCause;
+
+use crate::experiment::control::ControlAction;
+use crate::experiment::control::EntryDecision;
+use crate::experiment::control::EntryInfo;
+use crate::experiment::control::EntryNumber;
+use crate::experiment::graph::ServerIndex;
+use crate::experiment::managed::Actions;
+use crate::experiment::managed::ControlReply;
+use crate::experiment::managed::ControlRequest;
+use crate::experiment::managed::LEASE_MS;
+use crate::experiment::managed::Managed;
+use crate::experiment::managed::ManagedTimer;
+use crate::experiment::managed::forward::EntrySide;
+
+/// Shortest time between two exchanges of a node, in milliseconds.
+const SPACING_MS: u64 = 25;
+/// Longest time that a request waits for a token, in milliseconds.
+const TOKEN_WAIT_MS: u64 = 400;
+
+impl Managed {
+    pub(super) fn enter_request(
+        &mut self,
+        entry: &EntryInfo,
+        actions: &mut Actions,
+    ) -> EntryDecision {
+        let node = &mut self.nodes[entry.node];
+        if node.resends.arrival(entry.request) == ResendVerdict::Refused {
+            return EntryDecision::Refuse(FailureCause::AllowanceSpent);
+        }
+        match node.holders[entry.team].take() {
+            TakeOutcome::Taken => {
+                self.rank_request(entry);
+                EntryDecision::Enter
+            }
+            TakeOutcome::Dry { retry_after, .. } if !retry_after.is_zero() => {
+                EntryDecision::Refuse(FailureCause::RateExceeded)
+            }
+            TakeOutcome::Dry { ask_now, .. } => {
+                node.thirsty.push_back(*entry);
+                let wait = Duration::from_millis(TOKEN_WAIT_MS);
+                let timeout = ManagedTimer::TokenTimeout(entry.entry);
+                actions.push(ControlAction::Timer(wait, timeout));
+                if ask_now {
+                    self.exchange_soon(entry.node, actions);
+                }
+                EntryDecision::Wait
+            }
+        }
+    }
+
+    /// Fixes rank and allowance of a request that has its token.
+    fn rank_request(&mut self, entry: &EntryInfo) {
+        let node = &mut self.nodes[entry.node];
+        let refused = self.graph.classes[entry.class].refused;
+        let team = &self.teams[entry.team];
+        let rank = node.standings.rank(Some(team), refused, entry.request);
+        let allowance = RetryAllowance::new(node.reserve_attempts());
+        let side = EntrySide {
+            rank,
+            allowance: Some(allowance),
+        };
+        self.entries.insert(entry.entry, side);
+    }
+
+    pub(super) fn token_timeout(&mut self, entry: EntryNumber, actions: &mut Actions) {
+        for node in &mut self.nodes {
+            if let Some(place) = node.thirsty.iter().position(|info| info.entry == entry) {
+                node.thirsty.remove(place);
+                let cause = FailureCause::RateExceeded;
+                actions.push(ControlAction::RefuseEntry(entry, cause));
+                return;
+            }
+        }
+    }
+
+    /// Exchanges now, or as soon as the spacing allows.
+    pub(super) fn exchange_soon(&mut self, node: ServerIndex, actions: &mut Actions) {
+        if self.nodes[node].busy {
+            self.nodes[node].wanted = true;
+        } else {
+            self.exchange(node, actions);
+        }
+    }
+
+    pub(super) fn exchange_spaced(&mut self, node: ServerIndex, actions: &mut Actions) {
+        self.nodes[node].busy = false;
+        if std::mem::take(&mut self.nodes[node].wanted) {
+            self.exchange(node, actions);
+        }
+    }
+
+    pub(super) fn exchange(&mut self, node: ServerIndex, actions: &mut Actions) {
+        let side = &mut self.nodes[node];
+        if side.busy {
+            side.wanted = true;
+            return;
+        }
+        side.busy = true;
+        let holders = side.holders.iter_mut();
+        let request = ControlRequest {
+            node,
+            sent: self.clock.now(),
+            demands: holders.filter_map(TokenHolder::demand).collect(),
+            crashes: std::mem::take(&mut side.reports),
+            state: side.state,
+        };
+        let reached = ManagedTimer::ControlReached(request);
+        actions.push(ControlAction::Timer(self.graph.between, reached));
+    }
+
+    pub(super) fn control_reached(&mut self, request: &ControlRequest, actions: &mut Actions) {
+        let mut grants = Vec::with_capacity(request.demands.len());
+        for demand in &request.demands {
+            let owner = self.teams.iter().position(|team| *team == demand.team);
+            if let Some(owner) = owner {
+                grants.push(self.owners[owner].grant(request.node as u64, demand));
+            }
+        }
+        for crash in &request.crashes {
+            self.suspects.record(crash);
+        }
+        self.members[request.node].state = request.state;
+        let reply = ControlReply {
+            node: request.node,
+            sent: request.sent,
+            grants,
+            notices: self.suspects.notices(),
+            members: self.members.clone(),
+        };
+        let reached = ManagedTimer::NodeReached(reply);
+        actions.push(ControlAction::Timer(self.graph.between, reached));
+    }
+
+    pub(super) fn node_reached(&mut self, reply: &ControlReply, actions: &mut Actions) {
+        let node = reply.node;
+        let lease_end = reply.sent + Duration::from_millis(LEASE_MS);
+        let side = &mut self.nodes[node];
+        let mut ask_now = false;
+        for grant in &reply.grants {
+            let team = self.teams.iter().position(|team| *team == grant.team);
+            let Some(team) = team else { continue };
+            let effect = side.holders[team].accept(grant, lease_end);
+            ask_now |= matches!(effect, GrantEffect::Held { ask_now: true });
+        }
+        side.trials.update(&reply.notices);
+        let data_centre = self.graph.data_centre_of(node);
+        side.update_members(&self.clock, &reply.members, &self.services, data_centre);
+        let spacing = Duration::from_millis(SPACING_MS);
+        actions.push(ControlAction::Timer(spacing, ManagedTimer::Spaced(node)));
+        self.serve_thirsty(node, actions);
+        if ask_now {
+            self.nodes[node].wanted = true;
+        }
+    }
+
+    /// Lets requests take again that waited for a token.
+    fn serve_thirsty(&mut self, node: ServerIndex, actions: &mut Actions) {
+        for _ in 0..self.nodes[node].thirsty.len() {
+            let Some(entry) = self.nodes[node].thirsty.pop_front() else {
+                return;
+            };
+            match self.nodes[node].holders[entry.team].retake() {
+                TakeOutcome::Taken => {
+                    self.rank_request(&entry);
+                    actions.push(ControlAction::Enter(entry.entry));
+                }
+                TakeOutcome::Dry { retry_after, .. } if !retry_after.is_zero() => {
+                    let cause = FailureCause::RateExceeded;
+                    actions.push(ControlAction::RefuseEntry(entry.entry, cause));
+                }
+                TakeOutcome::Dry { ask_now, .. } => {
+                    self.nodes[node].thirsty.push_back(entry);
+                    self.nodes[node].wanted |= ask_now;
+                }
+            }
+        }
+    }
+
+    /// Takes over a state of the backend server and tells control at once.
+    pub(super) fn set_state(
+        &mut self,
+        node: ServerIndex,
+        state: ServerState,
+        actions: &mut Actions,
+    ) {
+        self.nodes[node].state = state;
+        let due = self.nodes[node].gate.set_state(state);
+        self.carry_out(node, due, actions);
+        self.exchange_soon(node, actions);
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Proof: stand-ins for backend servers and callers, load and process groups.
 
+pub mod experiment;
 pub mod group;
 pub mod journal;
 pub mod load;
