--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -1,8 +1,10 @@
 //! Guard of one backend server: how many calls run, which wait, which are refused.
 
+mod call;
 mod demand;
 mod limit;
 mod queue;
+mod window;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,8 +17,15 @@
 use model::ids::Fingerprint;
 use model::verdict::CallFailure;
 use model::verdict::FailureCause;
-use smallvec::SmallVec;
 
+pub use crate::gate::call::AdmitDecision;
+pub use crate::gate::call::CallOffer;
+pub use crate::gate::call::CallOutcome;
+pub use crate::gate::call::CrashedCalls;
+pub use crate::gate::call::GateAction;
+pub use crate::gate::call::GateActions;
+pub use crate::gate::call::GateStats;
+pub use crate::gate::call::OfferOutcome;
 use crate::gate::demand::DemandMap;
 use crate::gate::demand::PeriodLoad;
 use crate::gate::limit::LimitTracker;
@@ -27,6 +36,8 @@
 const PERIOD_MS: u64 = 100;
 /// Time that the queue may hold work for, in milliseconds.
 const QUEUE_MS: u64 = 60;
+/// Share of its time left that a call of the class refused last may wait, in a longer queue.
+const LAST_PATIENCE: f64 = 0.5;
 /// Calls that may wait, at least and at most.
 const QUEUE_MIN: usize = 4;
 const QUEUE_MAX: usize = 512;
@@ -40,88 +51,6 @@
 /// Delay named to callers that are refused, in milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
 
-/// A call that asks to run on the backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct CallOffer {
-    /// Number of the call, unique among those that have not ended.
-    pub id: u64,
-    /// Rank fixed at the entry node.
-    pub rank: CallRank,
-    /// Time at which the caller gives up.
-    pub deadline: Instant,
-    /// Digest of what the request asks for, returned if the backend server dies.
-    pub fingerprint: Fingerprint,
-}
-
-/// What becomes of an offered call.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum AdmitDecision {
-    /// It runs now; [`AdmitGate::finish`] must be called when it ends.
-    Run,
-    /// It waits; a later [`GateAction`] starts or refuses it.
-    Queued,
-    /// It is refused, and did not run.
-    Refuse(CallFailure),
-}
-
-/// What is due for a call that was queued.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum GateAction {
-    /// It runs now; [`AdmitGate::finish`] must be called when it ends.
-    Start(u64),
-    /// It is refused, and did not run.
-    Refuse(u64, CallFailure),
-}
-
-/// Actions that one event leads to, in order.
-pub type GateActions = SmallVec<[GateAction; 2]>;
-
-/// Decision on an offered call, with what it means for calls that waited.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct OfferOutcome {
-    /// What becomes of the offered call.
-    pub decision: AdmitDecision,
-    /// What is due for others.
-    pub actions: GateActions,
-}
-
-/// How a call that ran has ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CallOutcome {
-    /// The backend server answered.
-    Completed,
-    /// The backend server refused it for its load.
-    Shed,
-    /// The connection was lost or the answer was broken.
-    Failed,
-    /// The caller hung up or the deadline passed.
-    Cancelled,
-}
-
-/// What a dead backend server leaves behind.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct CrashedCalls {
-    /// Calls that ran; they may have run.
-    pub running: Vec<u64>,
-    /// Fingerprints of the calls that ran.
-    pub fingerprints: Vec<Fingerprint>,
-    /// Refusals of the calls that waited.
-    pub actions: GateActions,
-}
-
-/// Figures for metrics; they only grow.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct GateStats {
-    /// Calls offered.
-    pub offered: u64,
-    /// Calls started.
-    pub started: u64,
-    /// Calls refused, displaced or expired.
-    pub refused: u64,
-    /// Calls that completed.
-    pub completed: u64,
-}
-
 /// A call that runs.
 #[derive(Clone, Copy, Debug)]
 struct RunningCall {
@@ -305,14 +234,26 @@
     }
 
     fn wait(&mut self, offer: CallOffer, now: Instant, actions: &mut GateActions) -> AdmitDecision {
+        let refused_last = offer.rank.importance() == u8::MAX;
+        let leave_by = now + Duration::from_millis(WAIT_MAX_MS);
         let call = WaitingCall {
             id: offer.id,
             rank: offer.rank,
             deadline: offer.deadline,
-            leave_by: now + Duration::from_millis(WAIT_MAX_MS),
+            leave_by: if refused_last {
+                offer.deadline
+            } else {
+                leave_by
+            },
             fingerprint: offer.fingerprint,
         };
-        if self.queue.len() >= self.queue_limit() {
+        let time_left = offer.deadline.saturating_duration_since(now);
+        let patience = if refused_last {
+            time_left.mul_f64(LAST_PATIENCE)
+        } else {
+            Duration::from_millis(QUEUE_MS)
+        };
+        if self.queue.len() >= self.queue_limit(patience) {
             let Some(lowest) = self.queue.lowest().filter(|lowest| lowest.rank < call.rank) else {
                 self.period.refused += 1;
                 return refusal(FailureCause::Overloaded);
@@ -374,14 +315,18 @@
         self.period_end = now + length;
     }
 
-    fn queue_limit(&self) -> usize {
-        let work = self.limit.capacity_per_s() * Duration::from_millis(QUEUE_MS).as_secs_f64();
+    /// Returns how many calls may wait, if the last of them is to start within `patience`.
+    fn queue_limit(&self, patience: Duration) -> usize {
+        let work = self.limit.capacity_per_s() * patience.as_secs_f64();
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "clamped right after"
         )]
         let calls = work as usize;
+        if calls == 0 {
+            return self.limit.current() as usize;
+        }
         calls.clamp(QUEUE_MIN, QUEUE_MAX)
     }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,3 +5,5 @@
 pub mod journal;
 pub mod load;
 pub mod standin;
+pub mod trial;
+pub mod wait;
--- a/crates/control/src/force.rs
+++ b/crates/control/src/force.rs
@@ -36,6 +36,15 @@
     peers: BTreeMap<InstanceId, PeerVersion>,
 }
 
+/// One start of an instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LiveInstance {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Drawn at random when it started.
+    pub incarnation: u64,
+}
+
 /// Version up to which an instance told of its leases, and when it did.
 #[derive(Clone, Copy, Debug)]
 struct PeerVersion {
@@ -44,15 +53,6 @@
     heard: Instant,
 }
 
-/// An instance that told of its nodes a short time ago.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LiveInstance {
-    /// The instance.
-    pub instance: InstanceId,
-    /// Its start.
-    pub incarnation: u64,
-}
-
 impl<C: Clock> ForceTracker<C> {
     /// Creates a tracker; `lease` must include the allowance for clock drift.
     pub fn new(clock: C, lease: Duration) -> Self {
@@ -96,11 +96,11 @@
             .peers
             .iter()
             .filter(|(_, peer)| now.saturating_duration_since(peer.heard) < limit);
-        live.map(|(instance, peer)| LiveInstance {
+        let live = live.map(|(instance, peer)| LiveInstance {
             instance: *instance,
             incarnation: peer.incarnation,
-        })
-        .collect()
+        });
+        live.collect()
     }
 
     /// Returns whether `version` is in force, given all other instances of the group.
--- /dev/null
+++ b/crates/control/tests/control/common/fake_log.rs
@@ -0,0 +1,163 @@
+//! A log that several instances share in memory.
+
+use std::future::pending;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use control::log::ControlLog;
+use control::log::LogPosition;
+use ed25519_dalek::SigningKey;
+use ledger::LedgerCommand;
+use ledger::LedgerOutcome;
+use ledger::LedgerState;
+use model::change::ChangeStatus;
+use model::change::OwnerSignature;
+use model::change::ProposedChange;
+use model::hex;
+use model::ids::ConfigVersion;
+use model::ids::InstanceId;
+use model::ids::LogIndex;
+use model::ids::OwnerKey;
+use replica::ConfirmError;
+use replica::ProposeError;
+
+#[derive(Debug, Default)]
+struct SharedState {
+    leader: Option<InstanceId>,
+    ledger: LedgerState,
+}
+
+/// The shared state of all instances, with the keys of both owners.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeGroup {
+    state: Arc<Mutex<SharedState>>,
+    owners: [SigningKey; 2],
+}
+
+/// The log as one instance sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeLog {
+    own: InstanceId,
+    group: FakeGroup,
+    cut: Arc<AtomicBool>,
+}
+
+impl FakeGroup {
+    /// Creates a group that `leader` leads.
+    pub(crate) fn new(leader: InstanceId) -> Self {
+        let group = Self {
+            state: Arc::default(),
+            owners: [1, 2].map(|seed| SigningKey::from_bytes(&[seed; 32])),
+        };
+        group.elect(Some(leader));
+        let owners = group.owner_keys();
+        group.execute(LedgerCommand::Genesis { owners });
+        group
+    }
+
+    pub(crate) fn elect(&self, leader: Option<InstanceId>) {
+        self.state.lock().unwrap().leader = leader;
+    }
+
+    pub(crate) fn log(&self, own: InstanceId) -> FakeLog {
+        FakeLog {
+            own,
+            group: self.clone(),
+            cut: Arc::default(),
+        }
+    }
+
+    /// Returns a change to the owners with these items, on top of the version in force.
+    pub(crate) fn change(&self, items: &str) -> ProposedChange {
+        let owners = self.owner_keys();
+        let owners: Vec<_> = owners.iter().map(|key| hex::encode(key)).collect();
+        let owners = owners.join("\", \"");
+        ProposedChange {
+            base: self.read(|ledger| ledger.config().version()),
+            text: format!("owners = [\"{owners}\"]\n{items}"),
+        }
+    }
+
+    /// Signs a change as both owners.
+    pub(crate) fn sign(&self, change: &ProposedChange) -> Vec<OwnerSignature> {
+        let hash = change.hash();
+        let signed = self
+            .owners
+            .iter()
+            .map(|key| OwnerSignature::sign(key, &hash));
+        signed.collect()
+    }
+
+    /// Commits a declaration with these items under the next version.
+    pub(crate) fn declare(&self, items: &str) -> ConfigVersion {
+        let change = self.change(items);
+        let signatures = self.sign(&change);
+        let outcome = self.execute(LedgerCommand::Submit { change, signatures });
+        match outcome {
+            LedgerOutcome::Change(ChangeStatus::Accepted(version)) => version,
+            other => panic!("not accepted: {other:?}"),
+        }
+    }
+
+    pub(crate) fn owner_keys(&self) -> Vec<OwnerKey> {
+        let keys = self.owners.iter();
+        keys.map(|key| key.verifying_key().to_bytes()).collect()
+    }
+
+    fn execute(&self, command: LedgerCommand) -> LedgerOutcome {
+        self.state.lock().unwrap().ledger.execute(command)
+    }
+
+    fn read<R>(&self, reader: impl FnOnce(&LedgerState) -> R) -> R {
+        reader(&self.state.lock().unwrap().ledger)
+    }
+}
+
+impl FakeLog {
+    /// Cuts this instance off from the others, or heals the cut.
+    pub(crate) fn cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+    }
+
+    pub(crate) fn owner_keys(&self) -> Vec<OwnerKey> {
+        self.group.owner_keys()
+    }
+
+    async fn reach_others(&self) {
+        if self.cut.load(Ordering::SeqCst) {
+            pending::<()>().await;
+        }
+    }
+}
+
+impl ControlLog for FakeLog {
+    async fn confirm(&self) -> Result<LogIndex, ConfirmError> {
+        self.reach_others().await;
+        let leader = self.position().leader;
+        leader.map(|_| 1).ok_or(ConfirmError)
+    }
+
+    async fn propose(&self, command: &LedgerCommand) -> Result<LedgerOutcome, ProposeError> {
+        self.reach_others().await;
+        let leader = self.position().leader;
+        if leader != Some(self.own) {
+            return Err(ProposeError::NotLeader { leader });
+        }
+        Ok(self.group.execute(command.clone()))
+    }
+
+    fn read<R>(&self, reader: impl FnOnce(&LedgerState) -> R) -> R {
+        self.group.read(reader)
+    }
+
+    fn position(&self) -> LogPosition {
+        LogPosition {
+            leader: self.group.state.lock().unwrap().leader,
+            ..LogPosition::default()
+        }
+    }
+
+    fn receive(&self, _: InstanceId, _: Vec<u8>) {}
+}
