--- /dev/null
+++ b/crates/control/benches/exchange/main.rs
@@ -0,0 +1,165 @@
+//! Cost of the exchange by number of nodes and changes, and time from commit to in force.
+//!
+//! Three control instances and the stand-in nodes run in one process, each on
+//! threads of their own, so that their processor time is told apart by the
+//! names of the threads. See `docs/EXCHANGE.md`.
+
+#[path = "../../../wire/tests/common/authority.rs"]
+mod authority;
+mod cpu;
+mod group;
+mod node;
+mod table;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+
+use crate::cpu::CpuSample;
+use crate::group::BenchGroup;
+use crate::node::NodeFleet;
+use crate::table::ForceTimes;
+use crate::table::RunResult;
+
+/// Time before the measurement starts, in seconds.
+const WARM_UP_S: u64 = 4;
+/// Time between two changes whose way into force is timed, in milliseconds.
+const CHANGE_PAUSE_MS: u64 = 1_300;
+
+/// What is varied between runs.
+#[derive(Clone, Copy, Debug)]
+struct RunPlan {
+    nodes: u64,
+    seconds: u64,
+    period: Duration,
+    changes: u32,
+    demands: usize,
+}
+
+fn main() -> anyhow::Result<()> {
+    let matches = arguments().get_matches();
+    let counts: Vec<u64> = matches
+        .get_many("nodes")
+        .map(|nodes| nodes.copied().collect())
+        .unwrap_or_default();
+    println!("{}", RunResult::HEADINGS);
+    for nodes in counts {
+        let result = measure(&plan(&matches, nodes))?;
+        println!("{result}");
+    }
+    Ok(())
+}
+
+fn arguments() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    Command::new("exchange")
+        .arg(
+            Arg::new("nodes")
+                .long("nodes")
+                .value_delimiter(',')
+                .default_value("50,200")
+                .value_parser(value_parser!(u64))
+                .help("Nodes that one control instance holds, one run for each number"),
+        )
+        .arg(number("seconds", "10", "Length of the measurement"))
+        .arg(number("period-ms", "600", "Period of the exchange"))
+        .arg(number(
+            "changes",
+            "0",
+            "Changes committed one by one during the measurement",
+        ))
+        .arg(number(
+            "demands",
+            "2",
+            "Teams that each node demands tokens of in each exchange",
+        ))
+        .arg(Arg::new("bench").long("bench").num_args(0).hide(true))
+}
+
+fn plan(matches: &ArgMatches, nodes: u64) -> RunPlan {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    RunPlan {
+        nodes,
+        seconds: number("seconds"),
+        period: Duration::from_millis(number("period-ms")),
+        changes: u32::try_from(number("changes")).unwrap_or(u32::MAX),
+        demands: usize::try_from(number("demands")).unwrap_or(usize::MAX),
+    }
+}
+
+fn measure(plan: &RunPlan) -> anyhow::Result<RunResult> {
+    let runtimes = group::NAMES.map(|name| runtime(name, 2));
+    let node_runtime = runtime(node::THREAD_NAME, 4);
+    let group = BenchGroup::start(&runtimes)?;
+    let driver = runtime("driver", 1);
+    driver.block_on(group.founded());
+    driver.block_on(group.declare(0));
+    let holder = group.follower();
+    let fleet = NodeFleet::start(&node_runtime, &group, holder, plan);
+    driver.block_on(fleet.all_leased());
+    std::thread::sleep(Duration::from_secs(WARM_UP_S));
+
+    let (traffic, cpu, began) = (fleet.traffic(), CpuSample::take()?, Instant::now());
+    fleet.reset_latencies();
+    let times = driver.block_on(time_changes(plan, &group, holder, &fleet));
+    let rest = Duration::from_secs(plan.seconds).saturating_sub(began.elapsed());
+    std::thread::sleep(rest);
+    let elapsed = began.elapsed();
+    let result = RunResult {
+        plan: *plan,
+        elapsed,
+        traffic: fleet.traffic().since(&traffic),
+        cpu: CpuSample::take()?.since(&cpu),
+        latencies: fleet.latencies(),
+        holder: group::NAMES[holder],
+        times,
+    };
+    for runtime in runtimes {
+        runtime.shutdown_background();
+    }
+    node_runtime.shutdown_background();
+    Ok(result)
+}
+
+/// Commits changes one by one and times their way to all nodes.
+async fn time_changes(
+    plan: &RunPlan,
+    group: &BenchGroup,
+    holder: usize,
+    fleet: &NodeFleet,
+) -> ForceTimes {
+    let mut times = ForceTimes::default();
+    for change in 1..=plan.changes {
+        // Moves over the phases of the nodes' periods.
+        let pause = CHANGE_PAUSE_MS + u64::from(change % 7) * 37;
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let version = group.declare(change).await;
+        let committed = Instant::now();
+        fleet.all_applied(version).await;
+        times.applied.push(committed.elapsed());
+        group.in_force(holder, version).await;
+        times.in_force.push(committed.elapsed());
+    }
+    times
+}
+
+fn runtime(name: &str, threads: usize) -> Runtime {
+    Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all()
+        .build()
+        .expect("a runtime can be started")
+}
--- /dev/null
+++ b/crates/control/benches/exchange/node.rs
@@ -0,0 +1,245 @@
+//! Stand-in nodes, each with a socket and a connection of its own.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use clock::SystemClock;
+use limit::TokenHolder;
+use model::context::ServerLoad;
+use model::exchange::ExchangeReply;
+use model::exchange::ExchangeRequest;
+use model::exchange::MemberRecord;
+use model::exchange::PROTOCOL_VERSION;
+use model::exchange::ServerState;
+use model::exchange::TokenDemand;
+use model::ids::ConfigVersion;
+use settings::ControlAddress;
+use timeline::EventStamp;
+use timeline::StampClock;
+use tokio::runtime::Runtime;
+use tokio::time::sleep;
+use wire::client::ControlClient;
+use wire::identity::TlsIdentity;
+use wire::quic::LinkTiming;
+use wire::quic::LinkTraffic;
+use wire::quic::QuicEndpoint;
+use wire::role::PeerRole;
+
+use crate::RunPlan;
+use crate::group::BenchGroup;
+use crate::group::LOOPBACK;
+use crate::group::SERVICES;
+use crate::group::TEAMS;
+
+/// Name of the nodes' threads.
+pub(crate) const THREAD_NAME: &str = "nodes";
+/// Services that a node calls.
+const INTERESTS: u64 = 3;
+/// Time for which a node fetches tokens ahead, in milliseconds.
+const AHEAD_MS: u64 = 1_200;
+/// Calls that enter at a node within a period for each of its teams.
+const CALLS_PER_PERIOD: u32 = 10;
+/// Pause between two looks at a condition, in milliseconds.
+const LOOK_MS: u64 = 2;
+
+/// Traffic of all nodes, in UDP payload bytes and datagrams.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FleetTraffic {
+    pub(crate) sent_bytes: u64,
+    pub(crate) received_bytes: u64,
+    pub(crate) datagrams: u64,
+}
+
+impl FleetTraffic {
+    pub(crate) fn since(&self, earlier: &Self) -> Self {
+        Self {
+            sent_bytes: self.sent_bytes - earlier.sent_bytes,
+            received_bytes: self.received_bytes - earlier.received_bytes,
+            datagrams: self.datagrams - earlier.datagrams,
+        }
+    }
+
+    fn add(&mut self, link: LinkTraffic) {
+        self.sent_bytes += link.sent_bytes;
+        self.received_bytes += link.received_bytes;
+        self.datagrams += link.sent_datagrams + link.received_datagrams;
+    }
+}
+
+/// All stand-in nodes.
+pub(crate) struct NodeFleet {
+    nodes: Vec<Arc<StandinNode>>,
+    latencies: Arc<Mutex<Vec<Duration>>>,
+}
+
+/// What the measurement sees of a node.
+struct StandinNode {
+    client: ControlClient,
+    applied: AtomicU64,
+    latencies: Arc<Mutex<Vec<Duration>>>,
+}
+
+impl NodeFleet {
+    /// Starts the nodes at the instance at `holder`, spread over one period.
+    pub(crate) fn start(
+        runtime: &Runtime,
+        group: &BenchGroup,
+        holder: usize,
+        plan: &RunPlan,
+    ) -> Self {
+        let identity = group.authority.identity(PeerRole::Node);
+        let latencies = Arc::default();
+        let _entered = runtime.enter();
+        let nodes = (0..plan.nodes).map(|number| {
+            let node = Arc::new(StandinNode {
+                client: client(&identity, &group.addresses[holder]),
+                applied: AtomicU64::new(0),
+                latencies: Arc::clone(&latencies),
+            });
+            runtime.spawn(Arc::clone(&node).run(number, *plan));
+            node
+        });
+        Self {
+            nodes: nodes.collect(),
+            latencies: Arc::clone(&latencies),
+        }
+    }
+
+    /// Waits until every node holds a lease.
+    pub(crate) async fn all_leased(&self) {
+        self.all_applied(1).await;
+    }
+
+    /// Waits until every node has applied a version.
+    pub(crate) async fn all_applied(&self, version: ConfigVersion) {
+        for node in &self.nodes {
+            while node.applied.load(Ordering::Relaxed) < version {
+                sleep(Duration::from_millis(LOOK_MS)).await;
+            }
+        }
+    }
+
+    /// Returns the traffic of all nodes so far.
+    pub(crate) fn traffic(&self) -> FleetTraffic {
+        let mut total = FleetTraffic::default();
+        for node in &self.nodes {
+            total.add(node.client.traffic());
+        }
+        total
+    }
+
+    /// Forgets the times of exchanges so far.
+    pub(crate) fn reset_latencies(&self) {
+        self.latencies.lock().unwrap().clear();
+    }
+
+    /// Returns the times of exchanges, shortest first.
+    pub(crate) fn latencies(&self) -> Vec<Duration> {
+        let mut latencies = self.latencies.lock().unwrap().clone();
+        latencies.sort_unstable();
+        latencies
+    }
+}
+
+impl StandinNode {
+    async fn run(self: Arc<Self>, number: u64, plan: RunPlan) {
+        let nodes = u32::try_from(plan.nodes).unwrap_or(u32::MAX);
+        let phase = plan.period / nodes * u32::try_from(number).unwrap_or_default();
+        sleep(phase).await;
+        let mut request = request(number);
+        let mut holders = holders(number, plan.demands);
+        let stamps = StampClock::new(SystemClock);
+        loop {
+            let began = Instant::now();
+            request.stamp = stamps.stamp();
+            request.demands = demands(&mut holders);
+            if let Ok(reply) = self.client.exchange(&request).await {
+                self.latencies.lock().unwrap().push(began.elapsed());
+                self.apply(&mut request, &reply);
+                let Some(lease) = reply.lease else { continue };
+                for grant in &reply.grants {
+                    let holder = holders.iter_mut().find(|(team, _)| *team == grant.team);
+                    if let Some((_, holder)) = holder {
+                        holder.accept(grant, began + lease.length);
+                    }
+                }
+            }
+            sleep(plan.period.saturating_sub(began.elapsed())).await;
+        }
+    }
+
+    fn apply(&self, request: &mut ExchangeRequest, reply: &ExchangeReply) {
+        if let Some(lease) = reply.lease {
+            request.applied = lease.version;
+            self.applied.store(lease.version, Ordering::Relaxed);
+        }
+        request.feed = reply.members.feed;
+        request.member_cursor = reply.members.cursor;
+    }
+}
+
+type TeamHolder = (model::ids::TeamName, TokenHolder<SystemClock>);
+
+fn holders(number: u64, teams: usize) -> Vec<TeamHolder> {
+    let ahead = Duration::from_millis(AHEAD_MS);
+    let teams = (0..teams as u64).map(|team| {
+        let name: model::ids::TeamName = format!("team-{}", (number + team) % TEAMS).into();
+        (name.clone(), TokenHolder::new(name, ahead, SystemClock))
+    });
+    teams.collect()
+}
+
+/// Spends as the calls of a period would, and returns the demands.
+fn demands(holders: &mut [TeamHolder]) -> Vec<TokenDemand> {
+    let demands = holders.iter_mut().filter_map(|(_, holder)| {
+        for _ in 0..CALLS_PER_PERIOD {
+            let _ = holder.take();
+        }
+        holder.demand()
+    });
+    demands.collect()
+}
+
+fn client(identity: &TlsIdentity, address: &ControlAddress) -> ControlClient {
+    let timing = LinkTiming::default();
+    let endpoint = QuicEndpoint::bind_client(LOOPBACK, identity, timing);
+    let endpoint = endpoint.expect("a socket can be bound");
+    ControlClient::new(&endpoint, std::slice::from_ref(address), 0)
+}
+
+fn request(number: u64) -> ExchangeRequest {
+    let port = 1 + u16::try_from(number).unwrap_or(u16::MAX - 1);
+    let service = number % SERVICES;
+    let interests = (1..=INTERESTS).map(|step| format!("service-{}", (service + step) % SERVICES));
+    ExchangeRequest {
+        protocol: PROTOCOL_VERSION,
+        member: MemberRecord {
+            // Ids of real nodes are drawn from all 64 bits.
+            node: number.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port),
+            data_centre: "south".into(),
+            service: format!("service-{service}").into(),
+            state: ServerState::Ready,
+            load: ServerLoad {
+                in_flight: 40,
+                queued: 3,
+                limit: 150,
+            },
+        },
+        applied: 0,
+        interests: interests.map(Into::into).collect(),
+        member_cursor: 0,
+        feed: 0,
+        demands: Vec::new(),
+        crashes: Vec::new(),
+        leaving: false,
+        stamp: EventStamp::default(),
+    }
+}
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -20,6 +20,7 @@
 use model::change::ChangeStatus;
 use model::hex;
 use model::ids::ChangeHash;
+use model::ids::ConfigVersion;
 use timeline::EventRecord;
 use timeline::EventStamp;
 use tracing::info;
@@ -144,10 +145,16 @@
         info!(event = "change-submitted", change = report.hash, status);
     }
 
-    fn change_report(&self, hash: &ChangeHash, status: ChangeStatus) -> ChangeReport {
+    /// Returns whether every live node has applied a version, or its lease has run out.
+    #[must_use]
+    pub fn is_in_force(&self, version: ConfigVersion) -> bool {
         let group = self.mesh.peers();
+        self.force.in_force(version, &self.hub, &group)
+    }
+
+    fn change_report(&self, hash: &ChangeHash, status: ChangeStatus) -> ChangeReport {
         let in_force = match status {
-            ChangeStatus::Accepted(version) => self.force.in_force(version, &self.hub, &group),
+            ChangeStatus::Accepted(version) => self.is_in_force(version),
             _ => false,
         };
         ChangeReport {
