--- a/crates/cli/src/command/propose.rs
+++ b/crates/cli/src/command/propose.rs
@@ -134,7 +134,7 @@
 
 /// Reads the declaration in force; a group without a first change has an empty one.
 fn in_force(current: &DeclarationText) -> anyhow::Result<Declaration> {
-    if current.version == 0 {
+    if current.text.is_empty() {
         return Ok(Declaration::default());
     }
     let declaration = Declaration::parse(&current.text, current.version);
