Grow a limit that is far too low quickly

The limit grew by a tenth per window of 64 calls, a dip early on ended the fast growth although no queueing was met, and a gate that refused before anything had completed published a cut above all ranks (new test, failed before). Now: growth speeds up while service times stay, small limits use shorter windows, a dip that met no queueing leaves the fast growth on, a hint can't lower the start, and no cut is published without a capacity.

--- a/crates/admit/src/gate/demand.rs
+++ b/crates/admit/src/gate/demand.rs
@@ -79,7 +79,9 @@
         let overloaded = f64::from(load.refused) > REFUSED_SHARE * f64::from(self.offered);
         self.fold(load.elapsed.as_secs_f64());
         self.offered = 0;
-        if overloaded || self.cut > CallRank::MIN {
+        if load.capacity_per_s <= 0.0 {
+            self.cut = CallRank::MIN;
+        } else if overloaded || self.cut > CallRank::MIN {
             let allowed = load.capacity_per_s * EXCESS;
             let fitting = self.fitting_cut(allowed);
             self.cut = if overloaded {
--- a/crates/admit/src/gate/limit.rs
+++ b/crates/admit/src/gate/limit.rs
@@ -17,12 +17,14 @@
 /// Shortest and longest window of one measurement, in milliseconds.
 const WINDOW_MIN_MS: u64 = 100;
 const WINDOW_MAX_MS: u64 = 3000;
-/// Completions that end a window, at least.
+/// Completions that end a window: this many times the limit, within bounds.
+const WINDOW_TURNS: u32 = 3;
+const WINDOW_CALLS_LOW: u32 = 24;
 const WINDOW_CALLS: u32 = 64;
 /// Completions that end the measurement of a dip, at least.
 const DIP_CALLS: u32 = 64;
 /// Service time over its base up to which the limit may grow.
-const GROW_BELOW: f64 = 1.12;
+const GROW_BELOW: f64 = 1.2;
 /// Factor for the limit after a window in which calls were cancelled and none completed.
 const FRUITLESS_FACTOR: f64 = 0.8;
 /// Service time over its base above which a dip must tell queueing from slowness.
@@ -30,9 +32,10 @@
 /// Factor by which the limit grows in a window.
 const GROW_FACTOR: f64 = 1.1;
 /// Service time over its base above which the limit grows slowly from then on.
-const BOUNDED_ABOVE: f64 = 1.3;
-/// Factor by which it grows until service times rise for the first time.
-const GROW_FIRST_FACTOR: f64 = 1.5;
+const BOUNDED_ABOVE: f64 = 1.4;
+/// Largest such factor: until service times rise for the first time, and after
+/// several windows of growth in a row.
+const GROW_MAX_FACTOR: f64 = 1.5;
 /// Part of the limit that a dip leaves.
 const DIP_FACTOR: f64 = 0.6;
 /// Throughput in a dip, relative to before, above which the backend server was still saturated.
@@ -93,6 +96,7 @@
     verified: bool,
     estimate: ServiceEstimate,
     slow_windows: u32,
+    grown_windows: i32,
     phase: SearchPhase,
     window: WindowSum,
     updated: Instant,
@@ -110,6 +114,7 @@
             verified: false,
             estimate: ServiceEstimate::default(),
             slow_windows: 0,
+            grown_windows: 0,
             phase: SearchPhase::Cruise,
             window: WindowSum::new(now, 0),
             updated: now,
@@ -150,9 +155,12 @@
     }
 
     /// Takes over the announced number of slots unless measurements already say more.
+    ///
+    /// A hint can't lower the limit below its start: a limit that is too low
+    /// costs throughput until it has grown.
     pub(super) fn hint(&mut self, slots: u32) {
         if self.source == LimitSource::Hinted && slots > 0 {
-            self.limit = (f64::from(slots) * HEADROOM).clamp(LIMIT_MIN, LIMIT_MAX);
+            self.limit = (f64::from(slots) * HEADROOM).clamp(LIMIT_START, LIMIT_MAX);
         }
     }
 
@@ -236,11 +244,12 @@
     }
 
     fn window_calls(&self) -> u32 {
+        let limit = self.current();
         let calls = match self.phase {
-            SearchPhase::Cruise => WINDOW_CALLS,
+            SearchPhase::Cruise => (WINDOW_TURNS * limit).clamp(WINDOW_CALLS_LOW, WINDOW_CALLS),
             SearchPhase::Settle { .. } | SearchPhase::Dip { .. } => DIP_CALLS,
         };
-        calls.max(self.current() / 2)
+        calls.max(limit / 2)
     }
 
     fn cruise(&mut self, result: WindowResult, now: Instant) {
@@ -251,13 +260,16 @@
             return;
         }
         let ratio = result.service_s / self.estimate.base_s;
-        if ratio <= GROW_BELOW {
-            let factor = match self.source {
-                LimitSource::Bounded => GROW_FACTOR,
-                LimitSource::Hinted | LimitSource::Grown => GROW_FIRST_FACTOR,
-            };
-            self.limit = (self.limit * factor).min(LIMIT_MAX);
+        let (below, factor) = match self.source {
+            LimitSource::Bounded => (GROW_BELOW, GROW_FACTOR.powi(self.grown_windows + 1)),
+            LimitSource::Hinted | LimitSource::Grown => (BOUNDED_ABOVE, GROW_MAX_FACTOR),
+        };
+        if ratio <= below {
+            self.limit = (self.limit * factor.min(GROW_MAX_FACTOR)).min(LIMIT_MAX);
             self.source = self.source.max(LimitSource::Grown);
+            self.grown_windows += 1;
+        } else {
+            self.grown_windows = 0;
         }
         if ratio > BOUNDED_ABOVE {
             self.source = LimitSource::Bounded;
@@ -335,7 +347,9 @@
         if !explained || !saturated {
             self.estimate.base_s = result.service_s;
         }
-        self.source = LimitSource::Bounded;
+        if saturated || self.estimate.service_s > GROW_BELOW * result.service_s {
+            self.source = LimitSource::Bounded;
+        }
         self.verified = true;
         self.end_dip(now);
     }
--- a/crates/admit/tests/backend.rs
+++ b/crates/admit/tests/backend.rs
@@ -348,7 +348,7 @@
 
 #[test]
 fn a_wrong_hint_of_the_slots_is_corrected() {
-    for hint in [15, 600] {
+    for hint in [5, 15, 600] {
         for seed in SEEDS {
             let setup = TrialSetup {
                 time_left: Duration::from_millis(400),
--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -108,6 +108,18 @@
     assert_eq!(gate.load().in_flight, 0);
 }
 
+#[test]
+fn no_cut_is_published_before_anything_completed() {
+    let clock = VirtualClock::new();
+    let (mut gate, id) = full_gate(&clock);
+    for id in id..id + 200 {
+        gate.offer(offer(&clock, id, 100, 1000));
+    }
+    clock.advance(Duration::from_millis(150));
+    gate.expire();
+    assert_eq!(gate.cut(), CallRank::MIN);
+}
+
 /// Where each call that was offered stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum CallStage {
