--- a/crates/bench/src/group/files.rs
+++ b/crates/bench/src/group/files.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 
 use anyhow::Context;
+use settings::TlsFiles;
 
 use crate::group::ControlPlan;
 use crate::group::GroupPlan;
@@ -14,9 +15,9 @@
 use crate::group::tool;
 
 /// Names of the two owners.
-pub const OWNERS: [&str; 2] = ["owner-a", "owner-b"];
+pub(crate) const OWNERS: [&str; 2] = ["owner-a", "owner-b"];
 /// Name of the operator's certificate.
-pub const OPERATOR: &str = "operator";
+pub(crate) const OPERATOR: &str = "operator";
 
 /// Where the files of a group are.
 #[derive(Clone, Debug)]
@@ -45,7 +46,9 @@
             owners: Vec::new(),
         };
         for owner in OWNERS {
-            files.owners.push(tool::make_owner(&files.owner_key(owner))?);
+            files
+                .owners
+                .push(tool::make_owner(&files.owner_key(owner))?);
         }
         tool::make_authority(&files.tls())?;
         let address = plan.ports.address();
@@ -56,7 +59,7 @@
         }
         for node in &plan.nodes {
             tool::issue(&files.tls(), &node.name, "node", address)?;
-            files.save(&node.name, &files.node_settings(plan, node)?)?;
+            files.save(&node.name, &node_settings(plan, node)?)?;
         }
         Ok(files)
     }
@@ -85,6 +88,22 @@
         self.folder.join(format!("{owner}.key"))
     }
 
+    /// Returns the private key files of both owners.
+    #[must_use]
+    pub fn owner_keys(&self) -> [PathBuf; 2] {
+        OWNERS.map(|owner| self.owner_key(owner))
+    }
+
+    /// Returns the TLS files of the operator.
+    #[must_use]
+    pub fn operator(&self) -> TlsFiles {
+        TlsFiles {
+            authority: self.authority(),
+            certificate: self.tls().join(format!("{OPERATOR}.pem")),
+            key: self.tls().join(format!("{OPERATOR}.key")),
+        }
+    }
+
     /// Returns the settings file of a process.
     #[must_use]
     pub fn settings(&self, name: &str) -> PathBuf {
@@ -125,25 +144,25 @@
         }
         Ok(text)
     }
+}
 
-    fn node_settings(&self, plan: &GroupPlan, node: &NodePlan) -> anyhow::Result<String> {
-        let mut text = String::new();
-        writeln!(text, "role = \"node\"")?;
-        writeln!(text, "process = \"{}\"", node.name)?;
-        writeln!(text, "data-centre = \"{}\"", node.data_centre)?;
-        writeln!(text, "[listen]")?;
-        writeln!(text, "callers = \"{}\"", node.callers)?;
-        writeln!(text, "peers = \"{}\"", node.peers)?;
-        writeln!(text, "local = \"{}\"", node.local)?;
-        writeln!(text, "admin = \"{}\"", node.admin)?;
-        write_tls(&mut text, &node.name)?;
-        for (position, member) in plan.controls.iter().enumerate() {
-            let relayed = node.control.as_ref().map(|relays| relays[position]);
-            let address = relayed.unwrap_or(member.quic);
-            write_member(&mut text, "control", member.instance, address)?;
-        }
-        Ok(text)
+fn node_settings(plan: &GroupPlan, node: &NodePlan) -> anyhow::Result<String> {
+    let mut text = String::new();
+    writeln!(text, "role = \"node\"")?;
+    writeln!(text, "process = \"{}\"", node.name)?;
+    writeln!(text, "data-centre = \"{}\"", node.data_centre)?;
+    writeln!(text, "[listen]")?;
+    writeln!(text, "callers = \"{}\"", node.callers)?;
+    writeln!(text, "peers = \"{}\"", node.peers)?;
+    writeln!(text, "local = \"{}\"", node.local)?;
+    writeln!(text, "admin = \"{}\"", node.admin)?;
+    write_tls(&mut text, &node.name)?;
+    for (position, member) in plan.controls.iter().enumerate() {
+        let relayed = node.control.as_ref().map(|relays| relays[position]);
+        let address = relayed.unwrap_or(member.quic);
+        write_member(&mut text, "control", member.instance, address)?;
     }
+    Ok(text)
 }
 
 fn write_tls(text: &mut String, name: &str) -> std::fmt::Result {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,9 @@
 //! Proof: stand-ins for backend servers and callers, load and process groups.
 
+pub mod experiment;
 pub mod group;
 pub mod journal;
 pub mod load;
 pub mod standin;
+pub mod trial;
+pub mod wait;
--- a/crates/bench/src/trial.rs
+++ b/crates/bench/src/trial.rs
@@ -14,6 +14,7 @@
 
 use crate::group::GroupPlan;
 use crate::group::ProcessGroup;
+use crate::group::TeamKey;
 use crate::load::CallerProfile;
 use crate::wait;
 
@@ -96,7 +97,11 @@
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     let uri = format!("http://{address}/.standin/{order}").parse()?;
     let response = client.get(uri).await?;
-    anyhow::ensure!(response.status().is_success(), "{order}: {}", response.status());
+    anyhow::ensure!(
+        response.status().is_success(),
+        "{order}: {}",
+        response.status()
+    );
     Ok(())
 }
 
@@ -129,15 +134,6 @@
     hostel: TeamKey,
 }
 
-/// A key with its digest.
-#[derive(Clone, Debug)]
-pub struct TeamKey {
-    /// What a caller shows.
-    pub key: String,
-    /// What the declaration holds, in hexadecimal.
-    pub digest: String,
-}
-
 impl TeamKeys {
     fn make() -> anyhow::Result<Self> {
         Ok(Self {
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -20,6 +20,7 @@
 use model::change::ChangeStatus;
 use model::hex;
 use model::ids::ChangeHash;
+use model::ids::ConfigVersion;
 use timeline::EventRecord;
 use timeline::EventStamp;
 use tracing::info;
@@ -58,6 +59,10 @@
     #[must_use]
     pub fn status(&self) -> StatusReport {
         let position = self.log.position();
+        // One read, so that the digest is that of the position it stands with.
+        let (digest_index, digest) = self
+            .log
+            .read(|state| (state.applied(), hex::encode(&state.digest())));
         StatusReport::Control(ControlStatus {
             process: self.names.process.clone(),
             instance: self.own,
@@ -67,7 +72,8 @@
             voters: position.voters,
             committed: position.committed,
             applied: position.applied,
-            digest: self.log.digest(),
+            digest,
+            digest_index,
             version: self.log.read(|state| state.config().version()),
             nodes: self.hub.leases(),
         })
@@ -144,10 +150,16 @@
         info!(event = "change-submitted", change = report.hash, status);
     }
 
-    fn change_report(&self, hash: &ChangeHash, status: ChangeStatus) -> ChangeReport {
+    /// Returns whether every live node has applied a version, or its lease has run out.
+    #[must_use]
+    pub fn is_in_force(&self, version: ConfigVersion) -> bool {
         let group = self.mesh.peers();
+        self.force.in_force(version, &self.hub, &group)
+    }
+
+    fn change_report(&self, hash: &ChangeHash, status: ChangeStatus) -> ChangeReport {
         let in_force = match status {
-            ChangeStatus::Accepted(version) => self.force.in_force(version, &self.hub, &group),
+            ChangeStatus::Accepted(version) => self.is_in_force(version),
             _ => false,
         };
         ChangeReport {
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -87,8 +87,6 @@
         let core = self.clone();
         tasks.spawn("owners", move || keep_owners(core.clone()));
         let core = self.clone();
-        tasks.spawn("opening", move || open_bank(core.clone()));
-        let core = self.clone();
         tasks.spawn("sweep", move || sweep(core.clone()));
         let core = self.clone();
         let service = move |_, request| {
@@ -160,19 +158,6 @@
     }
 }
 
-/// Lets the bank own teams once the state is known to be current.
-async fn open_bank<L: ControlLog, C: Clock>(core: ControlCore<L, C>) -> anyhow::Result<()> {
-    let mut ticks = interval(Duration::from_millis(SWEEP_PERIOD_MS));
-    while !core.confirmed().await {
-        tokio::select! {
-            () = core.stop.cancelled() => return Ok(()),
-            _ = ticks.tick() => {}
-        }
-    }
-    core.log.read(|state| core.bank.open(state));
-    Ok(())
-}
-
 fn gauge(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -7,3 +7,4 @@
 mod group;
 mod hub;
 mod owners;
+mod replicated;
