control: give up attempts of lost nodes and move the logged time on

The instance that a node exchanged with does so, or the leader when that instance is gone too. Keep-alives come after 700 ms, so that a node that exchanges every 600 ms sends none.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use clock::Clock;
@@ -19,6 +22,7 @@
 use crate::metrics::ControlMetrics;
 use crate::suspects::SuspectDesk;
 use crate::tokens::TokenBank;
+use crate::upkeep::DepartureBook;
 
 /// Length of the leases granted to nodes, in milliseconds.
 pub const LEASE_MS: u64 = 2_400;
@@ -76,6 +80,8 @@
     pub force: ForceTracker<C>,
     /// Requests that crashed backend servers.
     pub suspects: SuspectDesk<C>,
+    /// Nodes whose lease ran out.
+    departures: Mutex<DepartureBook>,
     /// Recent events.
     pub events: EventRing<C>,
     /// Metrics.
@@ -121,6 +127,7 @@
             forwarder: GrantForwarder::new(mesh.clone()),
             force: ForceTracker::new(clock.clone(), lease),
             suspects: SuspectDesk::new(clock.clone()),
+            departures: Mutex::default(),
             events: EventRing::new(&names.process, TIMELINE_EVENTS, stamps),
             metrics: ControlMetrics::new()?,
             incarnation,
@@ -135,6 +142,13 @@
         })
     }
 
+    /// Returns the nodes whose lease ran out.
+    pub fn departures(&self) -> MutexGuard<'_, DepartureBook> {
+        self.departures
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until a quorum confirmed the leader; returns whether one did in time.
     pub async fn confirmed(&self) -> bool {
         let limit = Duration::from_millis(CONFIRM_TIMEOUT_MS);
--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -58,6 +58,7 @@
     fn release(&self, request: &ExchangeRequest) -> ExchangeReply {
         let node = request.member.node;
         self.hub.leave(node);
+        self.departures().departed(node, true, self.clock.now());
         self.events
             .push(EventRecord::new("node-left").field("node", &node));
         info!(event = "node-left", node);
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -40,6 +40,15 @@
     state: Arc<Mutex<HubState>>,
 }
 
+/// A node whose lease ran out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndedLease {
+    /// The node as it last announced itself.
+    pub member: MemberRecord,
+    /// The control instance that it exchanged with.
+    pub home: InstanceId,
+}
+
 #[derive(Debug, Default)]
 struct HubState {
     nodes: HashMap<NodeId, NodeEntry>,
@@ -90,13 +99,17 @@
 
     /// Removes the nodes whose lease ran out and returns them.
     #[must_use]
-    pub fn expire(&self) -> Vec<MemberRecord> {
+    pub fn expire(&self) -> Vec<EndedLease> {
         let now = self.clock.now();
         let mut state = self.lock();
         let ended = state.nodes.values().filter(|entry| entry.lease_end <= now);
-        let ended: Vec<_> = ended.map(|entry| entry.member.clone()).collect();
-        for member in &ended {
-            state.remove(member.node, now);
+        let ended = ended.map(|entry| EndedLease {
+            member: entry.member.clone(),
+            home: entry.home,
+        });
+        let ended: Vec<_> = ended.collect();
+        for ended in &ended {
+            state.remove(ended.member.node, now);
         }
         state.feed.forget_before(now);
         ended
@@ -221,6 +234,12 @@
         leases
     }
 
+    /// Returns whether a node holds a lease, as far as known here.
+    #[must_use]
+    pub fn contains(&self, node: NodeId) -> bool {
+        self.lock().nodes.contains_key(&node)
+    }
+
     /// Returns the number of nodes known.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod suspects;
 pub mod sync;
 pub mod tokens;
+pub mod upkeep;
 
 pub use crate::run::run;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -21,6 +21,7 @@
 use crate::owners::keep_owners;
 use crate::service::accept_links;
 use crate::sync::sync_peers;
+use crate::upkeep::keep_up;
 
 /// Period in which ended leases and new versions are looked for, in milliseconds.
 const SWEEP_PERIOD_MS: u64 = 50;
@@ -89,6 +90,8 @@
         let core = self.clone();
         tasks.spawn("sweep", move || sweep(core.clone()));
         let core = self.clone();
+        tasks.spawn("upkeep", move || keep_up(core.clone()));
+        let core = self.clone();
         let service = move |_, request| {
             let core = core.clone();
             async move { core.answer_operator(request).await }
@@ -132,7 +135,11 @@
 impl<L: ControlLog, C: Clock> ControlCore<L, C> {
     /// Drops nodes whose lease ran out and takes over what the log applied.
     pub fn sweep(&self) {
-        for member in self.hub.expire() {
+        for ended in self.hub.expire() {
+            let member = ended.member;
+            let own = ended.home == self.own;
+            self.departures()
+                .departed(member.node, own, self.clock.now());
             let event = EventRecord::new("lease-ended").field("node", &member.node);
             self.events.push(event.field("address", &member.address));
             info!(event = "lease-ended", node = member.node, address = %member.address);
--- a/crates/control/tests/control/hub.rs
+++ b/crates/control/tests/control/hub.rs
@@ -79,7 +79,7 @@
     let orders = names(&["orders"]);
     let first = hub.update(0, 0, &orders);
     clock.advance(LEASE / 2);
-    let ended: Vec<_> = hub.expire().iter().map(|member| member.node).collect();
+    let ended: Vec<_> = hub.expire().iter().map(|ended| ended.member.node).collect();
     assert_eq!(ended, [1]);
     assert_eq!(hub.update(first.feed, first.cursor, &orders).left, [1]);
     // Long after, the departure is forgotten and the cursor no longer reaches.
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -8,3 +8,4 @@
 mod hub;
 mod owners;
 mod replicated;
+mod upkeep;
--- a/crates/wire/src/quic.rs
+++ b/crates/wire/src/quic.rs
@@ -25,8 +25,9 @@
 
 /// Time after which a silent connection counts as cut, in milliseconds.
 const IDLE_TIMEOUT_MS: u32 = 1_500;
-/// Interval of keep-alives on an idle connection, in milliseconds.
-const KEEP_ALIVE_MS: u64 = 500;
+/// Interval of keep-alives on an idle connection, in milliseconds; longer than the
+/// period of the exchange, which then needs none.
+const KEEP_ALIVE_MS: u64 = 700;
 /// First guess of the round trip, in milliseconds; decides the first probes.
 const INITIAL_RTT_MS: u64 = 10;
 /// Application code of a close by a process that stops.
