--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -21,6 +21,7 @@
 use model::hex;
 use model::ids::ChangeHash;
 use model::ids::ConfigVersion;
+use model::ids::InstanceId;
 use timeline::EventRecord;
 use timeline::EventStamp;
 use tracing::info;
@@ -47,6 +48,10 @@
             (&Method::GET, "/timeline") => self.answer_timeline(&query),
             (&Method::GET, "/declaration") => self.answer_declaration().await,
             (&Method::POST, "/changes") => self.answer_submission(request).await,
+            (&Method::DELETE, path) => match path.strip_prefix("/members/") {
+                Some(instance) => self.answer_removal(instance).await,
+                None => text(StatusCode::NOT_FOUND, "no such path"),
+            },
             (&Method::GET, path) => match path.strip_prefix("/changes/") {
                 Some(hash) => self.answer_change(hash).await,
                 None => text(StatusCode::NOT_FOUND, "no such path"),
@@ -120,6 +125,21 @@
         json(StatusCode::OK, &self.change_report(&hash, status))
     }
 
+    async fn answer_removal(&self, instance: &str) -> Response<JsonBody> {
+        let Ok(instance) = instance.parse::<InstanceId>() else {
+            return text(StatusCode::BAD_REQUEST, "an instance is a number");
+        };
+        match self.log.remove_member(instance).await {
+            Ok(index) => {
+                let event = EventRecord::new("member-removed");
+                self.events.push(event.field("instance", &instance));
+                info!(event = "member-removed", instance, index);
+                json(StatusCode::OK, &self.status())
+            }
+            Err(error) => text(StatusCode::CONFLICT, &error.to_string()),
+        }
+    }
+
     async fn answer_submission(&self, request: Request<Incoming>) -> Response<JsonBody> {
         let body = Limited::new(request.into_body(), SUBMISSION_BYTES);
         let body = match body.collect().await {
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -8,6 +8,8 @@
 use model::hex;
 use model::ids::InstanceId;
 use model::ids::LogIndex;
+use quorum::ChangeError;
+use quorum::MemberChange;
 use replica::ConfirmError;
 use replica::ProposeError;
 use replica::ReplicaHandle;
@@ -49,6 +51,12 @@
     /// Returns where this instance stands.
     fn position(&self) -> LogPosition;
 
+    /// Removes a member of the group; only on the leader.
+    fn remove_member(
+        &self,
+        instance: InstanceId,
+    ) -> impl Future<Output = Result<LogIndex, ChangeError>> + Send;
+
     /// Hands in a message of another member.
     fn receive(&self, from: InstanceId, message: Vec<u8>);
 
@@ -109,6 +117,11 @@
         }
     }
 
+    async fn remove_member(&self, instance: InstanceId) -> Result<LogIndex, ChangeError> {
+        let change = MemberChange::Remove(instance);
+        self.replica.change_members(change).await
+    }
+
     fn receive(&self, from: InstanceId, message: Vec<u8>) {
         self.replica.receive(from, message);
     }
--- a/crates/control/tests/control/common/fake_log.rs
+++ b/crates/control/tests/control/common/fake_log.rs
@@ -20,6 +20,7 @@
 use model::ids::InstanceId;
 use model::ids::LogIndex;
 use model::ids::OwnerKey;
+use quorum::ChangeError;
 use replica::ConfirmError;
 use replica::ProposeError;
 
@@ -159,5 +160,10 @@
         }
     }
 
+    async fn remove_member(&self, _: InstanceId) -> Result<LogIndex, ChangeError> {
+        let leader = self.position().leader;
+        Err(ChangeError::NotLeader { leader })
+    }
+
     fn receive(&self, _: InstanceId, _: Vec<u8>) {}
 }
--- a/crates/control/tests/control/replicated.rs
+++ b/crates/control/tests/control/replicated.rs
@@ -212,3 +212,20 @@
     assert_eq!(reply.lease, None);
     last.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_removed_member_votes_no_more() {
+    let group = ReplicatedGroup::start().await;
+    group.founded().await;
+    let leads = || group.running.iter().find(|instance| instance.leads());
+    until(|| leads().is_some()).await;
+    let leader = leads().unwrap();
+    let mut others = group.running.iter();
+    let other = others.find(|instance| !instance.leads()).unwrap().core.own;
+    // The leader's first entry must be committed before members may change.
+    while leader.core.log.remove_member(other).await.is_err() {
+        tokio::task::yield_now().await;
+    }
+    until(|| !leader.core.log.position().voters.contains(&other)).await;
+    assert_eq!(leader.core.log.position().voters.len(), 2);
+}
--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -2,7 +2,8 @@
 //!
 //! Paths: `GET /status`, `GET /declaration`, `POST /changes`,
 //! `GET /changes/{hash}`, `GET /timeline?since=WALL_MS`, `GET /metrics`,
-//! and on nodes `POST /drain`. See `docs/OPERATING.md`.
+//! on nodes `POST /drain`, and on the leading control instance
+//! `DELETE /members/{instance}`. See `docs/OPERATING.md`.
 
 use std::net::SocketAddr;
 
