--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -16,6 +16,7 @@
 pub use audit::AuditReport;
 pub use audit::audit_runs;
 pub use caller::CallerClient;
+pub use caller::client_config;
 pub use table::OutcomeTable;
 
 /// One kind of request that callers send.
@@ -95,7 +96,7 @@
 ///
 /// Fails when the authority cannot be loaded or a caller panics.
 pub async fn run_load(settings: &LoadSettings) -> anyhow::Result<Vec<CallRecord>> {
-    let config = caller::client_config(&settings.authority)?;
+    let config = client_config(&settings.authority)?;
     let mut callers = JoinSet::new();
     for position in 0..settings.callers {
         let node = settings.nodes[position % settings.nodes.len()];
--- a/crates/bench/src/load/caller.rs
+++ b/crates/bench/src/load/caller.rs
@@ -29,6 +29,8 @@
 use crate::load::CallOutcome;
 use crate::load::CallRecord;
 use crate::load::CallerProfile;
+use crate::standin::CRASH_HEADER;
+use crate::standin::ECHO_HEADER;
 use crate::standin::MARKER_HEADER;
 
 /// Name that a node's certificate is valid for.
@@ -44,7 +46,11 @@
 }
 
 /// Loads the authority that a caller trusts.
-pub(crate) fn client_config(authority: &Path) -> anyhow::Result<Arc<ClientConfig>> {
+///
+/// # Errors
+///
+/// Fails when the file holds no certificate.
+pub fn client_config(authority: &Path) -> anyhow::Result<Arc<ClientConfig>> {
     let mut roots = RootCertStore::empty();
     let certificates = CertificateDer::pem_file_iter(authority);
     let certificates = certificates.with_context(|| authority.display().to_string())?;
@@ -82,15 +88,68 @@
         self.call_marked(position, profile, Uuid::now_v7()).await
     }
 
+    /// Returns whether the node accepts connections, or one is open.
+    pub async fn is_reachable(&mut self) -> bool {
+        match self.take_sender().await {
+            Ok(sender) => {
+                self.sender = Some(sender);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Sends a request that makes the backend server that runs it end itself.
+    pub async fn call_crashing(
+        &mut self,
+        position: usize,
+        profile: &CallerProfile,
+        marker: Uuid,
+    ) -> CallRecord {
+        let extra = [(CRASH_HEADER, "1")];
+        self.call_with(position, profile, marker, &extra).await
+    }
+
+    /// Sends a request with further headers and returns the lines of headers
+    /// that the backend server saw, in lower case.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer.
+    pub async fn seen_headers(
+        &mut self,
+        profile: &CallerProfile,
+        extra: &[(&str, &str)],
+    ) -> anyhow::Result<Vec<String>> {
+        let mut all = vec![(ECHO_HEADER, "1")];
+        all.extend_from_slice(extra);
+        let request = build(profile, Uuid::now_v7(), &all)?;
+        let mut sender = self.take_sender().await?;
+        let response = sender.send_request(request).await?;
+        let body = response.into_body().collect().await?.to_bytes();
+        let text = String::from_utf8(body.to_vec())?;
+        Ok(text.lines().map(str::to_owned).collect())
+    }
+
     /// Sends one request under a given marker, which is its idempotency key as well.
     pub async fn call_marked(
         &mut self,
         position: usize,
         profile: &CallerProfile,
         marker: Uuid,
+    ) -> CallRecord {
+        self.call_with(position, profile, marker, &[]).await
+    }
+
+    async fn call_with(
+        &mut self,
+        position: usize,
+        profile: &CallerProfile,
+        marker: Uuid,
+        extra: &[(&str, &str)],
     ) -> CallRecord {
         let begun = Instant::now();
-        let (outcome, verdict) = match self.exchange(profile, marker).await {
+        let (outcome, verdict) = match self.exchange(profile, marker, extra).await {
             Ok(judged) => judged,
             Err(_) => (CallOutcome::Cut, None),
         };
@@ -107,8 +166,9 @@
         &mut self,
         profile: &CallerProfile,
         marker: Uuid,
+        extra: &[(&str, &str)],
     ) -> anyhow::Result<(CallOutcome, Option<RunVerdict>)> {
-        let request = build(profile, marker)?;
+        let request = build(profile, marker, extra)?;
         let mut sender = self.take_sender().await?;
         let response = sender.send_request(request).await?;
         let closing = wants_close(&response);
@@ -140,7 +200,11 @@
     value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
-fn build(profile: &CallerProfile, marker: Uuid) -> http::Result<Request<Full<Bytes>>> {
+fn build(
+    profile: &CallerProfile,
+    marker: Uuid,
+    extra: &[(&str, &str)],
+) -> http::Result<Request<Full<Bytes>>> {
     let mut request = Request::post(&profile.path)
         .header(http::header::HOST, NODE_NAME)
         .header(MARKER_HEADER, marker.to_string());
@@ -150,6 +214,9 @@
     if profile.once {
         request = request.header("idempotency-key", marker.to_string());
     }
+    for (name, value) in extra {
+        request = request.header(*name, *value);
+    }
     request.body(Full::new(Bytes::from(marker.to_string())))
 }
 
--- a/crates/bench/src/standin.rs
+++ b/crates/bench/src/standin.rs
@@ -19,6 +19,8 @@
 pub const MARKER_HEADER: &str = "x-marker";
 /// Header that makes the stand-in end itself when it runs the request.
 pub const CRASH_HEADER: &str = "x-crash";
+/// Header that makes the stand-in answer with the headers that it saw.
+pub const ECHO_HEADER: &str = "x-echo-headers";
 
 /// How a stand-in behaves.
 #[derive(Clone, Debug)]
--- a/crates/bench/src/standin/server.rs
+++ b/crates/bench/src/standin/server.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpListener;
 
 use crate::standin::CRASH_HEADER;
+use crate::standin::ECHO_HEADER;
 use crate::standin::MARKER_HEADER;
 use crate::standin::StandinSettings;
 use crate::standin::StandinState;
@@ -88,6 +89,9 @@
     if crash {
         std::process::exit(CRASH_STATUS);
     }
+    if request.headers().contains_key(ECHO_HEADER) {
+        return seen_headers(&request);
+    }
     let Ok(body) = request.into_body().collect().await else {
         return plain(StatusCode::BAD_REQUEST, "body");
     };
@@ -154,6 +158,18 @@
     plain(StatusCode::OK, "done")
 }
 
+/// Lists the headers of a request, one a line.
+fn seen_headers(request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut lines = String::new();
+    for (name, value) in request.headers() {
+        lines.push_str(name.as_str());
+        lines.push_str(": ");
+        lines.push_str(value.to_str().unwrap_or("?"));
+        lines.push('\n');
+    }
+    Response::new(Full::new(Bytes::from(lines)))
+}
+
 fn shed() -> Response<Full<Bytes>> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "shed");
     let value = HeaderValue::from_static("1");
--- a/crates/bench/src/trial.rs
+++ b/crates/bench/src/trial.rs
@@ -1,5 +1,7 @@
 //! The group of processes that `try` runs: four services, three of them in a chain.
 
+pub mod declaration;
+
 use std::fmt::Write;
 use std::fs;
 use std::path::Path;
@@ -13,9 +15,11 @@
 use hyper_util::rt::TokioExecutor;
 
 use crate::group::GroupPlan;
+use crate::group::OperatorTool;
 use crate::group::ProcessGroup;
-use crate::group::TeamKey;
 use crate::load::CallerProfile;
+use crate::trial::declaration::TrialDeclaration;
+use crate::trial::declaration::TrialTeam;
 use crate::wait;
 
 /// Nodes of each service.
@@ -51,13 +55,15 @@
         .service("payments", NODES, delay, &["/stock"])?;
     let folder = folder.to_owned();
     let group = tokio::task::spawn_blocking(move || ProcessGroup::start(&folder, plan)).await??;
-    let keys = TeamKeys::make()?;
-    let text = declaration(&group.files.owners, &keys);
-    apply(&group, &text).await?;
+    let declaration = TrialDeclaration::new(vec![
+        TrialTeam::new("workshop", 2_000, 1_000)?,
+        TrialTeam::new("hostel", 50, 50)?,
+    ]);
+    apply(&group, &declaration.text(&group.files.owners)).await?;
     wait::nodes_ready(&group).await?;
     Ok(TrialSetup {
         group,
-        profiles: profiles(&keys),
+        profiles: declaration.profiles(),
     })
 }
 
@@ -68,9 +74,24 @@
 /// Fails when the tool fails.
 pub async fn apply(group: &ProcessGroup, text: &str) -> anyhow::Result<()> {
     wait::leader(group).await?;
+    apply_with(group, text, group.tool()).await
+}
+
+/// As [`apply`], without asking one of the control instances.
+///
+/// # Errors
+///
+/// Fails when the tool fails.
+pub async fn apply_without(group: &ProcessGroup, text: &str, left_out: usize) -> anyhow::Result<()> {
+    let mut controls: Vec<_> = group.plan.controls.iter().map(|plan| plan.admin).collect();
+    controls.remove(left_out);
+    let tool = OperatorTool::new(&group.files, controls);
+    apply_with(group, text, tool).await
+}
+
+async fn apply_with(group: &ProcessGroup, text: &str, tool: OperatorTool) -> anyhow::Result<()> {
     let file = group.files.folder().join("declaration.toml");
     fs::write(&file, text).context("writing the declaration")?;
-    let tool = group.tool();
     let keys = group.files.owner_keys();
     tokio::task::spawn_blocking(move || tool.apply(&file, &keys)).await?
 }
@@ -127,118 +148,3 @@
     let _ = writeln!(text, "Interrupt to stop.");
     text
 }
-
-/// Keys of the two teams.
-struct TeamKeys {
-    workshop: TeamKey,
-    hostel: TeamKey,
-}
-
-impl TeamKeys {
-    fn make() -> anyhow::Result<Self> {
-        Ok(Self {
-            workshop: crate::group::make_team_key()?,
-            hostel: crate::group::make_team_key()?,
-        })
-    }
-}
-
-fn declaration(owners: &[String], keys: &TeamKeys) -> String {
-    format!(
-        r#"owners = {owners:?}
-
-[[service]]
-name = "quotes"
-[[service]]
-name = "stock"
-[[service]]
-name = "prices"
-[[service]]
-name = "payments"
-
-[[class]]
-name = "payment"
-refused = "last"
-within-ms = 2000
-share-percent = 99
-[[class]]
-name = "quote"
-refused = "middle"
-within-ms = 1000
-share-percent = 99
-[[class]]
-name = "status"
-refused = "first"
-within-ms = 500
-share-percent = 99
-
-[[route]]
-name = "quotes"
-prefix = "/quotes"
-service = "quotes"
-class = "quote"
-idempotent = true
-[[route]]
-name = "payments"
-prefix = "/payments"
-service = "payments"
-class = "payment"
-once = true
-[[route]]
-name = "stock"
-prefix = "/stock"
-service = "stock"
-class = "quote"
-idempotent = true
-[[route]]
-name = "prices"
-prefix = "/prices"
-service = "prices"
-class = "quote"
-idempotent = true
-[[route]]
-name = "status"
-prefix = "/status"
-service = "prices"
-class = "status"
-open = true
-idempotent = true
-
-[[team]]
-name = "workshop"
-rate = 2000
-burst = 1000
-[[team]]
-name = "hostel"
-rate = 50
-burst = 50
-
-[[key]]
-name = "workshop-1"
-team = "workshop"
-digest = "{}"
-[[key]]
-name = "hostel-1"
-team = "hostel"
-digest = "{}"
-"#,
-        keys.workshop.digest, keys.hostel.digest
-    )
-}
-
-fn profiles(keys: &TeamKeys) -> Vec<CallerProfile> {
-    let profile = |team: &str, key: Option<&TeamKey>, path: &str, service: &str| CallerProfile {
-        team: team.to_owned(),
-        key: key.map(|key| key.key.clone()),
-        class: path.trim_start_matches('/').to_owned(),
-        path: path.to_owned(),
-        service: service.to_owned(),
-        once: path == "/payments",
-    };
-    vec![
-        profile("workshop", Some(&keys.workshop), "/quotes", "quotes"),
-        profile("workshop", Some(&keys.workshop), "/payments", "payments"),
-        profile("hostel", Some(&keys.hostel), "/quotes", "quotes"),
-        profile("none", None, "/status", "prices"),
-    ]
-}
--- /dev/null
+++ b/crates/bench/tests/process/change.rs
@@ -0,0 +1,119 @@
+//! Changes of the declaration while traffic runs.
+
+use bench::group::TeamKey;
+use bench::load::CallOutcome;
+use bench::trial;
+use bench::wait;
+
+use crate::support::TestGroup;
+use crate::support::chain;
+
+fn unknown_key() -> CallOutcome {
+    CallOutcome::Failed {
+        cause: "unknown-key".to_owned(),
+        verdict: "not-run".to_owned(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_stops_working_at_every_node() {
+    let mut test = TestGroup::start(chain(1)).await;
+    let profile = test.profile("workshop", "/quotes", "quotes");
+    let nodes = test.group.plan.nodes.len();
+    let mut callers: Vec<_> = (0..nodes).map(|node| test.caller(node)).collect();
+    for caller in &mut callers {
+        let record = caller.call(0, &profile).await;
+        assert_eq!(record.outcome, CallOutcome::Answered);
+    }
+    let granted: Vec<TeamKey> = vec![bench::group::make_team_key().expect("a key")];
+    test.declaration.teams[0].keys = granted;
+    let text = test.declaration.text(&test.group.files.owners);
+    trial::apply(&test.group, &text).await.expect("in force");
+    let renewed = test.profile("workshop", "/quotes", "quotes");
+    for caller in &mut callers {
+        assert_eq!(caller.call(0, &profile).await.outcome, unknown_key());
+        assert_eq!(caller.call(0, &renewed).await.outcome, CallOutcome::Answered);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_changes_survive_the_death_of_the_leader_and_never_revert() {
+    let mut test = TestGroup::start(chain(1)).await;
+    for round in 0..3 {
+        let leader = wait::leader(&test.group).await.expect("a leader");
+        test.group.controls[leader].kill().expect("killed");
+        test.declaration.teams[0].rate += 1;
+        let text = test.declaration.text(&test.group.files.owners);
+        trial::apply(&test.group, &text).await.expect("in force");
+        let name = test.group.plan.controls[leader].name.clone();
+        test.group.controls[leader] = test.group.daemon(&name).expect("a daemon");
+        let version = round + 2;
+        wait::until("all instances to agree", async || {
+            same_state(&test, version).await
+        })
+        .await
+        .expect("one state");
+    }
+}
+
+/// Checks that all control instances have this version and one digest.
+async fn same_state(test: &TestGroup, version: u64) -> anyhow::Result<()> {
+    let mut statuses = Vec::new();
+    for position in 0..test.group.plan.controls.len() {
+        statuses.push(wait::control_status(&test.group, position).await?);
+    }
+    for status in &statuses {
+        anyhow::ensure!(status.version == version, "{status:?}");
+        anyhow::ensure!(status.applied == statuses[0].applied, "{status:?}");
+        anyhow::ensure!(status.digest == statuses[0].digest, "{status:?}");
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_of_everything_keeps_the_accepted_state() {
+    let mut test = TestGroup::start(chain(1)).await;
+    for _ in 0..5 {
+        test.declaration.teams[0].burst += 1;
+        let text = test.declaration.text(&test.group.files.owners);
+        trial::apply(&test.group, &text).await.expect("in force");
+    }
+    for control in &mut test.group.controls {
+        control.kill().expect("killed");
+    }
+    for position in 0..test.group.controls.len() {
+        let name = test.group.plan.controls[position].name.clone();
+        test.group.controls[position] = test.group.daemon(&name).expect("a daemon");
+    }
+    wait::until("all instances to agree", async || same_state(&test, 6).await)
+        .await
+        .expect("one state");
+    wait::nodes_ready(&test.group).await.expect("leases");
+    let profile = test.profile("workshop", "/quotes", "quotes");
+    let record = test.caller(0).call(0, &profile).await;
+    assert_eq!(record.outcome, CallOutcome::Answered);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_control_instance_renews_nothing_on_old_knowledge() {
+    let mut test = TestGroup::start(chain(1)).await;
+    let leader = wait::leader(&test.group).await.expect("a leader");
+    test.group.controls[leader].freeze().expect("frozen");
+    let profile = test.profile("workshop", "/quotes", "quotes");
+    test.declaration.teams[0].keys = vec![bench::group::make_team_key().expect("a key")];
+    let text = test.declaration.text(&test.group.files.owners);
+    trial::apply_without(&test.group, &text, leader)
+        .await
+        .expect("in force");
+    test.group.controls[leader].thaw().expect("thawed");
+    // Whatever the thawed instance answers, no node may go back to the old key.
+    for _ in 0..20 {
+        for node in 0..test.group.plan.nodes.len() {
+            let record = test.caller(node).call(0, &profile).await;
+            assert_eq!(record.outcome, unknown_key());
+        }
+    }
+    wait::until("all instances to agree", async || same_state(&test, 2).await)
+        .await
+        .expect("one state");
+}
--- /dev/null
+++ b/crates/bench/tests/process/input.rs
@@ -0,0 +1,63 @@
+//! Input from outside that must not be believed.
+
+use bench::load::CallOutcome;
+use bench::load::CallerProfile;
+
+use crate::support::TestGroup;
+use crate::support::chain;
+
+fn refused(cause: &str) -> CallOutcome {
+    CallOutcome::Failed {
+        cause: cause.to_owned(),
+        verdict: "not-run".to_owned(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_without_a_proper_key_do_not_run() {
+    let test = TestGroup::start(chain(1)).await;
+    let good = test.profile("workshop", "/quotes", "quotes");
+    let with_key = |key: Option<&str>| CallerProfile {
+        key: key.map(str::to_owned),
+        ..good.clone()
+    };
+    let mut caller = test.caller(0);
+    for (profile, cause) in [
+        (with_key(None), "bad-credentials"),
+        (with_key(Some("")), "bad-credentials"),
+        (with_key(Some("rwp_unknown")), "unknown-key"),
+    ] {
+        let record = caller.call(0, &profile).await;
+        assert_eq!(record.outcome, refused(cause));
+    }
+    let unrouted = CallerProfile {
+        path: "/nowhere".to_owned(),
+        ..good.clone()
+    };
+    let record = caller.call(0, &unrouted).await;
+    assert_eq!(record.outcome, refused("unknown-route"));
+    assert!(test.runs().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_sees_neither_keys_nor_forged_headers() {
+    let test = TestGroup::start(chain(1)).await;
+    let profile = test.profile("workshop", "/quotes", "quotes");
+    let forged = [
+        ("ragwortplank-call", "00000000000000000000000000000001"),
+        ("ragwortplank-context", "forged"),
+        ("ragwortplank-verdict", "ran"),
+        ("proxy-authorization", "Bearer forged"),
+    ];
+    let seen = test.caller(0).seen_headers(&profile, &forged).await;
+    let seen = seen.expect("an answer");
+    let own: Vec<_> = seen
+        .iter()
+        .filter(|line| line.starts_with("ragwortplank-"))
+        .collect();
+    assert_eq!(own.len(), 1, "{own:?}");
+    assert!(!own[0].ends_with("00000001"), "{own:?}");
+    let key = profile.key.expect("a key");
+    let leaked = |line: &&String| line.contains(&key) || line.contains("forged");
+    assert!(!seen.iter().any(|line| leaked(&line)), "{seen:?}");
+}
--- /dev/null
+++ b/crates/bench/tests/process/main.rs
@@ -0,0 +1,10 @@
+//! Real processes on loopback, under load and failure.
+
+mod change;
+mod crash;
+mod input;
+mod limits;
+mod once;
+mod path;
+mod stop;
+mod support;
--- /dev/null
+++ b/crates/bench/tests/process/support.rs
@@ -0,0 +1,128 @@
+//! Groups for tests, a few at a time.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::LazyLock;
+use std::time::Duration;
+
+use bench::group::GroupPlan;
+use bench::group::ProcessGroup;
+use bench::journal;
+use bench::load;
+use bench::load::AuditReport;
+use bench::load::CallOutcome;
+use bench::load::CallRecord;
+use bench::load::CallerClient;
+use bench::load::CallerProfile;
+use bench::load::LoadSettings;
+use bench::load::audit_runs;
+use bench::trial;
+use bench::trial::declaration::TrialDeclaration;
+use bench::trial::declaration::TrialTeam;
+use bench::wait;
+use tempfile::TempDir;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+
+/// Groups that run at the same time, so that a small machine is not starved.
+const GROUPS_AT_ONCE: usize = 2;
+/// Time that a process has for a graceful stop.
+pub const STOP_TIMEOUT: Duration = Duration::from_secs(60);
+
+static GROUPS: LazyLock<Arc<Semaphore>> =
+    LazyLock::new(|| Arc::new(Semaphore::new(GROUPS_AT_ONCE)));
+
+/// A running group with the declaration in force.
+pub struct TestGroup {
+    pub group: ProcessGroup,
+    pub declaration: TrialDeclaration,
+    folder: TempDir,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl TestGroup {
+    /// Starts a group with one team that is far below its limits.
+    pub async fn start(plan: GroupPlan) -> Self {
+        let team = TrialTeam::new("workshop", 5_000, 5_000).expect("a key");
+        Self::start_with(plan, TrialDeclaration::new(vec![team])).await
+    }
+
+    /// Starts a group with a given declaration.
+    pub async fn start_with(plan: GroupPlan, declaration: TrialDeclaration) -> Self {
+        let permit = Arc::clone(&GROUPS).acquire_owned().await.expect("open");
+        let folder = tempfile::tempdir().expect("a folder");
+        let group = ProcessGroup::start(folder.path(), plan).expect("a group");
+        let text = declaration.text(&group.files.owners);
+        trial::apply(&group, &text).await.expect("in force");
+        wait::nodes_ready(&group).await.expect("ready nodes");
+        Self {
+            group,
+            declaration,
+            folder,
+            _permit: permit,
+        }
+    }
+
+    /// Returns the request of a team for a path.
+    pub fn profile(&self, team: &str, path: &str, service: &str) -> CallerProfile {
+        self.declaration.profile(team, path, service)
+    }
+
+    /// Returns a caller of a node.
+    pub fn caller(&self, node: usize) -> CallerClient {
+        let config = load::client_config(&self.group.files.authority()).expect("an authority");
+        CallerClient::new(self.group.plan.nodes[node].callers, config)
+    }
+
+    /// Describes a load on all nodes.
+    pub fn load(&self, profiles: Vec<CallerProfile>, requests: usize) -> LoadSettings {
+        LoadSettings {
+            nodes: self.group.callers(),
+            authority: self.group.files.authority(),
+            profiles,
+            callers: 2 * self.group.plan.nodes.len(),
+            requests,
+            pause: Duration::from_millis(5),
+        }
+    }
+
+    /// Compares records with what the stand-ins ran.
+    pub fn audit(&self, records: &[CallRecord], profiles: &[CallerProfile]) -> AuditReport {
+        audit_runs(records, profiles, &self.runs())
+    }
+
+    /// Returns what the stand-ins ran, each `SERVICE MARKER`.
+    pub fn runs(&self) -> Vec<String> {
+        journal::read_runs(&self.group.files.journals).expect("journals")
+    }
+
+    /// Returns the folder of the group.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+}
+
+/// Plans a chain of three services with so many nodes each.
+pub fn chain(nodes: usize) -> GroupPlan {
+    let delay = Duration::from_millis(1);
+    let plan = GroupPlan::new(3).expect("ports");
+    let plan = plan.service("prices", nodes, delay, &[]).expect("ports");
+    let plan = plan.service("stock", nodes, delay, &["/prices"]);
+    let plan = plan.expect("ports");
+    plan.service("quotes", nodes, delay, &["/stock"])
+        .expect("ports")
+}
+
+/// Plans payments alone.
+pub fn payments(nodes: usize, delay: Duration) -> GroupPlan {
+    let plan = GroupPlan::new(3).expect("ports");
+    plan.service("payments", nodes, delay, &[]).expect("ports")
+}
+
+/// Returns how many records were answered.
+pub fn answered(records: &[CallRecord]) -> usize {
+    let answered = records
+        .iter()
+        .filter(|record| record.outcome == CallOutcome::Answered);
+    answered.count()
+}
