--- a/crates/replica/benches/commits.rs
+++ b/crates/replica/benches/commits.rs
@@ -1,4 +1,4 @@
-//! Commits a second and their latency, with fsync, batched and not, on one and on three instances.
+//! Commits and confirmed reads a second and their latency, with fsync, on one and on three instances.
 //!
 //! Run with `cargo bench -p replica --bench commits`.
 
@@ -85,7 +85,7 @@
 struct BenchCase {
     members: u64,
     batch_limit: usize,
-    proposers: usize,
+    callers: usize,
 }
 
 /// Replicas that run for one measurement.
@@ -140,6 +140,14 @@
         }
     }
 
+    async fn follower(&self) -> ReplicaHandle<EntryCounter> {
+        let leader = self.leader().await.status().instance;
+        let running = self.running.read().expect("no thread panicked");
+        let mut others = running.values();
+        let follower = others.find(|handle| handle.status().instance != leader);
+        follower.expect("more than one member").clone()
+    }
+
     async fn stop(self) {
         self.stop.cancel();
         let handles = std::mem::take(&mut *self.running.write().expect("no thread panicked"));
@@ -149,17 +157,28 @@
     }
 }
 
-/// Proposes one entry after another, and records those after the warm-up.
-async fn propose_until(
-    leader: ReplicaHandle<EntryCounter>,
+/// What a caller does over and over.
+#[derive(Clone, Copy, Debug)]
+enum BenchCall {
+    Propose,
+    Confirm,
+}
+
+/// Makes one call after another, and records those after the warm-up.
+async fn call_until(
+    handle: ReplicaHandle<EntryCounter>,
+    call: BenchCall,
     counted_from: Instant,
     end: Instant,
 ) -> Histogram<u64> {
     let mut histogram = Histogram::new(3).expect("valid digits");
     while Instant::now() < end {
         let begin = Instant::now();
-        let outcome = leader.propose(vec![7; ENTRY_BYTES]).await;
-        if outcome.is_ok() && begin >= counted_from {
+        let done = match call {
+            BenchCall::Propose => handle.propose(vec![7; ENTRY_BYTES]).await.is_ok(),
+            BenchCall::Confirm => handle.confirm().await.is_ok(),
+        };
+        if done && begin >= counted_from {
             let took_us = u64::try_from(begin.elapsed().as_micros()).unwrap_or(u64::MAX);
             histogram.record(took_us).expect("it resizes");
         }
@@ -167,26 +186,29 @@
     histogram
 }
 
-async fn measure(case: BenchCase) {
-    let group = BenchGroup::start(case);
-    let leader = group.leader().await;
+/// Runs callers against one replica and puts their records together.
+async fn measure(
+    handle: ReplicaHandle<EntryCounter>,
+    call: BenchCall,
+    callers: usize,
+) -> Histogram<u64> {
     let counted_from = Instant::now() + Duration::from_millis(WARM_UP_MS);
     let end = counted_from + Duration::from_secs(RUN_S);
-    let mut proposers = JoinSet::new();
-    for _ in 0..case.proposers {
-        proposers.spawn(propose_until(leader.clone(), counted_from, end));
+    let mut tasks = JoinSet::new();
+    for _ in 0..callers {
+        tasks.spawn(call_until(handle.clone(), call, counted_from, end));
     }
     let mut all = Histogram::<u64>::new(3).expect("valid digits");
-    while let Some(part) = proposers.join_next().await {
-        all.add(part.expect("no proposer panicked"))
+    while let Some(part) = tasks.join_next().await {
+        all.add(part.expect("no caller panicked"))
             .expect("same digits");
     }
-    group.stop().await;
+    all
+}
+
+fn print_row(head: &str, all: &Histogram<u64>) {
     println!(
-        "{:>7} {:>11} {:>9} {:>10} {:>8} {:>8} {:>8}",
-        case.members,
-        case.batch_limit,
-        case.proposers,
+        "{head} {:>10} {:>8} {:>8} {:>8}",
         all.len() / RUN_S,
         all.value_at_quantile(0.5),
         all.value_at_quantile(0.99),
@@ -194,6 +216,36 @@
     );
 }
 
+async fn measure_commits(case: BenchCase) {
+    let group = BenchGroup::start(case);
+    let leader = group.leader().await;
+    let all = measure(leader, BenchCall::Propose, case.callers).await;
+    group.stop().await;
+    let BenchCase {
+        members,
+        batch_limit,
+        callers,
+    } = case;
+    print_row(
+        &format!("{members:>7} {batch_limit:>11} {callers:>9}"),
+        &all,
+    );
+}
+
+async fn measure_reads(case: BenchCase) {
+    let group = BenchGroup::start(case);
+    let leader = group.leader().await;
+    let follower = group.follower().await;
+    for (duty, handle) in [("leader", leader), ("follower", follower)] {
+        let all = measure(handle, BenchCall::Confirm, case.callers).await;
+        let BenchCase {
+            members, callers, ..
+        } = case;
+        print_row(&format!("{members:>7} {duty:>11} {callers:>9}"), &all);
+    }
+    group.stop().await;
+}
+
 /// Measures appending and syncing alone.
 fn baseline() {
     use std::io::Write;
@@ -220,14 +272,22 @@
         .enable_all()
         .build()
         .expect("a runtime starts");
-    println!("members batch_limit proposers commits/s   p50_us   p99_us p999_us");
+    println!("members batch_limit   callers  commits/s   p50_us   p99_us  p999_us");
     for members in [1, 3] {
-        for (batch_limit, proposers) in [(4_096, 1), (1, 64), (4_096, 64), (4_096, 512)] {
-            runtime.block_on(measure(BenchCase {
+        for (batch_limit, callers) in [(4_096, 1), (1, 64), (4_096, 64), (4_096, 512)] {
+            runtime.block_on(measure_commits(BenchCase {
                 members,
                 batch_limit,
-                proposers,
+                callers,
             }));
         }
     }
+    println!("members        read   callers    reads/s   p50_us   p99_us  p999_us");
+    for callers in [1, 64, 512] {
+        runtime.block_on(measure_reads(BenchCase {
+            members: 3,
+            batch_limit: 4_096,
+            callers,
+        }));
+    }
 }
