--- a/crates/model/src/admin.rs
+++ b/crates/model/src/admin.rs
@@ -2,7 +2,8 @@
 //!
 //! Paths: `GET /status`, `GET /declaration`, `POST /changes`,
 //! `GET /changes/{hash}`, `GET /timeline?since=WALL_MS`, `GET /metrics`,
-//! and on nodes `POST /drain`. See `docs/OPERATING.md`.
+//! on nodes `POST /drain`, and on the leading control instance
+//! `DELETE /members/{instance}`. See `docs/OPERATING.md`.
 
 use std::net::SocketAddr;
 
@@ -107,6 +108,9 @@
     pub applied: LogIndex,
     /// Digest of the applied state in hexadecimal.
     pub digest: String,
+    /// Last command that the digest covers; instances that show the same one
+    /// must show the same digest.
+    pub digest_index: LogIndex,
     /// Declaration version in force.
     pub version: ConfigVersion,
     /// Nodes that hold a lease from any instance, as far as known here.
