--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -1,10 +1,15 @@
 //! The consensus state machine of one member.
 
+mod commit;
+mod effects;
 mod election;
 mod follower;
 mod leader;
 mod members;
+mod progress;
+mod read_queue;
 mod reads;
+mod receive;
 mod snapshots;
 mod status;
 
@@ -27,15 +32,12 @@
 use crate::LogIndex;
 use crate::LogPosition;
 use crate::Membership;
-use crate::MessageBody;
-use crate::OutgoingMessage;
-use crate::PeerMessage;
 use crate::SeededGenerator;
 use crate::StateSnapshot;
 use crate::Term;
 use crate::core::election::VoteTally;
-use crate::core::leader::LeaderState;
-use crate::core::reads::ReadQueue;
+use crate::core::progress::LeaderState;
+use crate::core::read_queue::ReadQueue;
 use crate::core::snapshots::IncomingSnapshot;
 use crate::entry_log::EntryLog;
 
@@ -212,59 +214,6 @@
         self.tick_reads(now);
     }
 
-    /// Takes a message of another member.
-    pub fn receive(&mut self, from: InstanceId, message: PeerMessage, now: Instant) {
-        if self.fault.is_some() || from == self.id {
-            return;
-        }
-        if message.folder.is_some_and(|folder| folder != self.folder) {
-            self.fault = Some(CoreFault::OtherFolder { instance: self.id });
-            return;
-        }
-        if !self.admit_term(from, &message, now) {
-            return;
-        }
-        match message.body {
-            MessageBody::PreVote { last } => self.on_pre_vote(from, message.term, last, now),
-            MessageBody::PreVoteReply { granted } => {
-                self.on_pre_vote_reply(from, message.term, granted, now);
-            }
-            MessageBody::Vote { last, .. } => self.on_vote(from, last, now),
-            MessageBody::VoteReply { granted } => self.on_vote_reply(from, granted, now),
-            MessageBody::Append {
-                previous,
-                entries,
-                committed,
-                round,
-            } => self.on_append(from, previous, entries, committed, round, now),
-            MessageBody::AppendReply { outcome, round } => {
-                self.on_append_reply(from, outcome, round, now);
-            }
-            MessageBody::Snapshot {
-                last,
-                membership,
-                length,
-                offset,
-                chunk,
-            } => {
-                let piece = snapshots::SnapshotPiece {
-                    last,
-                    membership,
-                    length,
-                    offset,
-                    chunk,
-                };
-                self.on_snapshot(from, piece, now);
-            }
-            MessageBody::SnapshotReply { index, received } => {
-                self.on_snapshot_reply(from, index, received, now);
-            }
-            MessageBody::Read { id } => self.on_read(from, id, now),
-            MessageBody::ReadReply { id, index } => self.on_read_reply(id, index, now),
-            MessageBody::TimeoutNow => self.on_timeout_now(from, now),
-        }
-    }
-
     /// Appends commands as one batch and returns the position of the first.
     ///
     /// # Errors
@@ -331,107 +280,10 @@
         self.log.compact(snapshot, self.timing.trailing_entries);
     }
 
-    /// Hands out the effects collected since the last call.
-    pub fn take_output(&mut self) -> CoreOutput {
-        self.dispatch_committed();
-        let mut output = std::mem::take(&mut self.output);
-        if output.writes.is_empty() && self.unsynced.is_empty() {
-            output.messages.append(&mut output.synced_messages);
-        }
-        if output.writes.is_empty() && output.synced_messages.is_empty() {
-            return output;
-        }
-        self.last_batch += 1;
-        output.batch = Some(self.last_batch);
-        let voted_self = output.writes.iter().any(|write| {
-            matches!(write, DurableWrite::Vote { term, vote } if *term == self.term && *vote == Some(self.id))
-        });
-        self.unsynced.push_back(UnsyncedBatch {
-            batch: self.last_batch,
-            last: self.log.last(),
-            term: self.term,
-            voted_self,
-        });
-        output
-    }
-
-    /// Hands committed entries to the state machine.
-    fn dispatch_committed(&mut self) {
-        while self.dispatched < self.committed {
-            let Some(entry) = self.log.entry(self.dispatched + 1) else {
-                break;
-            };
-            self.output
-                .applied
-                .push(AppliedEffect::Entry(entry.clone()));
-            self.dispatched += 1;
-        }
-    }
-
-    fn append_own(&mut self, payloads: Vec<EntryPayload>) {
-        let first_index = self.log.last().index + 1;
-        let term = self.term;
-        let entries = payloads
-            .into_iter()
-            .zip(first_index..)
-            .map(|(payload, index)| LogEntry {
-                position: LogPosition { index, term },
-                payload,
-            })
-            .collect();
-        self.append_entries(entries);
-    }
-
-    fn append_entries(&mut self, entries: Vec<LogEntry>) {
-        if entries.is_empty() {
-            return;
-        }
-        self.log.append(entries.iter().cloned());
-        match self.output.writes.last_mut() {
-            Some(DurableWrite::Append(earlier))
-                if earlier.last().map(|entry| entry.position.index + 1)
-                    == Some(entries[0].position.index) =>
-            {
-                earlier.extend(entries);
-            }
-            _ => self.output.writes.push(DurableWrite::Append(entries)),
-        }
-    }
-
-    fn write_vote(&mut self) {
-        self.output.writes.push(DurableWrite::Vote {
-            term: self.term,
-            vote: self.vote,
-        });
-    }
-
     fn check_own_folder(&mut self) {
         let member = self.log.membership().member(self.id);
         if member.is_some_and(|member| member.folder != self.folder) {
             self.fault = Some(CoreFault::OtherFolder { instance: self.id });
         }
     }
-
-    /// Queues a message that does not depend on unsynced writes.
-    fn send(&mut self, to: InstanceId, body: MessageBody) {
-        let message = self.message(to, self.term, body);
-        self.output.messages.push(OutgoingMessage { to, message });
-    }
-
-    /// Queues a message that must not leave before all earlier writes are synced.
-    fn send_synced(&mut self, to: InstanceId, term: Term, body: MessageBody) {
-        let message = self.message(to, term, body);
-        self.output
-            .synced_messages
-            .push(OutgoingMessage { to, message });
-    }
-
-    fn message(&self, to: InstanceId, term: Term, body: MessageBody) -> PeerMessage {
-        let member = self.log.membership().member(to);
-        PeerMessage {
-            term,
-            folder: member.map(|member| member.folder),
-            body,
-        }
-    }
 }
--- /dev/null
+++ b/crates/quorum/src/core/commit.rs
@@ -0,0 +1,76 @@
+//! A leader's side of acknowledgements, and its commit index.
+
+use std::time::Instant;
+
+use crate::AppendOutcome;
+use crate::InstanceId;
+use crate::QuorumCore;
+use crate::core::CoreRole;
+
+impl QuorumCore {
+    pub(super) fn on_append_reply(
+        &mut self,
+        from: InstanceId,
+        outcome: AppendOutcome,
+        round: u64,
+        now: Instant,
+    ) {
+        let last = self.log.last().index;
+        let Some(peer) = self
+            .leader_state()
+            .and_then(|state| state.peers.get_mut(&from))
+        else {
+            return;
+        };
+        peer.heard_at = now;
+        peer.round = peer.round.max(round);
+        match outcome {
+            AppendOutcome::Matched(index) if index <= last => {
+                peer.matched = peer.matched.max(index);
+                if index + 1 >= peer.next {
+                    peer.probing = false;
+                    peer.next = peer.matched + 1;
+                }
+                self.send_entries(from);
+            }
+            AppendOutcome::Rejected(hint) if peer.snapshot.is_none() => {
+                let next = hint.min(peer.next).max(peer.matched + 1);
+                let repeated = peer.probing && next == peer.next;
+                peer.next = next;
+                peer.probing = true;
+                if !repeated {
+                    self.send_append(from, true);
+                    self.resume_snapshot(from);
+                }
+            }
+            AppendOutcome::Matched(_) | AppendOutcome::Rejected(_) => {}
+        }
+        self.advance_commit(now);
+        self.finish_rounds(now);
+        self.finish_transfer();
+    }
+
+    /// Moves the commit index to what a quorum has synced in this term.
+    pub(super) fn advance_commit(&mut self, now: Instant) {
+        let CoreRole::Leader(state) = &self.role else {
+            return;
+        };
+        let durable = self.durable;
+        let reached = self.log.membership().quorum_value(|voter| {
+            if voter == self.id {
+                durable
+            } else {
+                state.peers.get(&voter).map_or(0, |peer| peer.matched)
+            }
+        });
+        let Some(reached) = reached else {
+            return;
+        };
+        if reached <= self.committed || self.log.term_at(reached) != Some(self.term) {
+            return;
+        }
+        self.committed = reached;
+        self.finish_rounds(now);
+        self.finish_membership(now);
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/core/effects.rs
@@ -0,0 +1,114 @@
+//! Collecting the effects that the driver performs.
+
+use crate::AppliedEffect;
+use crate::CoreOutput;
+use crate::DurableWrite;
+use crate::EntryPayload;
+use crate::InstanceId;
+use crate::LogEntry;
+use crate::LogPosition;
+use crate::MessageBody;
+use crate::OutgoingMessage;
+use crate::PeerMessage;
+use crate::QuorumCore;
+use crate::Term;
+use crate::core::UnsyncedBatch;
+
+impl QuorumCore {
+    /// Hands out the effects collected since the last call.
+    pub fn take_output(&mut self) -> CoreOutput {
+        self.dispatch_committed();
+        let mut output = std::mem::take(&mut self.output);
+        if output.writes.is_empty() && self.unsynced.is_empty() {
+            output.messages.append(&mut output.synced_messages);
+        }
+        if output.writes.is_empty() && output.synced_messages.is_empty() {
+            return output;
+        }
+        self.last_batch += 1;
+        output.batch = Some(self.last_batch);
+        let voted_self = output.writes.iter().any(|write| {
+            matches!(write, DurableWrite::Vote { term, vote } if *term == self.term && *vote == Some(self.id))
+        });
+        self.unsynced.push_back(UnsyncedBatch {
+            batch: self.last_batch,
+            last: self.log.last(),
+            term: self.term,
+            voted_self,
+        });
+        output
+    }
+
+    /// Hands committed entries to the state machine.
+    pub(super) fn dispatch_committed(&mut self) {
+        while self.dispatched < self.committed {
+            let Some(entry) = self.log.entry(self.dispatched + 1) else {
+                break;
+            };
+            self.output
+                .applied
+                .push(AppliedEffect::Entry(entry.clone()));
+            self.dispatched += 1;
+        }
+    }
+
+    pub(super) fn append_own(&mut self, payloads: Vec<EntryPayload>) {
+        let first_index = self.log.last().index + 1;
+        let term = self.term;
+        let entries = payloads
+            .into_iter()
+            .zip(first_index..)
+            .map(|(payload, index)| LogEntry {
+                position: LogPosition { index, term },
+                payload,
+            })
+            .collect();
+        self.append_entries(entries);
+    }
+
+    pub(super) fn append_entries(&mut self, entries: Vec<LogEntry>) {
+        if entries.is_empty() {
+            return;
+        }
+        self.log.append(entries.iter().cloned());
+        match self.output.writes.last_mut() {
+            Some(DurableWrite::Append(earlier))
+                if earlier.last().map(|entry| entry.position.index + 1)
+                    == Some(entries[0].position.index) =>
+            {
+                earlier.extend(entries);
+            }
+            _ => self.output.writes.push(DurableWrite::Append(entries)),
+        }
+    }
+
+    pub(super) fn write_vote(&mut self) {
+        self.output.writes.push(DurableWrite::Vote {
+            term: self.term,
+            vote: self.vote,
+        });
+    }
+
+    /// Queues a message that does not depend on unsynced writes.
+    pub(super) fn send(&mut self, to: InstanceId, body: MessageBody) {
+        let message = self.message(to, self.term, body);
+        self.output.messages.push(OutgoingMessage { to, message });
+    }
+
+    /// Queues a message that must not leave before all earlier writes are synced.
+    pub(super) fn send_synced(&mut self, to: InstanceId, term: Term, body: MessageBody) {
+        let message = self.message(to, term, body);
+        self.output
+            .synced_messages
+            .push(OutgoingMessage { to, message });
+    }
+
+    pub(super) fn message(&self, to: InstanceId, term: Term, body: MessageBody) -> PeerMessage {
+        let member = self.log.membership().member(to);
+        PeerMessage {
+            term,
+            folder: member.map(|member| member.folder),
+            body,
+        }
+    }
+}
--- a/crates/quorum/src/core/leader.rs
+++ b/crates/quorum/src/core/leader.rs
@@ -1,74 +1,18 @@
 //! A leader's side of replication, its heartbeats and its quorum check.
 
-use std::collections::BTreeMap;
 use std::time::Instant;
 
-use crate::AppendOutcome;
 use crate::EntryPayload;
 use crate::InstanceId;
-use crate::LogIndex;
 use crate::LogPosition;
 use crate::MessageBody;
 use crate::QuorumCore;
 use crate::core::CoreRole;
-use crate::core::reads::LeaderRounds;
+use crate::core::progress::LeaderState;
+use crate::core::progress::PeerProgress;
+use crate::core::read_queue::LeaderRounds;
 use crate::core::snapshots::SnapshotProgress;
 
-/// What a leader knows about another member.
-#[derive(Debug)]
-pub(super) struct PeerProgress {
-    /// Log of the member equals the leader's up to here.
-    pub(super) matched: LogIndex,
-    /// Next entry to send.
-    pub(super) next: LogIndex,
-    /// Whether `next` is a guess that the member has not confirmed.
-    pub(super) probing: bool,
-    /// When the member last answered.
-    pub(super) heard_at: Instant,
-    /// Latest confirmation round that the member answered.
-    pub(super) round: u64,
-    /// Transfer of a snapshot, when the log does not reach back far enough.
-    pub(super) snapshot: Option<SnapshotProgress>,
-}
-
-impl PeerProgress {
-    pub(super) const fn new(next: LogIndex, now: Instant) -> Self {
-        Self {
-            matched: 0,
-            next,
-            probing: true,
-            heard_at: now,
-            round: 0,
-            snapshot: None,
-        }
-    }
-}
-
-/// Handover of leadership that is under way.
-#[derive(Debug)]
-pub(super) struct LeaderTransfer {
-    pub(super) to: InstanceId,
-    pub(super) until: Instant,
-}
-
-/// State that only a leader has.
-#[derive(Debug)]
-pub(super) struct LeaderState {
-    pub(super) peers: BTreeMap<InstanceId, PeerProgress>,
-    /// Index of the first entry of this leader's term.
-    pub(super) first_index: LogIndex,
-    pub(super) rounds: LeaderRounds,
-    pub(super) transfer: Option<LeaderTransfer>,
-    since: Instant,
-    heartbeat_due: Instant,
-}
-
-impl LeaderState {
-    pub(super) const fn next_due(&self) -> Instant {
-        self.heartbeat_due
-    }
-}
-
 impl QuorumCore {
     pub(super) fn become_leader(&mut self, now: Instant) {
         let next = self.log.last().index + 1;
@@ -195,7 +139,7 @@
     }
 
     /// Sends one append, with entries or as a mere heartbeat.
-    fn send_append(&mut self, to: InstanceId, with_entries: bool) {
+    pub(super) fn send_append(&mut self, to: InstanceId, with_entries: bool) {
         let limit_bytes = self.timing.message_bytes;
         let base = self.log.base();
         let committed = self.committed;
@@ -231,70 +175,4 @@
             },
         );
     }
-
-    pub(super) fn on_append_reply(
-        &mut self,
-        from: InstanceId,
-        outcome: AppendOutcome,
-        round: u64,
-        now: Instant,
-    ) {
-        let last = self.log.last().index;
-        let Some(peer) = self
-            .leader_state()
-            .and_then(|state| state.peers.get_mut(&from))
-        else {
-            return;
-        };
-        peer.heard_at = now;
-        peer.round = peer.round.max(round);
-        match outcome {
-            AppendOutcome::Matched(index) if index <= last => {
-                peer.matched = peer.matched.max(index);
-                if index + 1 >= peer.next {
-                    peer.probing = false;
-                    peer.next = peer.matched + 1;
-                }
-                self.send_entries(from);
-            }
-            AppendOutcome::Rejected(hint) if peer.snapshot.is_none() => {
-                let next = hint.min(peer.next).max(peer.matched + 1);
-                let repeated = peer.probing && next == peer.next;
-                peer.next = next;
-                peer.probing = true;
-                if !repeated {
-                    self.send_append(from, true);
-                    self.resume_snapshot(from);
-                }
-            }
-            AppendOutcome::Matched(_) | AppendOutcome::Rejected(_) => {}
-        }
-        self.advance_commit(now);
-        self.finish_rounds(now);
-        self.finish_transfer();
-    }
-
-    /// Moves the commit index to what a quorum has synced in this term.
-    pub(super) fn advance_commit(&mut self, now: Instant) {
-        let CoreRole::Leader(state) = &self.role else {
-            return;
-        };
-        let durable = self.durable;
-        let reached = self.log.membership().quorum_value(|voter| {
-            if voter == self.id {
-                durable
-            } else {
-                state.peers.get(&voter).map_or(0, |peer| peer.matched)
-            }
-        });
-        let Some(reached) = reached else {
-            return;
-        };
-        if reached <= self.committed || self.log.term_at(reached) != Some(self.term) {
-            return;
-        }
-        self.committed = reached;
-        self.finish_rounds(now);
-        self.finish_membership(now);
-    }
 }
--- a/crates/quorum/src/core/members.rs
+++ b/crates/quorum/src/core/members.rs
@@ -10,8 +10,8 @@
 use crate::MessageBody;
 use crate::QuorumCore;
 use crate::core::CoreRole;
-use crate::core::leader::LeaderTransfer;
-use crate::core::leader::PeerProgress;
+use crate::core::progress::LeaderTransfer;
+use crate::core::progress::PeerProgress;
 
 impl QuorumCore {
     /// Appends a change of one member; it is in force from the append on.
--- a/crates/quorum/src/core/reads.rs
+++ b/crates/quorum/src/core/reads.rs
@@ -9,113 +9,9 @@
 use crate::ReadOutcome;
 use crate::ReadTicket;
 use crate::core::CoreRole;
-
-/// Who waits for a round.
-#[derive(Clone, Copy, Debug)]
-enum ReadOrigin {
-    Local { ticket: ReadTicket, until: Instant },
-    Member { instance: InstanceId, id: u64 },
-}
-
-/// A read at the leader and the round that confirms it.
-#[derive(Clone, Copy, Debug)]
-struct LeaderRead {
-    origin: ReadOrigin,
-    round: u64,
-}
-
-/// Confirmation rounds of a leader; one round serves all reads that began before it.
-#[derive(Debug, Default)]
-pub(super) struct LeaderRounds {
-    current: u64,
-    confirmed: u64,
-    waiting: Vec<LeaderRead>,
-}
-
-impl LeaderRounds {
-    pub(super) const fn current(&self) -> u64 {
-        self.current
-    }
-
-    pub(super) const fn start(&mut self) {
-        self.current += 1;
-    }
-
-    /// Adds a read to the next round; returns whether that round must start now.
-    fn push(&mut self, origin: ReadOrigin) -> bool {
-        let idle = self.current == self.confirmed;
-        self.waiting.push(LeaderRead {
-            origin,
-            round: self.current + 1,
-        });
-        idle
-    }
-
-    fn needs_round(&self) -> bool {
-        self.waiting.iter().any(|read| read.round > self.current)
-    }
-}
-
-/// A local read that waits for a leader's answer.
-#[derive(Clone, Copy, Debug)]
-struct WaitingRead {
-    ticket: ReadTicket,
-    until: Instant,
-}
-
-/// A request to the leader that is under way, for all reads that began before it.
-#[derive(Debug)]
-struct ForwardedRead {
-    id: u64,
-    reads: Vec<WaitingRead>,
-    resend_due: Instant,
-}
-
-/// Local reads of a member that does not lead.
-#[derive(Debug)]
-pub(super) struct ReadQueue {
-    next_id: u64,
-    waiting: Vec<WaitingRead>,
-    sent: Option<ForwardedRead>,
-}
-
-impl ReadQueue {
-    pub(super) const fn new(first_id: u64) -> Self {
-        Self {
-            next_id: first_id,
-            waiting: Vec::new(),
-            sent: None,
-        }
-    }
-
-    pub(super) fn next_due(&self) -> Option<Instant> {
-        let expiry = self.waiting.iter().map(|read| read.until).min();
-        let resend = self.sent.as_ref().map(|sent| sent.resend_due);
-        [expiry, resend].into_iter().flatten().min()
-    }
-
-    fn take_all(&mut self) -> Vec<WaitingRead> {
-        let mut reads = std::mem::take(&mut self.waiting);
-        if let Some(sent) = self.sent.take() {
-            reads.extend(sent.reads);
-        }
-        reads
-    }
-
-    fn take_expired(&mut self, now: Instant) -> Vec<WaitingRead> {
-        let mut expired: Vec<WaitingRead> = self
-            .waiting
-            .extract_if(.., |read| now >= read.until)
-            .collect();
-        if let Some(sent) = &mut self.sent {
-            expired.extend(sent.reads.extract_if(.., |read| now >= read.until));
-            if sent.reads.is_empty() {
-                self.sent = None;
-            }
-        }
-        expired
-    }
-}
+use crate::core::read_queue::ForwardedRead;
+use crate::core::read_queue::ReadOrigin;
+use crate::core::read_queue::WaitingRead;
 
 impl QuorumCore {
     /// Starts a read; its [`ReadOutcome`] follows in an output.
@@ -167,23 +63,16 @@
             let Some(state) = self.leader_state() else {
                 return;
             };
-            state.rounds.confirmed = state.rounds.confirmed.max(confirmed);
+            state.rounds.confirm(confirmed);
             if committed >= state.first_index {
-                let confirmed = state.rounds.confirmed;
-                let done: Vec<LeaderRead> = state
-                    .rounds
-                    .waiting
-                    .extract_if(.., |read| read.round <= confirmed)
-                    .collect();
-                for read in done {
+                for read in state.rounds.take_confirmed() {
                     self.answer_read(read.origin, committed);
                 }
             }
             let Some(state) = self.leader_state() else {
                 return;
             };
-            let idle = state.rounds.current == state.rounds.confirmed;
-            if !idle || !state.rounds.needs_round() {
+            if !state.rounds.needs_round() {
                 return;
             }
             state.rounds.start();
@@ -196,7 +85,7 @@
         let CoreRole::Leader(state) = &self.role else {
             return 0;
         };
-        let own = state.rounds.current;
+        let own = state.rounds.current();
         let confirmed = self.log.membership().quorum_value(|voter| {
             if voter == self.id {
                 own
@@ -227,8 +116,7 @@
         if self.reads.sent.is_some() || self.reads.waiting.is_empty() {
             return;
         }
-        let id = self.reads.next_id;
-        self.reads.next_id = id.wrapping_add(1);
+        let id = self.reads.take_id();
         self.reads.sent = Some(ForwardedRead {
             id,
             reads: std::mem::take(&mut self.reads.waiting),
@@ -292,40 +180,3 @@
         }
     }
 }
-
-impl LeaderRounds {
-    fn take_expired(&mut self, now: Instant) -> Vec<ReadTicket> {
-        self.waiting
-            .extract_if(
-                ..,
-                |read| matches!(read.origin, ReadOrigin::Local { until, .. } if now >= until),
-            )
-            .filter_map(|read| match read.origin {
-                ReadOrigin::Local { ticket, .. } => Some(ticket),
-                ReadOrigin::Member { .. } => None,
-            })
-            .collect()
-    }
-
-    /// Takes the local reads of a leader that steps down.
-    pub(super) fn take_local(&mut self) -> Vec<(ReadTicket, Instant)> {
-        self.waiting
-            .drain(..)
-            .filter_map(|read| match read.origin {
-                ReadOrigin::Local { ticket, until } => Some((ticket, until)),
-                ReadOrigin::Member { .. } => None,
-            })
-            .collect()
-    }
-}
-
-impl ReadQueue {
-    /// Takes over reads of a leader that stepped down.
-    pub(super) fn requeue(&mut self, reads: Vec<(ReadTicket, Instant)>) {
-        self.waiting.extend(
-            reads
-                .into_iter()
-                .map(|(ticket, until)| WaitingRead { ticket, until }),
-        );
-    }
-}
--- a/crates/replica/src/storage.rs
+++ b/crates/replica/src/storage.rs
@@ -9,6 +9,7 @@
 mod frame;
 mod identity;
 mod record;
+mod replay;
 mod segment;
 mod snapshot;
 mod store;
