Answer confirmation rounds without waiting for the disk

Cause: a follower answered a heartbeat only once its earlier writes were synced. Disks that stall for 600 ms at a quorum cost the leadership, and held up every read and lease renewal though no write was involved.

A round promises nothing about the log, so it is answered at once: a later leader needs a vote from one of those that answered, and can have committed nothing before.

--- a/crates/quorum/src/core/commit.rs
+++ b/crates/quorum/src/core/commit.rs
@@ -50,6 +50,18 @@
         self.finish_transfer();
     }
 
+    pub(super) fn on_round_reply(&mut self, from: InstanceId, round: u64, now: Instant) {
+        let Some(peer) = self
+            .leader_state()
+            .and_then(|state| state.peers.get_mut(&from))
+        else {
+            return;
+        };
+        peer.heard_at = now;
+        peer.round = peer.round.max(round);
+        self.finish_rounds(now);
+    }
+
     /// Moves the commit index to what a quorum has synced in this term.
     pub(super) fn advance_commit(&mut self, now: Instant) {
         let CoreRole::Leader(state) = &self.role else {
--- a/crates/quorum/src/core/effects.rs
+++ b/crates/quorum/src/core/effects.rs
@@ -39,6 +39,11 @@
         output
     }
 
+    /// Returns whether answers that wait for the disk would not leave at once.
+    pub(super) fn has_unsynced(&self) -> bool {
+        !self.output.writes.is_empty() || !self.unsynced.is_empty()
+    }
+
     /// Hands committed entries to the state machine.
     pub(super) fn dispatch_committed(&mut self) {
         while self.dispatched < self.committed {
--- a/crates/quorum/src/core/follower.rs
+++ b/crates/quorum/src/core/follower.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Takes an append.
+    ///
+    /// The round is answered at once, also while the disk is slow: whoever leads a
+    /// later term needs a vote from one of those that answered, so it cannot have
+    /// committed anything before they did.
     pub(super) fn on_append(
         &mut self,
         from: InstanceId,
@@ -37,6 +42,9 @@
         }
         self.follow(from, now);
         let outcome = self.take_entries(previous, entries, committed);
+        if self.has_unsynced() {
+            self.send(from, MessageBody::RoundReply { round });
+        }
         let reply = MessageBody::AppendReply { outcome, round };
         self.send_synced(from, self.term, reply);
     }
--- a/crates/quorum/src/core/reads.rs
+++ b/crates/quorum/src/core/reads.rs
@@ -122,7 +122,7 @@
             reads: std::mem::take(&mut self.reads.waiting),
             resend_due: now + self.timing.heartbeat,
         });
-        self.send_synced(leader, self.term, MessageBody::Read { id });
+        self.send(leader, MessageBody::Read { id });
     }
 
     pub(super) fn on_read_reply(&mut self, id: u64, index: LogIndex, now: Instant) {
@@ -176,7 +176,7 @@
         sent.resend_due = now + heartbeat;
         let id = sent.id;
         if let Some(leader) = leader {
-            self.send_synced(leader, self.term, MessageBody::Read { id });
+            self.send(leader, MessageBody::Read { id });
         }
     }
 }
--- a/crates/quorum/src/core/receive.rs
+++ b/crates/quorum/src/core/receive.rs
@@ -38,6 +38,7 @@
             MessageBody::AppendReply { outcome, round } => {
                 self.on_append_reply(from, outcome, round, now);
             }
+            MessageBody::RoundReply { round } => self.on_round_reply(from, round, now),
             MessageBody::Snapshot {
                 last,
                 membership,
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -75,6 +75,11 @@
         /// Round of the append.
         round: u64,
     },
+    /// Answers the round of an append ahead of the append itself.
+    RoundReply {
+        /// Round of the append.
+        round: u64,
+    },
     /// Carries a piece of a snapshot to a member that lags behind the log.
     Snapshot {
         /// Last entry that the snapshot includes.
--- a/crates/quorum/tests/consensus.rs
+++ b/crates/quorum/tests/consensus.rs
@@ -388,3 +388,34 @@
     group.deliver(first);
     recover(&mut group);
 }
+
+#[test]
+fn stalled_disks_hold_up_commits_but_neither_reads_nor_the_leader() {
+    let mut group = SimGroup::new(&[1, 2, 3], MESSAGE_BYTES, 17);
+    recover(&mut group);
+    let leader = group.leader().expect("a leader");
+    let term = group.members[&leader].core.as_ref().map(QuorumCore::term);
+    let committed = group.history.committed();
+    let checked = group.reads_checked;
+    for step in 0..400 {
+        group.advance(Duration::from_millis(5));
+        if step % 20 == 0 {
+            group.propose(leader, 1);
+            for id in group.ids() {
+                group.read(id);
+            }
+        }
+        for message in std::mem::take(&mut group.in_flight) {
+            group.deliver(message);
+        }
+    }
+    assert_eq!(group.history.committed(), committed);
+    assert!(group.reads_checked >= checked + 3 * 18);
+    assert_eq!(group.leader(), Some(leader));
+    assert_eq!(
+        group.members[&leader].core.as_ref().map(QuorumCore::term),
+        term
+    );
+    recover(&mut group);
+    assert!(group.history.committed() >= committed + 20);
+}
