--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -1,35 +1,28 @@
 //! One record and its key.
 
-use std::sync::Arc;
-
 use model::ids::NodeId;
-use model::ids::RouteName;
-use model::ids::TeamName;
 use model::once::OnceClaim;
-use model::once::OnceKey;
-use model::once::StoredAnswer;
 use serde::Deserialize;
 use serde::Serialize;
 use uuid::Uuid;
 use uuid::Variant;
 
+use crate::scope::ScopeId;
+
+/// Bytes kept of the digest of a request: enough to tell requests of one caller apart.
+const BODY_BYTES: usize = 16;
+
+/// What is kept of the digest of a request.
+pub(crate) type BodyDigest = [u8; BODY_BYTES];
+
 /// Key of a record; the caller's key comes first, so that order is by its time stamp.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub(crate) struct RecordKey {
     pub(crate) key: Uuid,
-    pub(crate) team: TeamName,
-    pub(crate) route: RouteName,
+    pub(crate) scope: ScopeId,
 }
 
 impl RecordKey {
-    pub(crate) fn new(key: &OnceKey) -> Self {
-        Self {
-            key: key.key,
-            team: Arc::clone(&key.team),
-            route: Arc::clone(&key.route),
-        }
-    }
-
     /// Returns the time stamp of the caller's key, in milliseconds since the epoch.
     pub(crate) fn stamp_ms(&self) -> u64 {
         stamp_ms(&self.key)
@@ -66,11 +59,9 @@
     },
     /// It ran or may have run; no answer is kept.
     MayHaveRun,
-    /// It ran; `order` counts stored answers up.
+    /// It ran, and its answer is kept.
     Answered {
-        /// The answer.
-        answer: Box<StoredAnswer>,
-        /// Position in the order in which answers are dropped.
+        /// Place of the answer in the order in which answers are dropped.
         order: u64,
     },
 }
@@ -79,7 +70,7 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub(crate) struct OnceRecord {
     /// Digest of the request; none when only the end of the attempt was seen.
-    pub(crate) body: Option<[u8; 32]>,
+    pub(crate) body: Option<BodyDigest>,
     pub(crate) attempt: Attempt,
     pub(crate) state: RecordState,
 }
@@ -87,7 +78,7 @@
 impl OnceRecord {
     pub(crate) fn claimed(claim: &OnceClaim) -> Self {
         Self {
-            body: Some(claim.body),
+            body: Some(body_digest(claim)),
             attempt: Attempt {
                 node: claim.node,
                 number: claim.attempt,
@@ -97,8 +88,9 @@
     }
 }
 
-/// Returns the bytes that an answer counts for.
-pub(crate) fn answer_bytes(answer: &StoredAnswer) -> usize {
-    let content_type = answer.content_type.as_ref().map_or(0, String::len);
-    answer.body.len() + content_type
+/// Returns what is kept of the digest of a claimed request.
+pub(crate) fn body_digest(claim: &OnceClaim) -> BodyDigest {
+    let mut digest = BodyDigest::default();
+    digest.copy_from_slice(&claim.body[..BODY_BYTES]);
+    digest
 }
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -4,25 +4,28 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use model::ids::NodeId;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
+use model::once::OnceKey;
 use model::once::OnceSettle;
-use model::once::StoredAnswer;
 use model::verdict::RunVerdict;
 use serde::Deserialize;
 use serde::Serialize;
+use uuid::Uuid;
 
 use crate::OnceLimits;
+use crate::answers::AnswerStore;
+use crate::answers::content_bytes;
 use crate::record::Attempt;
 use crate::record::OnceRecord;
 use crate::record::RecordKey;
 use crate::record::RecordState;
-use crate::record::answer_bytes;
+use crate::record::body_digest;
 use crate::record::is_version_7;
 use crate::record::stamp_ms;
+use crate::scope::ScopeTable;
 use crate::sum::SetSum;
 use crate::table::stored::StoredTable;
 
@@ -39,22 +42,15 @@
     limits: OnceLimits,
     now_ms: u64,
     horizon_ms: u64,
-    next_order: u64,
+    scopes: ScopeTable,
     records: BTreeMap<RecordKey, OnceRecord>,
+    answers: AnswerStore,
     /// Records whose attempt may be running, by node.
     #[serde(skip)]
     running: BTreeMap<NodeId, BTreeSet<RecordKey>>,
     /// Freed attempts by the time at which they are forgotten.
     #[serde(skip)]
     freed: BTreeSet<(u64, RecordKey)>,
-    /// Records with a stored answer, oldest answer first.
-    #[serde(skip)]
-    answers: BTreeMap<u64, RecordKey>,
-    #[serde(skip)]
-    total_answer_bytes: usize,
-    /// Names in use, so that records share them.
-    #[serde(skip)]
-    names: BTreeSet<Arc<str>>,
     #[serde(skip)]
     sum: SetSum,
 }
@@ -73,13 +69,11 @@
             limits,
             now_ms: 0,
             horizon_ms: 0,
-            next_order: 0,
+            scopes: ScopeTable::default(),
             records: BTreeMap::new(),
+            answers: AnswerStore::default(),
             running: BTreeMap::new(),
             freed: BTreeSet::new(),
-            answers: BTreeMap::new(),
-            total_answer_bytes: 0,
-            names: BTreeSet::new(),
             sum: SetSum::default(),
         }
     }
@@ -94,9 +88,9 @@
         if !self.is_in_window(claim) {
             return ClaimOutcome::Expired;
         }
-        let key = self.intern(RecordKey::new(&claim.key));
+        let key = self.record_key(&claim.key);
         if let Some(record) = self.records.get(&key)
-            && let Some(outcome) = outcome_of(record, claim)
+            && let Some(outcome) = self.outcome_of(record, claim)
         {
             return outcome;
         }
@@ -112,14 +106,17 @@
     /// run frees its record. Once an attempt may have run, nothing frees it.
     pub fn settle(&mut self, settle: &OnceSettle, wall_ms: u64) {
         self.advance(wall_ms);
-        let key = self.intern(RecordKey::new(&settle.key));
+        if !self.may_have_record(&settle.key.key) {
+            return;
+        }
+        let key = self.record_key(&settle.key);
         let attempt = Attempt {
             node: settle.node,
             number: settle.attempt,
         };
-        match self.take(&key) {
-            Some(record) if record.attempt == attempt => self.end(key, record, settle),
-            Some(record) => self.put(key, record),
+        match self.records.get(&key) {
+            Some(record) if record.attempt == attempt => self.end(key, settle),
+            Some(_) => {}
             None => self.remember_freed(key, attempt, settle.verdict),
         }
         self.enforce_answer_limit();
@@ -160,7 +157,7 @@
     /// Returns the bytes of all stored answers.
     #[must_use]
     pub fn answer_bytes(&self) -> usize {
-        self.total_answer_bytes
+        self.answers.total_bytes()
     }
 
     /// Returns the logged time, in milliseconds since the epoch.
@@ -173,38 +170,71 @@
     #[must_use]
     pub fn digest(&self) -> [u8; 32] {
         let mut hasher = blake3::Hasher::new_derive_key("ragwortplank once table v1");
-        for number in [self.now_ms, self.horizon_ms, self.next_order] {
+        for number in [self.now_ms, self.horizon_ms] {
             hasher.update(&number.to_le_bytes());
         }
+        self.scopes.hash_into(&mut hasher);
         self.sum.hash_into(&mut hasher);
+        self.answers.hash_into(&mut hasher);
         *hasher.finalize().as_bytes()
     }
 
     fn is_in_window(&self, claim: &OnceClaim) -> bool {
         let key = &claim.key.key;
         let latest_ms = self.now_ms.saturating_add(self.limits.skew_ms);
-        is_version_7(key) && (self.horizon_ms..=latest_ms).contains(&stamp_ms(key))
+        self.may_have_record(key) && stamp_ms(key) <= latest_ms
     }
 
-    fn end(&mut self, key: RecordKey, mut record: OnceRecord, settle: &OnceSettle) {
-        let running = record.state == RecordState::Claimed;
-        let answered = matches!(record.state, RecordState::Answered { .. });
-        match settle.verdict {
-            RunVerdict::NotRun if running => record.state = self.freed_state(),
-            RunVerdict::Ran if running || record.state == RecordState::MayHaveRun => {
-                record.state = self.answered_state(settle.answer.as_ref());
+    fn may_have_record(&self, key: &Uuid) -> bool {
+        is_version_7(key) && stamp_ms(key) >= self.horizon_ms
+    }
+
+    fn record_key(&mut self, key: &OnceKey) -> RecordKey {
+        RecordKey {
+            key: key.key,
+            scope: self.scopes.id(key),
+        }
+    }
+
+    /// Returns the outcome of a claim on a record, or none when the record is free.
+    fn outcome_of(&self, record: &OnceRecord, claim: &OnceClaim) -> Option<ClaimOutcome> {
+        let attempt = Attempt {
+            node: claim.node,
+            number: claim.attempt,
+        };
+        let repeated = record.attempt == attempt;
+        let same_body = record.body.is_none_or(|body| body == body_digest(claim));
+        match record.state {
+            RecordState::Freed { .. } if repeated => Some(ClaimOutcome::Pending),
+            RecordState::Freed { .. } => None,
+            _ if !same_body => Some(ClaimOutcome::KeyReused),
+            RecordState::Claimed if repeated => Some(ClaimOutcome::Fresh),
+            RecordState::Claimed => Some(ClaimOutcome::Pending),
+            RecordState::MayHaveRun => Some(ClaimOutcome::MayHaveRun),
+            RecordState::Answered { order } => {
+                let answer = self.answers.get(order);
+                Some(answer.map_or(ClaimOutcome::MayHaveRun, ClaimOutcome::Answered))
             }
-            RunVerdict::MayHaveRun if !answered => record.state = RecordState::MayHaveRun,
-            RunVerdict::NotRun | RunVerdict::Ran | RunVerdict::MayHaveRun => {}
         }
+    }
+
+    /// Moves a record on; what ran or may have run is never freed.
+    fn end(&mut self, key: RecordKey, settle: &OnceSettle) {
+        let Some(mut record) = self.records.get(&key).cloned() else {
+            return;
+        };
+        record.state = match (&record.state, settle.verdict) {
+            (RecordState::Claimed, RunVerdict::NotRun) => self.freed_state(),
+            (RecordState::Answered { .. }, _) | (_, RunVerdict::NotRun) => return,
+            (_, RunVerdict::Ran) => self.answered_state(key, settle),
+            (_, RunVerdict::MayHaveRun) => RecordState::MayHaveRun,
+        };
+        self.take(&key);
         self.put(key, record);
     }
 
     /// Keeps the end of an attempt whose claim is still on its way.
     fn remember_freed(&mut self, key: RecordKey, attempt: Attempt, verdict: RunVerdict) {
-        if key.stamp_ms() < self.horizon_ms || !is_version_7(&key.key) {
-            return;
-        }
         let state = match verdict {
             RunVerdict::NotRun => self.freed_state(),
             RunVerdict::Ran | RunVerdict::MayHaveRun => RecordState::MayHaveRun,
@@ -225,22 +255,20 @@
         }
     }
 
-    fn answered_state(&mut self, answer: Option<&StoredAnswer>) -> RecordState {
-        let kept = answer.filter(|answer| answer_bytes(answer) <= self.limits.answer_bytes);
-        let Some(answer) = kept else {
-            return RecordState::MayHaveRun;
-        };
-        let order = self.next_order;
-        self.next_order += 1;
-        RecordState::Answered {
-            answer: Box::new(answer.clone()),
+    /// Keeps the answer when there is one of an allowed size.
+    fn answered_state(&mut self, key: RecordKey, settle: &OnceSettle) -> RecordState {
+        let limit = self.limits.answer_bytes;
+        let answer = settle.answer.as_ref();
+        let answer = answer.filter(|answer| content_bytes(answer) <= limit);
+        let order = answer.and_then(|answer| self.answers.keep(key, answer));
+        order.map_or(RecordState::MayHaveRun, |order| RecordState::Answered {
             order,
-        }
+        })
     }
 
     fn enforce_answer_limit(&mut self) {
-        while self.total_answer_bytes > self.limits.total_answer_bytes {
-            let Some(key) = self.answers.values().next().cloned() else {
+        while self.answers.total_bytes() > self.limits.total_answer_bytes {
+            let Some(key) = self.answers.pop_oldest() else {
                 return;
             };
             if let Some(mut record) = self.take(&key) {
@@ -267,7 +295,7 @@
             if oldest.stamp_ms() >= self.horizon_ms {
                 return;
             }
-            let oldest = oldest.clone();
+            let oldest = *oldest;
             self.take(&oldest);
         }
     }
@@ -277,7 +305,7 @@
             if *until_ms > self.now_ms {
                 return;
             }
-            let key = key.clone();
+            let key = *key;
             self.take(&key);
         }
     }
@@ -285,19 +313,15 @@
     /// Inserts a record that is not there, with its places in the indices.
     fn put(&mut self, key: RecordKey, record: OnceRecord) {
         self.sum.add(&(&key, &record));
-        match &record.state {
+        match record.state {
             RecordState::Claimed => {
                 let running = self.running.entry(record.attempt.node).or_default();
-                running.insert(key.clone());
+                running.insert(key);
             }
             RecordState::Freed { until_ms } => {
-                self.freed.insert((*until_ms, key.clone()));
+                self.freed.insert((until_ms, key));
             }
-            RecordState::Answered { answer, order } => {
-                self.total_answer_bytes += answer_bytes(answer);
-                self.answers.insert(*order, key.clone());
-            }
-            RecordState::MayHaveRun => {}
+            RecordState::MayHaveRun | RecordState::Answered { .. } => {}
         }
         self.records.insert(key, record);
     }
@@ -306,15 +330,12 @@
     fn take(&mut self, key: &RecordKey) -> Option<OnceRecord> {
         let record = self.records.remove(key)?;
         self.sum.remove(&(key, &record));
-        match &record.state {
+        match record.state {
             RecordState::Claimed => self.stop_running(record.attempt.node, key),
             RecordState::Freed { until_ms } => {
-                self.freed.remove(&(*until_ms, key.clone()));
-            }
-            RecordState::Answered { answer, order } => {
-                self.total_answer_bytes -= answer_bytes(answer);
-                self.answers.remove(order);
+                self.freed.remove(&(until_ms, *key));
             }
+            RecordState::Answered { order } => self.answers.remove(order),
             RecordState::MayHaveRun => {}
         }
         Some(record)
@@ -328,38 +349,4 @@
             }
         }
     }
-
-    fn intern(&mut self, mut key: RecordKey) -> RecordKey {
-        key.team = self.intern_name(key.team);
-        key.route = self.intern_name(key.route);
-        key
-    }
-
-    fn intern_name(&mut self, name: Arc<str>) -> Arc<str> {
-        if let Some(known) = self.names.get(&name) {
-            return Arc::clone(known);
-        }
-        self.names.insert(Arc::clone(&name));
-        name
-    }
-}
-
-/// Returns the outcome of a claim on a record, or none when the record is free.
-fn outcome_of(record: &OnceRecord, claim: &OnceClaim) -> Option<ClaimOutcome> {
-    let attempt = Attempt {
-        node: claim.node,
-        number: claim.attempt,
-    };
-    let repeated = record.attempt == attempt;
-    match &record.state {
-        RecordState::Freed { .. } if repeated => Some(ClaimOutcome::Pending),
-        RecordState::Freed { .. } => None,
-        _ if record.body.is_some_and(|body| body != claim.body) => Some(ClaimOutcome::KeyReused),
-        RecordState::Claimed if repeated => Some(ClaimOutcome::Fresh),
-        RecordState::Claimed => Some(ClaimOutcome::Pending),
-        RecordState::MayHaveRun => Some(ClaimOutcome::MayHaveRun),
-        RecordState::Answered { answer, .. } => {
-            Some(ClaimOutcome::Answered(answer.as_ref().clone()))
-        }
-    }
 }
--- a/crates/once/src/table/stored.rs
+++ b/crates/once/src/table/stored.rs
@@ -6,8 +6,10 @@
 
 use crate::OnceLimits;
 use crate::OnceTable;
+use crate::answers::AnswerStore;
 use crate::record::OnceRecord;
 use crate::record::RecordKey;
+use crate::scope::ScopeTable;
 
 /// The stored fields of a table, in the order in which it writes them.
 #[derive(Deserialize)]
@@ -15,8 +17,9 @@
     limits: OnceLimits,
     now_ms: u64,
     horizon_ms: u64,
-    next_order: u64,
+    scopes: ScopeTable,
     records: BTreeMap<RecordKey, OnceRecord>,
+    answers: AnswerStore,
 }
 
 impl From<StoredTable> for OnceTable {
@@ -24,11 +27,12 @@
         let mut table = Self::new(stored.limits);
         table.now_ms = stored.now_ms;
         table.horizon_ms = stored.horizon_ms;
-        table.next_order = stored.next_order;
+        table.scopes = stored.scopes;
         for (key, record) in stored.records {
-            let key = table.intern(key);
             table.put(key, record);
         }
+        table.answers = stored.answers;
+        table.answers.recount();
         table
     }
 }
--- a/crates/once/tests/table.rs
+++ b/crates/once/tests/table.rs
@@ -65,6 +65,24 @@
     assert_eq!(table.claim(&first, START_MS), answered);
 }
 
+#[test]
+fn an_end_that_is_repeated_or_of_another_attempt_leaves_the_answer() {
+    let mut table = OnceTable::default();
+    let first = claim(&key_at(START_MS, 1), 1, 10);
+    let second = claim(&key_at(START_MS, 1), 2, 20);
+    table.claim(&first, START_MS);
+    let ran = settle(&first, RunVerdict::Ran, Some(answer(3)));
+    table.settle(&ran, START_MS);
+    table.settle(&ran, START_MS);
+    for verdict in [RunVerdict::NotRun, RunVerdict::MayHaveRun, RunVerdict::Ran] {
+        table.settle(&settle(&first, verdict, Some(answer(4))), START_MS);
+        table.settle(&settle(&second, verdict, Some(answer(5))), START_MS);
+    }
+    let outcome = table.claim(&second, START_MS);
+    assert_eq!(outcome, ClaimOutcome::Answered(answer(3)));
+    assert_eq!(table.answer_bytes(), 3);
+}
+
 #[test]
 fn another_body_under_the_same_key_is_an_error() {
     let mut table = OnceTable::default();
