--- a/crates/admit/src/gate/limit.rs
+++ b/crates/admit/src/gate/limit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::gate::estimate::ServiceEstimate;
 use crate::gate::window::WindowResult;
 use crate::gate::window::WindowSum;
 
@@ -16,30 +17,29 @@
 /// Shortest and longest window of one measurement, in milliseconds.
 const WINDOW_MIN_MS: u64 = 100;
 const WINDOW_MAX_MS: u64 = 3000;
-/// Completions that end a window, at least.
+/// Completions that end a window: this many times the limit, within bounds.
+const WINDOW_TURNS: u32 = 3;
+const WINDOW_CALLS_LOW: u32 = 24;
 const WINDOW_CALLS: u32 = 64;
 /// Completions that end the measurement of a dip, at least.
-const DIP_CALLS: u32 = 40;
+const DIP_CALLS: u32 = 64;
 /// Service time over its base up to which the limit may grow.
-const GROW_BELOW: f64 = 1.12;
+const GROW_BELOW: f64 = 1.2;
 /// Factor for the limit after a window in which calls were cancelled and none completed.
 const FRUITLESS_FACTOR: f64 = 0.8;
-/// Weight of the newest busy window in the capacity.
-const CAPACITY_WEIGHT: f64 = 0.3;
-/// Ratio, or its inverse, from which on a new capacity replaces the old one at once.
-const CAPACITY_JUMP: f64 = 1.4;
 /// Service time over its base above which a dip must tell queueing from slowness.
 const DIP_ABOVE: f64 = 1.5;
 /// Factor by which the limit grows in a window.
 const GROW_FACTOR: f64 = 1.1;
 /// Service time over its base above which the limit grows slowly from then on.
-const BOUNDED_ABOVE: f64 = 1.3;
-/// Factor by which it grows until service times rise for the first time.
-const GROW_FIRST_FACTOR: f64 = 1.5;
+const BOUNDED_ABOVE: f64 = 1.4;
+/// Largest such factor: until service times rise for the first time, and after
+/// several windows of growth in a row.
+const GROW_MAX_FACTOR: f64 = 1.5;
 /// Part of the limit that a dip leaves.
 const DIP_FACTOR: f64 = 0.6;
 /// Throughput in a dip, relative to before, above which the backend server was still saturated.
-const DIP_SATURATED: f64 = 0.88;
+const DIP_SATURATED: f64 = 0.92;
 /// Service time in a dip, relative to the base, up to which queueing explains the rest.
 const DIP_EXPLAINED: f64 = 1.2;
 /// Part of a service time for which a dip settles before it is measured.
@@ -47,12 +47,13 @@
 /// Service times between two dips.
 const DIP_GAP: f64 = 15.0;
 /// Service times, and least time, after which a dip checks a limit that seems right.
-const CHECK_GAP: f64 = 40.0;
+const CHECK_GAP: f64 = 80.0;
 const CHECK_AFTER: Duration = Duration::from_secs(5);
+/// Weight of a measurement below the limit: a limit that is too low costs
+/// throughput, one that is too high only some time in service.
+const LOWER_WEIGHT: f64 = 0.3;
 /// Limit over the measured capacity after a dip.
 const HEADROOM: f64 = 1.1;
-/// Ratio to the base below which a service time replaces it at once.
-const BASE_DROP: f64 = 0.7;
 
 /// Where the limit comes from.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -93,11 +94,9 @@
     cold: bool,
     source: LimitSource,
     verified: bool,
-    base_s: f64,
-    service_s: f64,
-    stay_s: f64,
-    capacity_per_s: f64,
+    estimate: ServiceEstimate,
     slow_windows: u32,
+    grown_windows: i32,
     phase: SearchPhase,
     window: WindowSum,
     updated: Instant,
@@ -113,11 +112,9 @@
             cold: false,
             source: LimitSource::Hinted,
             verified: false,
-            base_s: 0.0,
-            service_s: 0.0,
-            stay_s: 0.0,
-            capacity_per_s: 0.0,
+            estimate: ServiceEstimate::default(),
             slow_windows: 0,
+            grown_windows: 0,
             phase: SearchPhase::Cruise,
             window: WindowSum::new(now, 0),
             updated: now,
@@ -149,18 +146,21 @@
 
     /// Returns the mean time in service, zero before it is known.
     pub(super) fn service_time(&self) -> Duration {
-        Duration::from_secs_f64(self.stay_s)
+        Duration::from_secs_f64(self.estimate.stay_s)
     }
 
     /// Returns the calls per second that the backend server completes at its limit.
     pub(super) fn capacity_per_s(&self) -> f64 {
-        self.capacity_per_s
+        self.estimate.capacity
     }
 
     /// Takes over the announced number of slots unless measurements already say more.
+    ///
+    /// A hint can't lower the limit below its start: a limit that is too low
+    /// costs throughput until it has grown.
     pub(super) fn hint(&mut self, slots: u32) {
         if self.source == LimitSource::Hinted && slots > 0 {
-            self.limit = (f64::from(slots) * HEADROOM).clamp(LIMIT_MIN, LIMIT_MAX);
+            self.limit = (f64::from(slots) * HEADROOM).clamp(LIMIT_START, LIMIT_MAX);
         }
     }
 
@@ -200,13 +200,17 @@
             self.settle(now, waiting);
             return;
         }
-        let Some(result) = self.end_window(now) else {
+        if !self.window_is_over(now) {
             return;
-        };
-        match self.phase {
-            SearchPhase::Cruise => self.cruise(result, now),
-            SearchPhase::Dip { limit, throughput } => self.dip(limit, throughput, result, now),
-            SearchPhase::Settle { .. } => {}
+        }
+        let result = self.end_window(now);
+        match (self.phase, result) {
+            (SearchPhase::Cruise, Some(result)) => self.cruise(result, now),
+            (SearchPhase::Dip { limit, throughput }, Some(result)) => {
+                self.dip(limit, throughput, result, now);
+            }
+            (SearchPhase::Dip { .. }, None) => self.end_dip(now),
+            (SearchPhase::Cruise, None) | (SearchPhase::Settle { .. }, _) => {}
         }
     }
 
@@ -220,13 +224,17 @@
         self.in_flight = in_flight;
     }
 
-    fn end_window(&mut self, now: Instant) -> Option<WindowResult> {
+    fn window_is_over(&self, now: Instant) -> bool {
         let length = now.saturating_duration_since(self.window.start);
-        let enough = self.window.completions >= self.window_calls();
-        let long = length >= Duration::from_millis(WINDOW_MAX_MS);
-        if !long && (!enough || length < Duration::from_millis(WINDOW_MIN_MS)) {
-            return None;
+        if length < Duration::from_millis(WINDOW_MIN_MS) {
+            return false;
         }
+        let is_full = self.window.completions >= self.window_calls();
+        is_full || length >= Duration::from_millis(WINDOW_MAX_MS)
+    }
+
+    fn end_window(&mut self, now: Instant) -> Option<WindowResult> {
+        let length = now.saturating_duration_since(self.window.start);
         if self.window.is_fruitless() {
             self.limit = (self.limit * FRUITLESS_FACTOR).max(LIMIT_MIN);
         }
@@ -236,33 +244,32 @@
     }
 
     fn window_calls(&self) -> u32 {
+        let limit = self.current();
         let calls = match self.phase {
-            SearchPhase::Cruise => WINDOW_CALLS,
+            SearchPhase::Cruise => (WINDOW_TURNS * limit).clamp(WINDOW_CALLS_LOW, WINDOW_CALLS),
             SearchPhase::Settle { .. } | SearchPhase::Dip { .. } => DIP_CALLS,
         };
-        calls.max(self.current() / 2)
+        calls.max(limit / 2)
     }
 
     fn cruise(&mut self, result: WindowResult, now: Instant) {
-        self.service_s = result.service_s;
-        self.stay_s = result.stay_s;
-        self.update_capacity(result);
-        if result.steady || self.base_s <= 0.0 {
-            self.lower_base(result.service_s);
-        }
+        self.estimate.update(result, self.limit);
         if !result.busy {
             self.verified |= result.steady;
             self.slow_windows = 0;
             return;
         }
-        let ratio = result.service_s / self.base_s;
-        if ratio <= GROW_BELOW {
-            let factor = match self.source {
-                LimitSource::Bounded => GROW_FACTOR,
-                LimitSource::Hinted | LimitSource::Grown => GROW_FIRST_FACTOR,
-            };
-            self.limit = (self.limit * factor).min(LIMIT_MAX);
+        let ratio = result.service_s / self.estimate.base_s;
+        let (below, factor) = match self.source {
+            LimitSource::Bounded => (GROW_BELOW, GROW_FACTOR.powi(self.grown_windows + 1)),
+            LimitSource::Hinted | LimitSource::Grown => (BOUNDED_ABOVE, GROW_MAX_FACTOR),
+        };
+        if ratio <= below {
+            self.limit = (self.limit * factor.min(GROW_MAX_FACTOR)).min(LIMIT_MAX);
             self.source = self.source.max(LimitSource::Grown);
+            self.grown_windows += 1;
+        } else {
+            self.grown_windows = 0;
         }
         if ratio > BOUNDED_ABOVE {
             self.source = LimitSource::Bounded;
@@ -278,28 +285,6 @@
         }
     }
 
-    /// Takes the throughput while the limit binds, and what Little's law promises otherwise.
-    fn update_capacity(&mut self, result: WindowResult) {
-        if !result.busy {
-            self.capacity_per_s = self.limit / result.service_s;
-            return;
-        }
-        let ratio = result.throughput / self.capacity_per_s.max(f64::MIN_POSITIVE);
-        if (1.0 / CAPACITY_JUMP..=CAPACITY_JUMP).contains(&ratio) {
-            self.capacity_per_s += CAPACITY_WEIGHT * (result.throughput - self.capacity_per_s);
-        } else {
-            self.capacity_per_s = result.throughput;
-        }
-    }
-
-    fn lower_base(&mut self, service_s: f64) {
-        if self.base_s <= 0.0 || service_s < self.base_s * BASE_DROP {
-            self.base_s = service_s;
-        } else if service_s < self.base_s {
-            self.base_s += 0.2 * (service_s - self.base_s);
-        }
-    }
-
     fn begin_dip(&mut self, from: f64, throughput: f64) {
         let limit = (from * DIP_FACTOR).max(LIMIT_MIN);
         self.phase = SearchPhase::Settle {
@@ -325,7 +310,7 @@
             self.end_dip(now);
             return;
         }
-        let settle = Duration::from_secs_f64(self.service_s * DIP_SETTLE);
+        let settle = Duration::from_secs_f64(self.estimate.service_s * DIP_SETTLE);
         let until = until.unwrap_or(now + settle);
         if now < until {
             self.phase = SearchPhase::Settle {
@@ -345,7 +330,7 @@
             return;
         }
         let saturated = result.throughput >= DIP_SATURATED * throughput;
-        let explained = self.verified && result.service_s <= DIP_EXPLAINED * self.base_s;
+        let explained = self.verified && result.service_s <= DIP_EXPLAINED * self.estimate.base_s;
         if saturated && !explained && limit > LIMIT_MIN {
             self.begin_dip(limit, throughput);
             return;
@@ -353,24 +338,26 @@
         let capacity = throughput * result.service_s;
         let target = (capacity * HEADROOM).clamp(limit, self.limit * 1.25);
         let repeated = limit < self.limit * DIP_FACTOR * 0.99;
-        self.limit = if repeated || explained {
+        self.limit = if repeated || target > self.limit {
             target
         } else {
-            f64::midpoint(self.limit, target)
+            self.limit + LOWER_WEIGHT * (target - self.limit)
         };
         self.limit = self.limit.clamp(LIMIT_MIN, LIMIT_MAX);
         if !explained || !saturated {
-            self.base_s = result.service_s;
+            self.estimate.base_s = result.service_s;
+        }
+        if saturated || self.estimate.service_s > GROW_BELOW * result.service_s {
+            self.source = LimitSource::Bounded;
         }
-        self.source = LimitSource::Bounded;
         self.verified = true;
         self.end_dip(now);
     }
 
     fn end_dip(&mut self, now: Instant) {
-        let gap = Duration::from_secs_f64(self.service_s * DIP_GAP);
+        let gap = Duration::from_secs_f64(self.estimate.service_s * DIP_GAP);
         self.next_dip = now + gap.max(Duration::from_secs(1));
-        let check = Duration::from_secs_f64(self.service_s * CHECK_GAP);
+        let check = Duration::from_secs_f64(self.estimate.service_s * CHECK_GAP);
         self.next_check = now + check.max(CHECK_AFTER);
         self.slow_windows = 0;
         self.phase = SearchPhase::Cruise;
--- /dev/null
+++ b/crates/replica/benches/commits.rs
@@ -0,0 +1,233 @@
+//! Commits a second and their latency, with fsync, batched and not, on one and on three instances.
+//!
+//! Run with `cargo bench -p replica --bench commits`.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::time::Duration;
+use std::time::Instant;
+
+use clock::SystemClock;
+use hdrhistogram::Histogram;
+use quorum::MemberDuty;
+use replica::InstanceId;
+use replica::LogIndex;
+use replica::PeerLink;
+use replica::ReplicaConfig;
+use replica::ReplicaHandle;
+use replica::ReplicatedState;
+use replica::StateMachine;
+use tempfile::TempDir;
+use tokio::runtime::Builder;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+/// Size of an entry in bytes.
+const ENTRY_BYTES: usize = 200;
+
+/// Length of one measurement, in seconds.
+const RUN_S: u64 = 3;
+
+/// Length of the run before it that is not counted, in milliseconds.
+const WARM_UP_MS: u64 = 500;
+
+/// Syncs of the baseline without any replica.
+const BASELINE_SYNCS: u32 = 500;
+
+/// Time between two looks for a leader, in milliseconds.
+const POLL_MS: u64 = 5;
+
+/// State machine that only counts.
+#[derive(Clone, Debug, Default)]
+struct EntryCounter {
+    count: u64,
+}
+
+impl StateMachine for EntryCounter {
+    type Output = u64;
+
+    fn apply(&mut self, _index: LogIndex, _entry: &[u8]) -> u64 {
+        self.count += 1;
+        self.count
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.count.to_le_bytes().to_vec()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> anyhow::Result<()> {
+        self.count = u64::from_le_bytes(snapshot.try_into()?);
+        Ok(())
+    }
+}
+
+type RunningReplicas = Arc<RwLock<BTreeMap<InstanceId, ReplicaHandle<EntryCounter>>>>;
+
+/// Link that hands messages over within the process.
+#[derive(Clone, Debug)]
+struct MemoryLink {
+    from: InstanceId,
+    running: RunningReplicas,
+}
+
+impl PeerLink for MemoryLink {
+    fn send(&self, to: InstanceId, message: Vec<u8>) {
+        let running = self.running.read().expect("no thread panicked");
+        if let Some(handle) = running.get(&to) {
+            handle.receive(self.from, message);
+        }
+    }
+}
+
+/// One measurement's shape.
+#[derive(Clone, Copy, Debug)]
+struct BenchCase {
+    members: u64,
+    batch_limit: usize,
+    proposers: usize,
+}
+
+/// Replicas that run for one measurement.
+struct BenchGroup {
+    running: RunningReplicas,
+    stop: CancellationToken,
+    _root: TempDir,
+}
+
+impl BenchGroup {
+    fn start(case: BenchCase) -> Self {
+        let root = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).expect("a folder");
+        let running = RunningReplicas::default();
+        let stop = CancellationToken::new();
+        let ids: Vec<InstanceId> = (1..=case.members).collect();
+        for &id in &ids {
+            let folder = root.path().join(id.to_string());
+            let mut config = ReplicaConfig::new(id, ids.clone(), folder);
+            config.batch_limit = case.batch_limit;
+            let link = MemoryLink {
+                from: id,
+                running: Arc::clone(&running),
+            };
+            let machine = EntryCounter::default();
+            let handle = ReplicaHandle::start(config, link, machine, SystemClock, stop.clone())
+                .expect("the replica starts");
+            running
+                .write()
+                .expect("no thread panicked")
+                .insert(id, handle);
+        }
+        Self {
+            running,
+            stop,
+            _root: root,
+        }
+    }
+
+    async fn leader(&self) -> ReplicaHandle<EntryCounter> {
+        loop {
+            let handles: Vec<_> = {
+                let running = self.running.read().expect("no thread panicked");
+                running.values().cloned().collect()
+            };
+            for handle in handles {
+                let status = handle.status();
+                if status.duty == MemberDuty::Leader && status.applied > 0 {
+                    return handle;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        }
+    }
+
+    async fn stop(self) {
+        self.stop.cancel();
+        let handles = std::mem::take(&mut *self.running.write().expect("no thread panicked"));
+        for handle in handles.into_values() {
+            handle.stopped().await;
+        }
+    }
+}
+
+/// Proposes one entry after another, and records those after the warm-up.
+async fn propose_until(
+    leader: ReplicaHandle<EntryCounter>,
+    counted_from: Instant,
+    end: Instant,
+) -> Histogram<u64> {
+    let mut histogram = Histogram::new(3).expect("valid digits");
+    while Instant::now() < end {
+        let begin = Instant::now();
+        let outcome = leader.propose(vec![7; ENTRY_BYTES]).await;
+        if outcome.is_ok() && begin >= counted_from {
+            let took_us = u64::try_from(begin.elapsed().as_micros()).unwrap_or(u64::MAX);
+            histogram.record(took_us).expect("it resizes");
+        }
+    }
+    histogram
+}
+
+async fn measure(case: BenchCase) {
+    let group = BenchGroup::start(case);
+    let leader = group.leader().await;
+    let counted_from = Instant::now() + Duration::from_millis(WARM_UP_MS);
+    let end = counted_from + Duration::from_secs(RUN_S);
+    let mut proposers = JoinSet::new();
+    for _ in 0..case.proposers {
+        proposers.spawn(propose_until(leader.clone(), counted_from, end));
+    }
+    let mut all = Histogram::<u64>::new(3).expect("valid digits");
+    while let Some(part) = proposers.join_next().await {
+        all.add(part.expect("no proposer panicked"))
+            .expect("same digits");
+    }
+    group.stop().await;
+    println!(
+        "{:>7} {:>11} {:>9} {:>10} {:>8} {:>8} {:>8}",
+        case.members,
+        case.batch_limit,
+        case.proposers,
+        all.len() / RUN_S,
+        all.value_at_quantile(0.5),
+        all.value_at_quantile(0.99),
+        all.value_at_quantile(0.999),
+    );
+}
+
+/// Measures appending and syncing alone.
+fn baseline() {
+    use std::io::Write;
+    let mut file = tempfile::tempfile_in(env!("CARGO_TARGET_TMPDIR")).expect("a file");
+    let mut histogram = Histogram::<u64>::new(3).expect("valid digits");
+    for _ in 0..BASELINE_SYNCS {
+        let begin = Instant::now();
+        file.write_all(&[7; ENTRY_BYTES]).expect("the disk writes");
+        file.sync_data().expect("the disk syncs");
+        let took_us = u64::try_from(begin.elapsed().as_micros()).unwrap_or(u64::MAX);
+        histogram.record(took_us).expect("it resizes");
+    }
+    println!(
+        "append and sync {ENTRY_BYTES} bytes alone: p50 {} us, p99 {} us",
+        histogram.value_at_quantile(0.5),
+        histogram.value_at_quantile(0.99),
+    );
+}
+
+fn main() {
+    baseline();
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    println!("members batch_limit proposers commits/s   p50_us   p99_us p999_us");
+    for members in [1, 3] {
+        for (batch_limit, proposers) in [(4_096, 1), (1, 64), (4_096, 64), (4_096, 512)] {
+            runtime.block_on(measure(BenchCase {
+                members,
+                batch_limit,
+                proposers,
+            }));
+        }
+    }
+}
