--- a/crates/control/benches/exchange/node.rs
+++ b/crates/control/benches/exchange/node.rs
@@ -162,6 +162,7 @@
             request.demands = demands(&mut holders);
             if let Ok(reply) = self.client.exchange(&request).await {
                 self.latencies.lock().unwrap().push(began.elapsed());
+                let applied_before = request.applied;
                 self.apply(&mut request, &reply);
                 let Some(lease) = reply.lease else { continue };
                 for grant in &reply.grants {
@@ -170,6 +171,10 @@
                         holder.accept(grant, began + lease.length);
                     }
                 }
+                if request.applied != applied_before {
+                    // Tells at once that the version is applied.
+                    continue;
+                }
             }
             sleep(plan.period.saturating_sub(began.elapsed())).await;
         }
