Close a connection only when it is broken; tell peers only of leases renewed since

A late answer closed the connection that other calls and the log share. A lost owner of tokens held every exchange up for 200 ms; it is now left out for 300 ms after a call that failed.

--- a/crates/control/src/force.rs
+++ b/crates/control/src/force.rs
@@ -34,6 +34,8 @@
 struct ForceState {
     applied: BTreeMap<ConfigVersion, Instant>,
     peers: BTreeMap<InstanceId, PeerVersion>,
+    /// Last version noted to be in force.
+    in_force: Option<ConfigVersion>,
 }
 
 /// One start of an instance.
@@ -103,6 +105,14 @@
         live.collect()
     }
 
+    /// Notes that a version is in force; returns whether that is new.
+    pub fn note_in_force(&self, version: ConfigVersion) -> bool {
+        let mut state = self.lock();
+        let is_new = state.in_force != Some(version);
+        state.in_force = Some(version);
+        is_new
+    }
+
     /// Returns whether `version` is in force, given all other instances of the group.
     pub fn in_force(
         &self,
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -5,8 +5,10 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use clock::Clock;
+use futures::future::join_all;
 use model::exchange::TokenDemand;
 use model::exchange::TokenGrant;
 use model::ids::InstanceId;
@@ -20,7 +22,6 @@
 use wire::service::NodeDemands;
 use wire::service::NodeGrants;
 
-use crate::core::CONFIRM_TIMEOUT_MS;
 use crate::core::ControlCore;
 use crate::log::ControlLog;
 
@@ -29,7 +30,9 @@
 /// Demands put into one call at most.
 const BATCH_DEMANDS: usize = 512;
 /// Time that an owner has to answer, in milliseconds; the exchange waits no longer.
-const OWNER_TIMEOUT_MS: u64 = CONFIRM_TIMEOUT_MS;
+const OWNER_TIMEOUT_MS: u64 = 150;
+/// Time for which an owner that did not answer is not asked again, in milliseconds.
+const OWNER_PAUSE_MS: u64 = 300;
 
 /// Collects demands for each owner, while its call before is under way.
 #[derive(Debug)]
@@ -77,13 +80,13 @@
         if owners.is_empty() {
             return Vec::new();
         }
+        let limit = Duration::from_millis(OWNER_TIMEOUT_MS);
         let asked = owners
             .into_iter()
             .filter_map(|(owner, demands)| self.ask(owner, NodeDemands { node, demands }));
-        let answers = futures::future::join_all(asked);
-        let limit = Duration::from_millis(OWNER_TIMEOUT_MS);
-        let answers = timeout(limit, answers).await.unwrap_or_default();
-        answers.into_iter().flatten().flatten().collect()
+        let answers = join_all(asked.map(|answer| timeout(limit, answer))).await;
+        let answered = answers.into_iter().filter_map(|answer| answer.ok()?.ok());
+        answered.flatten().collect()
     }
 
     fn ask(
@@ -104,35 +107,50 @@
 }
 
 /// Sends the collected demands to one owner, one call after the other.
+///
+/// Demands that arrive shortly after a call failed are left unanswered, so
+/// that a lost owner does not hold up the exchanges.
 async fn forward(mesh: PeerMesh, owner: InstanceId, mut queue: mpsc::Receiver<WaitingDemand>) {
     let mut waiting = Vec::new();
+    let mut resume = Instant::now();
     while queue.recv_many(&mut waiting, BATCH_DEMANDS).await > 0 {
+        if Instant::now() < resume {
+            waiting.clear();
+            continue;
+        }
         let demands = waiting.iter().map(|entry| entry.demands.clone()).collect();
-        let answered = call(&mesh, owner, demands).await;
-        // The owner answers in the order of the demands, or not at all.
-        let mut answered = answered.into_iter();
-        for entry in waiting.drain(..) {
-            let grants = answered.next().map(|granted| granted.grants);
-            let _ = entry.answer.send(grants.unwrap_or_default());
+        let Some(answered) = call(&mesh, owner, demands).await else {
+            resume = Instant::now() + Duration::from_millis(OWNER_PAUSE_MS);
+            waiting.clear();
+            continue;
+        };
+        // The owner answers in the order of the demands.
+        for (entry, granted) in waiting.drain(..).zip(answered) {
+            let _ = entry.answer.send(granted.grants);
         }
     }
 }
 
-async fn call(mesh: &PeerMesh, owner: InstanceId, demands: Vec<NodeDemands>) -> Vec<NodeGrants> {
+/// Returns what an owner granted, or none when it did not answer.
+async fn call(
+    mesh: &PeerMesh,
+    owner: InstanceId,
+    demands: Vec<NodeDemands>,
+) -> Option<Vec<NodeGrants>> {
     let limit = Duration::from_millis(OWNER_TIMEOUT_MS);
     let client = match mesh.client(owner, limit).await {
         Ok(client) => client,
         Err(error) => {
             debug!(event = "owner-unreachable", owner, %error);
-            return Vec::new();
+            return None;
         }
     };
     match client.grant(call_context(limit), demands).await {
-        Ok(answer) => answer.unwrap_or_default(),
+        Ok(answer) => answer.ok(),
         Err(error) => {
             debug!(event = "owner-unanswered", owner, %error);
-            mesh.reset(owner);
-            Vec::new()
+            mesh.call_failed(owner, &error);
+            None
         }
     }
 }
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -40,6 +40,24 @@
     state: Arc<Mutex<HubState>>,
 }
 
+/// How much of this instance's nodes a peer knows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HubPosition {
+    /// Position in the feed of changes.
+    pub cursor: u64,
+    /// Number of the last lease told.
+    pub renewal: u64,
+}
+
+/// A batch for a peer, and what the peer knows once it took the batch over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HubTelling {
+    /// The batch.
+    pub batch: HubBatch,
+    /// What the peer knows then.
+    pub position: HubPosition,
+}
+
 /// A node whose lease ran out.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EndedLease {
@@ -54,6 +72,8 @@
     nodes: HashMap<NodeId, NodeEntry>,
     addresses: HashMap<SocketAddr, NodeId>,
     feed: MemberFeed,
+    /// Number of the last lease granted or told.
+    renewal: u64,
 }
 
 impl<C: Clock> MembershipHub<C> {
@@ -86,6 +106,7 @@
             lease_end: self.clock.now() + lease,
             home: self.own,
             cursor: 0,
+            renewal: 0,
         };
         let now = self.clock.now();
         self.lock().put(entry, now);
@@ -143,43 +164,42 @@
         update
     }
 
-    /// Returns the nodes of this instance for a peer that knows them up to `since`.
+    /// Returns the nodes of this instance for a peer that knows them up to `told`.
     #[must_use]
     pub fn batch(
         &self,
         address: SocketAddr,
-        since: Option<u64>,
+        told: Option<HubPosition>,
         version: ConfigVersion,
-    ) -> HubBatch {
+    ) -> HubTelling {
         let now = self.clock.now();
         let state = self.lock();
-        let known = since.filter(|since| state.feed.reaches(*since));
+        let told = told.filter(|told| state.feed.reaches(told.cursor));
+        let position = HubPosition {
+            cursor: state.feed.cursor(),
+            renewal: state.renewal,
+        };
         let mut batch = HubBatch {
             from: self.own,
             address,
             feed: self.feed,
-            cursor: state.feed.cursor(),
-            full: known.is_none(),
             version,
             changed: Vec::new(),
             renewed: Vec::new(),
-            left: Vec::new(),
+            left: told.map_or_else(Vec::new, |told| state.feed.left_since(told.cursor)),
             crashes: Vec::new(),
         };
         let own = state.nodes.values().filter(|entry| entry.home == self.own);
         for entry in own {
             let lease = entry.notice(now);
-            if known.is_some_and(|known| entry.cursor <= known) {
-                batch.renewed.push(lease);
-            } else {
+            if told.is_none_or(|told| entry.cursor > told.cursor) {
                 let member = entry.member.clone();
                 batch.changed.push(NodeNotice { member, lease });
+            } else if told.is_some_and(|told| entry.renewal > told.renewal) {
+                batch.renewed.push(lease);
             }
         }
-        if let Some(known) = known {
-            batch.left = state.feed.left_since(known);
-        }
-        batch
+        HubTelling { batch, position }
     }
 
     /// Takes over what a peer says about its nodes.
@@ -197,6 +217,7 @@
                 lease_end: now + notice.lease.time_left,
                 home: batch.from,
                 cursor: 0,
+                renewal: 0,
             };
             state.put(entry, now);
         }
@@ -269,6 +290,8 @@
     /// Puts a node's newest state; news that are older than what is known are passed over.
     fn put(&mut self, mut entry: NodeEntry, now: Instant) {
         let node = entry.member.node;
+        self.renewal += 1;
+        entry.renewal = self.renewal;
         if let Some(known) = self.nodes.get_mut(&node) {
             if entry.lease_end < known.lease_end {
                 return;
@@ -276,6 +299,7 @@
             if !known.differs(&entry.member) {
                 known.member.load = entry.member.load;
                 known.renew(entry.home, entry.applied, entry.lease_end);
+                known.renewal = entry.renewal;
                 return;
             }
         }
--- a/crates/control/src/hub/node.rs
+++ b/crates/control/src/hub/node.rs
@@ -21,6 +21,8 @@
     pub(super) home: InstanceId,
     /// Position of its last change in the feed.
     pub(super) cursor: u64,
+    /// Number of its last lease.
+    pub(super) renewal: u64,
 }
 
 impl NodeEntry {
--- a/crates/control/src/propose.rs
+++ b/crates/control/src/propose.rs
@@ -138,7 +138,7 @@
             Ok(outcome) => decode_outcome(&outcome?),
             Err(error) => {
                 debug!(event = "forward-failed", leader, %error);
-                self.mesh.reset(leader);
+                self.mesh.call_failed(leader, &error);
                 Err(ForwardError::Unknown)
             }
         }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -162,6 +162,11 @@
                 .push(EventRecord::new("config-applied").field("version", &version));
             info!(event = "config-applied", version);
         }
+        if self.is_in_force(version) && self.force.note_in_force(version) {
+            self.events
+                .push(EventRecord::new("config-in-force").field("version", &version));
+            info!(event = "config-in-force", version);
+        }
     }
 }
 
--- a/crates/control/src/sync.rs
+++ b/crates/control/src/sync.rs
@@ -15,6 +15,7 @@
 
 use crate::core::ControlCore;
 use crate::force::LiveInstance;
+use crate::hub::HubPosition;
 use crate::log::ControlLog;
 
 /// Period of the batches to each peer, in milliseconds.
@@ -25,8 +26,10 @@
 /// What one peer was told so far.
 #[derive(Clone, Copy, Debug, Default)]
 struct ToldState {
-    /// Feed of the peer at its last answer, and our cursor that it knows.
-    hub: Option<(u64, u64)>,
+    /// What it knows of our nodes.
+    hub: Option<HubPosition>,
+    /// Its feed at its last answer; a new one knows nothing of what was told.
+    feed: Option<u64>,
     /// Position of the last crash report that it knows.
     crashes: u64,
 }
@@ -68,20 +71,19 @@
 ) -> (InstanceId, ToldState) {
     // Read before the nodes, as `HubBatch::version` promises.
     let version = core.log.read(|state| state.config().version());
-    let since = told.hub.map(|(_, cursor)| cursor);
-    let mut batch = core.hub.batch(core.names.address, since, version);
+    let mut telling = core.hub.batch(core.names.address, told.hub, version);
     let reports = core.suspects.since(told.crashes);
-    batch.crashes = reports.reports;
-    let cursor = batch.cursor;
-    let Some(ack) = send(&core, peer, batch).await else {
+    telling.batch.crashes = reports.reports;
+    let Some(ack) = send(&core, peer, telling.batch).await else {
         return (peer, told);
     };
-    let same_feed = told.hub.is_none_or(|(feed, _)| feed == ack.feed);
+    let same_feed = told.feed.is_none_or(|feed| feed == ack.feed);
     if !ack.understood || !same_feed {
         return (peer, ToldState::default());
     }
     let told = ToldState {
-        hub: Some((ack.feed, cursor)),
+        hub: Some(telling.position),
+        feed: Some(ack.feed),
         crashes: reports.cursor,
     };
     (peer, told)
@@ -104,7 +106,7 @@
         Ok(ack) => Some(ack),
         Err(error) => {
             debug!(event = "peer-unanswered", peer, %error);
-            core.mesh.reset(peer);
+            core.mesh.call_failed(peer, &error);
             None
         }
     }
--- a/crates/control/tests/control/hub.rs
+++ b/crates/control/tests/control/hub.rs
@@ -127,26 +127,30 @@
     one.renew(&member(1, "orders"), 5, LEASE);
     one.renew(&member(2, "orders"), 5, LEASE);
     let first = one.batch(LOOPBACK, None, 5);
-    assert!(first.full);
-    assert!(two.absorb(&first));
+    assert_eq!(first.batch.changed.len(), 2);
+    assert!(two.absorb(&first.batch));
     assert_eq!(two.leases().len(), 2);
 
     clock.advance(LEASE / 2);
     one.renew(&member(1, "orders"), 6, LEASE);
     one.leave(2);
-    let second = one.batch(LOOPBACK, Some(first.cursor), 6);
-    assert!(second.changed.is_empty());
-    assert_eq!(second.renewed.len(), 1);
-    assert_eq!(second.left, [2]);
-    assert!(two.absorb(&second));
+    let second = one.batch(LOOPBACK, Some(first.position), 6);
+    assert!(second.batch.changed.is_empty());
+    assert_eq!(second.batch.renewed.len(), 1);
+    assert_eq!(second.batch.left, [2]);
+    assert!(two.absorb(&second.batch));
     assert!(two.all_applied(6));
     clock.advance(LEASE / 2);
     assert!(two.expire().is_empty());
 
+    // What did not change is not told again.
+    let third = one.batch(LOOPBACK, Some(second.position), 6);
+    assert!(third.batch.renewed.is_empty());
+
     // A renewal of a node that is unknown there asks for all of them.
     let restarted = MembershipHub::new(2, 23, clock.clone());
-    assert!(!restarted.absorb(&one.batch(LOOPBACK, Some(second.cursor), 6)));
-    assert!(restarted.absorb(&one.batch(LOOPBACK, None, 6)));
+    assert!(!restarted.absorb(&one.batch(LOOPBACK, Some(first.position), 6).batch));
+    assert!(restarted.absorb(&one.batch(LOOPBACK, None, 6).batch));
     assert_eq!(restarted.leases().len(), 1);
 }
 
@@ -158,22 +162,19 @@
         MembershipHub::new(2, 22, clock.clone()),
     );
     one.renew(&member(1, "orders"), 5, LEASE);
-    let mut stale = one.batch(LOOPBACK, None, 5);
+    let mut told = one.batch(LOOPBACK, None, 5);
     clock.advance(LEASE / 4);
     let mut draining = member(1, "orders");
     draining.state = ServerState::Draining;
     two.renew(&draining, 5, LEASE);
-    assert!(one.absorb(&two.batch(LOOPBACK, None, 5)));
+    assert!(one.absorb(&two.batch(LOOPBACK, None, 5).batch));
     assert_eq!(one.served_here(), 0);
-    assert!(
-        one.batch(LOOPBACK, Some(stale.cursor), 5)
-            .renewed
-            .is_empty()
-    );
+    let later = one.batch(LOOPBACK, Some(told.position), 5);
+    assert!(later.batch.renewed.is_empty());
     // Arrives late, and its lease ends before the one known.
     clock.advance(Duration::from_millis(1));
-    stale.changed[0].lease.time_left = LEASE / 2;
-    assert!(two.absorb(&stale));
+    told.batch.changed[0].lease.time_left = LEASE / 2;
+    assert!(two.absorb(&told.batch));
     assert_eq!(two.leases()[0].member.state, ServerState::Draining);
     assert_eq!(two.served_here(), 1);
 }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -26,6 +26,7 @@
 use crate::role::PeerRole;
 use crate::rpc::RpcChannel;
 use crate::rpc::call_context;
+use crate::rpc::is_broken;
 use crate::service::ControlError;
 use crate::service::NodeControlClient;
 use crate::service::NodeControlRequest;
@@ -265,7 +266,9 @@
                 Err(ClientError::Answered { address, error })
             }
             Err(error) => {
-                self.targets[target.position].channel.reset();
+                if is_broken(&error) {
+                    self.targets[target.position].channel.reset();
+                }
                 self.switch(target.position, &error);
                 Err(ClientError::Unanswered { address })
             }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -26,6 +26,7 @@
 use crate::role::PeerRole;
 use crate::rpc::RpcChannel;
 use crate::rpc::call_context;
+use crate::rpc::is_broken;
 use crate::service::PeerControlClient;
 use crate::service::PeerControlRequest;
 use crate::service::PeerControlResponse;
@@ -79,7 +80,11 @@
     ///
     /// Must be called within a tokio runtime, which runs the sender.
     pub fn add(&self, peer: InstanceId, address: SocketAddr) {
-        if peer == self.own {
+        let mut peers = self.lock();
+        let known = peers
+            .get(&peer)
+            .is_some_and(|entry| entry.channel.address() == address);
+        if known || peer == self.own {
             return;
         }
         let channel = PeerChannel::new(self.endpoint.clone(), address, PeerRole::Control);
@@ -90,14 +95,8 @@
             channel: channel.clone(),
             messages,
         };
-        let mut peers = self.lock();
-        let known = peers
-            .get(&peer)
-            .is_some_and(|entry| entry.channel.address() == address);
-        if !known {
-            tokio::spawn(sender.run());
-            peers.insert(peer, PeerEntry { channel, queue });
-        }
+        tokio::spawn(sender.run());
+        peers.insert(peer, PeerEntry { channel, queue });
     }
 
     /// Forgets a peer that left the group.
@@ -123,9 +122,11 @@
         channel.channel(limit).await.map(PeerClient::from)
     }
 
-    /// Drops the connection to a peer whose call failed, so that the next one reconnects.
-    pub fn reset(&self, peer: InstanceId) {
-        if let Some(entry) = self.lock().get(&peer) {
+    /// Drops the connection to a peer if a failed call says that it is broken.
+    pub fn call_failed(&self, peer: InstanceId, error: &RpcError) {
+        if is_broken(error)
+            && let Some(entry) = self.lock().get(&peer)
+        {
             entry.channel.reset();
         }
     }
@@ -190,7 +191,9 @@
     fn note(&self, outcome: Result<(), RpcError>) {
         if let Err(error) = outcome {
             debug!(event = "peer-call-failed", peer = self.peer, %error);
-            self.channel.reset();
+            if is_broken(&error) {
+                self.channel.reset();
+            }
         }
     }
 }
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -13,11 +13,13 @@
 use tarpc::Response;
 use tarpc::client;
 use tarpc::client::Channel;
+use tarpc::client::RpcError;
 use tarpc::context;
 use tarpc::context::Context;
 use tarpc::serde_transport;
 use tarpc::serde_transport::Transport;
 use tarpc::server::BaseChannel;
+use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
 use crate::codec::PostcardCodec;
@@ -63,6 +65,18 @@
     context
 }
 
+/// Returns whether a call failed because its connection is of no use any more.
+///
+/// A late answer is no such failure: other calls may be under way on the same
+/// connection, and a silent cut ends it by its idle timeout.
+#[must_use]
+pub fn is_broken(error: &RpcError) -> bool {
+    matches!(
+        error,
+        RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_)
+    )
+}
+
 /// Client side towards one process, connected when first used and again after a loss.
 #[derive(Debug)]
 pub struct RpcChannel<Req, Resp> {
@@ -70,6 +84,8 @@
     address: SocketAddr,
     role: PeerRole,
     current: Arc<Mutex<Option<OpenChannel<Req, Resp>>>>,
+    /// Held while connecting, so that calls made together share one connection.
+    connecting: Arc<tokio::sync::Mutex<()>>,
 }
 
 /// A connection with the client side of its one stream.
@@ -86,6 +102,7 @@
             address: self.address,
             role: self.role,
             current: Arc::clone(&self.current),
+            connecting: Arc::clone(&self.connecting),
         }
     }
 }
@@ -103,6 +120,7 @@
             address,
             role,
             current: Arc::default(),
+            connecting: Arc::default(),
         }
     }
 
@@ -121,10 +139,14 @@
         if let Some(channel) = self.open_channel() {
             return Ok(channel);
         }
-        let link = self
-            .endpoint
-            .connect(self.address, self.role, limit)
-            .await?;
+        let address = self.address;
+        let _turn = timeout(limit, self.connecting.lock())
+            .await
+            .map_err(|_| LinkError::Timeout { address })?;
+        if let Some(channel) = self.open_channel() {
+            return Ok(channel);
+        }
+        let link = self.endpoint.connect(address, self.role, limit).await?;
         let stream = link.open().await?;
         let channel = client::new(client::Config::default(), transport(stream)).spawn();
         let opened = OpenChannel {
--- a/crates/wire/src/service/message.rs
+++ b/crates/wire/src/service/message.rs
@@ -42,10 +42,6 @@
     pub address: SocketAddr,
     /// Its feed, new with every start.
     pub feed: u64,
-    /// Position in its feed up to which this batch tells.
-    pub cursor: u64,
-    /// Whether it holds all its nodes.
-    pub full: bool,
     /// Version that was applied there before the batch was put together;
     /// every lease granted under an earlier one is known by this batch.
     pub version: ConfigVersion,
