--- a/crates/control/src/owners.rs
+++ b/crates/control/src/owners.rs
@@ -57,10 +57,7 @@
 impl<L: ControlLog, C: Clock> ControlCore<L, C> {
     /// Sets the first owners of a new group.
     async fn found_group(&self) {
-        let founded = self
-            .log
-            .read(|state| !state.config().declaration().owners.is_empty());
-        if founded {
+        if self.is_founded() {
             return;
         }
         let owners = self.names.owners.clone();
--- a/crates/control/src/propose.rs
+++ b/crates/control/src/propose.rs
@@ -12,6 +12,7 @@
 use model::ids::InstanceId;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
+use model::once::OnceKey;
 use model::once::OnceSettle;
 use replica::ProposeError;
 use tokio::time::sleep;
@@ -62,16 +63,29 @@
         }
     }
 
+    /// Tells whether a request that must run at most once may have run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no quorum confirmed the leader in time.
+    pub async fn may_have_run(&self, key: &OnceKey) -> Result<bool, ControlError> {
+        if !self.confirmed().await {
+            return Err(ControlError::NoQuorum);
+        }
+        Ok(self.log.read(|state| state.once().may_have_run(key)))
+    }
+
     /// Submits a change with the signatures at hand.
     ///
     /// # Errors
     ///
-    /// As [`ControlCore::claim`].
+    /// As [`ControlCore::claim`], and when the group is not founded in time.
     pub async fn submit(
         &self,
         submission: ChangeSubmission,
         deadline: Instant,
     ) -> Result<ChangeStatus, ControlError> {
+        self.founded(deadline).await?;
         let command = LedgerCommand::Submit {
             change: submission.change,
             signatures: submission.signatures,
@@ -82,6 +96,23 @@
         }
     }
 
+    /// Returns whether the first owners of the group are known here.
+    pub(crate) fn is_founded(&self) -> bool {
+        self.log
+            .read(|state| !state.config().declaration().owners.is_empty())
+    }
+
+    /// Waits until the first owners are known here, since nobody can sign before.
+    async fn founded(&self, deadline: Instant) -> Result<(), ControlError> {
+        while !self.is_founded() {
+            if Instant::now() >= deadline {
+                return Err(ControlError::NoQuorum);
+            }
+            sleep(Duration::from_millis(LEADER_PAUSE_MS)).await;
+        }
+        Ok(())
+    }
+
     /// Commits a command at the leader, wherever that is, until `deadline`.
     ///
     /// It is repeated until an outcome arrives: committing any command twice
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -7,6 +7,7 @@
 use model::ids::InstanceId;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
+use model::once::OnceKey;
 use model::once::OnceSettle;
 use tarpc::context::Context;
 use tarpc::server::Channel;
@@ -72,6 +73,10 @@
         self.core.metrics.once_calls.inc();
         self.core.settle(settle, context.deadline).await
     }
+
+    async fn may_have_run(self, _: Context, key: OnceKey) -> Result<bool, ControlError> {
+        self.core.may_have_run(&key).await
+    }
 }
 
 impl<L: ControlLog, C: Clock> PeerControl for PeerService<L, C> {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -19,6 +19,7 @@
 use model::ids::TeamName;
 use model::keys;
 use model::lookup::RouteEntry;
+use model::once::OnceKey;
 use model::verdict::CallFailure;
 use model::verdict::FailureCause;
 use model::verdict::RunVerdict;
@@ -32,12 +33,15 @@
 use crate::forward::OutgoingCall;
 use crate::headers;
 use crate::metrics::RequestLabels;
+use crate::once;
 use crate::problem;
 use crate::state::NodeState;
 use crate::view::DeclaredView;
 
 /// Start of the value of `Authorization`.
 const BEARER: &str = "Bearer ";
+/// Version of a UUID that carries a time stamp.
+const STAMPED_VERSION: usize = 7;
 /// Label of a request without class or team.
 const NO_LABEL: &str = "none";
 
@@ -46,6 +50,8 @@
     request: RequestId,
     entry: Arc<RouteEntry>,
     team: Option<TeamName>,
+    /// Identity of a request that must run at most once.
+    once: Option<OnceKey>,
     deadline: Instant,
 }
 
@@ -70,7 +76,11 @@
     let request = checked.request;
     let entry = Arc::clone(&checked.entry);
     let team = checked.team.clone();
-    let result = enter(&state, checked, head, body).await;
+    let once = checked.once.clone();
+    let mut result = enter(&state, checked, head, body).await;
+    if let (Err(failure), Some(key)) = (&result, &once) {
+        result = Err(once::covering_earlier(&state, key, failure.clone()).await);
+    }
     let labels = RequestLabels {
         class: &entry.class.name,
         team: team.as_deref().unwrap_or(NO_LABEL),
@@ -91,11 +101,18 @@
     let team = if entry.route.open {
         None
     } else {
-        Some(authenticate(state, &view, &head.headers)?)
+        let authenticated = authenticate(state, &view, &head.headers);
+        Some(authenticated.map_err(|failure| covering_lease(entry, failure))?)
     };
-    let request = request_id(entry, team.as_ref(), &head.headers)?;
+    let key = idempotency_key(entry, &head.headers)?;
+    let once = team.clone().zip(key).filter(|_| entry.route.once);
     Ok(CheckedHead {
-        request,
+        request: request_id(entry, team.as_ref(), key),
+        once: once.map(|(team, key)| OnceKey {
+            team,
+            route: entry.route.name.clone(),
+            key,
+        }),
         team,
         deadline: begun + entry.class.within,
         entry: Arc::clone(entry),
@@ -121,24 +138,32 @@
         .ok_or(CallFailure::not_run(FailureCause::UnknownKey))
 }
 
-/// Draws the request's id; re-sends with one idempotency key get the same one.
-fn request_id(
-    entry: &RouteEntry,
-    team: Option<&TeamName>,
-    headers: &HeaderMap,
-) -> Result<RequestId, CallFailure> {
+/// Corrects the verdict of a node that cannot ask whether an earlier sending ran.
+fn covering_lease(entry: &RouteEntry, mut failure: CallFailure) -> CallFailure {
+    if entry.route.once && failure.cause == FailureCause::NoLease {
+        failure.verdict = RunVerdict::MayHaveRun;
+    }
+    failure
+}
+
+/// Returns the idempotency key, which routes that run at most once need.
+fn idempotency_key(entry: &RouteEntry, headers: &HeaderMap) -> Result<Option<Uuid>, CallFailure> {
     let bad_key = CallFailure::not_run(FailureCause::BadIdempotencyKey);
-    if !headers.contains_key(headers::IDEMPOTENCY_KEY) {
-        return if entry.route.once {
-            Err(bad_key)
-        } else {
-            Ok(rand::random())
-        };
+    if !headers.contains_key(headers::IDEMPOTENCY_KEY) && !entry.route.once {
+        return Ok(None);
     }
     let value = headers::single(headers, &headers::IDEMPOTENCY_KEY);
     let text = value.and_then(|value| value.to_str().ok());
     let key = text.and_then(|text| Uuid::parse_str(text).ok());
-    let key = key.ok_or(bad_key)?;
+    let is_stamped = |key: &Uuid| !entry.route.once || key.get_version_num() == STAMPED_VERSION;
+    key.filter(is_stamped).map(Some).ok_or(bad_key)
+}
+
+/// Draws the request's id; re-sends with one idempotency key get the same one.
+fn request_id(entry: &RouteEntry, team: Option<&TeamName>, key: Option<Uuid>) -> RequestId {
+    let Some(key) = key else {
+        return rand::random();
+    };
     let mut hasher = blake3::Hasher::new();
     hasher.update(team.map_or(b"", |team| team.as_bytes()));
     hasher.update(&[0]);
@@ -146,7 +171,7 @@
     hasher.update(key.as_bytes());
     let mut id = [0; size_of::<RequestId>()];
     id.copy_from_slice(&hasher.finalize().as_bytes()[..size_of::<RequestId>()]);
-    Ok(RequestId::from_le_bytes(id))
+    RequestId::from_le_bytes(id)
 }
 
 /// Reads the body, charges the team and sends the request on.
--- a/crates/node/src/execute.rs
+++ b/crates/node/src/execute.rs
@@ -12,7 +12,6 @@
 use model::context::CallContext;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
-use model::once::OnceKey;
 use model::once::OnceSettle;
 use model::once::StoredAnswer;
 use model::verdict::CallFailure;
@@ -20,14 +19,13 @@
 use model::verdict::RunVerdict;
 use timeline::EventRecord;
 use tokio_util::sync::CancellationToken;
-use uuid::Uuid;
 
 use crate::backend::BackendOutcome;
 use crate::call::CallAnswer;
 use crate::call::CallRequest;
 use crate::gate::GatePass;
-use crate::headers;
 use crate::lost;
+use crate::once;
 use crate::parent::ParentCall;
 use crate::receive;
 use crate::server::ServerTarget;
@@ -118,7 +116,7 @@
     request: &CallRequest,
 ) -> ExecutedCall {
     let refused = |failure| ExecutedCall::refused(failure, context.allowance);
-    let key = match once_key(context, request) {
+    let key = match once::once_key(context, request) {
         Ok(key) => key,
         Err(failure) => return refused(failure),
     };
@@ -148,21 +146,6 @@
     executed
 }
 
-fn once_key(context: &CallContext, request: &CallRequest) -> Result<OnceKey, CallFailure> {
-    let bad_key = CallFailure::not_run(FailureCause::BadIdempotencyKey);
-    let text = headers::single(&request.headers, &headers::IDEMPOTENCY_KEY);
-    let text = text.and_then(|value| value.to_str().ok());
-    let key = text.and_then(|text| Uuid::parse_str(text).ok());
-    let Some(team) = context.team.clone() else {
-        return Err(CallFailure::not_run(FailureCause::BadCredentials));
-    };
-    Ok(OnceKey {
-        team,
-        route: context.route.clone(),
-        key: key.ok_or(bad_key)?,
-    })
-}
-
 /// Claims the first run; returns the kept answer when it ran before.
 async fn claimed<C: Clock>(
     state: &NodeState<C>,
@@ -178,8 +161,9 @@
             Err(CallFailure::may_have_run(FailureCause::Duplicate))
         }
         Ok(ClaimOutcome::KeyReused) => Err(CallFailure::not_run(FailureCause::KeyReused)),
-        Ok(ClaimOutcome::Expired) => Err(CallFailure::not_run(FailureCause::BadIdempotencyKey)),
-        // An earlier sending of the same request may have run.
+        Ok(ClaimOutcome::Expired) => {
+            Err(CallFailure::may_have_run(FailureCause::BadIdempotencyKey))
+        }
         Err(_) => Err(CallFailure::may_have_run(FailureCause::NoQuorum)),
     }
 }
@@ -241,7 +225,11 @@
             pass,
             completed: false,
         }),
-        TrialDecision::Refuse(failure) => Err(failure),
+        // What is held against a request was learned from running it.
+        TrialDecision::Refuse(mut failure) => {
+            failure.verdict = RunVerdict::MayHaveRun;
+            Err(failure)
+        }
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod lost;
 mod members;
 mod metrics;
+mod once;
 mod parent;
 mod peers;
 mod problem;
--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -31,6 +31,7 @@
 use crate::forward;
 use crate::forward::OutgoingCall;
 use crate::headers;
+use crate::once;
 use crate::parent::ParentCall;
 use crate::problem;
 use crate::receive::DEPTH_MAX;
@@ -124,7 +125,15 @@
         idempotent: entry.route.idempotent,
         request: &request,
     };
-    let result = forward::forward(state, outgoing, &mut allowance).await;
+    let once = if entry.route.once {
+        Some(once::once_key(&outgoing.context, &request)?)
+    } else {
+        None
+    };
+    let mut result = forward::forward(state, outgoing, &mut allowance).await;
+    if let (Err(failure), Some(key)) = (&result, &once) {
+        result = Err(once::covering_earlier(state, key, failure.clone()).await);
+    }
     let mut left = lock(&parent.allowance);
     left.restore(share, allowance.left());
     drop(left);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -22,6 +22,7 @@
 use timeline::EventRing;
 use timeline::StampClock;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio_util::task::TaskTracker;
 use wire::client::ControlClient;
 use wire::identity::TlsIdentity;
@@ -51,6 +52,9 @@
 /// Requests remembered to recognise re-sends.
 const RESENDS_KEPT: usize = 65_536;
 
+/// Refused requests for which control is asked at the same time.
+const QUESTIONS_MAX: usize = 8;
+
 /// Shared state of a node.
 pub(crate) struct NodeState<C: Clock> {
     /// Source of time.
@@ -89,6 +93,8 @@
     pub background: TaskTracker,
     /// Extra attempts that requests may still be given.
     pub retries: RetryBudget,
+    /// Bounds the questions for records of refused requests.
+    pub questions: Semaphore,
     /// Wakes the exchange ahead of its period.
     pub wake: Notify,
     lease: Mutex<LeaseHolder>,
@@ -130,6 +136,7 @@
             peers: PeerPool::new(peer_tls.config, name),
             control: ControlClient::new(&endpoint, &settings.control, node),
             background: TaskTracker::new(),
+            questions: Semaphore::new(QUESTIONS_MAX),
             wake: Notify::new(),
             lease: Mutex::default(),
             cuts: Mutex::new(CutBook::new(clock.clone())),
--- a/crates/once/src/scope.rs
+++ b/crates/once/src/scope.rs
@@ -35,6 +35,15 @@
         *self.ids.entry(scope).or_insert(next)
     }
 
+    /// Returns the number of a key's team and route, if they were seen.
+    pub(crate) fn find(&self, key: &OnceKey) -> Option<ScopeId> {
+        let scope = OnceScope {
+            team: key.team.clone(),
+            route: key.route.clone(),
+        };
+        self.ids.get(&scope).copied()
+    }
+
     /// Feeds all pairs to a hasher; there are few.
     pub(crate) fn hash_into(&self, hasher: &mut blake3::Hasher) {
         for (scope, id) in &self.ids {
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -100,6 +100,24 @@
         ClaimOutcome::Fresh
     }
 
+    /// Returns whether a request may have run, as far as the records tell.
+    ///
+    /// Whatever is too old to have a record may have run.
+    #[must_use]
+    pub fn may_have_run(&self, key: &OnceKey) -> bool {
+        if !self.may_have_record(&key.key) {
+            return true;
+        }
+        let Some(scope) = self.scopes.find(key) else {
+            return false;
+        };
+        let record = self.records.get(&RecordKey {
+            key: key.key,
+            scope,
+        });
+        record.is_some_and(|record| !matches!(record.state, RecordState::Freed { .. }))
+    }
+
     /// Ends an attempt; `wall_ms` is the logged time.
     ///
     /// Only the attempt that holds the record ends it. A request that did not
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -12,6 +12,7 @@
 use model::ids::InstanceId;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
+use model::once::OnceKey;
 use model::once::OnceSettle;
 use settings::ControlAddress;
 use tarpc::client::Channel;
@@ -96,6 +97,18 @@
     }
 }
 
+impl OnceMessage for OnceKey {
+    type Answer = bool;
+
+    async fn send(
+        self,
+        client: &NodeClient,
+        context: Context,
+    ) -> Result<Result<bool, ControlError>, RpcError> {
+        client.may_have_run(context, self).await
+    }
+}
+
 impl ControlClient {
     /// Creates a client of these instances, tried in this order from `first` on.
     ///
@@ -187,6 +200,15 @@
         self.repeat(limit, settle).await
     }
 
+    /// Asks whether a request that must run at most once may have run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no instance could tell in time.
+    pub async fn may_have_run(&self, key: &OnceKey, limit: Duration) -> Result<bool, ClientError> {
+        self.repeat(limit, key).await
+    }
+
     async fn try_exchange(
         &self,
         request: &ExchangeRequest,
--- a/crates/wire/src/service.rs
+++ b/crates/wire/src/service.rs
@@ -9,6 +9,7 @@
 use model::ids::InstanceId;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
+use model::once::OnceKey;
 use model::once::OnceSettle;
 use serde::Deserialize;
 use serde::Serialize;
@@ -64,6 +65,9 @@
 
     /// Ends an attempt.
     async fn settle(settle: OnceSettle) -> Result<(), ControlError>;
+
+    /// Tells whether a request that must run at most once may have run.
+    async fn may_have_run(key: OnceKey) -> Result<bool, ControlError>;
 }
 
 /// Offered to each other by the control instances.
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -79,6 +79,10 @@
     async fn settle(self, _: Context, _: OnceSettle) -> Result<(), ControlError> {
         Ok(())
     }
+
+    async fn may_have_run(self, _: Context, _: OnceKey) -> Result<bool, ControlError> {
+        Err(ControlError::NoQuorum)
+    }
 }
 
 impl PeerControl for FakeControl {
