--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -222,6 +222,10 @@
             ServerState::Draining => return refusal(FailureCause::Draining),
             ServerState::Starting | ServerState::Ready => {}
         }
+        if self.is_outranked(offer.rank) {
+            self.period.refused += 1;
+            return refusal(FailureCause::Overloaded);
+        }
         let needed = self.needed();
         if now >= offer.deadline || now + needed > offer.deadline {
             return refusal(FailureCause::DeadlineExceeded);
@@ -234,6 +238,11 @@
         self.wait(offer, now, actions)
     }
 
+    /// Returns whether calls of the class refused last are refused while this one ranks below it.
+    fn is_outranked(&self, rank: CallRank) -> bool {
+        self.cut().importance() == u8::MAX && rank.importance() < u8::MAX
+    }
+
     fn wait(&mut self, offer: CallOffer, now: Instant, actions: &mut GateActions) -> AdmitDecision {
         let refused_last = offer.rank.importance() == u8::MAX;
         let leave_by = now + Duration::from_millis(WAIT_MAX_MS);
@@ -264,6 +273,7 @@
             self.refuse(displaced, FailureCause::Overloaded, actions);
         }
         self.queue.push(call);
+        self.period.waited += 1;
         AdmitDecision::Queued
     }
 
--- a/crates/admit/src/gate/demand.rs
+++ b/crates/admit/src/gate/demand.rs
@@ -12,8 +12,12 @@
 const LEVELS: usize = 32;
 /// Weight of the newest period in the demand of a bucket.
 const FRESH_WEIGHT: f64 = 0.3;
-/// Factor per period by which unseen demand below the cut is forgotten.
-const UNSEEN_DECAY: f64 = 0.97;
+/// Factors per period by which unseen demand below the cut is forgotten: while
+/// the backend server has all it can do, and while it could do more.
+const UNSEEN_DECAY_PRESSED: f64 = 0.995;
+const UNSEEN_DECAY_SLACK: f64 = 0.85;
+/// Share of offers that wait or are refused above which it has all it can do.
+const PRESSED_SHARE: f64 = 0.1;
 /// Demand let through, relative to capacity, so that the backend server never idles.
 const EXCESS: f64 = 1.05;
 /// Share of offers refused in a period above which it counts as overloaded.
@@ -26,6 +30,8 @@
 pub(super) struct PeriodLoad {
     /// Calls refused, displaced or expired.
     pub(super) refused: u32,
+    /// Calls that could not run at once.
+    pub(super) waited: u32,
     /// Calls completed.
     pub(super) completed: u32,
     /// Length of the period.
@@ -77,7 +83,14 @@
     /// Folds the period into the demand and moves the cut.
     pub(super) fn end_period(&mut self, load: &PeriodLoad) {
         let overloaded = f64::from(load.refused) > REFUSED_SHARE * f64::from(self.offered);
-        self.fold(load.elapsed.as_secs_f64());
+        let pressed = load.waited.saturating_add(load.refused);
+        let pressed = f64::from(pressed) > PRESSED_SHARE * f64::from(self.offered);
+        let unseen_decay = if pressed {
+            UNSEEN_DECAY_PRESSED
+        } else {
+            UNSEEN_DECAY_SLACK
+        };
+        self.fold(load.elapsed.as_secs_f64(), unseen_decay);
         self.offered = 0;
         if load.capacity_per_s <= 0.0 {
             self.cut = CallRank::MIN;
@@ -94,7 +107,7 @@
         self.period += 1;
     }
 
-    fn fold(&mut self, elapsed_s: f64) {
+    fn fold(&mut self, elapsed_s: f64, unseen_decay: f64) {
         let seen_above = self.recent_cuts.iter().copied().max();
         let seen_above = seen_above.unwrap_or(CallRank::MIN);
         for bucket in 0..CLASSES * LEVELS {
@@ -103,7 +116,7 @@
             self.rates[bucket] = if self.floor(bucket) >= seen_above {
                 rate + FRESH_WEIGHT * (fresh - rate)
             } else {
-                fresh.max(rate * UNSEEN_DECAY)
+                fresh.max(rate * unseen_decay)
             };
         }
         self.counts = [0; CLASSES * LEVELS];
--- a/crates/admit/src/gate/limit.rs
+++ b/crates/admit/src/gate/limit.rs
@@ -1,5 +1,6 @@
 //! Concurrency limit of one backend server, found from its completions.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -39,7 +40,9 @@
 /// Part of the limit that a dip leaves.
 const DIP_FACTOR: f64 = 0.6;
 /// Throughput in a dip, relative to before, above which the backend server was still saturated.
-const DIP_SATURATED: f64 = 0.92;
+const DIP_SATURATED: f64 = 0.82;
+/// Such throughputs that call for a longer measurement, since they are not clear.
+const DIP_UNCLEAR: RangeInclusive<f64> = 0.74..=0.9;
 /// Service time in a dip, relative to the base, up to which queueing explains the rest.
 const DIP_EXPLAINED: f64 = 1.2;
 /// Part of a service time for which a dip settles before it is measured.
@@ -77,8 +80,12 @@
         throughput: f64,
         until: Option<Instant>,
     },
-    /// The lowered limit is being measured.
-    Dip { limit: f64, throughput: f64 },
+    /// The lowered limit is being measured, for longer if the first result is not clear.
+    Dip {
+        limit: f64,
+        throughput: f64,
+        extended: bool,
+    },
 }
 
 /// Finds the concurrency at which the backend server is just saturated.
@@ -203,11 +210,29 @@
         if !self.window_is_over(now) {
             return;
         }
+        let sum = self.window;
         let result = self.end_window(now);
         match (self.phase, result) {
             (SearchPhase::Cruise, Some(result)) => self.cruise(result, now),
-            (SearchPhase::Dip { limit, throughput }, Some(result)) => {
-                self.dip(limit, throughput, result, now);
+            (
+                SearchPhase::Dip {
+                    limit,
+                    throughput,
+                    extended,
+                },
+                Some(result),
+            ) => {
+                let ratio = result.throughput / throughput;
+                if !extended && DIP_UNCLEAR.contains(&ratio) {
+                    self.window = sum;
+                    self.phase = SearchPhase::Dip {
+                        limit,
+                        throughput,
+                        extended: true,
+                    };
+                } else {
+                    self.dip(limit, throughput, result, now);
+                }
             }
             (SearchPhase::Dip { .. }, None) => self.end_dip(now),
             (SearchPhase::Cruise, None) | (SearchPhase::Settle { .. }, _) => {}
@@ -247,6 +272,7 @@
         let limit = self.current();
         let calls = match self.phase {
             SearchPhase::Cruise => (WINDOW_TURNS * limit).clamp(WINDOW_CALLS_LOW, WINDOW_CALLS),
+            SearchPhase::Dip { extended: true, .. } => 2 * DIP_CALLS,
             SearchPhase::Settle { .. } | SearchPhase::Dip { .. } => DIP_CALLS,
         };
         calls.max(limit / 2)
@@ -281,7 +307,7 @@
         };
         let wanted = self.slow_windows >= 2 || !self.verified || now >= self.next_check;
         if wanted && now >= self.next_dip {
-            self.begin_dip(self.limit, result.throughput);
+            self.begin_dip(self.limit, self.estimate.capacity);
         }
     }
 
@@ -321,7 +347,11 @@
             return;
         }
         self.window = WindowSum::new(now, self.in_flight);
-        self.phase = SearchPhase::Dip { limit, throughput };
+        self.phase = SearchPhase::Dip {
+            limit,
+            throughput,
+            extended: false,
+        };
     }
 
     fn dip(&mut self, limit: f64, throughput: f64, result: WindowResult, now: Instant) {
--- a/crates/admit/tests/standing.rs
+++ b/crates/admit/tests/standing.rs
@@ -115,3 +115,35 @@
     let first = RankPolicy::rank(RefusalOrder::First, 40.0, 77);
     assert_eq!(first, RankPolicy::rank(RefusalOrder::First, 40.0, 77));
 }
+
+#[test]
+fn a_team_does_not_lose_by_sending_refused_requests_again() {
+    let clock = VirtualClock::new();
+    let mut book = StandingBook::new(clock.clone());
+    let teams: [(TeamName, u64); 2] = [("calm".into(), 50), ("keen".into(), 300)];
+    // A fixed cut admits each team's layers below about 39 calls per second.
+    let cut = CallRank::new(RankPolicy::importance(RefusalOrder::Middle), 124, 0);
+    let mut admitted = [0_u32; 2];
+    let mut waiting: Vec<(usize, u128, u32)> = Vec::new();
+    let mut id = 0;
+    for tick in 0..20_000_u64 {
+        clock.advance(Duration::from_millis(1));
+        let mut due = std::mem::take(&mut waiting);
+        for (team, (_, rate)) in teams.iter().enumerate() {
+            if tick * rate / 1000 != (tick + 1) * rate / 1000 {
+                id += 1;
+                due.push((team, id, 5));
+            }
+        }
+        for (team, id, sends_left) in due {
+            let rank = book.rank(Some(&teams[team].0), RefusalOrder::Middle, id);
+            if rank >= cut {
+                admitted[team] += 1;
+            } else if sends_left > 1 {
+                waiting.push((team, id, sends_left - 1));
+            }
+        }
+    }
+    let ratio = f64::from(admitted[1]) / f64::from(admitted[0]);
+    assert!((0.9..=1.1).contains(&ratio), "{admitted:?}");
+}
