Share learned cuts between routes that reach the same service

Its route enters the deep service directly; once all its calls are refused it gets no answers, and its cut fades every second although other routes still hear of the cut.

--- a/crates/admit/src/cut.rs
+++ b/crates/admit/src/cut.rs
@@ -117,15 +117,35 @@
                 learned.push(LearnedCut::new(notice.service.clone(), notice.cut, now));
             }
         }
+        let mut answered: SmallVec<[CutNotice; 4]> = SmallVec::new();
         for known in learned.iter_mut() {
             let notice = cuts.iter().find(|cut| cut.service == known.service);
             let cut = notice.map_or(CallRank::MIN, |notice| notice.cut);
             known.learn(cut, now);
+            answered.push(CutNotice {
+                service: known.service.clone(),
+                cut,
+            });
         }
         learned.retain(|cut| cut.samples.iter().any(|rank| *rank > CallRank::MIN));
         if learned.is_empty() {
             self.routes.remove(route);
         }
+        self.share(route, &answered, now);
+    }
+
+    /// Tells other routes through the same services what an answer on `route` told.
+    ///
+    /// A route whose calls are all refused gets no answers of its own, and its
+    /// cut would fade while more important requests still fill the service.
+    fn share(&mut self, route: &RouteName, answered: &[CutNotice], now: Instant) {
+        let others = self.routes.iter_mut().filter(|(other, _)| *other != route);
+        for known in others.flat_map(|(_, learned)| learned) {
+            let notice = answered.iter().find(|cut| cut.service == known.service);
+            if let Some(notice) = notice {
+                known.learn(notice.cut, now);
+            }
+        }
     }
 
     /// Decides whether a call on `route` is worth sending.
