--- /dev/null
+++ b/crates/control/benches/exchange/claims.rs
@@ -0,0 +1,82 @@
+//! Time and rate of at-most-once claims through a control instance.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use model::once::ClaimOutcome;
+use model::once::OnceClaim;
+use model::once::OnceKey;
+use tokio::runtime::Runtime;
+use uuid::Uuid;
+use wire::client::ControlClient;
+use wire::role::PeerRole;
+
+use crate::group::BenchGroup;
+use crate::node;
+
+/// Time that a claim may take, in seconds.
+const CLAIM_TIMEOUT_S: u64 = 10;
+
+/// Claims of one node for some time; returns how long each took.
+async fn claim_on(client: ControlClient, node: u64, length: Duration) -> Vec<Duration> {
+    let end = Instant::now() + length;
+    let mut times = Vec::new();
+    while Instant::now() < end {
+        let claim = OnceClaim {
+            key: OnceKey {
+                team: "team-7".into(),
+                route: "route-7".into(),
+                key: Uuid::now_v7(),
+            },
+            body: [7; 32],
+            node,
+            attempt: 1,
+        };
+        let began = Instant::now();
+        let limit = Duration::from_secs(CLAIM_TIMEOUT_S);
+        let outcome = client.claim(&claim, limit).await;
+        if matches!(outcome, Ok(ClaimOutcome::Fresh)) {
+            times.push(began.elapsed());
+        }
+    }
+    times
+}
+
+/// Measures claims by numbers of nodes that claim one after the other.
+pub(crate) fn measure(
+    runtime: &Runtime,
+    group: &BenchGroup,
+    holder: usize,
+    counts: &[u64],
+    length: Duration,
+) -> anyhow::Result<()> {
+    println!("claimers,claims_per_s,claim_p50_ms,claim_p99_ms,claim_max_ms");
+    let identity = group.authority.identity(PeerRole::Node);
+    for count in counts {
+        let _entered = runtime.enter();
+        let began = Instant::now();
+        let claimers = (0..*count).map(|number| {
+            let client = node::client(&identity, &group.addresses[holder]);
+            runtime.spawn(claim_on(client, number, length))
+        });
+        let claimers: Vec<_> = claimers.collect();
+        let mut times = Vec::new();
+        for claimer in claimers {
+            times.extend(futures::executor::block_on(claimer)?);
+        }
+        times.sort_unstable();
+        let rate = times.len() as f64 / began.elapsed().as_secs_f64();
+        let milliseconds = |percent: usize| {
+            let last = times.len().saturating_sub(1);
+            let time = times.get(last * percent / 100);
+            time.map_or(f64::NAN, |time| time.as_secs_f64() * 1e3)
+        };
+        println!(
+            "{count},{rate:.0},{:.2},{:.2},{:.2}",
+            milliseconds(50),
+            milliseconds(99),
+            milliseconds(100)
+        );
+    }
+    Ok(())
+}
--- a/crates/control/benches/exchange/main.rs
+++ b/crates/control/benches/exchange/main.rs
@@ -6,15 +6,18 @@
 
 #[path = "../../../wire/tests/common/authority.rs"]
 mod authority;
+mod claims;
 mod cpu;
 mod group;
 mod node;
+mod sizes;
 mod table;
 
 use std::time::Duration;
 use std::time::Instant;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
@@ -44,10 +47,17 @@
 
 fn main() -> anyhow::Result<()> {
     let matches = arguments().get_matches();
+    if matches.get_flag("sizes") {
+        return sizes::print();
+    }
     let counts: Vec<u64> = matches
         .get_many("nodes")
         .map(|nodes| nodes.copied().collect())
         .unwrap_or_default();
+    if matches.get_flag("claims") {
+        let length = Duration::from_secs(plan(&matches, 0).seconds);
+        return measure_claims(&counts, length);
+    }
     println!("{}", RunResult::HEADINGS);
     for nodes in counts {
         let result = measure(&plan(&matches, nodes))?;
@@ -85,6 +95,18 @@
             "2",
             "Teams that each node demands tokens of in each exchange",
         ))
+        .arg(
+            Arg::new("sizes")
+                .long("sizes")
+                .action(ArgAction::SetTrue)
+                .help("Print the encoded sizes of the messages instead"),
+        )
+        .arg(
+            Arg::new("claims")
+                .long("claims")
+                .action(ArgAction::SetTrue)
+                .help("Time claims by these numbers of nodes instead"),
+        )
         .arg(Arg::new("bench").long("bench").num_args(0).hide(true))
 }
 
@@ -133,6 +155,19 @@
     Ok(result)
 }
 
+fn measure_claims(counts: &[u64], length: Duration) -> anyhow::Result<()> {
+    let runtimes = group::NAMES.map(|name| runtime(name, 2));
+    let node_runtime = runtime(node::THREAD_NAME, 4);
+    let group = BenchGroup::start(&runtimes)?;
+    runtime("driver", 1).block_on(group.founded());
+    let holder = group.follower();
+    claims::measure(&node_runtime, &group, holder, counts, length)?;
+    for runtime in runtimes {
+        runtime.shutdown_background();
+    }
+    Ok(())
+}
+
 /// Commits changes one by one and times their way to all nodes.
 async fn time_changes(
     plan: &RunPlan,
--- a/crates/control/benches/exchange/node.rs
+++ b/crates/control/benches/exchange/node.rs
@@ -20,6 +20,7 @@
 use model::exchange::ServerState;
 use model::exchange::TokenDemand;
 use model::ids::ConfigVersion;
+use model::ids::TeamName;
 use settings::ControlAddress;
 use timeline::EventStamp;
 use timeline::StampClock;
@@ -190,12 +191,12 @@
     }
 }
 
-type TeamHolder = (model::ids::TeamName, TokenHolder<SystemClock>);
+type TeamHolder = (TeamName, TokenHolder<SystemClock>);
 
 fn holders(number: u64, teams: usize) -> Vec<TeamHolder> {
     let ahead = Duration::from_millis(AHEAD_MS);
     let teams = (0..teams as u64).map(|team| {
-        let name: model::ids::TeamName = format!("team-{}", (number + team) % TEAMS).into();
+        let name: TeamName = format!("team-{}", (number + team) % TEAMS).into();
         (name.clone(), TokenHolder::new(name, ahead, SystemClock))
     });
     teams.collect()
@@ -212,14 +213,16 @@
     demands.collect()
 }
 
-fn client(identity: &TlsIdentity, address: &ControlAddress) -> ControlClient {
+/// Returns a client with a socket of its own.
+pub(crate) fn client(identity: &TlsIdentity, address: &ControlAddress) -> ControlClient {
     let timing = LinkTiming::default();
     let endpoint = QuicEndpoint::bind_client(LOOPBACK, identity, timing);
     let endpoint = endpoint.expect("a socket can be bound");
     ControlClient::new(&endpoint, std::slice::from_ref(address), 0)
 }
 
-fn request(number: u64) -> ExchangeRequest {
+/// Returns the first exchange of a node.
+pub(crate) fn request(number: u64) -> ExchangeRequest {
     let port = 1 + u16::try_from(number).unwrap_or(u16::MAX - 1);
     let service = number % SERVICES;
     let interests = (1..=INTERESTS).map(|step| format!("service-{}", (service + step) % SERVICES));
--- a/crates/control/tests/control/group.rs
+++ b/crates/control/tests/control/group.rs
@@ -24,6 +24,16 @@
 use crate::common::until;
 
 const LIMIT: Duration = Duration::from_secs(20);
+const TEAMS: &str = r#"
+    [[team]]
+    name = "a"
+    rate = 0.001
+    burst = 10
+    [[team]]
+    name = "b"
+    rate = 0.001
+    burst = 10
+"#;
 
 async fn leased(client: &ControlClient, request: &ExchangeRequest) -> ExchangeReply {
     loop {
@@ -120,18 +130,7 @@
 #[tokio::test]
 async fn tokens_come_from_the_owner_through_any_instance() {
     let group = FakeGroup::new(1);
-    group.declare(
-        r#"
-        [[team]]
-        name = "a"
-        rate = 0.001
-        burst = 10
-        [[team]]
-        name = "b"
-        rate = 0.001
-        burst = 10
-        "#,
-    );
+    group.declare(TEAMS);
     let running = TestGroup::start(&group, 2).await;
     let log = &running.instances[0].log;
     let owners = || log.read(|state| state.owners().iter().cloned().collect::<Vec<_>>());
@@ -161,6 +160,29 @@
     }
 }
 
+#[tokio::test]
+async fn a_lost_owner_of_tokens_holds_up_no_lease() {
+    let group = FakeGroup::new(1);
+    group.declare(TEAMS);
+    let running = TestGroup::start(&group, 2).await;
+    let log = &running.instances[0].log;
+    let owned_by = |instance| {
+        log.read(|state| {
+            let mut owners = state.owners().iter();
+            let owner = owners.find(|owner| owner.instance == instance);
+            owner.map(|owner| owner.team.clone())
+        })
+    };
+    until(|| owned_by(1).is_some() && owned_by(2).is_some()).await;
+    running.instances[1].log.cut(true);
+    let mut asked = request(1, "orders", &[]);
+    let teams = [owned_by(1).unwrap(), owned_by(2).unwrap()];
+    asked.demands = teams.iter().map(|team| demand(team, 1)).collect();
+    let reply = leased(&running.client(0), &asked).await;
+    let granted: Vec<_> = reply.grants.iter().map(|grant| &grant.team).collect();
+    assert_eq!(granted, [&teams[0]]);
+}
+
 fn demand(team: &str, sequence: u64) -> TokenDemand {
     TokenDemand {
         team: team.into(),
