--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -4,15 +4,14 @@
 
 mod feed;
 mod node;
+mod state;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use clock::Clock;
 use model::admin::NodeLease;
@@ -25,8 +24,8 @@
 use wire::service::HubBatch;
 use wire::service::NodeNotice;
 
-use crate::hub::feed::MemberFeed;
 use crate::hub::node::NodeEntry;
+use crate::hub::state::HubState;
 
 /// Membership as this control instance knows it; clones share it.
 ///
@@ -67,15 +66,6 @@
     pub home: InstanceId,
 }
 
-#[derive(Debug, Default)]
-struct HubState {
-    nodes: HashMap<NodeId, NodeEntry>,
-    addresses: HashMap<SocketAddr, NodeId>,
-    feed: MemberFeed,
-    /// Number of the last lease granted or told.
-    renewal: u64,
-}
-
 impl<C: Clock> MembershipHub<C> {
     /// Creates an empty hub of instance `own`; `feed` must be drawn at random.
     #[must_use]
@@ -285,46 +275,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl HubState {
-    /// Puts a node's newest state; news that are older than what is known are passed over.
-    fn put(&mut self, mut entry: NodeEntry, now: Instant) {
-        let node = entry.member.node;
-        self.renewal += 1;
-        entry.renewal = self.renewal;
-        if let Some(known) = self.nodes.get_mut(&node) {
-            if entry.lease_end < known.lease_end {
-                return;
-            }
-            if !known.differs(&entry.member) {
-                known.member.load = entry.member.load;
-                known.renew(entry.home, entry.applied, entry.lease_end);
-                known.renewal = entry.renewal;
-                return;
-            }
-        }
-        let earlier = self.addresses.insert(entry.member.address, node);
-        if let Some(restarted) = earlier.filter(|earlier| *earlier != node) {
-            self.remove(restarted, now);
-        }
-        if let Some(known) = self.nodes.get(&node) {
-            let (service, cursor) = (known.member.service.clone(), known.cursor);
-            self.feed
-                .moved(&service, cursor, &entry.member.service, node, now);
-        }
-        entry.cursor = self.feed.joined(&entry.member.service, node);
-        self.nodes.insert(node, entry);
-    }
-
-    fn remove(&mut self, node: NodeId, now: Instant) {
-        let Some(entry) = self.nodes.remove(&node) else {
-            return;
-        };
-        let address = entry.member.address;
-        if self.addresses.get(&address) == Some(&node) {
-            self.addresses.remove(&address);
-        }
-        self.feed
-            .left(&entry.member.service, entry.cursor, node, now);
-    }
-}
--- /dev/null
+++ b/crates/control/src/hub/state.rs
@@ -0,0 +1,63 @@
+//! The nodes and the feed, changed together.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use model::ids::NodeId;
+
+use crate::hub::feed::MemberFeed;
+use crate::hub::node::NodeEntry;
+
+/// What [`MembershipHub`](super::MembershipHub) guards with its lock.
+#[derive(Debug, Default)]
+pub(super) struct HubState {
+    pub(super) nodes: HashMap<NodeId, NodeEntry>,
+    addresses: HashMap<SocketAddr, NodeId>,
+    pub(super) feed: MemberFeed,
+    /// Number of the last lease granted or told.
+    pub(super) renewal: u64,
+}
+
+impl HubState {
+    /// Puts a node's newest state; news that are older than what is known are passed over.
+    pub(super) fn put(&mut self, mut entry: NodeEntry, now: Instant) {
+        let node = entry.member.node;
+        self.renewal += 1;
+        entry.renewal = self.renewal;
+        if let Some(known) = self.nodes.get_mut(&node) {
+            if entry.lease_end < known.lease_end {
+                return;
+            }
+            if !known.differs(&entry.member) {
+                known.member.load = entry.member.load;
+                known.renew(entry.home, entry.applied, entry.lease_end);
+                known.renewal = entry.renewal;
+                return;
+            }
+        }
+        let earlier = self.addresses.insert(entry.member.address, node);
+        if let Some(restarted) = earlier.filter(|earlier| *earlier != node) {
+            self.remove(restarted, now);
+        }
+        if let Some(known) = self.nodes.get(&node) {
+            let (service, cursor) = (known.member.service.clone(), known.cursor);
+            self.feed
+                .moved(&service, cursor, &entry.member.service, node, now);
+        }
+        entry.cursor = self.feed.joined(&entry.member.service, node);
+        self.nodes.insert(node, entry);
+    }
+
+    pub(super) fn remove(&mut self, node: NodeId, now: Instant) {
+        let Some(entry) = self.nodes.remove(&node) else {
+            return;
+        };
+        let address = entry.member.address;
+        if self.addresses.get(&address) == Some(&node) {
+            self.addresses.remove(&address);
+        }
+        self.feed
+            .left(&entry.member.service, entry.cursor, node, now);
+    }
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,5 +1,7 @@
 //! What a node holds to talk to the control instances.
 
+mod message;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -14,12 +16,12 @@
 use model::once::OnceClaim;
 use model::once::OnceSettle;
 use settings::ControlAddress;
-use tarpc::client::Channel;
 use tarpc::client::RpcError;
-use tarpc::context::Context;
 use tokio::time::sleep;
 use tracing::info;
 
+use crate::client::message::NodeClient;
+use crate::client::message::OnceMessage;
 use crate::error::ClientError;
 use crate::quic::LinkTraffic;
 use crate::quic::QuicEndpoint;
@@ -59,43 +61,6 @@
     client: NodeClient,
 }
 
-type NodeClient = NodeControlClient<Channel<NodeControlRequest, NodeControlResponse>>;
-
-/// A message that may be repeated at another instance.
-trait OnceMessage: Clone + Send + Sync {
-    type Answer: Send;
-
-    fn send(
-        self,
-        client: &NodeClient,
-        context: Context,
-    ) -> impl Future<Output = Result<Result<Self::Answer, ControlError>, RpcError>> + Send;
-}
-
-impl OnceMessage for OnceClaim {
-    type Answer = ClaimOutcome;
-
-    async fn send(
-        self,
-        client: &NodeClient,
-        context: Context,
-    ) -> Result<Result<ClaimOutcome, ControlError>, RpcError> {
-        client.claim(context, self).await
-    }
-}
-
-impl OnceMessage for OnceSettle {
-    type Answer = ();
-
-    async fn send(
-        self,
-        client: &NodeClient,
-        context: Context,
-    ) -> Result<Result<(), ControlError>, RpcError> {
-        client.settle(context, self).await
-    }
-}
-
 impl ControlClient {
     /// Creates a client of these instances, tried in this order from `first` on.
     ///
--- a/crates/wire/src/quic.rs
+++ b/crates/wire/src/quic.rs
@@ -1,5 +1,8 @@
 //! QUIC endpoints with mutual TLS.
 
+mod timing;
+mod traffic;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +14,6 @@
 use quinn::RecvStream;
 use quinn::SendStream;
 use quinn::ServerConfig;
-use quinn::TransportConfig;
 use quinn::VarInt;
 use rustls::pki_types::CertificateDer;
 use tokio::io::Join;
@@ -23,54 +25,15 @@
 use crate::identity::TlsIdentity;
 use crate::role::PeerRole;
 
-/// Time after which a silent connection counts as cut, in milliseconds.
-const IDLE_TIMEOUT_MS: u32 = 1_500;
-/// Interval of keep-alives on an idle connection, in milliseconds; longer than the
-/// period of the exchange, which then needs none.
-const KEEP_ALIVE_MS: u64 = 700;
-/// First guess of the round trip, in milliseconds; decides the first probes.
-const INITIAL_RTT_MS: u64 = 10;
+pub use timing::LinkTiming;
+pub use traffic::LinkTraffic;
+
 /// Application code of a close by a process that stops.
 const STOP_CODE: u32 = 0;
 
 /// Both directions of a QUIC stream as one reader and writer.
 pub type QuicStream = Join<RecvStream, SendStream>;
 
-/// How a connection behaves when it is silent, and how many streams it allows.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LinkTiming {
-    /// Interval of keep-alives; none leaves it to the traffic.
-    pub keep_alive: Option<Duration>,
-    /// Time after which a silent connection counts as cut.
-    pub idle_timeout_ms: u32,
-    /// Streams that a peer may have open at once.
-    pub streams: u32,
-}
-
-impl Default for LinkTiming {
-    fn default() -> Self {
-        Self {
-            keep_alive: Some(Duration::from_millis(KEEP_ALIVE_MS)),
-            idle_timeout_ms: IDLE_TIMEOUT_MS,
-            streams: 1_024,
-        }
-    }
-}
-
-impl LinkTiming {
-    fn transport(self) -> Arc<TransportConfig> {
-        let mut config = TransportConfig::default();
-        config
-            .keep_alive_interval(self.keep_alive)
-            .max_idle_timeout(Some(VarInt::from_u32(self.idle_timeout_ms).into()))
-            .max_concurrent_bidi_streams(VarInt::from_u32(self.streams))
-            .max_concurrent_uni_streams(VarInt::from_u32(0))
-            .datagram_receive_buffer_size(None)
-            .initial_rtt(Duration::from_millis(INITIAL_RTT_MS));
-        Arc::new(config)
-    }
-}
-
 /// One UDP socket that accepts and opens connections; clones share it.
 #[derive(Clone, Debug)]
 pub struct QuicEndpoint {
@@ -258,29 +221,10 @@
     /// Returns what was sent and received so far, in UDP payload bytes.
     #[must_use]
     pub fn traffic(&self) -> LinkTraffic {
-        let stats = self.connection.stats();
-        LinkTraffic {
-            sent_bytes: stats.udp_tx.bytes,
-            sent_datagrams: stats.udp_tx.datagrams,
-            received_bytes: stats.udp_rx.bytes,
-            received_datagrams: stats.udp_rx.datagrams,
-        }
+        LinkTraffic::from(&self.connection.stats())
     }
 }
 
-/// Traffic of one connection, in UDP payload bytes and datagrams.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct LinkTraffic {
-    /// Bytes sent.
-    pub sent_bytes: u64,
-    /// Datagrams sent.
-    pub sent_datagrams: u64,
-    /// Bytes received.
-    pub received_bytes: u64,
-    /// Datagrams received.
-    pub received_datagrams: u64,
-}
-
 /// Why an endpoint cannot be set up.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum BindError {
