--- a/crates/bench/tests/process/change.rs
+++ b/crates/bench/tests/process/change.rs
@@ -110,6 +110,9 @@
     let mut test = TestGroup::start(chain(1)).await;
     let leader = wait::leader(&test.group).await.expect("a leader");
     test.group.controls[leader].freeze().expect("frozen");
+    wait::other_leader(&test.group, leader)
+        .await
+        .expect("a new leader");
     let profile = test.profile("workshop", "/quotes", "quotes");
     test.declaration.teams[0].keys = vec![bench::group::make_team_key().expect("a key")];
     let declared = test.declaration.text(&test.group.files.owners);
--- a/crates/bench/tests/process/stop.rs
+++ b/crates/bench/tests/process/stop.rs
@@ -45,7 +45,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_a_stopping_node_are_told_to_go_and_lose_nothing() {
     let mut test = TestGroup::start(chain(2)).await;
-    let profiles = vec![test.profile("workshop", "/quotes", "quotes")];
+    let profiles = [test.profile("workshop", "/quotes", "quotes")];
     let stopped = test.group.plan.nodes.len() - 1;
     let mut caller = test.caller(stopped);
     let first = caller.call(0, &profiles[0]).await;
--- a/crates/bench/tests/process/support.rs
+++ b/crates/bench/tests/process/support.rs
@@ -26,7 +26,7 @@
 /// Groups that run at the same time, so that a small machine is not starved.
 const GROUPS_AT_ONCE: usize = 2;
 /// Time that a process has for a graceful stop.
-pub(crate) const STOP_TIMEOUT: Duration = Duration::from_secs(60);
+pub(crate) const STOP_TIMEOUT: Duration = Duration::from_mins(1);
 
 static GROUPS: LazyLock<Arc<Semaphore>> =
     LazyLock::new(|| Arc::new(Semaphore::new(GROUPS_AT_ONCE)));
