--- a/crates/bench/src/trial.rs
+++ b/crates/bench/src/trial.rs
@@ -82,7 +82,11 @@
 /// # Errors
 ///
 /// Fails when the tool fails.
-pub async fn apply_without(group: &ProcessGroup, text: &str, left_out: usize) -> anyhow::Result<()> {
+pub async fn apply_without(
+    group: &ProcessGroup,
+    text: &str,
+    left_out: usize,
+) -> anyhow::Result<()> {
     let mut controls: Vec<_> = group.plan.controls.iter().map(|plan| plan.admin).collect();
     controls.remove(left_out);
     let tool = OperatorTool::new(&group.files, controls);
--- a/crates/bench/tests/process/change.rs
+++ b/crates/bench/tests/process/change.rs
@@ -32,7 +32,10 @@
     let renewed = test.profile("workshop", "/quotes", "quotes");
     for caller in &mut callers {
         assert_eq!(caller.call(0, &profile).await.outcome, unknown_key());
-        assert_eq!(caller.call(0, &renewed).await.outcome, CallOutcome::Answered);
+        assert_eq!(
+            caller.call(0, &renewed).await.outcome,
+            CallOutcome::Answered
+        );
     }
 }
 
@@ -85,9 +88,11 @@
         let name = test.group.plan.controls[position].name.clone();
         test.group.controls[position] = test.group.daemon(&name).expect("a daemon");
     }
-    wait::until("all instances to agree", async || same_state(&test, 6).await)
-        .await
-        .expect("one state");
+    wait::until("all instances to agree", async || {
+        same_state(&test, 6).await
+    })
+    .await
+    .expect("one state");
     wait::nodes_ready(&test.group).await.expect("leases");
     let profile = test.profile("workshop", "/quotes", "quotes");
     let record = test.caller(0).call(0, &profile).await;
@@ -113,7 +118,9 @@
             assert_eq!(record.outcome, unknown_key());
         }
     }
-    wait::until("all instances to agree", async || same_state(&test, 2).await)
-        .await
-        .expect("one state");
+    wait::until("all instances to agree", async || {
+        same_state(&test, 2).await
+    })
+    .await
+    .expect("one state");
 }
--- a/crates/bench/tests/process/crash.rs
+++ b/crates/bench/tests/process/crash.rs
@@ -26,7 +26,11 @@
         if turn > 0 {
             // It ran before, so nobody may say that it did not run.
             let verdict = record.verdict;
-            assert_ne!(verdict, Some(model::verdict::RunVerdict::NotRun), "{record:?}");
+            assert_ne!(
+                verdict,
+                Some(model::verdict::RunVerdict::NotRun),
+                "{record:?}"
+            );
         }
         refused += usize::from(is_quarantined(&record.outcome));
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/bench/tests/process/limits.rs
+++ b/crates/bench/tests/process/limits.rs
@@ -32,7 +32,10 @@
     let elapsed = begun.elapsed();
     let allowed = BURST as f64 + RATE as f64 * elapsed.as_secs_f64();
     let passed = answered(&records);
-    assert!(passed as f64 <= allowed, "{passed} of {allowed} in {elapsed:?}");
+    assert!(
+        passed as f64 <= allowed,
+        "{passed} of {allowed} in {elapsed:?}"
+    );
     assert!(passed > 0);
     let audit = test.audit(&records, &profiles);
     assert!(audit.is_clean(), "{audit:#?}");
--- a/crates/bench/tests/process/path.rs
+++ b/crates/bench/tests/process/path.rs
@@ -45,9 +45,14 @@
     for node in &test.group.plan.nodes {
         let timeline = admin.timeline(node.admin).await.expect("a time line");
         let kinds: Vec<_> = timeline.events.iter().map(|event| &event.kind).collect();
-        assert!(kinds.iter().any(|kind| *kind == "config-applied"), "{kinds:?}");
+        assert!(
+            kinds.iter().any(|kind| *kind == "config-applied"),
+            "{kinds:?}"
+        );
     }
-    let status = wait::control_status(&test.group, 0).await.expect("a status");
+    let status = wait::control_status(&test.group, 0)
+        .await
+        .expect("a status");
     assert_eq!(status.version, 1);
     assert_eq!(status.nodes.len(), test.group.plan.nodes.len());
 }
--- a/crates/bench/tests/process/stop.rs
+++ b/crates/bench/tests/process/stop.rs
@@ -53,7 +53,11 @@
     test.group.nodes[stopped].terminate().expect("a signal");
     let mut records = Vec::new();
     // Once the listener is gone a new connection is refused, which cuts nothing.
-    while test.group.nodes[stopped].ended().expect("a process").is_none() {
+    while test.group.nodes[stopped]
+        .ended()
+        .expect("a process")
+        .is_none()
+    {
         if !caller.is_reachable().await {
             break;
         }
--- a/crates/model/src/declaration/check.rs
+++ b/crates/model/src/declaration/check.rs
@@ -1,8 +1,7 @@
 //! Checks the owners' text and makes the declaration of it.
 
-use std::collections::BTreeSet;
-use std::fmt::Display;
-use std::ops::Range;
+mod value;
+
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,37 +16,29 @@
 use crate::declaration::RouteSpec;
 use crate::declaration::ServiceSpec;
 use crate::declaration::TeamSpec;
-use crate::declaration::TextPlace;
+use crate::declaration::check::value::NameSet;
 use crate::declaration::file::ClassFile;
 use crate::declaration::file::DeclarationFile;
 use crate::declaration::file::KeyFile;
 use crate::declaration::file::RouteFile;
 use crate::declaration::file::ServiceFile;
 use crate::declaration::file::TeamFile;
-use crate::hex;
 use crate::ids::ConfigVersion;
 use crate::ids::OwnerKey;
-use crate::lookup;
 
 /// Most bytes of a declaration's text.
 pub(crate) const TEXT_BYTES_MAX: usize = 1024 * 1024;
 /// Owners that must agree on every change.
 const OWNER_COUNT: usize = 2;
-/// Most bytes of a name.
-const NAME_BYTES_MAX: usize = 64;
-/// Most bytes of a path prefix.
-const PREFIX_BYTES_MAX: usize = 256;
 /// Shortest and longest time to answer, in milliseconds.
 const WITHIN_MS: RangeInclusive<i64> = 1..=600_000;
-/// Smallest and largest share of requests to answer in time, in per cent.
-const SHARE_PERCENT: RangeInclusive<f64> = 1.0..=99.9;
 /// Smallest and largest rate, in requests per second.
 const RATE: RangeInclusive<f64> = 0.001..=1_000_000.0;
 /// Smallest and largest burst, in requests.
 const BURST: RangeInclusive<f64> = 1.0..=10_000_000.0;
 
 /// Result of one check.
-type Checked<T> = Result<T, DeclarationError>;
+pub(super) type Checked<T> = Result<T, DeclarationError>;
 
 /// Checks values against each other and names their place in errors.
 pub(crate) struct DeclarationChecker<'a> {
@@ -65,10 +56,10 @@
         file: &DeclarationFile,
         version: ConfigVersion,
     ) -> Checked<Declaration> {
-        self.distinct("service", file.service.iter().map(|item| &item.name))?;
-        self.distinct("class", file.class.iter().map(|item| &item.name))?;
+        let services = self.distinct("service", file.service.iter().map(|item| &item.name))?;
+        let classes = self.distinct("class", file.class.iter().map(|item| &item.name))?;
+        let teams = self.distinct("team", file.team.iter().map(|item| &item.name))?;
         self.distinct("route", file.route.iter().map(|item| &item.name))?;
-        self.distinct("team", file.team.iter().map(|item| &item.name))?;
         self.distinct("key", file.key.iter().map(|item| &item.name))?;
         let mut declaration = Declaration {
             version,
@@ -76,10 +67,12 @@
             services: file.service.iter().map(service).collect(),
             classes: self.each(&file.class, Self::class)?,
             routes: self.each(&file.route, |checker, key, item| {
-                checker.route(key, item, file)
+                checker.route(key, item, &services, &classes)
             })?,
             teams: self.each(&file.team, Self::team)?,
-            keys: self.each(&file.key, |checker, key, item| checker.key(key, item, file))?,
+            keys: self.each(&file.key, |checker, key, item| {
+                checker.key(key, item, &teams)
+            })?,
         };
         self.distinct_prefixes(&file.route)?;
         self.distinct_digests(&file.key)?;
@@ -159,12 +152,11 @@
         &self,
         key: &ItemKey<'_>,
         file: &RouteFile,
-        whole: &DeclarationFile,
+        services: &NameSet<'_>,
+        classes: &NameSet<'_>,
     ) -> Checked<RouteSpec> {
         self.prefix(&key.field("prefix"), &file.prefix)?;
-        let services = whole.service.iter().map(|item| &item.name);
         self.refers(&key.field("service"), &file.service, services)?;
-        let classes = whole.class.iter().map(|item| &item.name);
         self.refers(&key.field("class"), &file.class, classes)?;
         let open = is_set(file.open.as_ref());
         let idempotent = is_set(file.idempotent.as_ref());
@@ -194,8 +186,7 @@
         })
     }
 
-    fn key(&self, key: &ItemKey<'_>, file: &KeyFile, whole: &DeclarationFile) -> Checked<KeySpec> {
-        let teams = whole.team.iter().map(|item| &item.name);
+    fn key(&self, key: &ItemKey<'_>, file: &KeyFile, teams: &NameSet<'_>) -> Checked<KeySpec> {
         self.refers(&key.field("team"), &file.team, teams)?;
         Ok(KeySpec {
             name: file.name.get_ref().clone(),
@@ -203,155 +194,16 @@
             digest: self.hex_32(&key.field("digest"), &file.digest)?,
         })
     }
-
-    fn distinct<'f>(
-        &self,
-        table: &str,
-        names: impl Iterator<Item = &'f Spanned<String>>,
-    ) -> Checked<()> {
-        let mut seen = BTreeSet::new();
-        for (position, name) in names.enumerate() {
-            let key = ItemKey { table, position }.field("name");
-            let value = name.get_ref();
-            if !is_name(value) {
-                let allowed = "1 to 64 letters, digits, `-`, `_` and `.`";
-                return Err(self.disallowed(&key, value, &name.span(), allowed));
-            }
-            if !seen.insert(value) {
-                return Err(self.disallowed(&key, value, &name.span(), "each name once"));
-            }
-        }
-        Ok(())
-    }
-
-    fn distinct_prefixes(&self, routes: &[RouteFile]) -> Checked<()> {
-        let prefixes = routes.iter().map(|route| &route.prefix);
-        self.distinct_values("route", "prefix", prefixes, str::to_owned)
-    }
-
-    fn distinct_digests(&self, keys: &[KeyFile]) -> Checked<()> {
-        let digests = keys.iter().map(|key| &key.digest);
-        self.distinct_values("key", "digest", digests, str::to_ascii_lowercase)
-    }
-
-    fn distinct_values<'f>(
-        &self,
-        table: &str,
-        field: &str,
-        values: impl Iterator<Item = &'f Spanned<String>>,
-        normal: impl Fn(&str) -> String,
-    ) -> Checked<()> {
-        let mut seen = BTreeSet::new();
-        for (position, value) in values.enumerate() {
-            if !seen.insert(normal(value.get_ref())) {
-                let key = ItemKey { table, position }.field(field);
-                let allowed = format!("each {field} once");
-                return Err(self.disallowed(&key, value.get_ref(), &value.span(), &allowed));
-            }
-        }
-        Ok(())
-    }
-
-    fn refers<'f>(
-        &self,
-        key: &str,
-        name: &Spanned<String>,
-        declared: impl Iterator<Item = &'f Spanned<String>>,
-    ) -> Checked<()> {
-        let declared: Vec<&str> = declared.map(|name| name.get_ref().as_str()).collect();
-        if declared.contains(&name.get_ref().as_str()) {
-            return Ok(());
-        }
-        let allowed = format!("one of those declared: {}", declared.join(", "));
-        Err(self.disallowed(key, name.get_ref(), &name.span(), &allowed))
-    }
-
-    fn prefix(&self, key: &str, prefix: &Spanned<String>) -> Checked<()> {
-        let value = prefix.get_ref();
-        let plain = |letter: char| letter.is_ascii_alphanumeric() || "/-_.~".contains(letter);
-        let closed = value == "/" || !value.ends_with('/');
-        let valid = value.len() <= PREFIX_BYTES_MAX
-            && closed
-            && value.chars().all(plain)
-            && lookup::is_normal_path(value);
-        if valid {
-            return Ok(());
-        }
-        let allowed = "`/` or segments of letters, digits, `-`, `_`, `.` and `~`, \
-                       each after a `/`, at most 256 bytes";
-        Err(self.disallowed(key, value, &prefix.span(), allowed))
-    }
-
-    fn hex_32(&self, key: &str, text: &Spanned<String>) -> Checked<[u8; 32]> {
-        hex::decode_32(text.get_ref()).ok_or_else(|| {
-            let allowed = "64 hexadecimal digits";
-            self.disallowed(key, text.get_ref(), &text.span(), allowed)
-        })
-    }
-
-    fn tenths(&self, key: &str, percent: &Spanned<f64>) -> Checked<u16> {
-        let scaled = self.scaled(key, percent, 10.0, &SHARE_PERCENT)?;
-        Ok(u16::try_from(scaled).unwrap_or(u16::MAX))
-    }
-
-    fn thousandths(
-        &self,
-        key: &str,
-        value: &Spanned<f64>,
-        range: &RangeInclusive<f64>,
-    ) -> Checked<u64> {
-        self.scaled(key, value, 1_000.0, range)
-    }
-
-    /// Scales a value to an integer; fractions finer than the scale are refused.
-    fn scaled(
-        &self,
-        key: &str,
-        value: &Spanned<f64>,
-        scale: f64,
-        range: &RangeInclusive<f64>,
-    ) -> Checked<u64> {
-        /// Largest difference that comes from writing decimals in binary.
-        const ROUNDING: f64 = 1e-3;
-        let number = *value.get_ref();
-        let scaled = number * scale;
-        if range.contains(&number) && (scaled - scaled.round()).abs() < ROUNDING {
-            #[expect(
-                clippy::cast_possible_truncation,
-                clippy::cast_sign_loss,
-                reason = "the range above is positive and far below 2^53"
-            )]
-            return Ok(scaled.round() as u64);
-        }
-        let (start, end) = (range.start(), range.end());
-        let allowed = format!("{start} to {end} in steps of {}", 1.0 / scale);
-        Err(self.disallowed(key, number, &value.span(), &allowed))
-    }
-
-    fn disallowed(
-        &self,
-        key: &str,
-        value: impl Display,
-        span: &Range<usize>,
-        allowed: &str,
-    ) -> DeclarationError {
-        DeclarationError::Disallowed {
-            place: TextPlace::of(self.text, span),
-            key: key.to_owned(),
-            value: value.to_string(),
-            allowed: allowed.to_owned(),
-        }
-    }
 }
 
 /// Names an item of a table in errors.
-struct ItemKey<'a> {
-    table: &'a str,
-    position: usize,
+pub(super) struct ItemKey<'a> {
+    pub(super) table: &'a str,
+    pub(super) position: usize,
 }
 
 impl ItemKey<'_> {
-    fn field(&self, field: &str) -> String {
+    pub(super) fn field(&self, field: &str) -> String {
         format!("{}[{}].{field}", self.table, self.position)
     }
 }
@@ -386,8 +238,3 @@
 fn is_set(flag: Option<&Spanned<bool>>) -> bool {
     flag.is_some_and(|flag| *flag.get_ref())
 }
-
-fn is_name(value: &str) -> bool {
-    let allowed = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
-    !value.is_empty() && value.len() <= NAME_BYTES_MAX && value.chars().all(allowed)
-}
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -1,5 +1,6 @@
 //! The table of records.
 
+mod index;
 mod stored;
 
 use std::collections::BTreeMap;
@@ -309,44 +310,4 @@
             self.take(&key);
         }
     }
-
-    /// Inserts a record that is not there, with its places in the indices.
-    fn put(&mut self, key: RecordKey, record: OnceRecord) {
-        self.sum.add(&(&key, &record));
-        match record.state {
-            RecordState::Claimed => {
-                let running = self.running.entry(record.attempt.node).or_default();
-                running.insert(key);
-            }
-            RecordState::Freed { until_ms } => {
-                self.freed.insert((until_ms, key));
-            }
-            RecordState::MayHaveRun | RecordState::Answered { .. } => {}
-        }
-        self.records.insert(key, record);
-    }
-
-    /// Removes a record and its places in the indices.
-    fn take(&mut self, key: &RecordKey) -> Option<OnceRecord> {
-        let record = self.records.remove(key)?;
-        self.sum.remove(&(key, &record));
-        match record.state {
-            RecordState::Claimed => self.stop_running(record.attempt.node, key),
-            RecordState::Freed { until_ms } => {
-                self.freed.remove(&(until_ms, *key));
-            }
-            RecordState::Answered { order } => self.answers.remove(order),
-            RecordState::MayHaveRun => {}
-        }
-        Some(record)
-    }
-
-    fn stop_running(&mut self, node: NodeId, key: &RecordKey) {
-        if let Some(running) = self.running.get_mut(&node) {
-            running.remove(key);
-            if running.is_empty() {
-                self.running.remove(&node);
-            }
-        }
-    }
 }
