--- a/crates/bench/tests/process/stop.rs
+++ b/crates/bench/tests/process/stop.rs
@@ -123,6 +123,6 @@
 
 fn runs_of(test: &TestGroup, name: &str) -> usize {
     let journal = test.group.files.journals.join(format!("{name}.journal"));
-    let text = std::fs::read_to_string(journal).expect("a journal");
-    text.lines().count()
+    let lines = std::fs::read_to_string(journal).expect("a journal");
+    lines.lines().count()
 }
