Draw the faults of each run differently, and test rounds and votes directly

Each run now draws how often each action happens; single faults got tests of their own (a read must not count a round that began before it, one vote a term over a restart).

--- /dev/null
+++ b/crates/quorum/tests/faults.rs
@@ -0,0 +1,184 @@
+//! Single faults of a group, each met on purpose.
+
+#[path = "support/disk.rs"]
+mod disk;
+#[path = "support/group.rs"]
+mod group;
+#[path = "support/history.rs"]
+mod history;
+#[path = "support/recovery.rs"]
+mod recovery;
+
+use std::time::Duration;
+
+use quorum::InstanceId;
+use quorum::MemberChange;
+use quorum::MemberDuty;
+use quorum::MessageBody;
+use quorum::QuorumCore;
+
+use crate::group::SimGroup;
+use crate::group::SimMessage;
+use crate::recovery::recover;
+use crate::recovery::run_all;
+use crate::recovery::settle_all;
+
+/// Most bytes of commands or of a snapshot in one message.
+const MESSAGE_BYTES: usize = 16;
+
+/// Returns whether nothing is on its way or waits for a disk.
+fn is_quiet(group: &SimGroup) -> bool {
+    let mut members = group.members.values();
+    group.in_flight.is_empty() && members.all(|member| member.disk.pending.is_empty())
+}
+
+#[test]
+fn removed_leader_steps_down() {
+    let mut group = SimGroup::new(&[1, 2, 3], MESSAGE_BYTES, 9);
+    recover(&mut group);
+    let leader = group.leader().expect("a leader");
+    let change = MemberChange::Remove(leader);
+    let outcome = group.at(leader, |core, now| core.change_members(change, now));
+    assert!(outcome.is_some_and(|outcome| outcome.is_ok()));
+    let refused = group.at(leader, |core, now| {
+        core.change_members(MemberChange::Promote(2), now)
+    });
+    assert_eq!(refused, Some(Err(quorum::ChangeError::InFlight)));
+    recover(&mut group);
+    let duty = group.members[&leader].core.as_ref().map(QuorumCore::duty);
+    assert_eq!(duty, Some(MemberDuty::Learner));
+    assert_ne!(group.leader(), Some(leader));
+}
+
+#[test]
+fn leader_without_quorum_steps_down() {
+    let mut group = SimGroup::new(&[1, 2, 3], MESSAGE_BYTES, 11);
+    recover(&mut group);
+    let leader = group.leader().expect("a leader");
+    for id in group.ids() {
+        group.cuts.insert((id, leader));
+    }
+    for _ in 0..200 {
+        group.advance(Duration::from_millis(5));
+        group.in_flight.clear();
+    }
+    let duty = group.members[&leader].core.as_ref().map(QuorumCore::duty);
+    assert_ne!(duty, Some(MemberDuty::Leader));
+}
+
+/// Delivers what is on its way until a piece of a snapshot to `to` is, and returns that piece.
+fn next_piece(group: &mut SimGroup, to: InstanceId) -> SimMessage {
+    loop {
+        group.advance(Duration::from_millis(5));
+        for id in group.ids() {
+            group.sync(id, usize::MAX);
+        }
+        for message in std::mem::take(&mut group.in_flight) {
+            let is_piece = matches!(message.outgoing.message.body, MessageBody::Snapshot { .. });
+            if is_piece && message.outgoing.to == to {
+                return message;
+            }
+            group.deliver(message);
+        }
+    }
+}
+
+#[test]
+fn snapshot_transfer_survives_a_restart_and_a_repeated_piece() {
+    let mut group = SimGroup::new(&[1, 2, 3], 4, 13);
+    recover(&mut group);
+    let leader = group.leader().expect("a leader");
+    let behind = group
+        .ids()
+        .into_iter()
+        .find(|&id| id != leader)
+        .expect("two follow");
+    group.cuts.insert((leader, behind));
+    for command in 0..40 {
+        group.propose(leader, command);
+    }
+    for _ in 0..20 {
+        run_all(&mut group);
+    }
+    assert!(group.history.committed() > 40);
+    group.compact(leader);
+    group.cuts.clear();
+    let first = next_piece(&mut group, behind);
+    group.deliver(first.clone());
+    for _ in 0..2 {
+        let piece = next_piece(&mut group, behind);
+        group.deliver(piece);
+    }
+    group.crash(behind, 0);
+    group.start(behind);
+    group.deliver(first);
+    recover(&mut group);
+}
+
+#[test]
+fn stalled_disks_hold_up_commits_but_neither_reads_nor_the_leader() {
+    let mut group = SimGroup::new(&[1, 2, 3], MESSAGE_BYTES, 17);
+    recover(&mut group);
+    let leader = group.leader().expect("a leader");
+    let term = group.members[&leader].core.as_ref().map(QuorumCore::term);
+    let committed = group.history.committed();
+    let checked = group.reads_checked;
+    for step in 0..400 {
+        group.advance(Duration::from_millis(5));
+        if step % 20 == 0 {
+            group.propose(leader, 1);
+            for id in group.ids() {
+                group.read(id);
+            }
+        }
+        for message in std::mem::take(&mut group.in_flight) {
+            group.deliver(message);
+        }
+    }
+    assert_eq!(group.history.committed(), committed);
+    assert!(group.reads_checked >= checked + 3 * 18);
+    assert_eq!(group.leader(), Some(leader));
+    assert_eq!(
+        group.members[&leader].core.as_ref().map(QuorumCore::term),
+        term
+    );
+    recover(&mut group);
+    assert!(group.history.committed() >= committed + 20);
+}
+
+#[test]
+fn read_does_not_count_a_round_that_began_before_it() {
+    let mut group = SimGroup::new(&[1, 2, 3], MESSAGE_BYTES, 19);
+    recover(&mut group);
+    let old = group.leader().expect("a leader");
+    while !is_quiet(&group) {
+        settle_all(&mut group);
+    }
+    group.read(old);
+    for message in std::mem::take(&mut group.in_flight) {
+        group.deliver(message);
+    }
+    let answers = std::mem::take(&mut group.in_flight);
+    assert!(answers.iter().any(|answer| answer.outgoing.to == old));
+    let checked = group.reads_checked;
+    group.paused.insert(old);
+    while group.leader() == Some(old) {
+        run_all(&mut group);
+    }
+    let new = group.leader().expect("another leader");
+    let acknowledged = group.history.acknowledged;
+    group.propose(new, 1);
+    while group.history.acknowledged == acknowledged {
+        run_all(&mut group);
+    }
+    group.paused.clear();
+    group.read(old);
+    for answer in answers {
+        group.deliver(answer);
+    }
+    assert_eq!(
+        group.reads_checked,
+        checked + 1,
+        "the first read alone has ended"
+    );
+}
--- /dev/null
+++ b/crates/quorum/tests/support/actions.rs
@@ -0,0 +1,249 @@
+//! What may happen to a group, drawn from random bytes.
+
+use std::time::Duration;
+
+use arbtest::arbitrary;
+use arbtest::arbitrary::Unstructured;
+use quorum::InstanceId;
+use quorum::MemberChange;
+use quorum::Membership;
+use quorum::QuorumCore;
+
+use crate::group::SimGroup;
+
+/// Instances that may ever exist in a run.
+const INSTANCES_MAX: InstanceId = 7;
+
+/// Longest usual step of time, in milliseconds.
+const STEP_MAX_MS: u64 = 20;
+
+/// Longest step of time, in milliseconds.
+const LEAP_MAX_MS: u64 = 500;
+
+fn choose(u: &mut Unstructured<'_>, group: &SimGroup) -> arbitrary::Result<InstanceId> {
+    let ids = group.ids();
+    Ok(ids[u.choose_index(ids.len())?])
+}
+
+/// Prefers the leader, so that most proposals and changes are accepted.
+fn choose_leader(u: &mut Unstructured<'_>, group: &SimGroup) -> arbitrary::Result<InstanceId> {
+    match group.leader() {
+        Some(leader) if u.ratio(7, 8)? => Ok(leader),
+        _ => choose(u, group),
+    }
+}
+
+/// Takes a message out of the network, or leaves a copy there.
+fn deliver(u: &mut Unstructured<'_>, group: &mut SimGroup) -> arbitrary::Result<()> {
+    if group.in_flight.is_empty() {
+        return Ok(());
+    }
+    let newest_first = u.ratio(1, 4)?;
+    let position = if newest_first {
+        u.choose_index(group.in_flight.len())?
+    } else {
+        0
+    };
+    let message = if u.ratio(1, 16)? {
+        group.in_flight[position].clone()
+    } else {
+        group.in_flight.remove(position)
+    };
+    if u.ratio(15, 16)? {
+        group.deliver(message);
+    }
+    Ok(())
+}
+
+fn sync(u: &mut Unstructured<'_>, group: &mut SimGroup) -> arbitrary::Result<()> {
+    let id = choose(u, group)?;
+    let count = u.int_in_range(1..=4)?;
+    group.sync(id, count);
+    Ok(())
+}
+
+fn crash(u: &mut Unstructured<'_>, group: &mut SimGroup) -> arbitrary::Result<()> {
+    let id = choose(u, group)?;
+    let survivors = u.int_in_range(0..=3)?;
+    group.crash(id, survivors);
+    if u.ratio(1, 2)? {
+        group.start(id);
+    }
+    Ok(())
+}
+
+/// Cuts or heals one direction between two members.
+fn cut(u: &mut Unstructured<'_>, group: &mut SimGroup) -> arbitrary::Result<()> {
+    let pair = (choose(u, group)?, choose(u, group)?);
+    if !group.cuts.remove(&pair) {
+        group.cuts.insert(pair);
+    }
+    Ok(())
+}
+
+/// Cuts a member off from all others, or heals all cuts.
+fn isolate(u: &mut Unstructured<'_>, group: &mut SimGroup) -> arbitrary::Result<()> {
+    if u.ratio(2, 3)? {
+        group.cuts.clear();
+        return Ok(());
+    }
+    let isolated = choose_leader(u, group)?;
+    for id in group.ids() {
+        group.cuts.insert((id, isolated));
+        group.cuts.insert((isolated, id));
+    }
+    Ok(())
+}
+
+/// Suspends a member, or lets all go on.
+fn pause(u: &mut Unstructured<'_>, group: &mut SimGroup) -> arbitrary::Result<()> {
+    if u.ratio(2, 3)? {
+        group.paused.clear();
+    } else {
+        let id = choose_leader(u, group)?;
+        group.paused.insert(id);
+    }
+    Ok(())
+}
+
+/// Loses the disk of a member for ever, while a majority of the voters remains.
+fn lose_disk(u: &mut Unstructured<'_>, group: &mut SimGroup) -> arbitrary::Result<()> {
+    let id = choose(u, group)?;
+    let bearable = group
+        .members
+        .values()
+        .filter_map(|member| member.core.as_ref())
+        .all(|core| {
+            let membership = core.status().membership;
+            membership.members().is_empty()
+                || membership.has_quorum(|voter| voter != id && group.members.contains_key(&voter))
+        });
+    let running = group.members.values().all(|member| member.core.is_some());
+    if bearable && running {
+        group.members.remove(&id);
+    }
+    Ok(())
+}
+
+/// Returns whether disks are left on a majority of the voters after a change.
+fn keeps_majority(group: &SimGroup, leader: InstanceId, change: MemberChange) -> bool {
+    let Some(core) = group
+        .members
+        .get(&leader)
+        .and_then(|member| member.core.as_ref())
+    else {
+        return false;
+    };
+    let next = core.status().membership.changed(change);
+    next.is_ok_and(|next| next.has_quorum(|voter| group.members.contains_key(&voter)))
+}
+
+fn change_members(u: &mut Unstructured<'_>, group: &mut SimGroup) -> arbitrary::Result<()> {
+    let leader = choose_leader(u, group)?;
+    let instance = u.int_in_range(1..=INSTANCES_MAX)?;
+    let change = match u.int_in_range(0..=3)? {
+        0 => MemberChange::AddLearner {
+            instance,
+            folder: instance,
+        },
+        1 | 2 => MemberChange::Promote(instance),
+        _ => MemberChange::Remove(instance),
+    };
+    if !keeps_majority(group, leader, change) {
+        return Ok(());
+    }
+    let outcome = group.at(leader, |core, now| core.change_members(change, now));
+    let added = matches!(change, MemberChange::AddLearner { .. });
+    if added && outcome.is_some_and(|outcome| outcome.is_ok()) && instance > 3 {
+        let folder = instance;
+        if !group.members.contains_key(&instance) {
+            group.add(instance, folder, Membership::default());
+        }
+    }
+    Ok(())
+}
+
+/// Something that may happen next, and how often it does in an even run.
+#[derive(Clone, Copy, Debug)]
+struct FaultAction {
+    weight: u32,
+    act: fn(&mut Unstructured<'_>, &mut SimGroup) -> arbitrary::Result<()>,
+}
+
+/// Everything that may happen.
+const ACTIONS: [FaultAction; 14] = [
+    action(70, deliver),
+    action(25, sync),
+    action(9, |u, group| {
+        group.advance(Duration::from_millis(u.int_in_range(1..=STEP_MAX_MS)?));
+        Ok(())
+    }),
+    action(1, |u, group| {
+        group.advance(Duration::from_millis(u.int_in_range(1..=LEAP_MAX_MS)?));
+        Ok(())
+    }),
+    action(5, |u, group| {
+        let id = choose_leader(u, group)?;
+        group.propose(id, u.arbitrary()?);
+        Ok(())
+    }),
+    action(4, |u, group| {
+        let id = choose(u, group)?;
+        group.read(id);
+        Ok(())
+    }),
+    action(2, crash),
+    action(2, |u, group| {
+        let id = choose(u, group)?;
+        group.start(id);
+        Ok(())
+    }),
+    action(1, cut),
+    action(1, isolate),
+    action(1, pause),
+    action(2, |u, group| {
+        let id = choose(u, group)?;
+        group.compact(id);
+        Ok(())
+    }),
+    action(3, change_members),
+    action(1, |u, group| {
+        let id = choose_leader(u, group)?;
+        group.at(id, QuorumCore::transfer_leadership);
+        if u.ratio(1, 8)? {
+            lose_disk(u, group)?;
+        }
+        Ok(())
+    }),
+];
+
+const fn action(
+    weight: u32,
+    act: fn(&mut Unstructured<'_>, &mut SimGroup) -> arbitrary::Result<()>,
+) -> FaultAction {
+    FaultAction { weight, act }
+}
+
+/// Draws how often each action happens in a run, so that runs differ in their faults.
+pub(crate) fn draw_weights(u: &mut Unstructured<'_>) -> arbitrary::Result<Vec<u32>> {
+    ACTIONS
+        .iter()
+        .map(|action| Ok(action.weight * u.choose(&[0, 1, 1, 2, 4, 8])? + action.weight / 8))
+        .collect()
+}
+
+pub(crate) fn act(
+    u: &mut Unstructured<'_>,
+    weights: &[u32],
+    group: &mut SimGroup,
+) -> arbitrary::Result<()> {
+    let total: u32 = weights.iter().sum();
+    let mut drawn = u.int_in_range(0..=total.saturating_sub(1))?;
+    for (action, &weight) in ACTIONS.iter().zip(weights) {
+        if drawn < weight {
+            return (action.act)(u, group);
+        }
+        drawn -= weight;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/quorum/tests/support/recovery.rs
@@ -0,0 +1,66 @@
+//! Running a group without faults.
+
+use std::time::Duration;
+
+use crate::group::SimGroup;
+
+/// Virtual time in which a healed group must make progress, in milliseconds.
+const RECOVERY_MS: u64 = 20_000;
+
+/// Ends all faults and lets the group run until everything is applied everywhere.
+pub(crate) fn recover(group: &mut SimGroup) {
+    group.cuts.clear();
+    group.paused.clear();
+    for id in group.ids() {
+        group.start(id);
+    }
+    let mut waited_ms = 0;
+    let mut proposed = None;
+    while waited_ms < RECOVERY_MS {
+        waited_ms += 5;
+        run_all(group);
+        if let Some(leader) = group.leader()
+            && proposed.is_none()
+        {
+            group.propose(leader, 0);
+            proposed = Some(group.history.committed());
+        }
+        let settled = proposed.is_some_and(|before| group.history.acknowledged > before);
+        if settled && all_applied(group) {
+            return;
+        }
+        if waited_ms % 1_000 == 0 {
+            proposed = None;
+        }
+    }
+    panic!("the healed group makes no progress: {}", group.summary());
+}
+
+fn all_applied(group: &SimGroup) -> bool {
+    let Some(leader) = group.leader() else {
+        return false;
+    };
+    let leader = group.members[&leader].core.as_ref().expect("it leads");
+    let membership = leader.status().membership;
+    membership.members().iter().all(|member| {
+        group
+            .members
+            .get(&member.instance)
+            .is_none_or(|state| state.machine.applied == group.history.committed())
+    })
+}
+
+/// Lets time pass, syncs everything and delivers what is on its way.
+pub(crate) fn run_all(group: &mut SimGroup) {
+    group.advance(Duration::from_millis(5));
+    settle_all(group);
+}
+
+pub(crate) fn settle_all(group: &mut SimGroup) {
+    for id in group.ids() {
+        group.sync(id, usize::MAX);
+    }
+    for message in std::mem::take(&mut group.in_flight) {
+        group.deliver(message);
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/votes.rs
@@ -0,0 +1,89 @@
+//! Votes of one member over restarts.
+
+use std::time::Instant;
+
+use quorum::CoreTiming;
+use quorum::DurableState;
+use quorum::DurableWrite;
+use quorum::INITIAL_FOLDER;
+use quorum::InstanceId;
+use quorum::LogPosition;
+use quorum::Membership;
+use quorum::MessageBody;
+use quorum::PeerMessage;
+use quorum::QuorumCore;
+
+/// Asks for a vote in term 5.
+fn request() -> PeerMessage {
+    PeerMessage {
+        term: 5,
+        folder: Some(INITIAL_FOLDER),
+        body: MessageBody::Vote {
+            last: LogPosition::default(),
+            transfer: false,
+        },
+    }
+}
+
+fn start(state: &DurableState, now: Instant) -> QuorumCore {
+    QuorumCore::new(
+        1,
+        INITIAL_FOLDER,
+        CoreTiming::default(),
+        state.clone(),
+        3,
+        now,
+    )
+}
+
+/// Lets a candidate ask, syncs what follows, and returns whether it got the vote.
+fn asks(
+    core: &mut QuorumCore,
+    state: &mut DurableState,
+    candidate: InstanceId,
+    now: Instant,
+) -> bool {
+    core.receive(candidate, request(), now);
+    let output = core.take_output();
+    for write in &output.writes {
+        if let DurableWrite::Vote { term, vote } = write {
+            state.term = *term;
+            state.vote = *vote;
+        }
+    }
+    let vote_waits = output.writes.is_empty() || output.messages.is_empty();
+    assert!(vote_waits, "no answer leaves before the vote is synced");
+    let mut answers = output.messages.iter().chain(&output.synced_messages);
+    answers.any(|answer| {
+        answer.to == candidate && answer.message.body == MessageBody::VoteReply { granted: true }
+    })
+}
+
+#[test]
+fn one_vote_a_term_also_over_a_restart() {
+    let now = Instant::now();
+    let mut state = DurableState {
+        initial: Membership::initial(&[1, 2, 3]),
+        ..DurableState::default()
+    };
+    let mut core = start(&state, now);
+    assert!(asks(&mut core, &mut state, 2, now));
+    assert!(!asks(&mut core, &mut state, 3, now));
+    let mut core = start(&state, now);
+    assert!(!asks(&mut core, &mut state, 3, now));
+    assert!(
+        asks(&mut core, &mut state, 2, now),
+        "the same candidate may ask again"
+    );
+}
+
+#[test]
+fn message_for_another_folder_stops_the_member() {
+    let now = Instant::now();
+    let mut core = start(&DurableState::default(), now);
+    let mut message = request();
+    message.folder = Some(77);
+    core.receive(2, message, now);
+    assert!(core.fault().is_some());
+    assert!(core.take_output().messages.is_empty());
+}
