--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,5 +1,7 @@
 //! What a node holds to talk to the control instances.
 
+mod message;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -12,20 +14,22 @@
 use model::ids::InstanceId;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
+use model::once::OnceKey;
 use model::once::OnceSettle;
 use settings::ControlAddress;
-use tarpc::client::Channel;
 use tarpc::client::RpcError;
-use tarpc::context::Context;
 use tokio::time::sleep;
 use tracing::info;
 
+use crate::client::message::NodeClient;
+use crate::client::message::OnceMessage;
 use crate::error::ClientError;
 use crate::quic::LinkTraffic;
 use crate::quic::QuicEndpoint;
 use crate::role::PeerRole;
 use crate::rpc::RpcChannel;
 use crate::rpc::call_context;
+use crate::rpc::is_broken;
 use crate::service::ControlError;
 use crate::service::NodeControlClient;
 use crate::service::NodeControlRequest;
@@ -58,43 +62,6 @@
     client: NodeClient,
 }
 
-type NodeClient = NodeControlClient<Channel<NodeControlRequest, NodeControlResponse>>;
-
-/// A message that may be repeated at another instance.
-trait OnceMessage: Clone + Send + Sync {
-    type Answer: Send;
-
-    fn send(
-        self,
-        client: &NodeClient,
-        context: Context,
-    ) -> impl Future<Output = Result<Result<Self::Answer, ControlError>, RpcError>> + Send;
-}
-
-impl OnceMessage for OnceClaim {
-    type Answer = ClaimOutcome;
-
-    async fn send(
-        self,
-        client: &NodeClient,
-        context: Context,
-    ) -> Result<Result<ClaimOutcome, ControlError>, RpcError> {
-        client.claim(context, self).await
-    }
-}
-
-impl OnceMessage for OnceSettle {
-    type Answer = ();
-
-    async fn send(
-        self,
-        client: &NodeClient,
-        context: Context,
-    ) -> Result<Result<(), ControlError>, RpcError> {
-        client.settle(context, self).await
-    }
-}
-
 impl ControlClient {
     /// Creates a client of these instances, tried in this order from `first` on.
     ///
@@ -186,6 +153,15 @@
         self.repeat(limit, settle).await
     }
 
+    /// Asks whether a request that must run at most once may have run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no instance could tell in time.
+    pub async fn may_have_run(&self, key: &OnceKey, limit: Duration) -> Result<bool, ClientError> {
+        self.repeat(limit, key).await
+    }
+
     async fn try_exchange(
         &self,
         request: &ExchangeRequest,
@@ -265,7 +241,9 @@
                 Err(ClientError::Answered { address, error })
             }
             Err(error) => {
-                self.targets[target.position].channel.reset();
+                if is_broken(&error) {
+                    self.targets[target.position].channel.reset();
+                }
                 self.switch(target.position, &error);
                 Err(ClientError::Unanswered { address })
             }
