--- a/crates/bench/src/experiment/rates.rs
+++ b/crates/bench/src/experiment/rates.rs
@@ -66,7 +66,7 @@
 /// What was measured.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RateFigures {
-    /// Requests that a central bucket lets in.
+    /// Requests of the team while a central bucket refuses nothing.
     pub within: u64,
     /// Those of them that were refused.
     pub refused: u64,
@@ -204,7 +204,7 @@
         let next = Duration::from_secs_f64(gap_s);
         self.queue.after(next, RateEvent::Arrive);
         let now = self.queue.now();
-        let within = self.ideal.take(now);
+        let within = self.ideal.take(now) && self.ideal.is_within_rate(now);
         self.figures.within += u64::from(within);
         self.requests += 1;
         let outcome = self.nodes[node].holder.take();
--- a/crates/limit/src/holder.rs
+++ b/crates/limit/src/holder.rs
@@ -86,7 +86,7 @@
     /// Spends a token for a call that enters now.
     pub fn take(&mut self) -> TakeOutcome {
         let now = self.clock.now();
-        self.meter.record(now);
+        self.meter.record();
         self.take_at(now)
     }
 
@@ -132,7 +132,7 @@
         self.meter.sample(now);
         let urgent_milli = self.waiting_calls * CALL_MILLI;
         let held_milli = self.held.milli + self.inherited.milli;
-        let target_milli = self.meter.expected_calls(self.ahead, now) * CALL_MILLI;
+        let target_milli = self.meter.expected_calls(self.ahead) * CALL_MILLI;
         let ahead_milli = target_milli.saturating_sub(held_milli);
         let want_milli = urgent_milli + ahead_milli;
         let idle_milli = self.held.milli.min(held_milli.saturating_sub(target_milli));
