--- a/crates/control/benches/exchange/claims.rs
+++ b/crates/control/benches/exchange/claims.rs
@@ -56,7 +56,7 @@
         let _entered = runtime.enter();
         let began = Instant::now();
         let claimers = (0..*count).map(|number| {
-            let client = node::client(&identity, &group.addresses[holder]);
+            let client = node::client(&identity, &group.addresses[holder..=holder], 0);
             runtime.spawn(claim_on(client, number, length))
         });
         let claimers: Vec<_> = claimers.collect();
--- a/crates/control/benches/exchange/group.rs
+++ b/crates/control/benches/exchange/group.rs
@@ -128,6 +128,15 @@
         }
     }
 
+    /// Returns the position of the leader.
+    pub(crate) fn leader(&self) -> usize {
+        let leader = self.cores[0].log.position().leader;
+        let mut positions = 0..self.cores.len();
+        positions
+            .find(|position| leader == Some(self.cores[*position].own))
+            .unwrap_or_default()
+    }
+
     /// Returns the position of an instance that does not lead.
     pub(crate) fn follower(&self) -> usize {
         let leader = self.cores[0].log.position().leader;
--- a/crates/control/benches/exchange/main.rs
+++ b/crates/control/benches/exchange/main.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod cpu;
 mod group;
+mod loss;
 mod node;
 mod sizes;
 mod table;
@@ -43,6 +44,8 @@
     period: Duration,
     changes: u32,
     demands: usize,
+    /// Whether nodes may move to another instance.
+    lossy: bool,
 }
 
 fn main() -> anyhow::Result<()> {
@@ -58,6 +61,18 @@
         let length = Duration::from_secs(plan(&matches, 0).seconds);
         return measure_claims(&counts, length);
     }
+    if matches.get_flag("lose") {
+        println!("nodes,lost_leader,lapsed_leases,least_lease_left_ms");
+        for nodes in counts {
+            let plan = RunPlan {
+                lossy: true,
+                ..plan(&matches, nodes)
+            };
+            loss::measure(&plan, false)?;
+            loss::measure(&plan, true)?;
+        }
+        return Ok(());
+    }
     println!("{}", RunResult::HEADINGS);
     for nodes in counts {
         let result = measure(&plan(&matches, nodes))?;
@@ -101,6 +116,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Print the encoded sizes of the messages instead"),
         )
+        .arg(
+            Arg::new("lose")
+                .long("lose")
+                .action(ArgAction::SetTrue)
+                .help("Lose the instance that holds all nodes instead, once a follower, once the leader"),
+        )
         .arg(
             Arg::new("claims")
                 .long("claims")
@@ -118,6 +139,7 @@
         period: Duration::from_millis(number("period-ms")),
         changes: u32::try_from(number("changes")).unwrap_or(u32::MAX),
         demands: usize::try_from(number("demands")).unwrap_or(usize::MAX),
+        lossy: false,
     }
 }
 
--- a/crates/control/benches/exchange/node.rs
+++ b/crates/control/benches/exchange/node.rs
@@ -74,10 +74,29 @@
     }
 }
 
+/// Leases at the moment of their renewal.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeaseSummary {
+    /// Renewals that came after the lease had run out.
+    pub(crate) lapsed: u64,
+    /// Least time that was left of a lease when it was renewed.
+    pub(crate) least_left: Duration,
+}
+
+impl Default for LeaseSummary {
+    fn default() -> Self {
+        Self {
+            lapsed: 0,
+            least_left: Duration::MAX,
+        }
+    }
+}
+
 /// All stand-in nodes.
 pub(crate) struct NodeFleet {
     nodes: Vec<Arc<StandinNode>>,
     latencies: Arc<Mutex<Vec<Duration>>>,
+    leases: Arc<Mutex<LeaseSummary>>,
 }
 
 /// What the measurement sees of a node.
@@ -85,6 +104,7 @@
     client: ControlClient,
     applied: AtomicU64,
     latencies: Arc<Mutex<Vec<Duration>>>,
+    leases: Arc<Mutex<LeaseSummary>>,
 }
 
 impl NodeFleet {
@@ -97,12 +117,19 @@
     ) -> Self {
         let identity = group.authority.identity(PeerRole::Node);
         let latencies = Arc::default();
+        let leases = Arc::default();
+        let addresses = if plan.lossy {
+            &group.addresses[..]
+        } else {
+            &group.addresses[holder..=holder]
+        };
         let _entered = runtime.enter();
         let nodes = (0..plan.nodes).map(|number| {
             let node = Arc::new(StandinNode {
-                client: client(&identity, &group.addresses[holder]),
+                client: client(&identity, addresses, holder),
                 applied: AtomicU64::new(0),
                 latencies: Arc::clone(&latencies),
+                leases: Arc::clone(&leases),
             });
             runtime.spawn(Arc::clone(&node).run(number, *plan));
             node
@@ -110,9 +137,20 @@
         Self {
             nodes: nodes.collect(),
             latencies: Arc::clone(&latencies),
+            leases: Arc::clone(&leases),
         }
     }
 
+    /// Returns the leases at the moment of their renewal.
+    pub(crate) fn leases(&self) -> LeaseSummary {
+        *self.leases.lock().unwrap()
+    }
+
+    /// Forgets the renewals so far.
+    pub(crate) fn reset_leases(&self) {
+        *self.leases.lock().unwrap() = LeaseSummary::default();
+    }
+
     /// Waits until every node holds a lease.
     pub(crate) async fn all_leased(&self) {
         self.all_applied(1).await;
@@ -157,6 +195,7 @@
         let mut request = request(number);
         let mut holders = holders(number, plan.demands);
         let stamps = StampClock::new(SystemClock);
+        let mut lease_end = None;
         loop {
             let began = Instant::now();
             request.stamp = stamps.stamp();
@@ -166,6 +205,7 @@
                 let applied_before = request.applied;
                 self.apply(&mut request, &reply);
                 let Some(lease) = reply.lease else { continue };
+                self.note_renewal(lease_end.replace(began + lease.length));
                 for grant in &reply.grants {
                     let holder = holders.iter_mut().find(|(team, _)| *team == grant.team);
                     if let Some((_, holder)) = holder {
@@ -181,6 +221,15 @@
         }
     }
 
+    /// Notes how much was left of the lease that was renewed now.
+    fn note_renewal(&self, lease_end: Option<Instant>) {
+        let Some(lease_end) = lease_end else { return };
+        let left = lease_end.saturating_duration_since(Instant::now());
+        let mut leases = self.leases.lock().unwrap();
+        leases.lapsed += u64::from(left.is_zero());
+        leases.least_left = leases.least_left.min(left);
+    }
+
     fn apply(&self, request: &mut ExchangeRequest, reply: &ExchangeReply) {
         if let Some(lease) = reply.lease {
             request.applied = lease.version;
@@ -214,11 +263,15 @@
 }
 
 /// Returns a client with a socket of its own.
-pub(crate) fn client(identity: &TlsIdentity, address: &ControlAddress) -> ControlClient {
+pub(crate) fn client(
+    identity: &TlsIdentity,
+    addresses: &[ControlAddress],
+    first: usize,
+) -> ControlClient {
     let timing = LinkTiming::default();
     let endpoint = QuicEndpoint::bind_client(LOOPBACK, identity, timing);
     let endpoint = endpoint.expect("a socket can be bound");
-    ControlClient::new(&endpoint, std::slice::from_ref(address), 0)
+    ControlClient::new(&endpoint, addresses, first as u64)
 }
 
 /// Returns the first exchange of a node.
