--- a/crates/control/benches/exchange/node.rs
+++ b/crates/control/benches/exchange/node.rs
@@ -126,7 +126,7 @@
         let _entered = runtime.enter();
         let nodes = (0..plan.nodes).map(|number| {
             let node = Arc::new(StandinNode {
-                client: client(&identity, addresses, holder),
+                client: client(&identity, addresses, spread(holder, number, addresses)),
                 applied: AtomicU64::new(0),
                 latencies: Arc::clone(&latencies),
                 leases: Arc::clone(&leases),
@@ -266,12 +266,17 @@
 pub(crate) fn client(
     identity: &TlsIdentity,
     addresses: &[ControlAddress],
-    first: usize,
+    spread: u64,
 ) -> ControlClient {
     let timing = LinkTiming::default();
     let endpoint = QuicEndpoint::bind_client(LOOPBACK, identity, timing);
     let endpoint = endpoint.expect("a socket can be bound");
-    ControlClient::new(&endpoint, addresses, first as u64)
+    ControlClient::new(&endpoint, addresses, spread)
+}
+
+/// Returns the number of an order that has the holder first and differs between nodes.
+fn spread(holder: usize, number: u64, addresses: &[ControlAddress]) -> u64 {
+    holder as u64 + number * addresses.len() as u64
 }
 
 /// Returns the first exchange of a node.
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -2,6 +2,7 @@
 
 mod message;
 
+use std::iter;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -62,26 +63,25 @@
 }
 
 impl ControlClient {
-    /// Creates a client of these instances, tried in this order from `first` on.
+    /// Creates a client of these instances, tried in an order that `spread` decides.
     ///
-    /// Nodes spread over the instances by different values of `first`, such
-    /// as their node id. Connects nothing yet.
+    /// Nodes with different values, such as their ids, spread evenly over the
+    /// instances, and again over the others when one is lost. The instance at
+    /// `spread` modulo their number comes first. Connects nothing yet.
     ///
     /// # Panics
     ///
     /// Panics when `addresses` is empty; the settings refuse that.
     #[must_use]
-    pub fn new(endpoint: &QuicEndpoint, addresses: &[ControlAddress], first: u64) -> Self {
+    pub fn new(endpoint: &QuicEndpoint, addresses: &[ControlAddress], spread: u64) -> Self {
         assert!(!addresses.is_empty(), "a node needs a control instance");
-        let targets = addresses.iter().map(|address| ControlTarget {
+        let targets = permuted(addresses, spread).map(|address| ControlTarget {
             instance: address.instance,
             channel: RpcChannel::new(endpoint.clone(), address.address, PeerRole::Control),
         });
-        let count = addresses.len() as u64;
-        let first = usize::try_from(first % count).unwrap_or_default();
         Self {
             targets: targets.collect(),
-            chosen: Arc::new(AtomicUsize::new(first)),
+            chosen: Arc::default(),
         }
     }
 
@@ -261,6 +261,18 @@
     }
 }
 
+/// Returns the addresses in the permutation with the number `spread`.
+fn permuted(addresses: &[ControlAddress], spread: u64) -> impl Iterator<Item = ControlAddress> {
+    let mut left = addresses.to_vec();
+    let mut number = spread;
+    iter::from_fn(move || {
+        let count = left.len() as u64;
+        let position = number.checked_rem(count)?;
+        number /= count;
+        Some(left.remove(usize::try_from(position).ok()?))
+    })
+}
+
 /// Returns whether another instance would answer the same.
 fn is_final(error: &ClientError) -> bool {
     let ClientError::Answered { error, .. } = error else {
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -19,6 +19,7 @@
 use tarpc::serde_transport;
 use tarpc::serde_transport::Transport;
 use tarpc::server::BaseChannel;
+use tokio::sync::OwnedMutexGuard;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
@@ -30,6 +31,9 @@
 use crate::quic::QuicStream;
 use crate::role::PeerRole;
 
+/// Time that a handshake may take, also after its caller gave up, in milliseconds.
+const HANDSHAKE_TIMEOUT_MS: u64 = 2_000;
+
 /// tarpc transport that receives `In` and sends `Out`.
 pub type RpcTransport<In, Out> = Transport<QuicStream, In, Out, PostcardCodec<In, Out>>;
 
@@ -84,8 +88,9 @@
     address: SocketAddr,
     role: PeerRole,
     current: Arc<Mutex<Option<OpenChannel<Req, Resp>>>>,
-    /// Held while connecting, so that calls made together share one connection.
-    connecting: Arc<tokio::sync::Mutex<()>>,
+    /// Held while connecting, so that calls made together share one connection;
+    /// why the last try failed.
+    connecting: Arc<tokio::sync::Mutex<String>>,
 }
 
 /// A connection with the client side of its one stream.
@@ -132,29 +137,48 @@
 
     /// Returns the open channel, or connects within `limit`.
     ///
+    /// A handshake that takes longer goes on without the caller, so that a
+    /// process with many new connections does not work on them in vain.
+    ///
     /// # Errors
     ///
-    /// Fails when no connection can be made.
+    /// Fails when there is no connection in time.
     pub async fn channel(&self, limit: Duration) -> Result<Channel<Req, Resp>, LinkError> {
         if let Some(channel) = self.open_channel() {
             return Ok(channel);
         }
+        if let Ok(turn) = Arc::clone(&self.connecting).try_lock_owned() {
+            tokio::spawn(self.clone().connect(turn));
+        }
         let address = self.address;
-        let _turn = timeout(limit, self.connecting.lock())
-            .await
-            .map_err(|_| LinkError::Timeout { address })?;
-        if let Some(channel) = self.open_channel() {
-            return Ok(channel);
+        let waited = timeout(limit, self.connecting.lock()).await;
+        let failure = waited.map_err(|_| LinkError::Timeout { address })?;
+        self.open_channel().ok_or_else(|| LinkError::Refused {
+            address,
+            reason: failure.clone(),
+        })
+    }
+
+    /// Connects, and leaves the reason behind when that fails.
+    async fn connect(self, mut failure: OwnedMutexGuard<String>) {
+        if self.open_channel().is_some() {
+            return;
+        }
+        match self.try_connect().await {
+            Ok(opened) => *self.lock() = Some(opened),
+            Err(error) => *failure = error.to_string(),
         }
-        let link = self.endpoint.connect(address, self.role, limit).await?;
+    }
+
+    async fn try_connect(&self) -> Result<OpenChannel<Req, Resp>, LinkError> {
+        let limit = Duration::from_millis(HANDSHAKE_TIMEOUT_MS);
+        let link = self
+            .endpoint
+            .connect(self.address, self.role, limit)
+            .await?;
         let stream = link.open().await?;
         let channel = client::new(client::Config::default(), transport(stream)).spawn();
-        let opened = OpenChannel {
-            link,
-            channel: channel.clone(),
-        };
-        *self.lock() = Some(opened);
-        Ok(channel)
+        Ok(OpenChannel { link, channel })
     }
 
     /// Drops the connection, so that the next call opens a new one.
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -278,3 +278,23 @@
     let expected = (0..100).map(|number| vec![number]).collect::<Vec<_>>();
     assert_eq!(received, expected);
 }
+
+#[tokio::test]
+async fn nodes_spread_over_the_instances_and_again_over_those_left() {
+    let authority = TestAuthority::new();
+    let silent = std::net::UdpSocket::bind(LOOPBACK).unwrap();
+    let (second, _) = start(&authority, Ok(ClaimOutcome::Fresh));
+    let (third, _) = start(&authority, Ok(ClaimOutcome::Fresh));
+    let endpoint = dialer(&authority.identity(PeerRole::Node));
+    let list = addresses(&[silent.local_addr().unwrap(), second, third]);
+    let mut firsts = Vec::new();
+    let mut seconds = Vec::new();
+    for spread in 0..6 {
+        let client = ControlClient::new(&endpoint, &list, spread);
+        firsts.push(client.instance());
+        client.claim(&claim(), LIMIT).await.unwrap();
+        seconds.push(client.instance());
+    }
+    assert_eq!(firsts, [1, 2, 3, 1, 2, 3]);
+    assert_eq!(seconds, [2, 2, 3, 3, 2, 3]);
+}
