--- a/crates/bench/src/experiment/ideal.rs
+++ b/crates/bench/src/experiment/ideal.rs
@@ -44,6 +44,7 @@
     }
 
     /// Returns whether the bucket refused nothing lately.
+    #[must_use]
     pub fn is_within_rate(&self, now: Duration) -> bool {
         let long_ago = |at| now.saturating_sub(at) > Duration::from_secs(WITHIN_RATE_S);
         self.refused_at.is_none_or(long_ago)
