Serve open routes at a node that is cut off, and test lost disks and cuts

Cause: a node learned the members of a service with its first call, so a node that was cut off before answered an open route with no-backend. Services of open routes are asked for with the declaration now. The test failed first. The wiped instance was refused its old identity at the first run of the test.

--- a/crates/bench/src/group.rs
+++ b/crates/bench/src/group.rs
@@ -105,6 +105,25 @@
         ManagedProcess::start("ragwortplankd", name, &arguments, &log)
     }
 
+    /// Adds a control instance that joins the group, and returns its position.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its files cannot be written or it cannot be started.
+    pub fn join_control(&mut self, instance: u64) -> anyhow::Result<usize> {
+        let control = ControlPlan {
+            name: format!("control-{instance}"),
+            instance,
+            quic: self.plan.ports.udp()?,
+            admin: self.plan.ports.tcp()?,
+        };
+        self.files.write_joining(&self.plan, &control)?;
+        let process = self.daemon(&control.name)?;
+        self.plan.controls.push(control);
+        self.controls.push(process);
+        Ok(self.plan.controls.len() - 1)
+    }
+
     /// Starts the stand-in beside a node (again).
     ///
     /// # Errors
--- a/crates/bench/src/group/files.rs
+++ b/crates/bench/src/group/files.rs
@@ -64,6 +64,20 @@
         Ok(files)
     }
 
+    /// Writes the files of a control instance that joins the group.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the tool fails or a file cannot be written.
+    pub fn write_joining(&self, plan: &GroupPlan, control: &ControlPlan) -> anyhow::Result<()> {
+        let address = plan.ports.address();
+        tool::issue(&self.tls(), &control.name, "control", address)?;
+        let mut joined = plan.clone();
+        joined.controls.push(control.clone());
+        let settings = self.control_settings(&joined, control)?;
+        self.save(&control.name, &format!("join = true\n{settings}"))
+    }
+
     /// Returns the folder of the group.
     #[must_use]
     pub fn folder(&self) -> &Path {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod group;
 pub mod journal;
 pub mod load;
+pub mod relay;
 pub mod standin;
 pub mod trial;
 pub mod wait;
--- /dev/null
+++ b/crates/bench/tests/process/cut.rs
@@ -0,0 +1,87 @@
+//! Processes that are cut off from control, and lost disks.
+
+use bench::group::GroupPlan;
+use bench::load::CallOutcome;
+use bench::relay::DatagramRelay;
+use bench::trial;
+use bench::wait;
+
+use crate::support::STOP_TIMEOUT;
+use crate::support::TestGroup;
+use crate::support::chain;
+
+/// Puts relays between the first node and all control instances.
+async fn relayed(mut plan: GroupPlan) -> (GroupPlan, Vec<DatagramRelay>) {
+    let mut relays = Vec::new();
+    for control in &plan.controls {
+        let relay = DatagramRelay::start(control.quic).await;
+        relays.push(relay.expect("a relay"));
+    }
+    let addresses = relays.iter().map(DatagramRelay::address);
+    plan.nodes[0].control = Some(addresses.collect());
+    (plan, relays)
+}
+
+fn refused(cause: &str) -> CallOutcome {
+    CallOutcome::Failed {
+        cause: cause.to_owned(),
+        verdict: "not-run".to_owned(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_cut_off_serves_no_withdrawn_key() {
+    let (plan, relays) = relayed(chain(1)).await;
+    let mut test = TestGroup::start(plan).await;
+    let withdrawn = test.profile("workshop", "/quotes", "quotes");
+    let open = test.profile("none", "/status", "prices");
+    let mut caller = test.caller(0);
+    let record = caller.call(0, &withdrawn).await;
+    assert_eq!(record.outcome, CallOutcome::Answered);
+    relays.iter().for_each(DatagramRelay::cut);
+    test.declaration.teams[0].keys = vec![bench::group::make_team_key().expect("a key")];
+    let declared = test.declaration.text(&test.group.files.owners);
+    // In force means that the lease of the node that is cut off has run out as well.
+    trial::apply(&test.group, &declared)
+        .await
+        .expect("in force");
+    for _ in 0..10 {
+        let record = caller.call(0, &withdrawn).await;
+        assert_eq!(record.outcome, refused("no-lease"));
+    }
+    let record = caller.call(0, &open).await;
+    assert_eq!(record.outcome, CallOutcome::Answered);
+    relays.iter().for_each(DatagramRelay::heal);
+    wait::nodes_ready(&test.group).await.expect("a lease");
+    let record = caller.call(0, &withdrawn).await;
+    assert_eq!(record.outcome, refused("unknown-key"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wiped_instance_does_not_vote_and_is_replaced_under_a_new_identity() {
+    let mut test = TestGroup::start(chain(1)).await;
+    let wiped = 2;
+    test.group.controls[wiped].kill().expect("killed");
+    let name = test.group.plan.controls[wiped].name.clone();
+    std::fs::remove_dir_all(test.group.files.data(&name)).expect("a wiped disk");
+    test.group.controls[wiped] = test.group.daemon(&name).expect("a daemon");
+    // Its old identity is refused, so the process ends with an error.
+    assert!(
+        test.group.controls[wiped].wait_ended(STOP_TIMEOUT).is_err(),
+        "a wiped instance goes on under its old identity"
+    );
+    test.declaration.teams[0].rate += 1;
+    let declared = test.declaration.text(&test.group.files.owners);
+    trial::apply(&test.group, &declared)
+        .await
+        .expect("in force");
+    let joined = test.group.join_control(4).expect("a new instance");
+    wait::until("the new instance to vote", async || {
+        let status = wait::control_status(&test.group, joined).await?;
+        anyhow::ensure!(status.voters.contains(&4), "{status:?}");
+        anyhow::ensure!(status.version == 2, "{status:?}");
+        Ok(())
+    })
+    .await
+    .expect("a new voter");
+}
--- a/crates/bench/tests/process/main.rs
+++ b/crates/bench/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod crash;
+mod cut;
 mod input;
 mod limits;
 mod once;
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -134,6 +134,10 @@
     let view = state.view.get();
     if view.version() != before {
         state.standings().update(&view.declaration.teams);
+        // Open routes are served without a lease, so their members are needed ahead.
+        let routes = view.declaration.routes.iter();
+        let open = routes.filter(|route| route.open);
+        state.members.expect_calls(open.map(|route| &route.service));
         state
             .metrics
             .applied
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -122,16 +122,30 @@
         records
     }
 
+    /// Asks for the members of services ahead of their first call.
+    pub(crate) fn expect_calls<'s>(&self, services: impl Iterator<Item = &'s ServiceName>) {
+        let mut known = self.lock();
+        for service in services {
+            if !known.pickers.contains_key(service) {
+                self.add_interest(&mut known, service);
+                self.wanted.notify_one();
+            }
+        }
+    }
+
+    fn add_interest(&self, known: &mut KnownMembers<C>, service: &ServiceName) {
+        let entry = ServicePicker {
+            picker: ServerPicker::new(self.clock.clone(), self.data_centre.clone()),
+            is_known: false,
+        };
+        known.pickers.insert(service.clone(), entry);
+        known.position.cursor = 0;
+    }
+
     fn try_pick(&self, service: &ServiceName, tried: &[NodeId]) -> PickAttempt {
         let mut known = self.lock();
         let Some(entry) = known.pickers.get_mut(service) else {
-            let picker = ServerPicker::new(self.clock.clone(), self.data_centre.clone());
-            let entry = ServicePicker {
-                picker,
-                is_known: false,
-            };
-            known.pickers.insert(service.clone(), entry);
-            known.position.cursor = 0;
+            self.add_interest(&mut known, service);
             return PickAttempt::Unknown;
         };
         match entry.picker.pick(tried, rand::random()) {
