Promote any learner that has caught up

Cause: only the first learner was tried, so one that never came held up all others. The new test failed before (no promotion within a minute).

--- a/crates/replica/src/driver/joining.rs
+++ b/crates/replica/src/driver/joining.rs
@@ -98,12 +98,13 @@
         if membership.voters().count() >= self.config.voters_max {
             return;
         }
-        let learner = membership.members().iter().find(|member| !member.voter);
-        if let Some(learner) = learner {
-            // Repeated until the learner has caught up.
-            let _ = self
-                .core
-                .change_members(MemberChange::Promote(learner.instance), now);
+        let learners = membership.members().iter().filter(|member| !member.voter);
+        for learner in learners {
+            let promotion = MemberChange::Promote(learner.instance);
+            // One that has not caught up is tried again later.
+            if self.core.change_members(promotion, now).is_ok() {
+                return;
+            }
         }
     }
 }
--- a/crates/replica/tests/group.rs
+++ b/crates/replica/tests/group.rs
@@ -231,3 +231,22 @@
         assert!(matches!(fault, ReplicaFault::Storage(_)), "{fault}");
     });
 }
+
+#[test]
+fn learner_that_never_comes_does_not_hold_up_the_next() {
+    run(async {
+        let mut group = TestGroup::new(&[1]);
+        group.start(1);
+        let absent = MemberChange::AddLearner {
+            instance: 4,
+            folder: 9,
+        };
+        group.change_members(absent).await;
+        group.start_joining(5);
+        group
+            .wait(5, |status| status.duty == MemberDuty::Follower)
+            .await;
+        group.propose(b"by two").await;
+        group.stop_all().await;
+    });
+}
