Choose by own calls first, and promise no more than was measured

Causes: (1) a window in which the limit did not bind promised limit over service time, up to twice the truth where the limit is too high, and the cut opened. (2) All nodes followed the same old reports to the same member.

--- a/crates/admit/src/gate/estimate.rs
+++ b/crates/admit/src/gate/estimate.rs
@@ -8,6 +8,9 @@
 const CAPACITY_JUMP: f64 = 1.4;
 /// Ratio to the base below which a service time replaces it at once.
 const BASE_DROP: f64 = 0.7;
+/// Calls at once, over what was measured, that are promised while the limit
+/// doesn't bind: too little would keep it from ever binding again.
+const PROBE_FACTOR: f64 = 1.2;
 /// Weight of a service time that is a little below the base.
 const BASE_WEIGHT: f64 = 0.2;
 
@@ -22,6 +25,8 @@
     pub(super) stay_s: f64,
     /// Calls per second completed at the limit.
     pub(super) capacity: f64,
+    /// Calls that the backend server works on at once, zero if unknown.
+    concurrency: f64,
 }
 
 impl ServiceEstimate {
@@ -35,17 +40,43 @@
         }
     }
 
+    /// Takes over how many calls the backend server worked on at once in a dip.
+    pub(super) fn measured(&mut self, concurrency: f64) {
+        self.concurrency = if self.concurrency > 0.0 {
+            f64::midpoint(self.concurrency, concurrency)
+        } else {
+            concurrency
+        };
+    }
+
+    /// Forgets how many calls it worked on at once, since it takes more without queueing.
+    pub(super) fn forget_concurrency(&mut self) {
+        self.concurrency = 0.0;
+    }
+
     /// Takes the throughput while the limit binds, and what Little's law promises otherwise.
+    ///
+    /// The limit may lie above what the backend server works on at once, so
+    /// the promise is no more than what was measured of that.
     fn update_capacity(&mut self, result: WindowResult, limit: f64) {
-        if !result.busy {
-            self.capacity = limit / result.service_s;
-            return;
-        }
-        let ratio = result.throughput / self.capacity.max(f64::MIN_POSITIVE);
+        let fresh = if result.busy {
+            result.throughput
+        } else {
+            self.usable(limit) / result.service_s
+        };
+        let ratio = fresh / self.capacity.max(f64::MIN_POSITIVE);
         if (1.0 / CAPACITY_JUMP..=CAPACITY_JUMP).contains(&ratio) {
-            self.capacity += CAPACITY_WEIGHT * (result.throughput - self.capacity);
+            self.capacity += CAPACITY_WEIGHT * (fresh - self.capacity);
+        } else {
+            self.capacity = fresh;
+        }
+    }
+
+    fn usable(&self, limit: f64) -> f64 {
+        if self.concurrency > 0.0 {
+            limit.min(self.concurrency * PROBE_FACTOR)
         } else {
-            self.capacity = result.throughput;
+            limit
         }
     }
 
--- a/crates/admit/src/gate/limit.rs
+++ b/crates/admit/src/gate/limit.rs
@@ -292,6 +292,7 @@
         };
         if ratio <= below {
             self.limit = (self.limit * factor.min(GROW_MAX_FACTOR)).min(LIMIT_MAX);
+            self.estimate.forget_concurrency();
             self.source = self.source.max(LimitSource::Grown);
             self.grown_windows += 1;
         } else {
@@ -366,6 +367,7 @@
             return;
         }
         let capacity = throughput * result.service_s;
+        self.estimate.measured(capacity);
         let target = (capacity * HEADROOM).clamp(limit, self.limit * 1.25);
         let repeated = limit < self.limit * DIP_FACTOR * 0.99;
         self.limit = if repeated || target > self.limit {
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -109,17 +109,29 @@
         self.ramp_start = Some(at);
     }
 
+    /// Returns the calls of this node that the member has, over its limit.
+    ///
+    /// A recent refusal counts as a full limit.
+    pub(crate) fn own_score(&self, now: Instant) -> f64 {
+        let own = f64::from(self.own_in_flight) / self.limit();
+        own + self.refusal_load(now)
+    }
+
     /// Returns the expected load as a multiple of the limit.
     pub(crate) fn score(&self, now: Instant) -> f64 {
-        let limit = match self.load.limit {
+        (self.expected_calls(now) + 1.0) / self.limit() + self.refusal_load(now)
+    }
+
+    fn limit(&self) -> f64 {
+        match self.load.limit {
             0 => LIMIT_ASSUMED,
             limit => f64::from(limit),
-        };
-        let mut score = (self.expected_calls(now) + 1.0) / limit;
-        if self.refused_until.is_some_and(|until| now < until) {
-            score += REFUSED_LOAD;
         }
-        score
+    }
+
+    fn refusal_load(&self, now: Instant) -> f64 {
+        let refused = self.refused_until.is_some_and(|until| now < until);
+        if refused { REFUSED_LOAD } else { 0.0 }
     }
 
     /// Counts the calls that the member has, from its last report and what this node did since.
--- a/crates/route/src/picker.rs
+++ b/crates/route/src/picker.rs
@@ -16,6 +16,8 @@
 const LOCAL_LOAD_MAX: f64 = 0.9;
 /// Load that another data centre must undercut, in multiples of the limit, to be worth the way.
 const REMOTE_ADVANTAGE: f64 = 0.2;
+/// Difference of own calls, in multiples of the limit, that counts as none.
+const OWN_EQUAL: f64 = 0.001;
 /// Members that outlier ejection leaves, one in this many.
 const FLOOR_DIVISOR: usize = 2;
 /// Answers between two looks for slow members.
@@ -187,7 +189,7 @@
         let first = self.draw(from, exclude, None, seed, now)?;
         let other_seed = seed.rotate_left(32) ^ SECOND_DRAW;
         let second = self.draw(from, exclude, Some(first.position), other_seed, now);
-        let better = second.filter(|second| second.score < first.score);
+        let better = second.filter(|second| second.is_better_than(first));
         Some(better.unwrap_or(first))
     }
 
@@ -221,8 +223,12 @@
     }
 
     fn scored(&self, position: usize, now: Instant) -> ScoredMember {
-        let score = self.members[position].score(now);
-        ScoredMember { position, score }
+        let member = &self.members[position];
+        ScoredMember {
+            position,
+            own: member.own_score(now),
+            score: member.score(now),
+        }
     }
 
     /// Rebuilds the lists of members that may be picked.
@@ -309,9 +315,22 @@
 #[derive(Clone, Copy, Debug)]
 struct ScoredMember {
     position: usize,
+    own: f64,
     score: f64,
 }
 
+impl ScoredMember {
+    /// Compares by this node's own calls, and by reports only where these are equal.
+    ///
+    /// Reports that lag or mislead would send all nodes to the same member.
+    fn is_better_than(self, other: Self) -> bool {
+        if (self.own - other.own).abs() < OWN_EQUAL {
+            return self.score < other.score;
+        }
+        self.own < other.own
+    }
+}
+
 /// Spreads the bits of a number (the finaliser of splitmix64), so that any seed serves.
 fn mix(seed: u64) -> u64 {
     let mut mixed = seed.wrapping_add(SECOND_DRAW);
