Make up for refill missed while spent tokens counted as out

Cause: an owner counts a spent token as out until the node reports, up to an exchange later, and refills nothing above the burst meanwhile. A small burst lost several calls by that.

Now a report tells how long ago the last token was spent, and the owner credits what it missed since then, each missed part once.

--- a/crates/control/tests/control/group.rs
+++ b/crates/control/tests/control/group.rs
@@ -171,6 +171,7 @@
         held_milli: 0,
         returned_milli: 0,
         spent_milli: 0,
+        spent_age: Duration::ZERO,
     }
 }
 
--- a/crates/limit/src/escrow.rs
+++ b/crates/limit/src/escrow.rs
@@ -217,6 +217,8 @@
         if demand.term != self.term {
             return;
         }
+        let now = self.clock.now();
+        let spent_at = now.checked_sub(demand.spent_age).unwrap_or(now);
         let claimed_milli = demand.held_milli.saturating_add(demand.returned_milli);
         let inherited_milli = claimed_milli.saturating_sub(escrow.out_milli);
         if !escrow.reported {
@@ -229,7 +231,9 @@
         let returned_milli = demand.returned_milli.min(escrow.out_milli);
         let held_milli = demand.held_milli.min(escrow.out_milli - returned_milli);
         let spent_milli = escrow.out_milli - held_milli - returned_milli;
-        self.ledger.out_milli -= spent_milli;
+        let known_milli = spent_milli.min(demand.spent_milli);
+        self.ledger.out_milli -= spent_milli - known_milli;
+        self.ledger.book_spent(known_milli, spent_at);
         self.ledger.give_back(returned_milli);
         escrow.out_milli = held_milli;
     }
--- a/crates/limit/src/holder.rs
+++ b/crates/limit/src/holder.rs
@@ -57,8 +57,11 @@
     sequence: u64,
     open: Option<TokenDemand>,
     spent_milli: u64,
+    spent_at: Instant,
     waiting_calls: u64,
     closed_until: Option<Instant>,
+    /// Whether a new owner does not know yet what is held here.
+    report_due: bool,
     meter: DemandMeter,
 }
 
@@ -76,8 +79,10 @@
             sequence: 0,
             open: None,
             spent_milli: 0,
+            spent_at: clock.now(),
             waiting_calls: 0,
             closed_until: None,
+            report_due: false,
             meter: DemandMeter::new(clock.now()),
             clock,
         }
@@ -100,6 +105,7 @@
         self.drop_expired(now);
         if self.inherited.spend() || self.held.spend() {
             self.spent_milli += CALL_MILLI;
+            self.spent_at = now;
             return TakeOutcome::Taken;
         }
         let closed = self.closed_until.filter(|until| now < *until);
@@ -138,7 +144,7 @@
         let idle_milli = self.held.milli.min(held_milli.saturating_sub(target_milli));
         let returned_milli = if urgent_milli == 0 { idle_milli } else { 0 };
         let silent = want_milli == 0 && held_milli == 0 && self.spent_milli == 0;
-        if silent {
+        if silent && !self.report_due {
             return None;
         }
         self.held.milli -= returned_milli;
@@ -150,6 +156,7 @@
             want_milli,
             returned_milli,
             spent_milli: std::mem::take(&mut self.spent_milli),
+            spent_age: now.saturating_duration_since(self.spent_at),
             term: self.term,
             held_milli: held_milli - returned_milli,
             urgent_milli,
@@ -167,6 +174,7 @@
             return GrantEffect::Ignored;
         };
         self.open = None;
+        self.report_due = open.term != grant.term;
         if open.term == grant.term {
             self.held.milli += self.inherited.take();
         } else {
--- a/crates/limit/src/ledger.rs
+++ b/crates/limit/src/ledger.rs
@@ -5,6 +5,8 @@
 
 use model::declaration::TeamSpec;
 
+use crate::missed::MissedRefills;
+
 /// Nanoseconds in a second, as the divisor of refills.
 const SECOND_NS: u128 = 1_000_000_000;
 
@@ -36,6 +38,7 @@
     /// Part of a thousandth that is refilled but not yet in `free_milli`, times [`SECOND_NS`].
     carry: u128,
     refilled_at: Instant,
+    missed: MissedRefills,
 }
 
 impl TokenLedger {
@@ -47,6 +50,7 @@
             unknown_milli,
             carry: 0,
             refilled_at: now,
+            missed: MissedRefills::default(),
         }
     }
 
@@ -56,13 +60,15 @@
         if elapsed.is_zero() {
             return;
         }
-        self.refilled_at = now;
+        let begun = std::mem::replace(&mut self.refilled_at, now);
         let earned = u128::from(self.limit.rate_milli) * elapsed.as_nanos() + self.carry;
         let earned_milli = u64::try_from(earned / SECOND_NS).unwrap_or(u64::MAX);
         let room_milli = self.room_milli();
         if earned_milli >= room_milli {
             self.free_milli += room_milli;
             self.carry = 0;
+            self.missed
+                .record(begun, now, earned_milli - room_milli, earned_milli);
         } else {
             self.free_milli += earned_milli;
             self.carry = earned % SECOND_NS;
@@ -79,11 +85,22 @@
     pub(crate) fn declare(&mut self, limit: TeamLimit, now: Instant) {
         self.refill(now);
         self.limit = limit;
+        self.missed = MissedRefills::default();
         let taken_milli = self.out_milli + self.unknown_milli;
         let cap_milli = limit.burst_milli.saturating_sub(taken_milli);
         self.free_milli = self.free_milli.min(cap_milli);
     }
 
+    /// Books tokens that a node spent at `spent_at` or before.
+    ///
+    /// Until now they counted as out, so refill may have been missed since
+    /// then for lack of room; it is made up for.
+    pub(crate) fn book_spent(&mut self, spent_milli: u64, spent_at: Instant) {
+        self.out_milli -= spent_milli;
+        let room_milli = self.room_milli().min(spent_milli);
+        self.free_milli += self.missed.take_since(spent_at, room_milli);
+    }
+
     /// Takes back tokens from a node; those above a smaller burst are dropped.
     pub(crate) fn give_back(&mut self, returned_milli: u64) {
         self.out_milli -= returned_milli;
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -7,6 +7,7 @@
 mod escrow;
 mod holder;
 mod ledger;
+mod missed;
 mod pot;
 mod resend;
 
--- a/crates/model/src/exchange.rs
+++ b/crates/model/src/exchange.rs
@@ -69,6 +69,8 @@
     pub returned_milli: u64,
     /// Tokens spent since the node's last acknowledged demand.
     pub spent_milli: u64,
+    /// Time since the node spent the last of these.
+    pub spent_age: Duration,
     /// Term of the owner whose grant the node accepted last; 0 before the first.
     pub term: u64,
     /// Tokens that the node holds after it handed back `returned_milli`.
