--- a/crates/admit/tests/standing.rs
+++ b/crates/admit/tests/standing.rs
@@ -115,3 +115,37 @@
     let first = RankPolicy::rank(RefusalOrder::First, 40.0, 77);
     assert_eq!(first, RankPolicy::rank(RefusalOrder::First, 40.0, 77));
 }
+
+#[test]
+fn a_team_does_not_lose_by_sending_refused_requests_again() {
+    let clock = VirtualClock::new();
+    let mut book = StandingBook::new(clock.clone());
+    // Both ask for the same, and only the second sends again what was refused.
+    let teams: [(TeamName, u32); 2] = [("calm".into(), 1), ("keen".into(), 5)];
+    // A fixed cut admits each team's layers below about 39 calls per second.
+    let cut = CallRank::new(RankPolicy::importance(RefusalOrder::Middle), 124, 0);
+    let mut admitted = [0_u32; 2];
+    let mut waiting: Vec<(usize, u128, u32)> = Vec::new();
+    let mut id = 0;
+    for tick in 0..100_000_u64 {
+        clock.advance(Duration::from_millis(1));
+        let mut due = std::mem::take(&mut waiting);
+        for (team, (_, sends)) in teams.iter().enumerate() {
+            if tick % 3 == 0 {
+                id += 1;
+                due.push((team, id, *sends));
+            }
+        }
+        for (team, id, sends_left) in due {
+            let rank = book.rank(Some(&teams[team].0), RefusalOrder::Middle, id);
+            if rank >= cut {
+                admitted[team] += 1;
+            } else if sends_left > 1 {
+                waiting.push((team, id, sends_left - 1));
+            }
+        }
+    }
+    let fair = f64::from(admitted[0] + admitted[1]) / 2.0;
+    let worst = f64::from(admitted[0].min(admitted[1])) / fair;
+    assert!(worst >= 0.95, "{admitted:?}");
+}
--- a/crates/bench/src/wait.rs
+++ b/crates/bench/src/wait.rs
@@ -42,8 +42,24 @@
 ///
 /// Fails when none does in time.
 pub async fn leader(group: &ProcessGroup) -> anyhow::Result<usize> {
+    leader_among(group, |_| true).await
+}
+
+/// Waits until another control instance than `left_out` leads, and returns its position.
+///
+/// # Errors
+///
+/// Fails when none does in time.
+pub async fn other_leader(group: &ProcessGroup, left_out: usize) -> anyhow::Result<usize> {
+    leader_among(group, |position| position != left_out).await
+}
+
+async fn leader_among(
+    group: &ProcessGroup,
+    is_asked: impl Fn(usize) -> bool,
+) -> anyhow::Result<usize> {
     until("a leader", async || {
-        for position in 0..group.plan.controls.len() {
+        for position in (0..group.plan.controls.len()).filter(|position| is_asked(*position)) {
             let status = control_status(group, position).await;
             if status.is_ok_and(|status| status.duty == "leader") {
                 return Ok(position);
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -15,6 +15,7 @@
 use model::ids::InstanceId;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
+use model::once::OnceKey;
 use model::once::OnceSettle;
 use settings::ControlAddress;
 use tarpc::client::RpcError;
@@ -152,6 +153,15 @@
         self.repeat(limit, settle).await
     }
 
+    /// Asks whether a request that must run at most once may have run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no instance could tell in time.
+    pub async fn may_have_run(&self, key: &OnceKey, limit: Duration) -> Result<bool, ClientError> {
+        self.repeat(limit, key).await
+    }
+
     async fn try_exchange(
         &self,
         request: &ExchangeRequest,
--- a/crates/wire/src/client/message.rs
+++ b/crates/wire/src/client/message.rs
@@ -4,6 +4,7 @@
 
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
+use model::once::OnceKey;
 use model::once::OnceSettle;
 use tarpc::client::Channel;
 use tarpc::client::RpcError;
@@ -53,3 +54,15 @@
         client.settle(context, self).await
     }
 }
+
+impl OnceMessage for OnceKey {
+    type Answer = bool;
+
+    async fn send(
+        self,
+        client: &NodeClient,
+        context: Context,
+    ) -> Result<Result<bool, ControlError>, RpcError> {
+        client.may_have_run(context, self).await
+    }
+}
