--- /dev/null
+++ b/crates/settings/tests/fixtures.rs
@@ -0,0 +1,60 @@
+//! Settings as files: those that hold, and those that are refused with a named error.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use settings::CheckedSettings;
+
+fn fixtures(kind: &str) -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/fixtures")
+        .join(kind);
+    let entries = fs::read_dir(folder).expect("fixtures exist");
+    let paths = entries.map(|entry| entry.expect("readable").path());
+    let is_toml = |path: &PathBuf| path.extension().is_some_and(|end| end == "toml");
+    let files: Vec<PathBuf> = paths.filter(is_toml).collect();
+    assert!(!files.is_empty());
+    files
+}
+
+#[test]
+fn valid_settings_are_accepted() {
+    for path in fixtures("valid") {
+        let loaded = CheckedSettings::load(&path);
+        assert!(loaded.is_ok(), "{}: {loaded:?}", path.display());
+    }
+}
+
+#[test]
+fn invalid_settings_are_refused_with_file_and_reason() {
+    for path in fixtures("invalid") {
+        let expected = fs::read_to_string(path.with_extension("error")).expect("an error file");
+        let Err(error) = CheckedSettings::load(&path) else {
+            panic!("{} is accepted", path.display());
+        };
+        let text = error.to_string();
+        assert!(text.contains(expected.trim()), "{text}");
+        assert!(text.contains(&path.display().to_string()), "{text}");
+    }
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let error = CheckedSettings::load(Path::new("missing.toml")).expect_err("there is no file");
+    assert!(
+        error
+            .to_string()
+            .starts_with("missing.toml: cannot be read")
+    );
+}
+
+#[test]
+fn relative_paths_count_from_the_folder_of_the_file() {
+    let path = &fixtures("valid")[0];
+    let tls = match CheckedSettings::load(path).expect("valid") {
+        CheckedSettings::Node(settings) => settings.tls,
+        CheckedSettings::Control(settings) => settings.tls,
+    };
+    assert_eq!(tls.authority, path.with_file_name("tls/authority.pem"));
+}
