Measure what the path through the nodes adds to a call

`latency` starts three control instances and four services in a chain and compares, in the same run, direct calls to a stand-in with one hop and with a chain of four at rising concurrency, with processor time for each call and the cost of nodes when nobody calls. A stand-in without delay no longer waits for the timer, which rounds up to a millisecond.

The tail grows with the other work on the machine, so these figures bound the cost from above only.

--- /dev/null
+++ b/crates/bench/src/latency/idle.rs
@@ -0,0 +1,93 @@
+//! What processes cost when nobody calls.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+
+use crate::group::NodePlan;
+use crate::latency::process::cpu_time;
+use crate::latency::process::resident_bytes;
+use crate::latency::setup::LatencyGroup;
+
+/// Metric that counts the bytes exchanged with control.
+const BYTES_METRIC: &str = "ragwortplank_control_bytes ";
+
+/// Cost of one process without calls.
+#[derive(Clone, Debug)]
+pub struct IdleFigures {
+    /// Name of the process.
+    pub process: String,
+    /// Share of one core, in percent.
+    pub cpu_percent: f64,
+    /// Bytes that a node exchanges with control in a second; none for a control instance.
+    pub control_bytes: Option<f64>,
+    /// Resident memory, in bytes.
+    pub resident_bytes: u64,
+}
+
+/// State of one process at one time.
+struct IdleSample {
+    process: String,
+    cpu: Duration,
+    control_bytes: Option<f64>,
+    resident_bytes: u64,
+}
+
+/// Measures all nodes and control instances over a time in which nobody calls.
+///
+/// # Errors
+///
+/// Fails when a process does not tell its state.
+pub async fn measure_idle(
+    group: &LatencyGroup,
+    time: Duration,
+) -> anyhow::Result<Vec<IdleFigures>> {
+    let begun = Instant::now();
+    let before = sample(group).await?;
+    tokio::time::sleep(time).await;
+    let elapsed_s = begun.elapsed().as_secs_f64();
+    let after = sample(group).await?;
+    let pairs = before.into_iter().zip(after);
+    let figures = pairs.map(|(before, after)| IdleFigures {
+        process: after.process,
+        cpu_percent: after.cpu.saturating_sub(before.cpu).as_secs_f64() * 100.0 / elapsed_s,
+        control_bytes: after
+            .control_bytes
+            .zip(before.control_bytes)
+            .map(|(after, before)| (after - before) / elapsed_s),
+        resident_bytes: after.resident_bytes,
+    });
+    Ok(figures.collect())
+}
+
+async fn sample(group: &LatencyGroup) -> anyhow::Result<Vec<IdleSample>> {
+    let processes = &group.processes;
+    let mut samples = Vec::new();
+    for (plan, node) in processes.plan.nodes.iter().zip(&processes.nodes) {
+        samples.push(IdleSample {
+            process: plan.name.clone(),
+            control_bytes: Some(control_bytes(group, plan).await?),
+            cpu: cpu_time(node.id())?,
+            resident_bytes: resident_bytes(node.id())?,
+        });
+    }
+    for control in &processes.controls {
+        samples.push(IdleSample {
+            process: control.name().to_owned(),
+            control_bytes: None,
+            cpu: cpu_time(control.id())?,
+            resident_bytes: resident_bytes(control.id())?,
+        });
+    }
+    Ok(samples)
+}
+
+async fn control_bytes(group: &LatencyGroup, node: &NodePlan) -> anyhow::Result<f64> {
+    let metrics = group.processes.admin().metrics(node.admin).await?;
+    let value = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix(BYTES_METRIC));
+    let value = value.context("the node does not count bytes")?;
+    Ok(value.trim().parse()?)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod experiment;
 pub mod group;
 pub mod journal;
+pub mod latency;
 pub mod load;
 pub mod standin;
 pub mod trial;
--- a/crates/bench/src/standin/server.rs
+++ b/crates/bench/src/standin/server.rs
@@ -114,7 +114,10 @@
         return;
     };
     let delay_ms = state.delay_ms.load(Ordering::Relaxed);
-    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    // The timer rounds up to whole milliseconds, also from zero.
+    if delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
 }
 
 async fn sub_call(
