--- a/crates/bench/tests/process/main.rs
+++ b/crates/bench/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod input;
 mod limits;
 mod once;
+mod owners;
 mod path;
 mod stop;
 mod support;
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -145,6 +145,8 @@
         tracing::info!(event = "config-applied", version = view.version());
         let event = EventRecord::new("config-applied").field("version", &view.version());
         state.events.push(event);
+        // Control learns at once that the version is applied here.
+        state.wake.notify_one();
     }
     let fresh = state.members.update(reply.members, &request.interests);
     connect_ahead(state, &fresh);
