--- a/crates/admit/tests/suspects.rs
+++ b/crates/admit/tests/suspects.rs
@@ -49,11 +49,11 @@
     }
 
     fn exchange(&mut self) {
+        self.clock.advance(EXCHANGE);
         let notices = self.control.notices();
         for node in &mut self.nodes {
             node.update(&notices);
         }
-        self.clock.advance(EXCHANGE);
     }
 
     /// Sends all requests to one node at once and returns those that completed.
@@ -97,6 +97,21 @@
     );
 }
 
+#[test]
+fn a_suspect_is_tried_only_with_fresh_word_from_control() {
+    let clock = VirtualClock::new();
+    let mut control = SuspectBook::new(clock.clone());
+    let mut node = TrialBook::new(clock.clone(), "stock".into());
+    control.record(&report(1, 1, vec![POISON]));
+    node.update(&control.notices());
+    clock.advance(Duration::from_secs(2));
+    assert!(matches!(node.check(POISON), TrialDecision::Refuse(_)));
+    control.record(&report(2, 1, vec![POISON]));
+    node.update(&control.notices());
+    assert!(matches!(node.check(POISON), TrialDecision::Refuse(_)));
+    assert_eq!(node.check(5), TrialDecision::Run);
+}
+
 #[test]
 fn a_repeated_report_counts_once() {
     let mut book = SuspectBook::new(VirtualClock::new());
