--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -238,9 +238,11 @@
         self.wait(offer, now, actions)
     }
 
-    /// Returns whether calls of the class refused last are refused while this one ranks below it.
+    /// Returns whether calls of a more important class are refused now.
+    ///
+    /// Within a class the queue decides, so that no place stays empty.
     fn is_outranked(&self, rank: CallRank) -> bool {
-        self.cut().importance() == u8::MAX && rank.importance() < u8::MAX
+        rank.importance() < self.cut().importance()
     }
 
     fn wait(&mut self, offer: CallOffer, now: Instant, actions: &mut GateActions) -> AdmitDecision {
