--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -134,6 +134,10 @@
     let view = state.view.get();
     if view.version() != before {
         state.standings().update(&view.declaration.teams);
+        // Open routes are served without a lease, so their members are needed ahead.
+        let routes = view.declaration.routes.iter();
+        let open = routes.filter(|route| route.open);
+        state.members.expect_calls(open.map(|route| &route.service));
         state
             .metrics
             .applied
@@ -141,6 +145,8 @@
         tracing::info!(event = "config-applied", version = view.version());
         let event = EventRecord::new("config-applied").field("version", &view.version());
         state.events.push(event);
+        // Control learns at once that the version is applied here.
+        state.wake.notify_one();
     }
     let fresh = state.members.update(reply.members, &request.interests);
     connect_ahead(state, &fresh);
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,5 +1,8 @@
 //! What a node holds to talk to the control instances.
 
+mod message;
+
+use std::iter;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -12,20 +15,22 @@
 use model::ids::InstanceId;
 use model::once::ClaimOutcome;
 use model::once::OnceClaim;
+use model::once::OnceKey;
 use model::once::OnceSettle;
 use settings::ControlAddress;
-use tarpc::client::Channel;
 use tarpc::client::RpcError;
-use tarpc::context::Context;
 use tokio::time::sleep;
 use tracing::info;
 
+use crate::client::message::NodeClient;
+use crate::client::message::OnceMessage;
 use crate::error::ClientError;
 use crate::quic::LinkTraffic;
 use crate::quic::QuicEndpoint;
 use crate::role::PeerRole;
 use crate::rpc::RpcChannel;
 use crate::rpc::call_context;
+use crate::rpc::is_broken;
 use crate::service::ControlError;
 use crate::service::NodeControlClient;
 use crate::service::NodeControlRequest;
@@ -58,64 +63,26 @@
     client: NodeClient,
 }
 
-type NodeClient = NodeControlClient<Channel<NodeControlRequest, NodeControlResponse>>;
-
-/// A message that may be repeated at another instance.
-trait OnceMessage: Clone + Send + Sync {
-    type Answer: Send;
-
-    fn send(
-        self,
-        client: &NodeClient,
-        context: Context,
-    ) -> impl Future<Output = Result<Result<Self::Answer, ControlError>, RpcError>> + Send;
-}
-
-impl OnceMessage for OnceClaim {
-    type Answer = ClaimOutcome;
-
-    async fn send(
-        self,
-        client: &NodeClient,
-        context: Context,
-    ) -> Result<Result<ClaimOutcome, ControlError>, RpcError> {
-        client.claim(context, self).await
-    }
-}
-
-impl OnceMessage for OnceSettle {
-    type Answer = ();
-
-    async fn send(
-        self,
-        client: &NodeClient,
-        context: Context,
-    ) -> Result<Result<(), ControlError>, RpcError> {
-        client.settle(context, self).await
-    }
-}
-
 impl ControlClient {
-    /// Creates a client of these instances, tried in this order from `first` on.
+    /// Creates a client of these instances, tried in an order that `spread` decides.
     ///
-    /// Nodes spread over the instances by different values of `first`, such
-    /// as their node id. Connects nothing yet.
+    /// Nodes with different values, such as their ids, spread evenly over the
+    /// instances, and again over the others when one is lost. The instance at
+    /// `spread` modulo their number comes first. Connects nothing yet.
     ///
     /// # Panics
     ///
     /// Panics when `addresses` is empty; the settings refuse that.
     #[must_use]
-    pub fn new(endpoint: &QuicEndpoint, addresses: &[ControlAddress], first: u64) -> Self {
+    pub fn new(endpoint: &QuicEndpoint, addresses: &[ControlAddress], spread: u64) -> Self {
         assert!(!addresses.is_empty(), "a node needs a control instance");
-        let targets = addresses.iter().map(|address| ControlTarget {
+        let targets = permuted(addresses, spread).map(|address| ControlTarget {
             instance: address.instance,
             channel: RpcChannel::new(endpoint.clone(), address.address, PeerRole::Control),
         });
-        let count = addresses.len() as u64;
-        let first = usize::try_from(first % count).unwrap_or_default();
         Self {
             targets: targets.collect(),
-            chosen: Arc::new(AtomicUsize::new(first)),
+            chosen: Arc::default(),
         }
     }
 
@@ -186,6 +153,15 @@
         self.repeat(limit, settle).await
     }
 
+    /// Asks whether a request that must run at most once may have run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no instance could tell in time.
+    pub async fn may_have_run(&self, key: &OnceKey, limit: Duration) -> Result<bool, ClientError> {
+        self.repeat(limit, key).await
+    }
+
     async fn try_exchange(
         &self,
         request: &ExchangeRequest,
@@ -265,7 +241,9 @@
                 Err(ClientError::Answered { address, error })
             }
             Err(error) => {
-                self.targets[target.position].channel.reset();
+                if is_broken(&error) {
+                    self.targets[target.position].channel.reset();
+                }
                 self.switch(target.position, &error);
                 Err(ClientError::Unanswered { address })
             }
@@ -293,6 +271,18 @@
     }
 }
 
+/// Returns the addresses in the permutation with the number `spread`.
+fn permuted(addresses: &[ControlAddress], spread: u64) -> impl Iterator<Item = ControlAddress> {
+    let mut left = addresses.to_vec();
+    let mut number = spread;
+    iter::from_fn(move || {
+        let count = left.len() as u64;
+        let position = number.checked_rem(count)?;
+        number /= count;
+        Some(left.remove(usize::try_from(position).ok()?))
+    })
+}
+
 /// Returns whether another instance would answer the same.
 fn is_final(error: &ClientError) -> bool {
     let ClientError::Answered { error, .. } = error else {
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -13,11 +13,14 @@
 use tarpc::Response;
 use tarpc::client;
 use tarpc::client::Channel;
+use tarpc::client::RpcError;
 use tarpc::context;
 use tarpc::context::Context;
 use tarpc::serde_transport;
 use tarpc::serde_transport::Transport;
 use tarpc::server::BaseChannel;
+use tokio::sync::OwnedMutexGuard;
+use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
 use crate::codec::PostcardCodec;
@@ -28,6 +31,9 @@
 use crate::quic::QuicStream;
 use crate::role::PeerRole;
 
+/// Time that a handshake may take, also after its caller gave up, in milliseconds.
+const HANDSHAKE_TIMEOUT_MS: u64 = 2_000;
+
 /// tarpc transport that receives `In` and sends `Out`.
 pub type RpcTransport<In, Out> = Transport<QuicStream, In, Out, PostcardCodec<In, Out>>;
 
@@ -63,6 +69,18 @@
     context
 }
 
+/// Returns whether a call failed because its connection is of no use any more.
+///
+/// A late answer is no such failure: other calls may be under way on the same
+/// connection, and a silent cut ends it by its idle timeout.
+#[must_use]
+pub fn is_broken(error: &RpcError) -> bool {
+    matches!(
+        error,
+        RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_)
+    )
+}
+
 /// Client side towards one process, connected when first used and again after a loss.
 #[derive(Debug)]
 pub struct RpcChannel<Req, Resp> {
@@ -70,6 +88,9 @@
     address: SocketAddr,
     role: PeerRole,
     current: Arc<Mutex<Option<OpenChannel<Req, Resp>>>>,
+    /// Held while connecting, so that calls made together share one connection;
+    /// why the last try failed.
+    connecting: Arc<tokio::sync::Mutex<String>>,
 }
 
 /// A connection with the client side of its one stream.
@@ -86,6 +107,7 @@
             address: self.address,
             role: self.role,
             current: Arc::clone(&self.current),
+            connecting: Arc::clone(&self.connecting),
         }
     }
 }
@@ -103,6 +125,7 @@
             address,
             role,
             current: Arc::default(),
+            connecting: Arc::default(),
         }
     }
 
@@ -114,25 +137,48 @@
 
     /// Returns the open channel, or connects within `limit`.
     ///
+    /// A handshake that takes longer goes on without the caller, so that a
+    /// process with many new connections does not work on them in vain.
+    ///
     /// # Errors
     ///
-    /// Fails when no connection can be made.
+    /// Fails when there is no connection in time.
     pub async fn channel(&self, limit: Duration) -> Result<Channel<Req, Resp>, LinkError> {
         if let Some(channel) = self.open_channel() {
             return Ok(channel);
         }
+        if let Ok(turn) = Arc::clone(&self.connecting).try_lock_owned() {
+            tokio::spawn(self.clone().connect(turn));
+        }
+        let address = self.address;
+        let waited = timeout(limit, self.connecting.lock()).await;
+        let failure = waited.map_err(|_| LinkError::Timeout { address })?;
+        self.open_channel().ok_or_else(|| LinkError::Refused {
+            address,
+            reason: failure.clone(),
+        })
+    }
+
+    /// Connects, and leaves the reason behind when that fails.
+    async fn connect(self, mut failure: OwnedMutexGuard<String>) {
+        if self.open_channel().is_some() {
+            return;
+        }
+        match self.try_connect().await {
+            Ok(opened) => *self.lock() = Some(opened),
+            Err(error) => *failure = error.to_string(),
+        }
+    }
+
+    async fn try_connect(&self) -> Result<OpenChannel<Req, Resp>, LinkError> {
+        let limit = Duration::from_millis(HANDSHAKE_TIMEOUT_MS);
         let link = self
             .endpoint
             .connect(self.address, self.role, limit)
             .await?;
         let stream = link.open().await?;
         let channel = client::new(client::Config::default(), transport(stream)).spawn();
-        let opened = OpenChannel {
-            link,
-            channel: channel.clone(),
-        };
-        *self.lock() = Some(opened);
-        Ok(channel)
+        Ok(OpenChannel { link, channel })
     }
 
     /// Drops the connection, so that the next call opens a new one.
