--- a/crates/control/benches/exchange/sizes.rs
+++ b/crates/control/benches/exchange/sizes.rs
@@ -94,6 +94,7 @@
         held_milli: 20_000,
         returned_milli: 0,
         spent_milli: 10_000,
+        spent_age: std::time::Duration::ZERO,
     }
 }
 
