--- a/crates/bench/tests/bounds.rs
+++ b/crates/bench/tests/bounds.rs
@@ -69,7 +69,7 @@
             })
         };
         let running: Vec<_> = cases.map(spawn).collect();
-        let joined = running.into_iter().map(|run| run.join());
+        let joined = running.into_iter().map(thread::ScopedJoinHandle::join);
         joined.map(|run| run.expect("the run ends")).collect()
     })
 }
