--- a/crates/bench/src/group/ports.rs
+++ b/crates/bench/src/group/ports.rs
@@ -1,10 +1,14 @@
 //! Free ports on a loopback address that no other group uses.
 
+use std::collections::HashSet;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
@@ -12,14 +16,20 @@
 static GROUPS: AtomicU32 = AtomicU32::new(0);
 /// Groups that one process can make before addresses repeat.
 const GROUPS_MAX: u32 = 64;
+/// Ports that are looked at for one that was not handed out.
+const TRIES_MAX: u32 = 64;
 
 /// Hands out ports of one loopback address.
 ///
 /// Outgoing connections come from 127.0.0.1, so on any other address of
 /// 127.0.0.0/8 a port stays free between its reservation and its use.
-#[derive(Clone, Copy, Debug)]
+///
+/// A port that was handed out is remembered, since the system gives it again
+/// as long as nobody uses it. Clones share what they handed out.
+#[derive(Clone, Debug)]
 pub struct PortPool {
     address: Ipv4Addr,
+    taken: Arc<Mutex<HashSet<SocketAddr>>>,
 }
 
 impl PortPool {
@@ -30,7 +40,10 @@
         let number = std::process::id().wrapping_mul(GROUPS_MAX) + group;
         let [_, second, third, fourth] = number.to_be_bytes();
         let address = Ipv4Addr::new(127, 1 | second, third, fourth.clamp(1, 254));
-        Self { address }
+        Self {
+            address,
+            taken: Arc::default(),
+        }
     }
 
     /// Returns the address of the group.
@@ -45,7 +58,7 @@
     ///
     /// Fails when the address has no free port.
     pub fn tcp(&self) -> std::io::Result<SocketAddr> {
-        TcpListener::bind((self.address, 0))?.local_addr()
+        self.reserve(|| TcpListener::bind((self.address, 0))?.local_addr())
     }
 
     /// Reserves a UDP port.
@@ -54,7 +67,21 @@
     ///
     /// Fails when the address has no free port.
     pub fn udp(&self) -> std::io::Result<SocketAddr> {
-        UdpSocket::bind((self.address, 0))?.local_addr()
+        self.reserve(|| UdpSocket::bind((self.address, 0))?.local_addr())
+    }
+
+    fn reserve(
+        &self,
+        find: impl Fn() -> std::io::Result<SocketAddr>,
+    ) -> std::io::Result<SocketAddr> {
+        let mut taken = self.taken.lock().unwrap_or_else(PoisonError::into_inner);
+        for _ in 0..TRIES_MAX {
+            let found = find()?;
+            if taken.insert(found) {
+                return Ok(found);
+            }
+        }
+        Err(std::io::Error::from(std::io::ErrorKind::AddrInUse))
     }
 }
 
--- /dev/null
+++ b/crates/bench/tests/ports.rs
@@ -0,0 +1,18 @@
+//! Ports of process groups.
+
+use std::collections::HashSet;
+
+use bench::group::PortPool;
+
+/// So many that an unremembered port would come again with near certainty.
+const PORTS: usize = 4_000;
+
+#[test]
+fn no_port_is_handed_out_twice() {
+    let pool = PortPool::new();
+    let mut ports = HashSet::new();
+    for _ in 0..PORTS {
+        let port = pool.tcp().expect("a port");
+        assert!(ports.insert(port), "{port} was handed out twice");
+    }
+}
