--- a/crates/bench/src/group.rs
+++ b/crates/bench/src/group.rs
@@ -1,6 +1,5 @@
 //! Groups of real processes on loopback: control instances, nodes and stand-ins.
 
-mod admin;
 mod files;
 mod plan;
 mod ports;
@@ -13,8 +12,8 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use cli::client::AdminClient;
 
-pub use admin::AdminClient;
 pub use files::GroupFiles;
 pub use plan::ControlPlan;
 pub use plan::GroupPlan;
@@ -116,6 +115,7 @@
             instance,
             quic: self.plan.ports.udp()?,
             admin: self.plan.ports.tcp()?,
+            relay: None,
         };
         self.files.write_joining(&self.plan, &control)?;
         let process = self.daemon(&control.name)?;
@@ -143,9 +143,12 @@
     }
 
     /// Returns a client of the admin listeners.
-    #[must_use]
-    pub fn admin(&self) -> AdminClient {
-        AdminClient::new(self.files.operator())
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operator's files cannot be used.
+    pub fn admin(&self) -> anyhow::Result<AdminClient> {
+        AdminClient::new(&self.files.operator())
     }
 
     /// Returns a tool that speaks to the first control instance.
--- a/crates/bench/src/group/files.rs
+++ b/crates/bench/src/group/files.rs
@@ -154,7 +154,8 @@
         writeln!(text, "admin = \"{}\"", control.admin)?;
         write_tls(&mut text, &control.name)?;
         for member in &plan.controls {
-            write_member(&mut text, "group", member.instance, member.quic)?;
+            let address = member.relay.unwrap_or(member.quic);
+            write_member(&mut text, "group", member.instance, address)?;
         }
         Ok(text)
     }
--- a/crates/bench/src/group/plan.rs
+++ b/crates/bench/src/group/plan.rs
@@ -28,6 +28,9 @@
     pub quic: SocketAddr,
     /// Listener for operators.
     pub admin: SocketAddr,
+    /// Address under which the other instances know it, when it is not its own,
+    /// such as that of a relay.
+    pub relay: Option<SocketAddr>,
 }
 
 /// One node.
@@ -84,6 +87,7 @@
                 instance,
                 quic: ports.udp()?,
                 admin: ports.tcp()?,
+                relay: None,
             });
         }
         Ok(Self {
--- a/crates/bench/src/latency/idle.rs
+++ b/crates/bench/src/latency/idle.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use anyhow::Context;
+use cli::client::AdminRequest;
 
 use crate::group::NodePlan;
 use crate::latency::process::cpu_time;
@@ -84,7 +85,9 @@
 }
 
 async fn control_bytes(group: &LatencyGroup, node: &NodePlan) -> anyhow::Result<f64> {
-    let metrics = group.processes.admin().metrics(node.admin).await?;
+    let request = AdminRequest::get("/metrics");
+    let admin = group.processes.admin()?;
+    let metrics = admin.tell_node(node.admin, &request).await?;
     let value = metrics
         .lines()
         .find_map(|line| line.strip_prefix(BYTES_METRIC));
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
@@ -15,10 +16,27 @@
 /// Sockets towards the target, one for each sender.
 type SenderSockets = Arc<Mutex<HashMap<SocketAddr, Arc<UdpSocket>>>>;
 
+/// What a relay drops.
+#[derive(Debug, Default)]
+struct RelayCut {
+    everything: AtomicBool,
+    senders: std::sync::Mutex<Vec<SocketAddr>>,
+}
+
+impl RelayCut {
+    fn drops(&self, sender: SocketAddr) -> bool {
+        self.everything.load(Ordering::Relaxed) || self.senders().contains(&sender)
+    }
+
+    fn senders(&self) -> std::sync::MutexGuard<'_, Vec<SocketAddr>> {
+        self.senders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Passes datagrams between senders and one target, in both directions.
 pub struct DatagramRelay {
     address: SocketAddr,
-    is_cut: Arc<AtomicBool>,
+    cut: Arc<RelayCut>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -31,13 +49,9 @@
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
         let socket = Arc::new(UdpSocket::bind((target.ip(), 0)).await?);
         let address = socket.local_addr()?;
-        let is_cut = Arc::new(AtomicBool::new(false));
-        let task = tokio::spawn(pass_on(socket, target, Arc::clone(&is_cut)));
-        Ok(Self {
-            address,
-            is_cut,
-            task,
-        })
+        let cut = Arc::<RelayCut>::default();
+        let task = tokio::spawn(pass_on(socket, target, Arc::clone(&cut)));
+        Ok(Self { address, cut, task })
     }
 
     /// Returns the address that senders use in place of the target's.
@@ -48,12 +62,18 @@
 
     /// Drops everything from now on.
     pub fn cut(&self) {
-        self.is_cut.store(true, Ordering::Relaxed);
+        self.cut.everything.store(true, Ordering::Relaxed);
+    }
+
+    /// Drops everything from and to one sender from now on.
+    pub fn cut_sender(&self, sender: SocketAddr) {
+        self.cut.senders().push(sender);
     }
 
     /// Passes everything on again.
     pub fn heal(&self) {
-        self.is_cut.store(false, Ordering::Relaxed);
+        self.cut.everything.store(false, Ordering::Relaxed);
+        self.cut.senders().clear();
     }
 }
 
@@ -63,14 +83,14 @@
     }
 }
 
-async fn pass_on(socket: Arc<UdpSocket>, target: SocketAddr, is_cut: Arc<AtomicBool>) {
+async fn pass_on(socket: Arc<UdpSocket>, target: SocketAddr, cut: Arc<RelayCut>) {
     let sockets = SenderSockets::default();
     let mut datagram = vec![0; DATAGRAM_BYTES];
     while let Ok((length, sender)) = socket.recv_from(&mut datagram).await {
-        if is_cut.load(Ordering::Relaxed) {
+        if cut.drops(sender) {
             continue;
         }
-        let Ok(upstream) = upstream(&sockets, &socket, sender, target, &is_cut).await else {
+        let Ok(upstream) = upstream(&sockets, &socket, sender, target, &cut).await else {
             continue;
         };
         // A lost datagram is what a network does as well.
@@ -84,7 +104,7 @@
     socket: &Arc<UdpSocket>,
     sender: SocketAddr,
     target: SocketAddr,
-    is_cut: &Arc<AtomicBool>,
+    cut: &Arc<RelayCut>,
 ) -> std::io::Result<Arc<UdpSocket>> {
     let mut sockets = sockets.lock().await;
     if let Some(known) = sockets.get(&sender) {
@@ -95,11 +115,11 @@
     sockets.insert(sender, Arc::clone(&upstream));
     let answers = Arc::clone(&upstream);
     let socket = Arc::clone(socket);
-    let is_cut = Arc::clone(is_cut);
+    let cut = Arc::clone(cut);
     tokio::spawn(async move {
         let mut datagram = vec![0; DATAGRAM_BYTES];
         while let Ok(length) = answers.recv(&mut datagram).await {
-            if !is_cut.load(Ordering::Relaxed) {
+            if !cut.drops(sender) {
                 let _ = socket.send_to(&datagram[..length], sender).await;
             }
         }
--- a/crates/bench/src/wait.rs
+++ b/crates/bench/src/wait.rs
@@ -1,10 +1,12 @@
 //! Waits for conditions of a group, instead of for time to pass.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use anyhow::bail;
+use cli::client::AdminRequest;
 use model::admin::ControlStatus;
 use model::admin::NodeStatus;
 use model::admin::StatusReport;
@@ -100,7 +102,7 @@
     position: usize,
 ) -> anyhow::Result<ControlStatus> {
     let address = group.plan.controls[position].admin;
-    match group.admin().status(address).await? {
+    match status(group, address).await? {
         StatusReport::Control(status) => Ok(status),
         StatusReport::Node(_) => bail!("{address} is a node"),
     }
@@ -113,8 +115,13 @@
 /// Fails when it does not answer.
 pub async fn node_status(group: &ProcessGroup, position: usize) -> anyhow::Result<NodeStatus> {
     let address = group.plan.nodes[position].admin;
-    match group.admin().status(address).await? {
+    match status(group, address).await? {
         StatusReport::Node(status) => Ok(status),
         StatusReport::Control(_) => bail!("{address} is a control instance"),
     }
 }
+
+async fn status(group: &ProcessGroup, address: SocketAddr) -> anyhow::Result<StatusReport> {
+    let request = AdminRequest::get("/status");
+    Ok(group.admin()?.ask_any(address, &request).await?)
+}
--- a/crates/bench/tests/process/change.rs
+++ b/crates/bench/tests/process/change.rs
@@ -4,6 +4,13 @@
 use bench::load::CallOutcome;
 use bench::trial;
 use bench::wait;
+use cli::client::AdminRequest;
+use cli::keyfile;
+use model::admin::ChangeReport;
+use model::admin::ChangeSubmission;
+use model::change::ChangeStatus;
+use model::change::OwnerSignature;
+use model::change::ProposedChange;
 
 use crate::support::TestGroup;
 use crate::support::chain;
@@ -77,15 +84,45 @@
     Ok(())
 }
 
+/// Changes before everything is restarted.
+const CHANGES: u64 = 300;
+
+/// Submits a change with both signatures and returns its status.
+async fn submit(test: &TestGroup, base: u64) -> ChangeStatus {
+    let change = ProposedChange {
+        base,
+        text: test.declaration.text(&test.group.files.owners),
+    };
+    let hash = change.hash();
+    let keys = test.group.files.owner_keys();
+    let signatures = keys.iter().map(|key| {
+        let key = keyfile::read_owner_key(key).expect("a key file");
+        OwnerSignature::sign(&key, &hash)
+    });
+    let submission = ChangeSubmission {
+        signatures: signatures.collect(),
+        change,
+    };
+    let request = AdminRequest::post("/changes", &submission).expect("JSON");
+    let controls: Vec<_> = test
+        .group
+        .plan
+        .controls
+        .iter()
+        .map(|plan| plan.admin)
+        .collect();
+    let admin = test.group.admin().expect("a client");
+    let asked = admin.ask_control(&controls, &request).await;
+    let report: ChangeReport = asked.expect("an answer");
+    report.status
+}
+
 #[tokio::test(flavor = "multi_thread")]
-async fn a_restart_of_everything_keeps_the_accepted_state() {
+async fn a_restart_of_everything_after_hundreds_of_changes_keeps_the_accepted_state() {
     let mut test = TestGroup::start(chain(1)).await;
-    for _ in 0..5 {
+    for base in 1..=CHANGES {
         test.declaration.teams[0].burst += 1;
-        let declared = test.declaration.text(&test.group.files.owners);
-        trial::apply(&test.group, &declared)
-            .await
-            .expect("in force");
+        assert_eq!(submit(&test, base).await, ChangeStatus::Accepted(base + 1));
     }
     for control in &mut test.group.controls {
         control.kill().expect("killed");
@@ -95,7 +132,7 @@
         test.group.controls[position] = test.group.daemon(&name).expect("a daemon");
     }
     wait::until("all instances to agree", async || {
-        same_state(&test, 6).await
+        same_state(&test, CHANGES + 1).await
     })
     .await
     .expect("one state");
--- a/crates/bench/tests/process/cut.rs
+++ b/crates/bench/tests/process/cut.rs
@@ -57,6 +57,74 @@
     assert_eq!(record.outcome, refused("unknown-key"));
 }
 
+/// Puts a relay in front of each control instance, which the other instances use.
+async fn relayed_controls(mut plan: GroupPlan) -> (GroupPlan, Vec<DatagramRelay>) {
+    let mut relays = Vec::new();
+    for control in &mut plan.controls {
+        let relay = DatagramRelay::start(control.quic).await.expect("a relay");
+        control.relay = Some(relay.address());
+        relays.push(relay);
+    }
+    (plan, relays)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_is_silently_isolated_renews_nothing_and_catches_up() {
+    let (plan, relays) = relayed_controls(chain(1)).await;
+    let mut test = TestGroup::start(plan).await;
+    let withdrawn = test.profile("workshop", "/quotes", "quotes");
+    let leader = wait::leader(&test.group).await.expect("a leader");
+    let isolated = test.group.plan.controls[leader].quic;
+    // Nodes still reach it, the other instances do not.
+    relays[leader].cut();
+    relays.iter().for_each(|relay| relay.cut_sender(isolated));
+    wait::other_leader(&test.group, leader)
+        .await
+        .expect("a new leader");
+    test.declaration.teams[0].keys = vec![bench::group::make_team_key().expect("a key")];
+    let declared = test.declaration.text(&test.group.files.owners);
+    trial::apply_without(&test.group, &declared, leader)
+        .await
+        .expect("in force");
+    for node in 0..test.group.plan.nodes.len() {
+        let record = test.caller(node).call(0, &withdrawn).await;
+        assert_eq!(record.outcome, refused("unknown-key"));
+    }
+    let status = wait::control_status(&test.group, leader).await;
+    assert_eq!(status.expect("a status").version, 1);
+    relays.iter().for_each(DatagramRelay::heal);
+    wait::until("the isolated instance to catch up", async || {
+        let status = wait::control_status(&test.group, leader).await?;
+        anyhow::ensure!(status.version == 2, "{status:?}");
+        Ok(())
+    })
+    .await
+    .expect("caught up");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_instance_may_fail_just_after_a_repair() {
+    let mut test = TestGroup::start(chain(1)).await;
+    for first in 0..3 {
+        let name = test.group.plan.controls[first].name.clone();
+        test.group.controls[first].kill().expect("killed");
+        test.declaration.teams[0].rate += 1;
+        let declared = test.declaration.text(&test.group.files.owners);
+        trial::apply(&test.group, &declared)
+            .await
+            .expect("in force");
+        let version = 2 + first as u64;
+        test.group.controls[first] = test.group.daemon(&name).expect("a daemon");
+        wait::until("the repaired instance to catch up", async || {
+            let status = wait::control_status(&test.group, first).await?;
+            anyhow::ensure!(status.version == version, "{status:?}");
+            Ok(())
+        })
+        .await
+        .expect("caught up");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_wiped_instance_does_not_vote_and_is_replaced_under_a_new_identity() {
     let mut test = TestGroup::start(chain(1)).await;
--- a/crates/bench/tests/process/path.rs
+++ b/crates/bench/tests/process/path.rs
@@ -3,6 +3,8 @@
 use bench::load;
 use bench::load::CallOutcome;
 use bench::wait;
+use cli::client::AdminRequest;
+use model::admin::TimelineReport;
 use model::verdict::RunVerdict;
 
 use crate::support::TestGroup;
@@ -41,9 +43,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn events_of_all_processes_name_the_declaration_that_came_into_force() {
     let test = TestGroup::start(chain(1)).await;
-    let admin = test.group.admin();
+    let admin = test.group.admin().expect("a client");
+    let request = AdminRequest::get("/timeline");
     for node in &test.group.plan.nodes {
-        let timeline = admin.timeline(node.admin).await.expect("a time line");
+        let asked = admin.ask_any(node.admin, &request).await;
+        let timeline: TimelineReport = asked.expect("a time line");
         let kinds: Vec<_> = timeline.events.iter().map(|event| &event.kind).collect();
         assert!(
             kinds.iter().any(|kind| *kind == "config-applied"),
