--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -242,7 +242,7 @@
     ///
     /// Within a class the queue decides, so that no place stays empty.
     fn is_outranked(&self, rank: CallRank) -> bool {
-        rank.importance() < self.cut().importance()
+        rank.importance() < self.demand.held_importance()
     }
 
     fn wait(&mut self, offer: CallOffer, now: Instant, actions: &mut GateActions) -> AdmitDecision {
--- a/crates/admit/src/gate/demand.rs
+++ b/crates/admit/src/gate/demand.rs
@@ -73,6 +73,15 @@
         self.cut
     }
 
+    /// Returns the highest importance that was cut into lately.
+    ///
+    /// A cut that falls for a period or two must not let lower classes in
+    /// while other backend servers of the service still refuse higher ones.
+    pub(super) fn held_importance(&self) -> u8 {
+        let recent = self.recent_cuts.iter().map(|cut| cut.importance());
+        recent.max().unwrap_or(0).max(self.cut.importance())
+    }
+
     pub(super) fn offered(&mut self, rank: CallRank) {
         let class = class(rank);
         self.importance[class] = rank.importance();
