Test a node against bad input beside a fake control instance

A node runs in the test with a fake control instance over QUIC and a backend server that writes raw answers.

Not covered yet: a broken TLS peer.

--- /dev/null
+++ b/crates/node/tests/path/backend.rs
@@ -0,0 +1,86 @@
+//! A backend server that behaves as the path of a request says.
+
+use std::net::SocketAddr;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// What the backend server met.
+#[derive(Debug)]
+pub(crate) enum Seen {
+    /// A request; its head in lower case, with its body.
+    Request(String),
+    /// The node hung up on a request that is not answered.
+    HungUp,
+}
+
+pub(crate) struct TestBackend {
+    pub(crate) address: SocketAddr,
+    pub(crate) seen: mpsc::UnboundedReceiver<Seen>,
+}
+
+impl TestBackend {
+    pub(crate) async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, seen) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, sender.clone()));
+            }
+        });
+        Self { address, seen }
+    }
+
+    /// Waits for the next request.
+    pub(crate) async fn request(&mut self) -> String {
+        match self.seen.recv().await.unwrap() {
+            Seen::Request(text) => text,
+            Seen::HungUp => panic!("the node hung up"),
+        }
+    }
+}
+
+async fn serve(mut stream: TcpStream, seen: mpsc::UnboundedSender<Seen>) {
+    while let Some(request) = read_request(&mut stream).await {
+        let path = request.split(' ').nth(1).unwrap().to_owned();
+        let _ = seen.send(Seen::Request(request));
+        match path.rsplit('/').next().unwrap() {
+            "hang" => {
+                let mut rest = [0];
+                let _ = stream.read(&mut rest).await;
+                let _ = seen.send(Seen::HungUp);
+                return;
+            }
+            "cut" => {
+                let half = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf";
+                stream.write_all(half).await.unwrap();
+                return;
+            }
+            _ => {
+                let whole = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\
+                    ragwortplank-verdict: not-run\r\nragwortplank-context: forged\r\n\
+                    ragwortplank-failure: forged\r\nragwortplank-feedback: forged\r\n\r\nwhole";
+                stream.write_all(whole).await.unwrap();
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    while !text.contains("\r\n\r\n") {
+        text.push(char::from(
+            stream.read_u8().await.ok()?.to_ascii_lowercase(),
+        ));
+    }
+    let length = text.split("content-length: ").nth(1);
+    let length = length.and_then(|rest| rest.lines().next()?.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
+    text.push_str(&String::from_utf8_lossy(&body));
+    Some(text)
+}
--- /dev/null
+++ b/crates/node/tests/path/control.rs
@@ -0,0 +1,139 @@
+//! A control instance that grants what the test says.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use futures::StreamExt;
+use model::declaration::Declaration;
+use model::exchange::ConfigUpdate;
+use model::exchange::ExchangeReply;
+use model::exchange::ExchangeRequest;
+use model::exchange::LeaseGrant;
+use model::exchange::MemberUpdate;
+use model::exchange::TokenGrant;
+use model::once::ClaimOutcome;
+use model::once::OnceClaim;
+use model::once::OnceKey;
+use model::once::OnceSettle;
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use tokio::runtime::Builder;
+use wire::identity::TlsIdentity;
+use wire::quic::LinkTiming;
+use wire::quic::QuicEndpoint;
+use wire::role::PeerRole;
+use wire::rpc::server_channel;
+use wire::service::ControlError;
+use wire::service::NodeControl;
+
+const LEASE: Duration = Duration::from_millis(2_400);
+
+/// What the instance answers.
+pub(crate) struct ControlState {
+    pub(crate) declaration: Declaration,
+    pub(crate) grants_leases: bool,
+    pub(crate) exchanges: u64,
+}
+
+#[derive(Clone)]
+pub(crate) struct FakeControl {
+    pub(crate) state: Arc<Mutex<ControlState>>,
+}
+
+impl FakeControl {
+    pub(crate) fn start(address: SocketAddr, tls: TlsIdentity, declaration: Declaration) -> Self {
+        let control = Self {
+            state: Arc::new(Mutex::new(ControlState {
+                declaration,
+                grants_leases: true,
+                exchanges: 0,
+            })),
+        };
+        let served = control.clone();
+        // A thread of its own, since an instance is a process of its own.
+        std::thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async move {
+                let timing = LinkTiming::default();
+                let roles = [PeerRole::Node];
+                let endpoint = QuicEndpoint::bind(address, &tls, &roles, timing).unwrap();
+                serve(endpoint, served).await;
+            });
+        });
+        control
+    }
+
+    pub(crate) fn change(&self, change: impl FnOnce(&mut ControlState)) {
+        change(&mut self.state.lock().unwrap());
+    }
+
+    pub(crate) fn exchanges(&self) -> u64 {
+        self.state.lock().unwrap().exchanges
+    }
+}
+
+async fn serve(endpoint: QuicEndpoint, control: FakeControl) {
+    while let Some(pending) = endpoint.accept().await {
+        let Ok(link) = pending.establish().await else {
+            continue;
+        };
+        let control = control.clone();
+        tokio::spawn(async move {
+            while let Ok(stream) = link.accept().await {
+                let served = NodeControl::serve(control.clone());
+                let calls = server_channel(stream).execute(served);
+                tokio::spawn(calls.for_each_concurrent(None, |call| call));
+            }
+        });
+    }
+}
+
+impl NodeControl for FakeControl {
+    async fn exchange(
+        self,
+        _: Context,
+        request: ExchangeRequest,
+    ) -> Result<ExchangeReply, ControlError> {
+        let mut state = self.state.lock().unwrap();
+        state.exchanges += 1;
+        let grants = request.demands.iter().map(|demand| TokenGrant {
+            team: demand.team.clone(),
+            sequence: demand.sequence,
+            term: 1,
+            granted_milli: demand.want_milli,
+            retry_after: None,
+        });
+        Ok(ExchangeReply {
+            lease: state.grants_leases.then_some(LeaseGrant {
+                version: state.declaration.version,
+                length: LEASE,
+            }),
+            config: ConfigUpdate::Full(Box::new(state.declaration.clone())),
+            members: MemberUpdate {
+                feed: 1,
+                cursor: 1,
+                full: true,
+                joined: vec![request.member.clone()],
+                left: Vec::new(),
+            },
+            grants: grants.collect(),
+            quarantined: Vec::new(),
+            crashes_taken: true,
+            stamp: request.stamp,
+        })
+    }
+
+    async fn claim(self, _: Context, _: OnceClaim) -> Result<ClaimOutcome, ControlError> {
+        Err(ControlError::NoQuorum)
+    }
+
+    async fn settle(self, _: Context, _: OnceSettle) -> Result<(), ControlError> {
+        Ok(())
+    }
+
+    async fn may_have_run(self, _: Context, _: OnceKey) -> Result<bool, ControlError> {
+        Err(ControlError::NoQuorum)
+    }
+}
