Exchange with control on a thread of its own

Cause: the exchange, its QUIC endpoint and its calls shared the two threads of the request path, so calls that occupy both hold up the renewal of the lease.

Weighed: yielding in the request path bounds no handshake or long poll that does not yield, and the runtime knows no priorities. A thread with a runtime of its own gets its turn from the system and costs one thread. The channels to control now remember the runtime that made them, so that a claim does not move a connection to the request path; connections to other nodes stay there.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -173,10 +173,12 @@
         let address = record.address;
         let state = Arc::clone(state);
         let tracker = state.background.clone();
-        tracker.spawn(async move {
+        let runtime = state.calls.clone();
+        let connecting = async move {
             if let Err(error) = state.peers.connect(address).await {
                 tracing::debug!(event = "connect-ahead-failed", %address, error = %format!("{error:#}"));
             }
-        });
+        };
+        tracker.spawn_on(connecting, &runtime);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod budget;
 mod call;
+mod control_thread;
 mod crash;
 mod entry;
 mod exchange;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -23,6 +23,7 @@
 use wire::role::PeerRole;
 
 use crate::admin::serve_admin;
+use crate::control_thread::ControlThread;
 use crate::entry::serve_caller;
 use crate::exchange;
 use crate::local::serve_local;
@@ -56,7 +57,8 @@
     clock: C,
     stop: CancellationToken,
 ) -> anyhow::Result<()> {
-    let state = Arc::new(NodeState::new(settings, clock.clone())?);
+    let control = ControlThread::start().context("starting the thread for control")?;
+    let state = Arc::new(NodeState::new(settings, clock.clone(), &control)?);
     let stages = StopStages {
         public: CancellationToken::new(),
         local: CancellationToken::new(),
@@ -115,7 +117,7 @@
         tick(Arc::clone(&ticking.0), ticking.1.clone())
     });
     let exchanging = (Arc::clone(&state), stages.local.clone());
-    inner.spawn("exchange", move || {
+    inner.spawn_on(control.handle(), "exchange", move || {
         exchange::run(Arc::clone(&exchanging.0), exchanging.1.clone())
     });
     tracing::info!(event = "node-started", process = %state.settings.process, callers = %callers);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -21,6 +21,7 @@
 use settings::NodeSettings;
 use timeline::EventRing;
 use timeline::StampClock;
+use tokio::runtime::Handle;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio_util::task::TaskTracker;
@@ -32,6 +33,7 @@
 
 use crate::backend::BackendClient;
 use crate::budget::RetryBudget;
+use crate::control_thread::ControlThread;
 use crate::crash::CrashWatch;
 use crate::gate::GateKeeper;
 use crate::lease::LeaseHolder;
@@ -89,6 +91,8 @@
     pub peers: PeerPool,
     /// Client of the control instances.
     pub control: ControlClient,
+    /// Runs the request path and the connections to other nodes.
+    pub calls: Handle,
     /// Work that must end before the process does.
     pub background: TaskTracker,
     /// Extra attempts that requests may still be given.
@@ -107,17 +111,26 @@
 }
 
 impl<C: Clock> NodeState<C> {
-    /// Creates the state of a node that knows nothing yet.
+    /// Creates the state of a node that knows nothing yet; must be called in
+    /// the runtime of the request path.
     ///
     /// # Errors
     ///
     /// Fails when the TLS files cannot be used or no UDP socket can be had.
-    pub(crate) fn new(settings: NodeSettings, clock: C) -> anyhow::Result<Self> {
+    pub(crate) fn new(
+        settings: NodeSettings,
+        clock: C,
+        control: &ControlThread,
+    ) -> anyhow::Result<Self> {
         let identity = TlsIdentity::load(&settings.tls).context("loading `tls`")?;
         let node = rand::random();
         let mut local = settings.peers;
         local.set_port(0);
-        let endpoint = QuicEndpoint::bind_client(local, &identity, LinkTiming::default())?;
+        let control_client = {
+            let _runtime = control.handle().enter();
+            let endpoint = QuicEndpoint::bind_client(local, &identity, LinkTiming::default())?;
+            ControlClient::new(&endpoint, &settings.control, node)
+        };
         let peer_tls = identity.tcp_client(PeerRole::Node)?;
         let name: ServerName<'static> = peer_tls.server_name;
         let stamps = StampClock::new(clock.clone());
@@ -134,7 +147,8 @@
             crashes: CrashWatch::new(clock.clone()),
             members: MemberTable::new(settings.data_centre.clone(), clock.clone()),
             peers: PeerPool::new(peer_tls.config, name),
-            control: ControlClient::new(&endpoint, &settings.control, node),
+            control: control_client,
+            calls: Handle::current(),
             background: TaskTracker::new(),
             questions: Semaphore::new(QUESTIONS_MAX),
             wake: Notify::new(),
--- a/crates/node/tests/path/lease.rs
+++ b/crates/node/tests/path/lease.rs
@@ -1,5 +1,7 @@
 //! What a node does without a lease and with old declarations.
 
+use std::time::Instant;
+
 use crate::caller;
 use crate::setup::TestNode;
 use crate::setup::WITHIN;
@@ -36,3 +38,23 @@
     let answer = test.keyed("/prices/echo", "").await;
     assert!(answer.ends_with("whole"), "{answer}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_saturated_request_path_does_not_hold_up_renewals() {
+    let test = TestNode::start().await;
+    let before = test.control.exchanges();
+    let hogs = [(); 2].map(|()| {
+        let control = test.control.clone();
+        tokio::spawn(async move {
+            let end = Instant::now() + WITHIN;
+            while control.exchanges() < before + 5 && Instant::now() < end {
+                std::hint::spin_loop();
+            }
+            control.exchanges()
+        })
+    });
+    for hog in hogs {
+        let renewed = hog.await.expect("a count") - before;
+        assert!(renewed >= 5, "{renewed} renewals");
+    }
+}
--- a/crates/supervisor/src/tree.rs
+++ b/crates/supervisor/src/tree.rs
@@ -5,6 +5,7 @@
 use anyhow::Context;
 use anyhow::anyhow;
 use clock::Clock;
+use tokio::runtime::Handle;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -44,6 +45,18 @@
         self.tasks.spawn(keep_running(name, start, clock, token));
     }
 
+    /// Adds a task that runs on another runtime.
+    pub fn spawn_on<F, S>(&mut self, runtime: &Handle, name: &'static str, start: S)
+    where
+        F: Future<Output = anyhow::Result<()>> + Send + 'static,
+        S: Fn() -> F + Send + 'static,
+    {
+        let clock = self.clock.clone();
+        let token = self.token.clone();
+        let running = keep_running(name, start, clock, token);
+        self.tasks.spawn_on(running, runtime);
+    }
+
     /// Waits until all tasks are done.
     ///
     /// # Errors
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -72,7 +72,8 @@
     ///
     /// # Panics
     ///
-    /// Panics when `addresses` is empty; the settings refuse that.
+    /// Panics when `addresses` is empty, which the settings refuse, and outside
+    /// a runtime: the one in which it is created drives its connections.
     #[must_use]
     pub fn new(endpoint: &QuicEndpoint, addresses: &[ControlAddress], spread: u64) -> Self {
         assert!(!addresses.is_empty(), "a node needs a control instance");
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -19,6 +19,7 @@
 use tarpc::serde_transport;
 use tarpc::serde_transport::Transport;
 use tarpc::server::BaseChannel;
+use tokio::runtime::Handle;
 use tokio::sync::OwnedMutexGuard;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -84,6 +85,8 @@
 /// Client side towards one process, connected when first used and again after a loss.
 #[derive(Debug)]
 pub struct RpcChannel<Req, Resp> {
+    /// Where connections are driven, whoever opens them.
+    runtime: Handle,
     endpoint: QuicEndpoint,
     address: SocketAddr,
     role: PeerRole,
@@ -103,6 +106,7 @@
 impl<Req, Resp> Clone for RpcChannel<Req, Resp> {
     fn clone(&self) -> Self {
         Self {
+            runtime: self.runtime.clone(),
             endpoint: self.endpoint.clone(),
             address: self.address,
             role: self.role,
@@ -118,9 +122,16 @@
     Resp: DeserializeOwned + Send + 'static,
 {
     /// Creates a channel to the process of this role at `address`; connects nothing yet.
+    ///
+    /// Its connections are driven by the runtime in which it is created.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a runtime.
     #[must_use]
     pub fn new(endpoint: QuicEndpoint, address: SocketAddr, role: PeerRole) -> Self {
         Self {
+            runtime: Handle::current(),
             endpoint,
             address,
             role,
@@ -148,7 +159,7 @@
             return Ok(channel);
         }
         if let Ok(turn) = Arc::clone(&self.connecting).try_lock_owned() {
-            tokio::spawn(self.clone().connect(turn));
+            self.runtime.spawn(self.clone().connect(turn));
         }
         let address = self.address;
         let waited = timeout(limit, self.connecting.lock()).await;
