--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod journal;
 pub mod latency;
 pub mod load;
+pub mod relay;
 pub mod standin;
 pub mod trial;
 pub mod wait;
--- a/crates/bench/tests/process/main.rs
+++ b/crates/bench/tests/process/main.rs
@@ -2,9 +2,11 @@
 
 mod change;
 mod crash;
+mod cut;
 mod input;
 mod limits;
 mod once;
+mod owners;
 mod path;
 mod stop;
 mod support;
