Keep the budget of extra attempts in one place, and give it back on a hang-up

The node and the experiment each had the budget; a caller's hang-up lost what its request had reserved. It stands in limit now, and the node gives back what is left when the request is dropped. A cut known at the entry node costs no token any more, a refused call is not tried again below a cut, and a 5xx that an overload further down explains does not count against a member.

--- a/crates/bench/src/experiment/managed/forward.rs
+++ b/crates/bench/src/experiment/managed/forward.rs
@@ -103,7 +103,7 @@
         };
         let left = forward.allowance.left();
         let Some(parent) = call.parent else {
-            self.nodes[call.sender].release_attempts(left);
+            self.nodes[call.sender].budget.release(left);
             return;
         };
         let notices = self.nodes[call.sender]
@@ -180,7 +180,9 @@
         }
         let forward = self.forwards.remove(&call.hop);
         if let (None, Some(forward)) = (call.parent, forward) {
-            self.nodes[call.sender].release_attempts(forward.allowance.left());
+            self.nodes[call.sender]
+                .budget
+                .release(forward.allowance.left());
         }
     }
 }
--- a/crates/bench/src/experiment/managed/side.rs
+++ b/crates/bench/src/experiment/managed/side.rs
@@ -13,6 +13,7 @@
 use clock::Clock;
 use clock::VirtualClock;
 use limit::ResendBook;
+use limit::RetryBudget;
 use limit::TokenHolder;
 use model::context::ServerLoad;
 use model::exchange::CrashReport;
@@ -32,15 +33,6 @@
 const CALLER_RESENDS: u16 = 3;
 /// Requests remembered for that.
 const RESEND_CAPACITY: usize = 65_536;
-/// Extra attempts earned by each request, in thousandths.
-const EARNED_MILLI: u32 = 100;
-/// Most extra attempts saved up.
-const SAVED_MAX_MILLI: u32 = 20_000;
-/// Most extra attempts that one request is given.
-const GIVEN_MAX: u32 = 3;
-/// Thousandths of an attempt.
-const ATTEMPT_MILLI: u32 = 1000;
-
 /// A load report that waits until it has the age that the scenario asks for.
 struct LoadSample {
     at: Instant,
@@ -67,7 +59,7 @@
     pub(super) busy: bool,
     /// Whether another exchange is wanted as soon as possible.
     pub(super) wanted: bool,
-    saved_milli: u32,
+    pub(super) budget: RetryBudget,
     samples: VecDeque<LoadSample>,
 }
 
@@ -91,7 +83,7 @@
             state: ServerState::Ready,
             busy: false,
             wanted: false,
-            saved_milli: SAVED_MAX_MILLI,
+            budget: RetryBudget::default(),
             samples: VecDeque::new(),
         }
     }
@@ -116,20 +108,6 @@
         }
     }
 
-    /// Earns for a request and reserves extra attempts for it.
-    pub(super) fn reserve_attempts(&mut self) -> u16 {
-        self.saved_milli = (self.saved_milli + EARNED_MILLI).min(SAVED_MAX_MILLI);
-        let given = (self.saved_milli / ATTEMPT_MILLI).min(GIVEN_MAX);
-        self.saved_milli -= given * ATTEMPT_MILLI;
-        u16::try_from(given).unwrap_or(u16::MAX)
-    }
-
-    /// Takes back extra attempts that a request did not spend.
-    pub(super) fn release_attempts(&mut self, unspent: u16) {
-        let returned_milli = u32::from(unspent) * ATTEMPT_MILLI;
-        self.saved_milli = (self.saved_milli + returned_milli).min(SAVED_MAX_MILLI);
-    }
-
     /// Returns the load to report, which is as old as `lag`.
     pub(super) fn reported_load(&mut self, clock: &VirtualClock, lag: Duration) -> ServerLoad {
         let load = self.gate.load();
--- a/crates/bench/src/experiment/managed/tokens.rs
+++ b/crates/bench/src/experiment/managed/tokens.rs
@@ -66,7 +66,7 @@
         let refused = self.graph.classes[entry.class].refused;
         let team = &self.teams[entry.team];
         let rank = node.standings.rank(Some(team), refused, entry.request);
-        let allowance = RetryAllowance::new(node.reserve_attempts());
+        let allowance = RetryAllowance::new(node.budget.reserve());
         let side = EntrySide {
             rank,
             allowance: Some(allowance),
--- a/crates/bench/tests/process/cut.rs
+++ b/crates/bench/tests/process/cut.rs
@@ -77,7 +77,9 @@
     let isolated = test.group.plan.controls[leader].quic;
     // Nodes still reach it, the other instances do not.
     relays[leader].cut();
-    relays.iter().for_each(|relay| relay.cut_sender(isolated));
+    for relay in &relays {
+        relay.cut_sender(isolated);
+    }
     wait::other_leader(&test.group, leader)
         .await
         .expect("a new leader");
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -3,6 +3,7 @@
 //! What was weighed stands in `docs/LIMITS.md`.
 
 mod allowance;
+mod budget;
 mod demand;
 mod escrow;
 mod holder;
@@ -13,6 +14,7 @@
 
 pub use allowance::AllowanceShare;
 pub use allowance::RetryAllowance;
+pub use budget::RetryBudget;
 pub use escrow::EscrowOwner;
 pub use holder::GrantEffect;
 pub use holder::TakeOutcome;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,7 +13,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use limit::ResendVerdict;
-use limit::RetryAllowance;
 use model::context::CallContext;
 use model::ids::RequestId;
 use model::ids::TeamName;
@@ -191,21 +190,21 @@
     if is_resent == ResendVerdict::Refused {
         return Err(CallFailure::not_run(FailureCause::AllowanceSpent));
     }
+    let request = CallRequest::new(head.method, &head.uri, head.headers, body);
+    let context = context(state, &checked, &request);
+    // What a service further down would refuse costs no token.
+    state.cuts().check(&context.route, context.rank)?;
     if let Some(team) = &checked.team {
         state.tokens.take(team).await?;
     }
-    let request = CallRequest::new(head.method, &head.uri, head.headers, body);
-    let context = context(state, &checked, &request);
     let outgoing = OutgoingCall {
         context,
         deadline: checked.deadline,
         idempotent: checked.entry.route.idempotent,
         request: &request,
     };
-    let mut allowance = RetryAllowance::new(state.retries.reserve());
-    let result = forward::forward(state, outgoing, &mut allowance).await;
-    state.retries.release(allowance.left());
-    result
+    let mut minted = state.mint_allowance();
+    forward::forward(state, outgoing, &mut minted.allowance).await
 }
 
 fn context<C: Clock>(
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -71,7 +71,8 @@
         };
         may_have_run |= failure.verdict != RunVerdict::NotRun;
         let expired = state.clock.now() >= call.deadline;
-        if expired || !is_repeatable(&failure, call.idempotent) || !allowance.charge() {
+        let is_cut = state.cuts().check(&route, context.rank).is_err();
+        if expired || is_cut || !is_repeatable(&failure, call.idempotent) || !allowance.charge() {
             return Err(covering(failure, may_have_run));
         }
         state.metrics.retries.inc();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,6 @@
 mod admin;
 mod attempt;
 mod backend;
-mod budget;
 mod call;
 mod control_thread;
 mod crash;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -237,7 +237,9 @@
     pub(crate) fn finish(mut self, report: &AttemptReport, latency: Duration) {
         self.load = report.feedback.as_ref().map(|feedback| feedback.load);
         self.result = match &report.result {
-            Ok(answer) if answer.status.is_server_error() => CallResult::Failed,
+            Ok(answer) if answer.status.is_server_error() && !met_cuts(report) => {
+                CallResult::Failed
+            }
             Ok(_) => CallResult::Answered { latency },
             Err(failure) => result_of(failure),
         };
@@ -253,6 +255,12 @@
     }
 }
 
+/// Says whether an overload further down explains an error of the backend server.
+fn met_cuts(report: &AttemptReport) -> bool {
+    let feedback = report.feedback.as_ref();
+    feedback.is_some_and(|feedback| !feedback.cuts.is_empty())
+}
+
 fn result_of(failure: &CallFailure) -> CallResult {
     match failure.cause {
         FailureCause::Draining | FailureCause::NoBackend => CallResult::Leaving,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -15,6 +15,8 @@
 use anyhow::Context;
 use clock::Clock;
 use limit::ResendBook;
+use limit::RetryAllowance;
+use limit::RetryBudget;
 use model::exchange::ServerState;
 use model::ids::NodeId;
 use rustls::pki_types::ServerName;
@@ -32,7 +34,6 @@
 use wire::role::PeerRole;
 
 use crate::backend::BackendClient;
-use crate::budget::RetryBudget;
 use crate::control_thread::ControlThread;
 use crate::crash::CrashWatch;
 use crate::gate::GateKeeper;
@@ -95,8 +96,6 @@
     pub calls: Handle,
     /// Work that must end before the process does.
     pub background: TaskTracker,
-    /// Extra attempts that requests may still be given.
-    pub retries: RetryBudget,
     /// Bounds the questions for records of refused requests.
     pub questions: Semaphore,
     /// Wakes the exchange ahead of its period.
@@ -105,6 +104,7 @@
     cuts: Mutex<CutBook<C>>,
     standings: Mutex<StandingBook<C>>,
     resends: Mutex<ResendBook<C>>,
+    retries: Mutex<RetryBudget>,
     draining: AtomicBool,
     closed: AtomicBool,
     entered: AtomicU64,
@@ -164,7 +164,7 @@
             draining: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             entered: AtomicU64::new(0),
-            retries: RetryBudget::default(),
+            retries: Mutex::default(),
             identity,
             node,
             settings,
@@ -204,6 +204,19 @@
         self.resends.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Mints the allowance of a new request.
+    pub(crate) fn mint_allowance(&self) -> MintedAllowance<'_> {
+        let given = self.retries().reserve();
+        MintedAllowance {
+            budget: &self.retries,
+            allowance: RetryAllowance::new(given),
+        }
+    }
+
+    fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Begins or ends draining by an operator or a stop.
     pub(crate) fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -276,3 +289,17 @@
         self.entered.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Allowance of a request; what is left of it goes back when it is dropped.
+pub(crate) struct MintedAllowance<'a> {
+    budget: &'a Mutex<RetryBudget>,
+    /// The allowance.
+    pub(crate) allowance: RetryAllowance,
+}
+
+impl Drop for MintedAllowance<'_> {
+    fn drop(&mut self) {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.release(self.allowance.left());
+    }
+}
