Tell the other nodes of a service at once what may have crashed a backend server

Cause: other nodes learned of the suspect with their next exchange, up to 600 ms after the crash; ruled out: a retry by the entry node (none is made after a lost connection). A node now sends its report to the other nodes of its service directly, beside the one to control. Two identical requests that run at the same instant can still crash two at once.

--- a/crates/admit/src/trial.rs
+++ b/crates/admit/src/trial.rs
@@ -152,7 +152,25 @@
         let suspects: Vec<Fingerprint> = suspects
             .filter(|fingerprint| !self.completed_lately(*fingerprint, now))
             .collect();
-        for fingerprint in &suspects {
+        self.hold_suspects(&suspects, now);
+        suspects
+    }
+
+    /// Takes over suspects that another node of the service tells of directly.
+    ///
+    /// They are held at once, since control tells of them only with the next
+    /// exchange. It is no word from control, so it allows no trial.
+    pub fn told(&mut self, suspects: &[Fingerprint]) {
+        let now = self.clock.now();
+        let suspects = suspects.iter().copied();
+        let suspects: Vec<Fingerprint> = suspects
+            .filter(|fingerprint| !self.completed_lately(*fingerprint, now))
+            .collect();
+        self.hold_suspects(&suspects, now);
+    }
+
+    fn hold_suspects(&mut self, suspects: &[Fingerprint], now: Instant) {
+        for fingerprint in suspects {
             let notice = QuarantineNotice {
                 service: self.service.clone(),
                 fingerprint: *fingerprint,
@@ -160,7 +178,6 @@
             };
             self.hold(&notice, now);
         }
-        suspects
     }
 
     fn completed_lately(&self, fingerprint: Fingerprint, now: Instant) -> bool {
--- a/crates/admit/tests/suspects.rs
+++ b/crates/admit/tests/suspects.rs
@@ -158,3 +158,24 @@
     }
     assert!(book.notices().len() <= 8192);
 }
+
+#[test]
+fn suspects_told_by_another_node_are_refused_at_once_and_not_tried_on_that_word() {
+    let clock = VirtualClock::new();
+    let mut dead = TrialBook::new(clock.clone(), "stock".into());
+    let mut other = TrialBook::new(clock.clone(), "stock".into());
+    assert_eq!(other.check(INNOCENTS), TrialDecision::Run);
+    other.ended(INNOCENTS, true);
+    let suspects = dead.crashed(&[POISON, INNOCENTS]);
+    other.told(&suspects);
+    assert!(matches!(other.check(POISON), TrialDecision::Refuse(_)));
+    // What completed here lately is cleared.
+    assert_eq!(other.check(INNOCENTS), TrialDecision::Run);
+    other.ended(INNOCENTS, true);
+    // The refusal ends, but without word from control there is no trial.
+    clock.advance(Duration::from_secs(2));
+    other.told(&[]);
+    assert!(matches!(other.check(POISON), TrialDecision::Refuse(_)));
+    other.update(&[]);
+    assert_eq!(other.check(POISON), TrialDecision::Trial);
+}
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -16,6 +16,9 @@
 /// Crashes that are kept until control took them over.
 const REPORTS_MAX: usize = 16;
 
+/// Suspects taken from another node's report.
+const TOLD_MAX: usize = 1_024;
+
 /// Crashes of the backend server and suspects of crashes.
 #[derive(Debug)]
 pub(crate) struct CrashWatch<C> {
@@ -60,7 +63,14 @@
     }
 
     /// Notes that the backend server died while it ran these calls.
-    pub(crate) fn crashed(&self, node: NodeId, service: &ServiceName, in_flight: &[Fingerprint]) {
+    ///
+    /// Returns the report, for control and for the other nodes of the service.
+    pub(crate) fn crashed(
+        &self,
+        node: NodeId,
+        service: &ServiceName,
+        in_flight: &[Fingerprint],
+    ) -> CrashReport {
         let suspects = self.with_book(service, |book| book.crashed(in_flight));
         let mut watched = self.lock();
         watched.crash += 1;
@@ -73,7 +83,14 @@
         if watched.reports.len() == REPORTS_MAX {
             watched.reports.remove(0);
         }
-        watched.reports.push(report);
+        watched.reports.push(report.clone());
+        report
+    }
+
+    /// Takes over a crash that another node of the service tells of.
+    pub(crate) fn told(&self, report: &CrashReport) {
+        let suspects = &report.suspects[..report.suspects.len().min(TOLD_MAX)];
+        self.with_book(&report.service, |book| book.told(suspects));
     }
 
     /// Takes over what control says is refused.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod run;
 mod server;
 mod state;
+mod tell;
 mod tokens;
 mod view;
 
--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -93,6 +93,9 @@
         .field("service", &announcement.service)
         .field("state", &announcement.state);
     let slots = announcement.slots;
+    // The other nodes of the service are told of crashes.
+    let service = announcement.service.clone();
+    state.members.expect_calls(std::iter::once(&service));
     if state.server.announce(announcement) {
         state.events.push(event);
         state.update_gate(slots);
--- a/crates/node/src/lost.rs
+++ b/crates/node/src/lost.rs
@@ -9,6 +9,7 @@
 
 use crate::server::ServerTarget;
 use crate::state::NodeState;
+use crate::tell;
 
 /// Time to connect to a backend server that lives, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 250;
@@ -30,7 +31,9 @@
             return;
         }
         state.gate.crashed();
-        state.crashes.crashed(state.node, &target.service, &suspects);
+        let crashes = &state.crashes;
+        let report = crashes.crashed(state.node, &target.service, &suspects);
+        tell::tell_service(&state, &report);
         tracing::warn!(event = "backend-crashed", service = %target.service, suspects = suspects.len());
         let event = EventRecord::new("backend-crashed")
             .field("service", &target.service)
--- a/crates/node/src/receive.rs
+++ b/crates/node/src/receive.rs
@@ -28,6 +28,8 @@
 use crate::execute::ExecutedCall;
 use crate::headers;
 use crate::state::NodeState;
+use crate::tell;
+use crate::tell::SUSPECTS_PATH;
 
 /// Longest chain of calls; the entry call has depth 0.
 pub(crate) const DEPTH_MAX: u8 = 32;
@@ -38,6 +40,9 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
+    if head.uri.path() == SUSPECTS_PATH {
+        return tell::serve_suspects(&state, body).await;
+    }
     let Some(context) = headers::decode::<CallContext>(&head.headers, &headers::CONTEXT) else {
         let failure = CallFailure::not_run(FailureCause::BadRequest);
         return respond(&state, None, &ExecutedCall::refused(failure, 0));
--- /dev/null
+++ b/crates/node/src/tell.rs
@@ -0,0 +1,70 @@
+//! Tells the other nodes of a service what may have crashed its backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use clock::Clock;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use model::exchange::CrashReport;
+
+use crate::call;
+use crate::state::NodeState;
+
+/// Path on the listener for other nodes that takes a [`CrashReport`] by `POST`.
+pub(crate) const SUSPECTS_PATH: &str = "/.ragwortplank/suspects";
+
+/// Tells each other node of the service, without waiting for an answer.
+///
+/// Control tells of suspects with the next exchange only; a request that is
+/// sent again at once would crash further backend servers until then.
+pub(crate) fn tell_service<C: Clock>(state: &Arc<NodeState<C>>, report: &CrashReport) {
+    let Ok(body) = postcard::to_stdvec(report) else {
+        return;
+    };
+    let body = Bytes::from(body);
+    for member in state.members.records() {
+        if member.service != report.service || member.node == state.node {
+            continue;
+        }
+        let state = Arc::clone(state);
+        let body = body.clone();
+        let tracker = state.background.clone();
+        tracker.spawn(async move { tell(&state, member.address, body).await });
+    }
+}
+
+async fn tell<C: Clock>(state: &NodeState<C>, address: SocketAddr, body: Bytes) {
+    let uri = format!("https://{address}{SUSPECTS_PATH}");
+    let Ok(request) = Request::post(uri).body(Full::new(body)) else {
+        return;
+    };
+    // A node that cannot be told learns from control.
+    if state.peers.send(address, request).await.is_err() {
+        tracing::debug!(event = "suspects-untold", %address);
+    }
+}
+
+/// Takes over what another node tells.
+pub(crate) async fn serve_suspects<C: Clock>(
+    state: &NodeState<C>,
+    body: Incoming,
+) -> Response<Full<Bytes>> {
+    let limits = &state.settings.limits;
+    let mut response = Response::new(Full::default());
+    let body = call::collect(body, limits.body_bytes, limits.body_timeout).await;
+    let report = body.ok().and_then(|body| postcard::from_bytes(&body).ok());
+    let is_own = |report: &CrashReport| {
+        let target = state.server.target();
+        target.is_some_and(|target| target.service == report.service)
+    };
+    match report.filter(is_own) {
+        Some(report) => state.crashes.told(&report),
+        None => *response.status_mut() = StatusCode::BAD_REQUEST,
+    }
+    response
+}
