--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -44,12 +44,10 @@
     let mut context = call.context;
     let mut tried: SmallVec<[NodeId; 4]> = SmallVec::new();
     let mut may_have_run = false;
+    let mut last = CallFailure::not_run(FailureCause::NoBackend);
     loop {
         let Some(picked) = state.members.pick(&context.service, &tried).await else {
-            return Err(covering(
-                CallFailure::not_run(FailureCause::NoBackend),
-                may_have_run,
-            ));
+            return Err(covering(last, may_have_run));
         };
         let share = allowance.split();
         context.time_left = call.deadline.saturating_duration_since(state.clock.now());
@@ -83,6 +81,7 @@
                 .field("cause", &failure.cause),
         );
         tried.push(server.node);
+        last = failure;
     }
 }
 
