--- a/crates/bench/tests/process/input.rs
+++ b/crates/bench/tests/process/input.rs
@@ -2,6 +2,9 @@
 
 use bench::load::CallOutcome;
 use bench::load::CallerProfile;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::support::TestGroup;
 use crate::support::chain;
@@ -61,3 +64,22 @@
     let leaked = |line: &&String| line.contains(&key) || line.contains("forged");
     assert!(!seen.iter().any(|line| leaked(&line)), "{seen:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_tls_peers_are_dropped_and_harm_nobody() {
+    let test = TestGroup::start(chain(1)).await;
+    let node = &test.group.plan.nodes[0];
+    for address in [node.callers, node.peers, node.admin] {
+        let mut stream = TcpStream::connect(address).await.expect("a listener");
+        let garbage = b"GET /quotes HTTP/1.1\r\nhost: node\r\n\r\n";
+        stream.write_all(garbage).await.expect("sent");
+        // The listener answers with a TLS alert at most, then ends the connection.
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        let told = String::from_utf8_lossy(&answer).into_owned();
+        assert!(!told.contains("HTTP/"), "{told}");
+    }
+    let profile = test.profile("workshop", "/quotes", "quotes");
+    let record = test.caller(0).call(0, &profile).await;
+    assert_eq!(record.outcome, CallOutcome::Answered);
+}
