--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -5,6 +5,7 @@
 mod cut;
 mod gate;
 mod rate;
+mod slots;
 mod standing;
 mod suspect;
 mod trial;
@@ -21,6 +22,9 @@
 pub use gate::GateActions;
 pub use gate::GateStats;
 pub use gate::OfferOutcome;
+pub use slots::SlotChanges;
+pub use slots::SlotDecision;
+pub use slots::SlotGate;
 pub use standing::RankPolicy;
 pub use standing::StandingBook;
 pub use suspect::SuspectBook;
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -1,11 +1,13 @@
 //! Time as an interface, so that every decision can run on virtual time.
 
+mod boot;
 mod system;
 mod virtual_clock;
 
 use std::time::Instant;
 use std::time::SystemTime;
 
+pub use boot::BootClock;
 pub use system::SystemClock;
 pub use virtual_clock::VirtualClock;
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,7 +7,9 @@
 use std::process::ExitCode;
 
 use anyhow::Context;
+use clock::BootClock;
 use clock::SystemClock;
+use platform::PlatformDialect;
 use settings::CheckedSettings;
 use tokio_util::sync::CancellationToken;
 
@@ -33,7 +35,7 @@
         println!("{}: valid", arguments.config.display());
         return ExitCode::SUCCESS;
     }
-    logging::init();
+    let _logs = logging::init();
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -47,6 +49,7 @@
     let threads = match settings {
         CheckedSettings::Node(_) => NODE_THREADS,
         CheckedSettings::Control(_) => CONTROL_THREADS,
+        CheckedSettings::Proxy(_) | CheckedSettings::Group(_) => return run_single(settings),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
@@ -56,11 +59,26 @@
     runtime.block_on(serve(settings))
 }
 
+/// Runs on one thread, as suits instances with a part of a core.
+fn run_single(settings: CheckedSettings) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("starting the runtime")?;
+    runtime.block_on(serve(settings))
+}
+
 async fn serve(settings: CheckedSettings) -> anyhow::Result<()> {
     let stop = CancellationToken::new();
     signals::cancel_on_signal(stop.clone())?;
     match settings {
         CheckedSettings::Node(settings) => node::run(settings, SystemClock, stop).await,
         CheckedSettings::Control(settings) => control::run(settings, SystemClock, stop).await,
+        CheckedSettings::Proxy(settings) => {
+            proxy::run(settings, PlatformDialect, BootClock::new(), stop).await
+        }
+        CheckedSettings::Group(settings) => {
+            group::run(settings, PlatformDialect, BootClock::new(), stop).await
+        }
     }
 }
--- /dev/null
+++ b/crates/fleet/src/table.rs
@@ -0,0 +1,107 @@
+//! The configuration as a node looks things up in it.
+
+use std::collections::HashMap;
+
+use model::ids::ConfigVersion;
+
+use crate::FleetConfig;
+use crate::RouteEntry;
+use crate::ServiceEntry;
+use crate::TeamEntry;
+
+/// Whose key came with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyOwner<'a> {
+    /// The configuration has no teams, so no key is needed.
+    NotNeeded,
+    /// The team that holds the key.
+    Team(&'a TeamEntry),
+    /// No team holds it.
+    Unknown,
+}
+
+/// A configuration with its indexes; built once for each version.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    config: FleetConfig,
+    /// Positions of the routes of a host, the longest prefix first.
+    by_host: HashMap<String, Vec<usize>>,
+    by_key: HashMap<String, usize>,
+}
+
+impl RouteTable {
+    /// Indexes a configuration.
+    #[must_use]
+    pub fn new(config: FleetConfig) -> Self {
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (position, route) in config.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(position);
+        }
+        for positions in by_host.values_mut() {
+            positions
+                .sort_by_key(|&position| std::cmp::Reverse(config.routes[position].prefix.len()));
+        }
+        let mut by_key = HashMap::new();
+        for (position, team) in config.teams.iter().enumerate() {
+            by_key.extend(team.keys.iter().map(|key| (key.clone(), position)));
+        }
+        Self {
+            config,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// Returns the version of the configuration.
+    #[must_use]
+    pub const fn version(&self) -> ConfigVersion {
+        self.config.version
+    }
+
+    /// Returns the configuration itself.
+    #[must_use]
+    pub const fn config(&self) -> &FleetConfig {
+        &self.config
+    }
+
+    /// Returns the route with the longest prefix that begins the path.
+    ///
+    /// `host` may carry a port, `path` a query.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteEntry> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let path = path.split('?').next().unwrap_or(path);
+        let positions = match self.by_host.get(name) {
+            Some(positions) => positions,
+            None => self.by_host.get(&name.to_ascii_lowercase())?,
+        };
+        let routes = positions
+            .iter()
+            .map(|&position| &self.config.routes[position]);
+        routes
+            .into_iter()
+            .find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Returns whose key this is.
+    #[must_use]
+    pub fn owner(&self, key: Option<&str>) -> KeyOwner<'_> {
+        if self.config.teams.is_empty() {
+            return KeyOwner::NotNeeded;
+        }
+        let position = key.and_then(|key| self.by_key.get(key));
+        position.map_or(KeyOwner::Unknown, |&position| {
+            KeyOwner::Team(&self.config.teams[position])
+        })
+    }
+
+    /// Returns what is declared of a service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceEntry> {
+        self.config
+            .services
+            .iter()
+            .find(|entry| &*entry.name == name)
+    }
+}
--- /dev/null
+++ b/crates/group/src/session.rs
@@ -0,0 +1,265 @@
+//! Connections of nodes and of other control instances.
+
+use std::net::SocketAddr;
+
+use clock::Clock;
+use fleet::ConfigNotice;
+use fleet::ControlReply;
+use fleet::GroupMessage;
+use fleet::NodeReport;
+use fleet::TeamShare;
+use link::LinkReceiver;
+use link::LinkSender;
+use model::ids::ConfigVersion;
+use model::ids::NodeId;
+use quorum::MemberDuty;
+use replica::ReplicatedState;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tracing::info;
+
+use crate::state::GroupState;
+use crate::state::LeaderBook;
+
+/// Crashes after which the nodes are told of a request's fingerprint.
+const SUSPECT_TOLD_FROM: u32 = 1;
+
+/// Serves links until the listener fails.
+pub(crate) async fn serve<C: Clock>(state: GroupState<C>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                tokio::spawn(serve_link(state.clone(), stream, peer));
+            }
+            Err(error) => tracing::warn!(event = "accept-failed", listener = "links", %error),
+        }
+    }
+}
+
+async fn serve_link<C: Clock>(state: GroupState<C>, stream: TcpStream, peer: SocketAddr) {
+    let (sender, receiver) = match link::open(stream) {
+        Ok(opened) => opened,
+        Err(error) => {
+            tracing::debug!(event = "link-not-opened", %peer, %error);
+            return;
+        }
+    };
+    let session = LinkSession {
+        state,
+        sender,
+        peer,
+        node: None,
+        told_version: 0,
+        told_members: 0,
+        told_suspects: 0,
+    };
+    session.run(receiver).await;
+}
+
+/// One connection with what was said on it.
+struct LinkSession<C> {
+    state: GroupState<C>,
+    sender: LinkSender<GroupMessage>,
+    peer: SocketAddr,
+    /// The node at the other end, once it has reported.
+    node: Option<NodeId>,
+    told_version: ConfigVersion,
+    told_members: u64,
+    told_suspects: usize,
+}
+
+impl<C: Clock> LinkSession<C> {
+    async fn run(mut self, mut receiver: LinkReceiver<GroupMessage>) {
+        let mut news = self.state.subscribe();
+        loop {
+            tokio::select! {
+                message = receiver.next() => match message {
+                    Some(message) => self.take(message),
+                    None => break,
+                },
+                changed = news.changed(), if self.node.is_some() => {
+                    if changed.is_err() {
+                        break;
+                    }
+                    self.tell_news();
+                }
+            }
+        }
+        if let Some(node) = self.node {
+            info!(event = "node-link-ended", node, peer = %self.peer);
+        }
+    }
+
+    fn take(&mut self, message: GroupMessage) {
+        match message {
+            GroupMessage::Replica { from, to, body } => {
+                self.state.mesh.heard(from);
+                let replica = self.state.replica();
+                let addressed = replica.filter(|replica| replica.status().instance == to);
+                if let Some(replica) = addressed {
+                    replica.receive(from, body.to_vec());
+                }
+            }
+            GroupMessage::WhoIs => self.answer_who_is(),
+            GroupMessage::Report(report) => self.take_report(*report),
+            GroupMessage::Members { .. } | GroupMessage::Reply(_) => {
+                tracing::warn!(event = "message-unexpected", peer = %self.peer);
+            }
+        }
+    }
+
+    fn answer_who_is(&self) {
+        let (state, sender) = (self.state.clone(), self.sender.clone());
+        tokio::spawn(async move {
+            let confirmed = state.is_confirmed().await;
+            let status = state.status();
+            let members = status.map(|status| status.membership.members().to_vec());
+            let members = members.unwrap_or_default();
+            sender.send(&GroupMessage::Members {
+                instances: members.iter().map(|member| member.instance).collect(),
+                confirmed,
+            });
+        });
+    }
+
+    fn take_report(&mut self, report: NodeReport) {
+        let node = report.record.node;
+        let is_leader = self
+            .state
+            .status()
+            .is_some_and(|status| status.duty == MemberDuty::Leader);
+        if !is_leader {
+            let own = self.state.status().map(|status| status.instance);
+            let leader = self.state.leader().filter(|leader| Some(*leader) != own);
+            self.reply(ControlReply::Elsewhere {
+                leader: leader.map(|leader| self.state.mesh.address(leader)),
+                instances: self.state.instances(),
+            });
+            return;
+        }
+        if self.node != Some(node) {
+            info!(event = "node-reported", node, peer = %self.peer, applied = report.applied);
+            self.node = Some(node);
+        }
+        self.told_version = self.told_version.min(report.applied);
+        self.told_members = self.told_members.min(report.members_seen);
+        let number = report.number;
+        let changed = self.book_report(report);
+        if changed {
+            self.state.announce();
+        }
+        self.renew(number);
+    }
+
+    /// Takes the report into the leader's book; returns whether other nodes must be told.
+    fn book_report(&self, report: NodeReport) -> bool {
+        let now = self.state.clock.now();
+        let limits = self.state.current().map(|change| {
+            let version = change.config.version;
+            let teams = change.config.teams.into_iter();
+            let limits = teams
+                .filter(|team| team.rate_per_s > 0)
+                .map(|team| (team.name, team.rate_per_s));
+            (version, limits.collect::<Vec<_>>())
+        });
+        let changed = self.state.with_book(|book| {
+            if let Some((version, limits)) = limits
+                && book.declared != version
+            {
+                book.shares.declare(&limits);
+                book.declared = version;
+            }
+            let node = report.record.node;
+            for used in &report.teams {
+                book.shares
+                    .report(node, &used.team, used.asked_per_s, used.share_milli, now);
+            }
+            let crashed = !report.crashed.is_empty();
+            for fingerprint in report.crashed {
+                *book.suspects.entry(fingerprint).or_default() += 1;
+            }
+            book.registry.report(report.record, now) | crashed
+        });
+        changed.unwrap_or(false)
+    }
+
+    /// Renews the lease once a quorum confirmed the leader.
+    fn renew(&mut self, number: u64) {
+        self.tell_news();
+        let now = self.state.clock.now();
+        let node = self.node.unwrap_or_default();
+        let shares = self.state.with_book(|book| {
+            let may_raise = book.registry.is_settled(now);
+            book.shares.grant(node, may_raise, now)
+        });
+        let shares = shares.unwrap_or_default().into_iter();
+        let shares = shares.map(|(team, share_milli)| TeamShare { team, share_milli });
+        self.reply(ControlReply::Shares(shares.collect()));
+        let (state, sender) = (self.state.clone(), self.sender.clone());
+        tokio::spawn(async move {
+            if !state.is_confirmed().await {
+                return;
+            }
+            let reply = ControlReply::Renewed {
+                number,
+                version: state.version(),
+                instances: state.instances(),
+            };
+            sender.send(&GroupMessage::Reply(Box::new(reply)));
+        });
+    }
+
+    /// Tells the node what it has not been told yet.
+    fn tell_news(&mut self) {
+        let version = self.state.version();
+        if version > self.told_version
+            && let Some(change) = self.state.current()
+        {
+            self.told_version = version;
+            let config = change.config;
+            self.reply(ControlReply::Config(Box::new(ConfigNotice { config })));
+        }
+        let now = self.state.clock.now();
+        let told = self.told_members;
+        let list = self.state.with_book(|book| {
+            let settled = book.registry.is_settled(now);
+            // A list grows by one more step once it is settled, so that all learn who has left.
+            let number = book.registry.number() * 2 + u64::from(settled);
+            (number > told || number >> 25 != told >> 25).then(|| ControlReply::Members {
+                number,
+                records: book.registry.records(),
+                settled,
+            })
+        });
+        if let Some(Some(list)) = list {
+            if let ControlReply::Members { number, .. } = &list {
+                self.told_members = *number;
+            }
+            self.reply(list);
+        }
+        let told = self.told_suspects;
+        let suspects = self.state.with_book(|book| told_suspects(book));
+        if let Some(suspects) = suspects
+            && suspects.1 != told
+        {
+            self.told_suspects = suspects.1;
+            self.reply(ControlReply::Suspects(suspects.0));
+        }
+    }
+
+    fn reply(&self, reply: ControlReply) {
+        self.sender.send(&GroupMessage::Reply(Box::new(reply)));
+    }
+}
+
+/// Returns the suspects, and a sum by which a change of them shows.
+fn told_suspects(book: &LeaderBook) -> (Vec<(u64, u32)>, usize) {
+    let suspects: Vec<_> = book
+        .suspects
+        .iter()
+        .filter(|(_, count)| **count >= SUSPECT_TOLD_FROM)
+        .map(|(fingerprint, count)| (*fingerprint, *count))
+        .collect();
+    let sum = suspects.iter().map(|(_, count)| *count as usize).sum();
+    (suspects, sum)
+}
--- /dev/null
+++ b/crates/group/src/state.rs
@@ -0,0 +1,176 @@
+//! What the tasks of a control instance share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use clock::Clock;
+use fleet::ConfigChange;
+use fleet::ConfigStore;
+use limit::ShareBook;
+use model::ids::ConfigVersion;
+use model::ids::InstanceId;
+use quorum::MemberDuty;
+use replica::ReplicaHandle;
+use replica::ReplicaStatus;
+use replica::ReplicatedState;
+use settings::GroupSettings;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::mesh::GroupMesh;
+use crate::registry::NodeRegistry;
+use crate::repair::RepairPolicy;
+
+/// Time to confirm the leader for a read or a lease, in milliseconds.
+const CONFIRM_MS: u64 = 900;
+
+/// What a leader knows of the nodes; gone with its leadership.
+#[derive(Debug)]
+pub(crate) struct LeaderBook {
+    pub(crate) term: u64,
+    pub(crate) registry: NodeRegistry,
+    pub(crate) shares: ShareBook,
+    pub(crate) declared: ConfigVersion,
+    /// Fingerprints of requests that crashed backend servers, with how often.
+    pub(crate) suspects: std::collections::BTreeMap<u64, u32>,
+}
+
+/// Shared state; clones share it.
+#[derive(Debug)]
+pub(crate) struct GroupState<C> {
+    pub(crate) settings: Arc<GroupSettings>,
+    pub(crate) clock: C,
+    pub(crate) mesh: GroupMesh<C>,
+    pub(crate) stop: CancellationToken,
+    replica: Arc<Mutex<Option<ReplicaHandle<ConfigStore>>>>,
+    book: Arc<Mutex<Option<LeaderBook>>>,
+    news: watch::Sender<u64>,
+}
+
+impl<C: Clone> Clone for GroupState<C> {
+    fn clone(&self) -> Self {
+        Self {
+            settings: Arc::clone(&self.settings),
+            clock: self.clock.clone(),
+            mesh: self.mesh.clone(),
+            stop: self.stop.clone(),
+            replica: Arc::clone(&self.replica),
+            book: Arc::clone(&self.book),
+            news: self.news.clone(),
+        }
+    }
+}
+
+impl<C: Clock> GroupState<C> {
+    pub(crate) fn new(settings: GroupSettings, clock: C, stop: CancellationToken) -> Self {
+        let (news, _) = watch::channel(0);
+        Self {
+            mesh: GroupMesh::new(settings.link_port, clock.clone()),
+            settings: Arc::new(settings),
+            clock,
+            stop,
+            replica: Arc::default(),
+            book: Arc::default(),
+            news,
+        }
+    }
+
+    /// Returns the running replica, none while it is being started.
+    pub(crate) fn replica(&self) -> Option<ReplicaHandle<ConfigStore>> {
+        lock(&self.replica).clone()
+    }
+
+    pub(crate) fn set_replica(&self, replica: Option<ReplicaHandle<ConfigStore>>) {
+        *lock(&self.replica) = replica;
+    }
+
+    pub(crate) fn status(&self) -> Option<ReplicaStatus> {
+        self.replica().map(|replica| replica.status())
+    }
+
+    /// Returns the leader's address for links, none while no leader is known.
+    pub(crate) fn leader(&self) -> Option<InstanceId> {
+        self.status().and_then(|status| status.leader)
+    }
+
+    /// Returns where the other instances are reached.
+    pub(crate) fn instances(&self) -> Vec<SocketAddr> {
+        let status = self.status();
+        let members = status.map(|status| status.membership.members().to_vec());
+        let members = members.unwrap_or_default();
+        members
+            .iter()
+            .map(|member| self.mesh.address(member.instance))
+            .collect()
+    }
+
+    pub(crate) fn policy(&self) -> RepairPolicy {
+        RepairPolicy::new(self.settings.bounds.tolerated_losses)
+    }
+
+    /// Returns whether a committed entry is on more disks than may be lost.
+    pub(crate) fn is_large_enough(&self) -> bool {
+        let tolerated = self.settings.bounds.tolerated_losses;
+        self.status()
+            .is_some_and(|status| status.membership.quorum() > tolerated)
+    }
+
+    /// Waits until a quorum confirmed the leader, and all committed before is applied here.
+    pub(crate) async fn is_confirmed(&self) -> bool {
+        let Some(replica) = self.replica() else {
+            return false;
+        };
+        let limit = Duration::from_millis(CONFIRM_MS);
+        let confirmed = timeout(limit, replica.confirm()).await;
+        confirmed.is_ok_and(|outcome| outcome.is_ok())
+    }
+
+    /// Returns the change in force as far as applied here.
+    pub(crate) fn current(&self) -> Option<ConfigChange> {
+        self.replica()?.read(|store| store.current().cloned())
+    }
+
+    pub(crate) fn version(&self) -> ConfigVersion {
+        self.replica()
+            .map_or(0, |replica| replica.read(ConfigStore::version))
+    }
+
+    /// Runs `work` on the leader's book, none when this instance does not lead.
+    pub(crate) fn with_book<R>(&self, work: impl FnOnce(&mut LeaderBook) -> R) -> Option<R> {
+        let status = self.status()?;
+        let mut book = lock(&self.book);
+        if status.duty != MemberDuty::Leader {
+            *book = None;
+            return None;
+        }
+        if book.as_ref().is_none_or(|book| book.term != status.term) {
+            let now = self.clock.now();
+            *book = Some(LeaderBook {
+                term: status.term,
+                registry: NodeRegistry::new(status.term, now),
+                shares: ShareBook::new(self.settings.bounds.revoke),
+                declared: 0,
+                suspects: std::collections::BTreeMap::new(),
+            });
+        }
+        book.as_mut().map(work)
+    }
+
+    /// Tells the sessions of nodes that there is something to say.
+    pub(crate) fn announce(&self) {
+        self.news.send_modify(|number| *number += 1);
+    }
+
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/limit/src/bucket.rs
@@ -0,0 +1,100 @@
+//! One node's part of a team's limit.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Thousandths in one request.
+const MILLI: f64 = 1000.0;
+
+/// Token bucket that is filled at the part of a team's rate that the node was given.
+#[derive(Clone, Debug)]
+pub struct TokenBucket {
+    share_milli: u64,
+    /// Seconds of the rate that may be saved up: the declared burst over the rate.
+    depth_s: f64,
+    tokens: f64,
+    updated: Instant,
+    asked: u32,
+    asked_since: Instant,
+}
+
+impl TokenBucket {
+    /// Creates an empty bucket.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            share_milli: 0,
+            depth_s: 1.0,
+            tokens: 0.0,
+            updated: now,
+            asked: 0,
+            asked_since: now,
+        }
+    }
+
+    /// Sets the part of the rate, in thousandths of a request per second, and the depth.
+    pub fn set_share(&mut self, share_milli: u64, depth_s: f64, now: Instant) {
+        self.refill(now);
+        let is_first = self.share_milli == 0;
+        self.share_milli = share_milli;
+        self.depth_s = depth_s;
+        if is_first {
+            self.tokens = self.capacity();
+        }
+        self.tokens = self.tokens.min(self.capacity());
+    }
+
+    /// Returns the part of the rate, in thousandths of a request per second.
+    #[must_use]
+    pub const fn share_milli(&self) -> u64 {
+        self.share_milli
+    }
+
+    /// Takes a token for a request; says how long to wait when there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time after which there will be a token.
+    pub fn take(&mut self, now: Instant) -> Result<(), Duration> {
+        self.asked += 1;
+        self.refill(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let rate_per_s = self.rate_per_s().max(0.1);
+        Err(Duration::from_secs_f64((1.0 - self.tokens) / rate_per_s))
+    }
+
+    /// Returns the requests asked per second since the last call of this.
+    pub fn asked_per_s(&mut self, now: Instant) -> u32 {
+        let elapsed_s = now
+            .saturating_duration_since(self.asked_since)
+            .as_secs_f64()
+            .max(0.1);
+        let rate = f64::from(self.asked) / elapsed_s;
+        self.asked = 0;
+        self.asked_since = now;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a cast of a float saturates"
+        )]
+        let rate = rate.ceil() as u32;
+        rate
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed_s = now.saturating_duration_since(self.updated).as_secs_f64();
+        self.updated = now;
+        self.tokens = (self.tokens + elapsed_s * self.rate_per_s()).min(self.capacity());
+    }
+
+    fn rate_per_s(&self) -> f64 {
+        self.share_milli as f64 / MILLI
+    }
+
+    fn capacity(&self) -> f64 {
+        (self.rate_per_s() * self.depth_s).max(1.0)
+    }
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -3,6 +3,7 @@
 //! What was weighed stands in `docs/LIMITS.md`.
 
 mod allowance;
+mod bucket;
 mod budget;
 mod demand;
 mod escrow;
@@ -10,18 +11,23 @@
 mod ledger;
 mod missed;
 mod pot;
+mod repeats;
 mod resend;
+mod shares;
 
 pub use allowance::AllowanceShare;
 pub use allowance::RetryAllowance;
+pub use bucket::TokenBucket;
 pub use budget::RetryBudget;
 pub use escrow::EscrowOwner;
 pub use holder::GrantEffect;
 pub use holder::TakeOutcome;
 pub use holder::TokenHolder;
 pub use ledger::TeamLimit;
+pub use repeats::RepeatBudget;
 pub use resend::ResendBook;
 pub use resend::ResendVerdict;
+pub use shares::ShareBook;
 
 /// Tokens that one call costs, in thousandths of a call.
 pub const CALL_MILLI: u64 = 1000;
--- /dev/null
+++ b/crates/proxy/src/entry.rs
@@ -0,0 +1,381 @@
+//! The listener for callers and for the backend server's own calls.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use clock::Clock;
+use fleet::CallHead;
+use fleet::FailCause;
+use fleet::KeyOwner;
+use fleet::RequestMarks;
+use fleet::RouteEntry;
+use fleet::RouteTable;
+use fleet::TeamEntry;
+use fleet::WireDialect;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use model::context::CallRank;
+use model::ids::ServiceName;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tracing::info;
+use tracing::warn;
+
+use crate::attempt::CarryOutcome;
+use crate::attempt::carry;
+use crate::fate::CallEnd;
+use crate::headers;
+use crate::state::ProxyState;
+
+/// Largest head that is read, in bytes; the configured limit is checked after it.
+const HEAD_BUFFER_BYTES: usize = 64 * 1024;
+/// Time within which a head must have come before a configuration says otherwise, in seconds.
+const HEAD_TIMEOUT_S: u64 = 10;
+/// Largest body before a configuration says otherwise, in bytes.
+const BODY_BYTES: u32 = 64 * 1024 * 1024;
+/// Delays named to callers, in milliseconds.
+const NO_CONFIG_RETRY_MS: u64 = 500;
+const NO_MEMORY_RETRY_MS: u64 = 500;
+/// Part by which a delay is spread, so that callers do not come back together.
+const SPREAD_PART: f64 = 0.5;
+/// One in this many requests that went well is logged.
+const LOGGED_ONE_IN: u64 = 128;
+/// Importance of a call that a backend server makes for a request which was let in before.
+const INNER_IMPORTANCE: u8 = u8::MAX;
+/// Importance of the most important request of a caller.
+const ENTRY_IMPORTANCE: u8 = 200;
+/// Steps of importance between two orders of teams.
+const TEAM_STEP: u8 = 16;
+
+type OwnAnswer = Response<Full<Bytes>>;
+
+/// Serves callers until the listener fails.
+pub(crate) async fn serve<C: Clock, D: WireDialect>(
+    state: ProxyState<C, D>,
+    listener: TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_caller(state.clone(), stream));
+            }
+            Err(error) => {
+                warn!(event = "accept-failed", listener = "callers", %error);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller<C: Clock, D: WireDialect>(state: ProxyState<C, D>, stream: TcpStream) {
+    // Without it only small writes are slower.
+    let _ = stream.set_nodelay(true);
+    let limits = state
+        .table()
+        .map(|(table, _)| table.config().limits.clone());
+    let head_timeout = limits.map_or(Duration::from_secs(HEAD_TIMEOUT_S), |limits| {
+        limits.head_timeout.max(limits.idle_timeout)
+    });
+    let service = service_fn(|request| answer(&state, request));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_timeout)
+        .max_buf_size(HEAD_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        tracing::debug!(event = "caller-link-ended", %error);
+    }
+}
+
+async fn answer<C: Clock, D: WireDialect>(
+    state: &ProxyState<C, D>,
+    request: Request<Incoming>,
+) -> Result<OwnAnswer, Infallible> {
+    let _entered = state.enter();
+    let started = state.now();
+    let marks = state.dialect.request_marks(request.headers());
+    let attempt = marks.attempt.clone();
+    let mut response = match admit(state, request, marks, started).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.respond(state, attempt.as_deref(), started),
+    };
+    if state.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// An answer of this node's own.
+struct OwnRefusal {
+    status: StatusCode,
+    reason: &'static str,
+    retry_after: Option<Duration>,
+}
+
+impl OwnRefusal {
+    const fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Creates a refusal that names a delay, spread so that callers come back one by one.
+    fn later(status: StatusCode, reason: &'static str, delay: Duration) -> Self {
+        let spread = 1.0 + SPREAD_PART * rand::random::<f64>();
+        Self {
+            status,
+            reason,
+            retry_after: Some(delay.mul_f64(spread)),
+        }
+    }
+
+    fn respond<C: Clock, D: WireDialect>(
+        &self,
+        state: &ProxyState<C, D>,
+        attempt: Option<&str>,
+        started: Instant,
+    ) -> OwnAnswer {
+        if state.may_log() {
+            let held = state.now().saturating_duration_since(started);
+            info!(
+                event = "request-refused",
+                request = attempt.unwrap_or("-"),
+                status = self.status.as_u16(),
+                reason = self.reason,
+                config = state.view().version(),
+                retry_after_ms = self.retry_after.map(|delay| delay.as_millis()),
+                held_ms = held.as_millis(),
+            );
+        }
+        let body = state.dialect.explanation(self.reason);
+        let mut answer = Response::new(Full::new(Bytes::from(body)));
+        *answer.status_mut() = self.status;
+        let dialect = &state.dialect;
+        dialect.mark_own_answer(answer.headers_mut(), attempt, self.retry_after);
+        answer
+    }
+}
+
+/// Checks a request, and carries it when it may enter.
+async fn admit<C: Clock, D: WireDialect>(
+    state: &ProxyState<C, D>,
+    request: Request<Incoming>,
+    marks: RequestMarks,
+    started: Instant,
+) -> Result<OwnAnswer, OwnRefusal> {
+    let no_config = Duration::from_millis(NO_CONFIG_RETRY_MS);
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let Some((table, leased)) = state.table() else {
+        return Err(OwnRefusal::later(
+            unavailable,
+            "no-configuration",
+            no_config,
+        ));
+    };
+    if marks.attempt.is_none() {
+        return Err(OwnRefusal::new(StatusCode::BAD_REQUEST, "no-request-id"));
+    }
+    if !leased {
+        return Err(OwnRefusal::later(unavailable, "no-lease", no_config));
+    }
+    check_head(&table, request.headers())?;
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+        .to_owned();
+    let host = host_of(&request);
+    let Some(route) = table.route(&host, &path) else {
+        return Err(OwnRefusal::new(StatusCode::NOT_FOUND, "no-route"));
+    };
+    let team = team_of(&table, route, marks.key.as_deref())?;
+    if let Some(team) = team
+        && let Err(delay) = state.quota().take(&team.name, state.now())
+    {
+        let too_many = StatusCode::TOO_MANY_REQUESTS;
+        return Err(OwnRefusal::later(too_many, "over-quota", delay));
+    }
+    let timeout = marks
+        .deadline
+        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let deadline = started + timeout;
+    let method = request.method().as_str().to_owned();
+    let passed_on = headers::passed_on(&state.dialect, request.headers());
+    let body = body_of(&table, request.into_body()).await?;
+    let Some(_booking) = state.book_body(body.len()) else {
+        let delay = Duration::from_millis(NO_MEMORY_RETRY_MS);
+        return Err(OwnRefusal::later(unavailable, "no-memory", delay));
+    };
+    let head = CallHead {
+        attempt: marks.attempt.unwrap_or_default(),
+        method,
+        path,
+        headers: passed_on,
+        route: route.name.clone(),
+        service: service_of(route),
+        idempotent: route.idempotent,
+        repeated: false,
+        rank: rank_of(route, team),
+        time_left: timeout,
+        team: team.map(|team| team.name.clone()),
+        caller: state.settings.service.clone(),
+    };
+    let attempt = head.attempt.clone();
+    let outcome = carry(state, head, body, route.attempts, deadline).await;
+    log_outcome(state, &attempt, route, &outcome, &table, started);
+    respond(outcome)
+}
+
+fn check_head(table: &RouteTable, headers: &HeaderMap) -> Result<(), OwnRefusal> {
+    let length = |(name, value): (&http::HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    let bytes: usize = headers.iter().map(length).sum();
+    if bytes > table.config().limits.head_bytes as usize {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(OwnRefusal::new(status, "head-too-large"));
+    }
+    Ok(())
+}
+
+fn host_of(request: &Request<Incoming>) -> String {
+    let header = request.headers().get(header::HOST);
+    let header = header.and_then(|value| value.to_str().ok());
+    let host = header.or_else(|| request.uri().host());
+    host.unwrap_or_default().to_owned()
+}
+
+fn team_of<'a>(
+    table: &'a RouteTable,
+    route: &RouteEntry,
+    key: Option<&str>,
+) -> Result<Option<&'a TeamEntry>, OwnRefusal> {
+    match table.owner(key) {
+        KeyOwner::NotNeeded => Ok(None),
+        KeyOwner::Team(team) => Ok(Some(team)),
+        KeyOwner::Unknown if route.anonymous => Ok(None),
+        KeyOwner::Unknown => Err(OwnRefusal::new(StatusCode::UNAUTHORIZED, "unknown-key")),
+    }
+}
+
+/// Chooses a service of the route by the weights.
+fn service_of(route: &RouteEntry) -> ServiceName {
+    let total: u64 = route.services.iter().map(|part| part.weight_milli).sum();
+    let mut drawn = rand::random::<u64>() % total.max(1);
+    for part in &route.services {
+        if drawn < part.weight_milli {
+            return part.service.clone();
+        }
+        drawn -= part.weight_milli;
+    }
+    route
+        .services
+        .last()
+        .map_or_else(|| Arc::from(""), |part| part.service.clone())
+}
+
+/// Ranks a call: those of requests that were let in go first, then by team and by route.
+fn rank_of(route: &RouteEntry, team: Option<&TeamEntry>) -> CallRank {
+    let importance = match team {
+        None => INNER_IMPORTANCE,
+        Some(team) => {
+            let steps = team.order.saturating_mul(TEAM_STEP);
+            ENTRY_IMPORTANCE.saturating_sub(steps.saturating_add(route.order.min(TEAM_STEP - 1)))
+        }
+    };
+    CallRank::new(importance, 0, 0)
+}
+
+async fn body_of(table: &RouteTable, body: Incoming) -> Result<Bytes, OwnRefusal> {
+    let limit = table.config().limits.body_bytes.min(BODY_BYTES);
+    match Limited::new(body, limit as usize).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(OwnRefusal::new(status, "body-too-large"))
+        }
+        Err(_) => Err(OwnRefusal::new(StatusCode::BAD_REQUEST, "body-broken")),
+    }
+}
+
+fn respond(outcome: CarryOutcome) -> Result<OwnAnswer, OwnRefusal> {
+    let may_have_run = outcome.fate.may_have_run;
+    match outcome.end {
+        CallEnd::Answered { head, body } => {
+            let mut answer = Response::new(Full::new(body));
+            let status = StatusCode::from_u16(head.status);
+            *answer.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+            *answer.headers_mut() = headers::rebuilt(&head.headers);
+            Ok(answer)
+        }
+        // An earlier attempt may have run, so nothing may be promised any more.
+        CallEnd::Refused { .. } if may_have_run => {
+            Err(OwnRefusal::new(StatusCode::BAD_GATEWAY, "may-have-run"))
+        }
+        CallEnd::Refused { retry_after, .. } => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Err(OwnRefusal::later(status, "not-run", retry_after))
+        }
+        CallEnd::Failed {
+            cause: FailCause::Timeout,
+        } => Err(OwnRefusal::new(StatusCode::GATEWAY_TIMEOUT, "timeout")),
+        CallEnd::Failed { .. } => Err(OwnRefusal::new(StatusCode::BAD_GATEWAY, "may-have-run")),
+    }
+}
+
+fn log_outcome<C: Clock, D: WireDialect>(
+    state: &ProxyState<C, D>,
+    attempt: &str,
+    route: &RouteEntry,
+    outcome: &CarryOutcome,
+    table: &RouteTable,
+    started: Instant,
+) {
+    let held_ms = state.now().saturating_duration_since(started).as_millis();
+    let (what, cause) = match &outcome.end {
+        CallEnd::Answered { head, .. } if head.status < 500 => {
+            if !state.is_sampled(LOGGED_ONE_IN) {
+                return;
+            }
+            ("answered", head.status.to_string())
+        }
+        CallEnd::Answered { head, .. } => ("server-failed", head.status.to_string()),
+        CallEnd::Refused { cause, .. } => ("not-run", cause.to_string()),
+        CallEnd::Failed { cause } => ("may-have-run", cause.to_string()),
+    };
+    if !state.may_log() {
+        return;
+    }
+    info!(
+        event = "request-ended",
+        request = attempt,
+        route = %route.name,
+        outcome = what,
+        cause,
+        arrivals = outcome.fate.arrivals,
+        refusals = outcome.fate.refusals,
+        node = outcome.node,
+        config = table.version(),
+        held_ms,
+    );
+}
--- /dev/null
+++ b/crates/proxy/src/own_server.rs
@@ -0,0 +1,444 @@
+//! The backend server beside this node: what it announced, its slots, and calls to it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use admit::SlotChanges;
+use admit::SlotDecision;
+use admit::SlotGate;
+use bytes::Bytes;
+use clock::Clock;
+use fleet::AnswerHead;
+use fleet::CallHead;
+use fleet::FailCause;
+use fleet::NodeRecord;
+use fleet::RefuseCause;
+use fleet::ServerAnnouncement;
+use fleet::ServerName;
+use fleet::ServerPhase;
+use fleet::WireDialect;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use model::context::ServerLoad;
+use model::ids::ServiceName;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::fate::CallEnd;
+use crate::headers;
+use crate::pool::LinkPool;
+use crate::pool::SendFault;
+use crate::pool::ServerLink;
+use crate::state::ProxyState;
+use crate::state::lock;
+
+/// Largest answer, in bytes.
+const ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Part of the time to drain for which calls that are still on their way are taken.
+const DRAIN_PART: f64 = 0.6;
+/// Delay named when there is no backend server to wait for.
+const ABSENT_RETRY: Duration = Duration::from_millis(300);
+
+/// Outcome of waiting for a slot.
+type SlotOutcome = Result<SlotPermit, Duration>;
+
+#[derive(Debug, Default)]
+struct ServerState {
+    announced: Option<ServerAnnouncement>,
+    cold_until: Option<Instant>,
+    leaving_since: Option<Instant>,
+    gate: SlotGate,
+    waiting: HashMap<u64, oneshot::Sender<SlotOutcome>>,
+}
+
+/// The backend server beside this node; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct OwnServer {
+    service: ServiceName,
+    state: Arc<Mutex<ServerState>>,
+    pool: LinkPool,
+    next: Arc<AtomicU64>,
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AnnounceEffect {
+    /// Nothing, since it is late or repeats what is known.
+    Nothing,
+    /// Others must be told.
+    Changed,
+    /// It is of another service.
+    OtherService,
+}
+
+impl OwnServer {
+    pub(crate) fn new(service: ServiceName) -> Self {
+        Self {
+            service,
+            state: Arc::default(),
+            pool: LinkPool::default(),
+            next: Arc::default(),
+        }
+    }
+
+    /// Takes an announcement.
+    pub(crate) fn announce(&self, news: ServerAnnouncement, now: Instant) -> AnnounceEffect {
+        if news.service != self.service {
+            return AnnounceEffect::OtherService;
+        }
+        let mut state = lock(&self.state);
+        let known = state.announced.as_ref();
+        if known.is_some_and(|known| !news.supersedes(known)) {
+            return AnnounceEffect::Nothing;
+        }
+        let is_new_start =
+            known.is_none_or(|known| known.server != news.server || known.born_ms != news.born_ms);
+        if is_new_start {
+            self.pool.clear();
+            state.leaving_since = None;
+        }
+        if news.phase == ServerPhase::Draining && state.leaving_since.is_none() {
+            state.leaving_since = Some(now);
+        }
+        let changed = known_differs(state.announced.as_ref(), &news);
+        state.cold_until = (!news.cold.is_zero()).then(|| now + news.cold);
+        state.gate.set_slots(news.slots);
+        state.announced = Some(news);
+        let changes = state.gate.advance(now);
+        drop(state);
+        self.settle(changes);
+        if changed {
+            AnnounceEffect::Changed
+        } else {
+            AnnounceEffect::Nothing
+        }
+    }
+
+    /// Notes that a backend server said it leaves; returns whether it is the one known.
+    pub(crate) fn leave(&self, server: &ServerName, now: Instant) -> bool {
+        let mut state = lock(&self.state);
+        let is_known = state
+            .announced
+            .as_ref()
+            .is_some_and(|known| known.server == *server);
+        if is_known && state.leaving_since.is_none() {
+            state.leaving_since = Some(now);
+        }
+        is_known
+    }
+
+    /// Returns the record of this backend server; the caller fills in the node.
+    pub(crate) fn record(&self, now: Instant) -> NodeRecord {
+        let state = lock(&self.state);
+        let announced = state.announced.as_ref();
+        NodeRecord {
+            node: 0,
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            data_centre: Arc::from(""),
+            service: self.service.clone(),
+            server: announced.map(|known| known.server.clone()),
+            slots: announced.map_or(0, |known| known.slots),
+            takes_work: announced.is_some() && state.leaving_since.is_none(),
+            cold: state
+                .cold_until
+                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+            load: state.gate.load(),
+        }
+    }
+
+    pub(crate) fn load(&self) -> ServerLoad {
+        lock(&self.state).gate.load()
+    }
+
+    /// Refuses calls that have waited too long, and drops idle connections.
+    pub(crate) fn tick(&self, now: Instant) {
+        let changes = lock(&self.state).gate.advance(now);
+        self.settle(changes);
+        self.pool.expire();
+    }
+
+    /// Runs a call here, as soon as there is a slot.
+    pub(crate) async fn run<C: Clock, D: WireDialect>(
+        &self,
+        proxy: &ProxyState<C, D>,
+        head: &CallHead,
+        body: Bytes,
+    ) -> CallEnd {
+        let started = proxy.now();
+        let deadline = started + head.time_left;
+        let server = match self.target(proxy, head, started) {
+            Ok(server) => server,
+            Err(cause) => {
+                return CallEnd::Refused {
+                    cause,
+                    retry_after: ABSENT_RETRY,
+                };
+            }
+        };
+        let permit = match self.slot(head, started).await {
+            Ok(permit) => permit,
+            Err(retry_after) => {
+                return CallEnd::Refused {
+                    cause: RefuseCause::Overloaded,
+                    retry_after,
+                };
+            }
+        };
+        let left = deadline.saturating_duration_since(proxy.now());
+        if left.is_zero() {
+            return CallEnd::Refused {
+                cause: RefuseCause::TooLate,
+                retry_after: ABSENT_RETRY,
+            };
+        }
+        let sent = proxy.now();
+        let exchange = self.exchange(proxy, head, body, &server, left);
+        let end = timeout(left, exchange).await.unwrap_or(CallEnd::Failed {
+            cause: FailCause::Timeout,
+        });
+        let service = proxy.now().saturating_duration_since(sent);
+        permit.finish(
+            matches!(end, CallEnd::Answered { .. }).then_some(service),
+            proxy.now(),
+        );
+        end
+    }
+
+    /// Returns the backend server that may get a call now.
+    fn target<C: Clock, D: WireDialect>(
+        &self,
+        proxy: &ProxyState<C, D>,
+        head: &CallHead,
+        now: Instant,
+    ) -> Result<ServerAnnouncement, RefuseCause> {
+        let state = lock(&self.state);
+        let announced = state.announced.clone().ok_or(RefuseCause::NoServer)?;
+        if head.service != self.service {
+            return Err(RefuseCause::NoServer);
+        }
+        let drain = proxy.settings.bounds.drain.mul_f64(DRAIN_PART);
+        if state
+            .leaving_since
+            .is_some_and(|since| now >= since + drain)
+        {
+            return Err(RefuseCause::Leaving);
+        }
+        Ok(announced)
+    }
+
+    async fn slot(&self, head: &CallHead, now: Instant) -> SlotOutcome {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let waiter = {
+            let mut state = lock(&self.state);
+            match state.gate.offer(id, head.rank, head.time_left, now) {
+                SlotDecision::Run => return Ok(self.permit()),
+                SlotDecision::Refuse { retry_after } => return Err(retry_after),
+                SlotDecision::Wait => {
+                    let (sender, waiter) = oneshot::channel();
+                    state.waiting.insert(id, sender);
+                    waiter
+                }
+            }
+        };
+        let place = QueuePlace { server: self, id };
+        let outcome = waiter.await;
+        drop(place);
+        outcome.unwrap_or(Err(ABSENT_RETRY))
+    }
+
+    fn permit(&self) -> SlotPermit {
+        SlotPermit {
+            server: self.clone(),
+            is_open: true,
+        }
+    }
+
+    fn settle(&self, changes: SlotChanges) {
+        let mut outcomes: Vec<(u64, SlotOutcome)> = Vec::new();
+        for id in changes.started {
+            outcomes.push((id, Ok(self.permit())));
+        }
+        for (id, retry_after) in changes.refused {
+            outcomes.push((id, Err(retry_after)));
+        }
+        for (id, outcome) in outcomes {
+            let waiter = lock(&self.state).waiting.remove(&id);
+            // A permit that nobody waits for is given back when it is dropped.
+            if let Some(waiter) = waiter {
+                let _ = waiter.send(outcome);
+            }
+        }
+    }
+
+    /// Sends the call and reads its answer.
+    async fn exchange<C: Clock, D: WireDialect>(
+        &self,
+        proxy: &ProxyState<C, D>,
+        head: &CallHead,
+        body: Bytes,
+        server: &ServerAnnouncement,
+        left: Duration,
+    ) -> CallEnd {
+        let Some(request) = request(proxy, head, body, &server.server, left) else {
+            return CallEnd::Refused {
+                cause: RefuseCause::NoServer,
+                retry_after: ABSENT_RETRY,
+            };
+        };
+        let address = proxy.settings.server;
+        match self.pool.send(address, request).await {
+            Ok((response, link)) => self.read(proxy, head, response, link).await,
+            Err(SendFault::NotSent) => CallEnd::Refused {
+                cause: RefuseCause::ConnectFailed,
+                retry_after: ABSENT_RETRY,
+            },
+            Err(SendFault::Lost(error)) => {
+                tracing::debug!(event = "server-lost", attempt = %head.attempt, %error);
+                let cause = if error.is_parse() {
+                    FailCause::BadAnswer
+                } else {
+                    FailCause::ConnectionLost
+                };
+                CallEnd::Failed { cause }
+            }
+        }
+    }
+
+    async fn read<C: Clock, D: WireDialect>(
+        &self,
+        proxy: &ProxyState<C, D>,
+        head: &CallHead,
+        response: Response<Incoming>,
+        link: ServerLink,
+    ) -> CallEnd {
+        let (parts, body) = response.into_parts();
+        let marks = proxy.dialect.answer_marks(&parts.headers);
+        let refused = marks.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST;
+        let belongs = match &marks.attempt {
+            Some(attempt) => *attempt == head.attempt,
+            None => refused,
+        };
+        if !belongs || parts.headers.contains_key(http::header::CONTENT_ENCODING) {
+            tracing::debug!(event = "foreign-answer", attempt = %head.attempt);
+            return CallEnd::Failed {
+                cause: FailCause::BadAnswer,
+            };
+        }
+        let collected = Limited::new(body, ANSWER_BYTES).collect().await;
+        if refused {
+            if collected.is_ok() {
+                self.pool.put_back(link);
+            }
+            let cause = if parts.status == StatusCode::MISDIRECTED_REQUEST {
+                RefuseCause::NoServer
+            } else {
+                RefuseCause::ServerRefused
+            };
+            return CallEnd::Refused {
+                cause,
+                retry_after: ABSENT_RETRY,
+            };
+        }
+        match collected {
+            Ok(body) => {
+                self.pool.put_back(link);
+                let head = AnswerHead {
+                    status: parts.status.as_u16(),
+                    headers: headers::returned(&parts.headers),
+                };
+                CallEnd::Answered {
+                    head,
+                    body: body.to_bytes(),
+                }
+            }
+            Err(error) => {
+                tracing::debug!(event = "answer-broken", attempt = %head.attempt, %error);
+                CallEnd::Failed {
+                    cause: FailCause::BadAnswer,
+                }
+            }
+        }
+    }
+}
+
+fn known_differs(known: Option<&ServerAnnouncement>, news: &ServerAnnouncement) -> bool {
+    known.is_none_or(|known| {
+        known.server != news.server
+            || known.born_ms != news.born_ms
+            || known.phase != news.phase
+            || known.slots != news.slots
+    })
+}
+
+fn request<C: Clock, D: WireDialect>(
+    proxy: &ProxyState<C, D>,
+    head: &CallHead,
+    body: Bytes,
+    server: &ServerName,
+    left: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::builder()
+        .method(head.method.as_str())
+        .uri(head.path.as_str())
+        .body(Full::new(body))
+        .ok()?;
+    let mut map = headers::rebuilt(&head.headers);
+    proxy.dialect.mark_call(&mut map, head, Some(server), left);
+    *request.headers_mut() = map;
+    Some(request)
+}
+
+/// A call's place in the queue, which is given up when this is dropped.
+struct QueuePlace<'a> {
+    server: &'a OwnServer,
+    id: u64,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.server.state);
+        if state.waiting.remove(&self.id).is_some() {
+            state.gate.forget(self.id);
+        }
+    }
+}
+
+/// The right to run one call; it is given back when this is dropped.
+#[derive(Debug)]
+pub(crate) struct SlotPermit {
+    server: OwnServer,
+    is_open: bool,
+}
+
+impl SlotPermit {
+    /// Gives the slot back; `service` is the time in the backend server of a completed call.
+    fn finish(mut self, service: Option<Duration>, now: Instant) {
+        self.release(service, now);
+    }
+
+    fn release(&mut self, service: Option<Duration>, now: Instant) {
+        if !std::mem::replace(&mut self.is_open, false) {
+            return;
+        }
+        let changes = lock(&self.server.state).gate.finish(service, now);
+        self.server.settle(changes);
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        // A call that was cut off says nothing of service times, so any time will do here.
+        self.release(None, Instant::now());
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,7 +3,11 @@
 mod health;
 mod member;
 mod picker;
+mod spread;
 
 pub use picker::CallResult;
 pub use picker::PickedServer;
 pub use picker::ServerPicker;
+pub use spread::SendResult;
+pub use spread::SpreadMember;
+pub use spread::SpreadPicker;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -13,8 +13,10 @@
 
 use crate::ControlAddress;
 use crate::ControlSettings;
+use crate::GroupSettings;
 use crate::LimitSettings;
 use crate::NodeSettings;
+use crate::ProxySettings;
 use crate::SettingsError;
 use crate::TlsFiles;
 use crate::file::ControlFile;
@@ -38,12 +40,16 @@
 const OWNER_KEY_BYTES: usize = 32;
 
 /// Settings of either role, checked.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum CheckedSettings {
     /// Settings of a node.
     Node(NodeSettings),
     /// Settings of a control instance.
     Control(ControlSettings),
+    /// Settings of a node in a deployment without keys between its processes.
+    Proxy(ProxySettings),
+    /// Settings of a control instance in such a deployment.
+    Group(GroupSettings),
 }
 
 impl CheckedSettings {
@@ -75,12 +81,14 @@
         match file {
             SettingsFile::Node(file) => checker.node(file).map(Self::Node),
             SettingsFile::Control(file) => checker.control(file).map(Self::Control),
+            SettingsFile::Proxy(file) => checker.proxy(file).map(Self::Proxy),
+            SettingsFile::Group(file) => checker.group(file).map(Self::Group),
         }
     }
 }
 
 /// Checks values and names the file in errors.
-struct FileChecker<'a> {
+pub(crate) struct FileChecker<'a> {
     path: &'a Path,
 }
 
@@ -140,7 +148,7 @@
         })
     }
 
-    fn name(&self, key: &str, value: String) -> Result<String, SettingsError> {
+    pub(crate) fn name(&self, key: &str, value: String) -> Result<String, SettingsError> {
         let allowed = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
         if !value.is_empty() && value.chars().all(allowed) {
             return Ok(value);
@@ -224,7 +232,12 @@
         }
     }
 
-    fn disallowed(&self, key: &str, value: impl Display, allowed: &str) -> SettingsError {
+    pub(crate) fn disallowed(
+        &self,
+        key: &str,
+        value: impl Display,
+        allowed: &str,
+    ) -> SettingsError {
         SettingsError::Disallowed {
             file: self.path.to_owned(),
             key: key.to_owned(),
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -1,5 +1,6 @@
 //! The shape of a settings file.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -11,6 +12,74 @@
 pub(crate) enum SettingsFile {
     Node(NodeFile),
     Control(ControlFile),
+    Proxy(ProxyFile),
+    Group(GroupFile),
+}
+
+/// Settings file of a node in a deployment without keys between its processes.
+///
+/// Unknown keys are ignored here: the platform that fills the file in may add some.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct ProxyFile {
+    pub(crate) process: String,
+    pub(crate) data_centre: String,
+    pub(crate) service: String,
+    pub(crate) server: SocketAddr,
+    pub(crate) control: Vec<SocketAddr>,
+    pub(crate) ports: Vec<u16>,
+    pub(crate) memory_mb: u64,
+    pub(crate) listen: ProxyListen,
+    pub(crate) bounds: BoundsFile,
+}
+
+/// Listeners of such a node.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct ProxyListen {
+    pub(crate) address: IpAddr,
+    pub(crate) callers: SocketAddr,
+    pub(crate) servers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+}
+
+/// Settings file of a control instance in such a deployment.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct GroupFile {
+    pub(crate) process: String,
+    pub(crate) data_centre: String,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) ports: Vec<u16>,
+    pub(crate) data: PathBuf,
+    pub(crate) first_start: bool,
+    pub(crate) listen: GroupListen,
+    pub(crate) bounds: BoundsFile,
+}
+
+/// Listeners of such a control instance.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct GroupListen {
+    pub(crate) address: IpAddr,
+    pub(crate) operators: SocketAddr,
+}
+
+/// What the deployment promises, as its operators state it.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct BoundsFile {
+    pub(crate) tolerated_losses: usize,
+    pub(crate) lease_ms: u64,
+    pub(crate) drain_ms: u64,
+    pub(crate) grace_s: f64,
+    pub(crate) contact_ms: u64,
+    pub(crate) attempt_window_s: f64,
+    pub(crate) attempt_ratio: f64,
+    pub(crate) attempt_slack: f64,
+    pub(crate) quota_window_s: f64,
+    pub(crate) quota_overage: f64,
+    pub(crate) quota_slack: f64,
 }
 
 /// Settings file of a node.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,11 +4,15 @@
 mod control;
 mod error;
 mod file;
+mod fleet;
 mod node;
 
 pub use check::CheckedSettings;
 pub use control::ControlSettings;
 pub use error::SettingsError;
+pub use fleet::FleetBounds;
+pub use fleet::GroupSettings;
+pub use fleet::ProxySettings;
 pub use node::ControlAddress;
 pub use node::LimitSettings;
 pub use node::NodeSettings;
