--- /dev/null
+++ b/crates/admit/tests/slots.rs
@@ -0,0 +1,99 @@
+//! The guard of a backend server with known slots, replaying more calls than slots.
+
+use std::collections::BinaryHeap;
+use std::cmp::Reverse;
+use std::time::Duration;
+use std::time::Instant;
+
+use admit::SlotDecision;
+use admit::SlotGate;
+use model::context::CallRank;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn rank(importance: u8) -> CallRank {
+    CallRank::new(importance, 0, 0)
+}
+
+#[test]
+fn runs_as_many_calls_as_there_are_slots() {
+    let mut gate = SlotGate::default();
+    gate.set_slots(2);
+    let now = Instant::now();
+    assert_eq!(gate.offer(1, rank(1), 500 * MS, now), SlotDecision::Run);
+    assert_eq!(gate.offer(2, rank(1), 500 * MS, now), SlotDecision::Run);
+    assert_eq!(gate.offer(3, rank(1), 500 * MS, now), SlotDecision::Wait);
+    let changes = gate.finish(Some(30 * MS), now + 30 * MS);
+    assert_eq!(changes.started, [3]);
+}
+
+#[test]
+fn the_most_important_call_starts_first() {
+    let mut gate = SlotGate::default();
+    gate.set_slots(1);
+    let now = Instant::now();
+    gate.offer(1, rank(1), 500 * MS, now);
+    gate.offer(2, rank(1), 500 * MS, now);
+    gate.offer(3, rank(9), 500 * MS, now);
+    assert_eq!(gate.finish(None, now).started, [3]);
+    assert_eq!(gate.finish(None, now).started, [2]);
+}
+
+#[test]
+fn a_call_that_waited_too_long_is_refused_though_a_slot_is_free() {
+    let mut gate = SlotGate::default();
+    gate.set_slots(1);
+    let now = Instant::now();
+    gate.offer(1, rank(1), 500 * MS, now);
+    gate.offer(2, rank(1), 100 * MS, now);
+    let changes = gate.finish(Some(400 * MS), now + 400 * MS);
+    assert!(changes.started.is_empty());
+    assert_eq!(changes.refused[0].0, 2);
+}
+
+#[test]
+fn what_cannot_start_in_time_is_refused_at_once() {
+    let mut gate = SlotGate::default();
+    gate.set_slots(1);
+    let now = Instant::now();
+    gate.offer(0, rank(1), 500 * MS, now);
+    gate.finish(Some(100 * MS), now);
+    gate.offer(1, rank(1), 500 * MS, now);
+    gate.offer(2, rank(1), 600 * MS, now);
+    let refused = gate.offer(3, rank(1), 500 * MS, now);
+    assert!(matches!(refused, SlotDecision::Refuse { .. }));
+    // One that outranks those who wait has nobody ahead.
+    assert_eq!(gate.offer(4, rank(2), 500 * MS, now), SlotDecision::Wait);
+}
+
+/// Twice as many calls as the slots can serve: the slots stay busy, and what
+/// runs was not held for long.
+#[test]
+fn twice_the_load_keeps_the_slots_busy_and_the_waits_short() {
+    let (slots, service) = (57_u32, 30 * MS);
+    let mut gate = SlotGate::default();
+    gate.set_slots(slots);
+    let start = Instant::now();
+    let mut ends = BinaryHeap::new();
+    let (mut completed, mut offered) = (0_u32, 0_u64);
+    for step in 0..10_000_u32 {
+        let now = start + step * (MS / 2);
+        while let Some(Reverse(end)) = ends.peek().copied()
+            && end <= now
+        {
+            ends.pop();
+            completed += 1;
+            let changes = gate.finish(Some(service), now);
+            ends.extend(changes.started.iter().map(|_| Reverse(now + service)));
+        }
+        for _ in 0..2 {
+            offered += 1;
+            if gate.offer(offered, rank(1), 700 * MS, now) == SlotDecision::Run {
+                ends.push(Reverse(now + service));
+            }
+        }
+    }
+    let possible = f64::from(slots) * 5.0 / service.as_secs_f64();
+    assert!(f64::from(completed) >= 0.95 * possible, "{completed}");
+    assert!(gate.load().in_flight <= slots);
+}
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -153,7 +153,10 @@
             *book = Some(LeaderBook {
                 term: status.term,
                 registry: NodeRegistry::new(status.term, now),
-                shares: ShareBook::new(self.settings.bounds.revoke),
+                shares: ShareBook::new(
+                    self.settings.bounds.revoke,
+                    self.settings.bounds.quota_overage,
+                ),
                 declared: 0,
                 suspects: std::collections::BTreeMap::new(),
             });
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -9,10 +9,14 @@
 
 /// Thousandths in one request.
 const MILLI: u64 = 1000;
-/// Part of the rate that is spread evenly, so that a node where a team turns up is not dry.
-const EVEN_PART: f64 = 0.3;
-/// Weight of the newest demand in its average, when demand falls.
-const FALLING_WEIGHT: f64 = 0.3;
+/// Weight of the newest demand in its average, when demand rises and when it falls.
+const RISING_WEIGHT: f64 = 0.5;
+const FALLING_WEIGHT: f64 = 0.15;
+/// Part of the mean demand that counts at every node, so that a node where a team turns up
+/// is not dry, and few requests at a node don't decide its part.
+const EVEN_PART: f64 = 0.6;
+/// Demand that counts at every node besides, in requests per second.
+const EVEN_PER_S: f64 = 1.0;
 
 /// Part of one team's rate at one node.
 #[derive(Clone, Copy, Debug)]
@@ -41,15 +45,20 @@
 #[derive(Clone, Debug)]
 pub struct ShareBook {
     lease: Duration,
+    overage: f64,
     teams: HashMap<TeamName, TeamShares>,
 }
 
 impl ShareBook {
     /// Creates an empty book; a silent node keeps its parts for `lease`.
+    ///
+    /// `overage` is the part by which a team may exceed its limit. Half of it
+    /// is given out, to make up for parts that lie where nobody asks.
     #[must_use]
-    pub fn new(lease: Duration) -> Self {
+    pub fn new(lease: Duration, overage: f64) -> Self {
         Self {
             lease,
+            overage: overage / 2.0,
             teams: HashMap::new(),
         }
     }
@@ -61,7 +70,7 @@
         self.teams.retain(|team, _| declared.contains(team));
         for (team, rate_per_s) in limits {
             let shares = self.teams.entry(team.clone()).or_default();
-            shares.rate_milli = u64::from(*rate_per_s) * MILLI;
+            shares.rate_milli = rate_milli(*rate_per_s, self.overage);
         }
     }
 
@@ -84,11 +93,12 @@
             granted_milli: share_milli,
             seen: now,
         });
-        share.asked_per_s = if asked > share.asked_per_s {
-            asked
+        let weight = if asked > share.asked_per_s {
+            RISING_WEIGHT
         } else {
-            share.asked_per_s + FALLING_WEIGHT * (asked - share.asked_per_s)
+            FALLING_WEIGHT
         };
+        share.asked_per_s += weight * (asked - share.asked_per_s);
         share.out_milli = share_milli.max(share.granted_milli);
         if share_milli == share.granted_milli {
             share.out_milli = share_milli;
@@ -123,6 +133,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a rate and an overage are not negative"
+)]
+fn rate_milli(rate_per_s: u32, overage: f64) -> u64 {
+    (f64::from(rate_per_s) * MILLI as f64 * (1.0 + overage)) as u64
+}
+
 impl TeamShares {
     fn grant(&mut self, node: NodeId, may_raise: bool) -> Option<u64> {
         let wanted = self.wanted(node)?;
@@ -151,12 +170,8 @@
         let share = self.nodes.get(&node)?;
         let count = self.nodes.len() as f64;
         let asked: f64 = self.nodes.values().map(|share| share.asked_per_s).sum();
-        let even = 1.0 / count;
-        let part = if asked > 0.0 {
-            EVEN_PART * even + (1.0 - EVEN_PART) * share.asked_per_s / asked
-        } else {
-            even
-        };
+        let even_per_s = EVEN_PART * asked / count + EVEN_PER_S;
+        let part = (share.asked_per_s + even_per_s) / (asked + count * even_per_s);
         Some((self.rate_milli as f64 * part) as u64)
     }
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -195,7 +195,10 @@
                 drop(members);
                 info!(event = "members-listed", number, nodes = count, settled);
             }
-            ControlReply::Shares(shares) => self.state.quota().share(&shares, now),
+            ControlReply::Shares(shares) => {
+                tracing::debug!(event = "shares-given", shares = ?shares);
+                self.state.quota().share(&shares, now);
+            }
             ControlReply::Suspects(_) => {}
         }
         true
@@ -221,7 +224,15 @@
         let earlier = self.state.view().version();
         if self.state.view().apply(config) {
             self.state.quota().declare(&limits, now);
-            info!(event = "config-applied", config = version, earlier);
+            let rates: u32 = limits.teams.iter().map(|team| team.rate_per_s).sum();
+            info!(
+                event = "config-applied",
+                config = version,
+                earlier,
+                routes = limits.routes.len(),
+                teams = limits.teams.len(),
+                rates
+            );
         }
     }
 }
--- /dev/null
+++ b/crates/route/tests/spread.rs
@@ -0,0 +1,76 @@
+//! Choice by how full each backend server is.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use model::context::ServerLoad;
+use route::SendResult;
+use route::SpreadMember;
+use route::SpreadPicker;
+
+fn picker(now: Instant, count: u64) -> SpreadPicker {
+    let mut picker = SpreadPicker::default();
+    for node in 1..=count {
+        let mut member = SpreadMember::new(node, now);
+        member.slots = 10;
+        member.local = true;
+        picker.members_mut().push(member);
+    }
+    picker
+}
+
+#[test]
+fn calls_are_spread_evenly_over_equals() {
+    let now = Instant::now();
+    let mut picker = picker(now, 3);
+    let mut counts = [0; 3];
+    for seed in 0..30 {
+        let node = picker.pick(&[], seed, now).unwrap();
+        counts[usize::try_from(node).unwrap() - 1] += 1;
+    }
+    assert_eq!(counts, [10, 10, 10]);
+}
+
+#[test]
+fn a_member_that_reports_load_gets_less() {
+    let now = Instant::now();
+    let mut picker = picker(now, 2);
+    let node = picker.pick(&[2], 0, now).unwrap();
+    let load = ServerLoad {
+        in_flight: 10,
+        queued: 5,
+        limit: 10,
+    };
+    picker.learn(node, SendResult::Answered, Some(load), now);
+    for seed in 0..8 {
+        assert_eq!(picker.pick(&[], seed, now), Some(2));
+    }
+}
+
+#[test]
+fn a_failing_member_is_passed_over_for_a_while_but_never_the_last() {
+    let now = Instant::now();
+    let mut picker = picker(now, 2);
+    for _ in 0..3 {
+        picker.pick(&[2], 0, now);
+        picker.learn(1, SendResult::Failed, None, now);
+    }
+    for seed in 0..4 {
+        assert_eq!(picker.pick(&[], seed, now), Some(2));
+    }
+    assert_eq!(picker.pick(&[2], 0, now), Some(1));
+    let later = now + Duration::from_secs(3);
+    for _ in 0..6 {
+        picker.learn(2, SendResult::GivenUp, None, later);
+    }
+    assert!((0..4).any(|seed| picker.pick(&[], seed, later) == Some(1)));
+}
+
+#[test]
+fn a_member_that_takes_no_work_is_never_chosen() {
+    let now = Instant::now();
+    let mut picker = picker(now, 2);
+    picker.members_mut()[0].takes_work = false;
+    assert_eq!(picker.pick(&[2], 0, now), None);
+    assert_eq!(picker.pick(&[], 0, now), Some(2));
+}
