--- /dev/null
+++ b/crates/fleet/tests/config.rs
@@ -0,0 +1,156 @@
+//! Which configurations may come into force, and how requests find their route.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fleet::CallerLimits;
+use fleet::ChangeOutcome;
+use fleet::ConfigChange;
+use fleet::ConfigFault;
+use fleet::ConfigStore;
+use fleet::FleetConfig;
+use fleet::KeyOwner;
+use fleet::RouteEntry;
+use fleet::RouteTable;
+use fleet::ServiceEntry;
+use fleet::TeamEntry;
+use fleet::WeightedService;
+use replica::StateMachine;
+
+fn route(name: &str, prefix: &str) -> RouteEntry {
+    RouteEntry {
+        name: Arc::from(name),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        idempotent: true,
+        timeout: Duration::from_secs(1),
+        aim: Duration::from_secs(1),
+        order: 0,
+        attempts: 2,
+        anonymous: false,
+        services: vec![WeightedService {
+            service: Arc::from("orders"),
+            weight_milli: 1000,
+        }],
+    }
+}
+
+fn config(version: u64, base: u64) -> FleetConfig {
+    FleetConfig {
+        version,
+        base,
+        routes: vec![route("all", "/"), route("deep", "/a/b/"), route("top", "/a/")],
+        services: vec![ServiceEntry {
+            name: Arc::from("orders"),
+            health_path: "/health".to_owned(),
+            connections: 10,
+        }],
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_000_000,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        teams: vec![TeamEntry {
+            name: Arc::from("north"),
+            keys: vec!["key-1".to_owned(), "key-2".to_owned()],
+            order: 0,
+            rate_per_s: 10,
+            burst: 10,
+        }],
+    }
+}
+
+fn change(version: u64, base: u64, text: &'static str) -> Vec<u8> {
+    let change = ConfigChange {
+        config: config(version, base),
+        document: text.as_bytes().into(),
+    };
+    change.encode().unwrap()
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = RouteTable::new(config(1, 0));
+    let name = |host: &str, path: &str| table.route(host, path).map(|route| &*route.name);
+    assert_eq!(name("shop.example", "/a/b/c?x=/"), Some("deep"));
+    assert_eq!(name("shop.example:8080", "/a/b"), Some("top"));
+    assert_eq!(name("SHOP.example", "/"), Some("all"));
+    assert_eq!(name("other.example", "/a/"), None);
+}
+
+#[test]
+fn keys_name_their_team() {
+    let table = RouteTable::new(config(1, 0));
+    assert!(matches!(table.owner(Some("key-2")), KeyOwner::Team(team) if &*team.name == "north"));
+    assert_eq!(table.owner(Some("key-3")), KeyOwner::Unknown);
+    assert_eq!(table.owner(None), KeyOwner::Unknown);
+}
+
+#[test]
+fn faults_are_found() {
+    assert_eq!(fleet::check(&config(1, 0)), Ok(()));
+    let faulty = |edit: fn(&mut FleetConfig)| {
+        let mut config = config(1, 0);
+        edit(&mut config);
+        fleet::check(&config).unwrap_err()
+    };
+    let unknown = faulty(|config| config.services.clear());
+    assert!(matches!(unknown, ConfigFault::UnknownService { .. }));
+    let same = faulty(|config| config.routes[1].prefix = "/a/".to_owned());
+    assert!(matches!(same, ConfigFault::SamePlace { .. }));
+    let weight = faulty(|config| config.routes[0].services[0].weight_milli = 0);
+    assert!(matches!(weight, ConfigFault::NoWeight { .. }));
+    let none = faulty(|config| config.routes[0].services.clear());
+    assert!(matches!(none, ConfigFault::NoWeight { .. }));
+    let timeout = faulty(|config| config.routes[0].timeout = Duration::from_secs(601));
+    assert!(matches!(timeout, ConfigFault::Timeout { .. }));
+    let attempts = faulty(|config| config.routes[0].attempts = 0);
+    assert!(matches!(attempts, ConfigFault::NoAttempts { .. }));
+    let shared = faulty(|config| {
+        let mut twin = config.teams[0].clone();
+        twin.name = Arc::from("south");
+        config.teams.push(twin);
+    });
+    assert!(matches!(shared, ConfigFault::SharedKey { .. }));
+}
+
+#[test]
+fn one_of_two_changes_on_one_base_wins() {
+    let mut store = ConfigStore::default();
+    assert_eq!(store.apply(1, &change(5, 0, "a")), ChangeOutcome::Accepted);
+    assert_eq!(store.apply(2, &change(7, 5, "b")), ChangeOutcome::Accepted);
+    let conflict = ChangeOutcome::Conflict { current: 7 };
+    assert_eq!(store.apply(3, &change(7, 5, "c")), conflict);
+    assert_eq!(store.version(), 7);
+    assert_eq!(store.current().unwrap().document.as_ref(), b"b");
+}
+
+#[test]
+fn a_change_that_is_sent_again_is_accepted_again_also_when_it_was_replaced() {
+    let mut store = ConfigStore::default();
+    store.apply(1, &change(5, 0, "a"));
+    store.apply(2, &change(7, 5, "b"));
+    assert_eq!(store.apply(3, &change(5, 0, "a")), ChangeOutcome::Accepted);
+    assert_eq!(store.version(), 7);
+}
+
+#[test]
+fn a_version_that_does_not_grow_is_refused() {
+    let mut store = ConfigStore::default();
+    store.apply(1, &change(5, 0, "a"));
+    let old = ChangeOutcome::OldVersion { current: 5 };
+    assert_eq!(store.apply(2, &change(5, 5, "b")), old);
+}
+
+#[test]
+fn a_snapshot_holds_everything() {
+    let mut store = ConfigStore::default();
+    store.apply(1, &change(5, 0, "a"));
+    store.apply(2, &change(7, 5, "b"));
+    let mut restored = ConfigStore::default();
+    restored.restore(&store.snapshot()).unwrap();
+    assert_eq!(restored.version(), 7);
+    assert_eq!(restored.apply(3, &change(5, 0, "a")), ChangeOutcome::Accepted);
+    assert!(restored.restore(b"\x09rest").is_err());
+}
--- /dev/null
+++ b/crates/group/tests/start.rs
@@ -0,0 +1,90 @@
+//! Under which identity an instance starts, also after its disk was lost.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use group::StartFile;
+use group::StartPlan;
+use group::instance_at;
+use settings::FleetBounds;
+use settings::GroupSettings;
+use tempfile::TempDir;
+
+fn ip(last: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 0, last))
+}
+
+fn settings(own: u8, first_start: bool) -> GroupSettings {
+    GroupSettings {
+        process: "control".to_owned(),
+        data_centre: Arc::from("a"),
+        seeds: [3, 1, 2].map(|last| SocketAddr::new(ip(last), 8540)).to_vec(),
+        address: ip(own),
+        operators: SocketAddr::new(ip(own), 8540),
+        link_port: 7000,
+        data: PathBuf::new(),
+        first_start,
+        bounds: FleetBounds {
+            tolerated_losses: 2,
+            revoke: Duration::from_secs(5),
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(6),
+            contact: Duration::from_secs(3),
+            attempt_window: Duration::from_secs(10),
+            attempt_ratio: 0.2,
+            attempt_slack: 49.0,
+            quota_window: Duration::from_secs(5),
+            quota_overage: 0.1,
+            quota_slack: 20.0,
+        },
+    }
+}
+
+#[test]
+fn all_seeds_form_the_same_group_at_the_first_start() {
+    let plans = [1, 2, 3].map(|own| StartPlan::with_empty_folder(&settings(own, true), 5));
+    for plan in &plans {
+        assert_eq!(plan.first, plans[0].first);
+        assert!(plan.first.contains(&plan.instance));
+    }
+}
+
+#[test]
+fn others_join_at_the_first_start() {
+    let plan = StartPlan::with_empty_folder(&settings(4, true), 5);
+    assert!(plan.first.is_empty());
+    assert_eq!(plan.instance, instance_at(ip(4), 5));
+}
+
+#[test]
+fn a_seed_whose_disk_was_lost_never_uses_its_first_identity_again() {
+    let plan = StartPlan::with_empty_folder(&settings(1, false), 0);
+    assert!(plan.first.is_empty());
+    assert_ne!(plan.instance, instance_at(ip(1), 0));
+}
+
+#[test]
+fn a_plan_survives_a_restart_and_ends_when_it_is_forgotten() {
+    let folder = TempDir::new().unwrap();
+    let file = StartFile::new(folder.path()).unwrap();
+    assert_eq!(file.load(), None);
+    let plan = StartPlan::with_empty_folder(&settings(1, true), 5);
+    file.save(&plan).unwrap();
+    assert_eq!(StartFile::new(folder.path()).unwrap().load(), Some(plan));
+    std::fs::create_dir(file.log()).unwrap();
+    file.forget().unwrap();
+    assert_eq!(file.load(), None);
+    assert!(!file.log().exists());
+}
+
+#[test]
+fn a_torn_plan_counts_as_none() {
+    let folder = TempDir::new().unwrap();
+    let file = StartFile::new(folder.path()).unwrap();
+    std::fs::write(folder.path().join("start"), [0xff]).unwrap();
+    assert_eq!(file.load(), None);
+}
