Turn whole requests away where they enter, by the work that they cause

Added: the leader plans which part of each kind may enter, from counts of runs, calls and offered requests; returning callers enter first; the delay named leaves time for an answer within the aim.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is a pure decision on a passed-in [`clock::Clock`]; see `docs/ADMISSION.md`.
 
 mod cut;
+mod door;
 mod gate;
 mod rate;
 mod slots;
@@ -13,6 +14,10 @@
 pub use cut::CutBook;
 pub use cut::CutList;
 pub use cut::merge_cuts;
+pub use door::DoorDecision;
+pub use door::DoorKeeper;
+pub use door::DoorPlanner;
+pub use door::DoorRequest;
 pub use gate::AdmitDecision;
 pub use gate::AdmitGate;
 pub use gate::CallOffer;
--- a/crates/admit/tests/slots.rs
+++ b/crates/admit/tests/slots.rs
@@ -1,7 +1,7 @@
 //! The guard of a backend server with known slots, replaying more calls than slots.
 
-use std::collections::BinaryHeap;
 use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::time::Duration;
 use std::time::Instant;
 
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use model::door::DoorShare;
+use model::door::WorkReport;
 use model::ids::ConfigVersion;
 use model::ids::InstanceId;
 use model::ids::TeamName;
@@ -33,7 +35,7 @@
 }
 
 /// What a node tells the leader; the answer renews its lease.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeReport {
     /// Number of the report, so that its answer is recognised.
     pub number: u64,
@@ -45,6 +47,8 @@
     pub members_seen: u64,
     /// Demand of the teams.
     pub teams: Vec<TeamUse>,
+    /// What was asked for and done since the last report.
+    pub work: WorkReport,
     /// Fingerprints of requests that ran when the backend server crashed.
     pub crashed: Vec<u64>,
 }
@@ -57,7 +61,7 @@
 }
 
 /// What a control instance answers to a node.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ControlReply {
     /// Another instance leads; none is known while an election goes on.
     Elsewhere {
@@ -88,12 +92,14 @@
     },
     /// Parts of the teams' rates.
     Shares(Vec<TeamShare>),
+    /// Parts of the requests that may enter.
+    Door(Vec<DoorShare>),
     /// Fingerprints of requests that crashed backend servers, with how often.
     Suspects(Vec<(u64, u32)>),
 }
 
 /// What processes say to a control instance.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum GroupMessage {
     /// A message of the replicated log.
     Replica {
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -39,7 +39,11 @@
     FleetConfig {
         version,
         base,
-        routes: vec![route("all", "/"), route("deep", "/a/b/"), route("top", "/a/")],
+        routes: vec![
+            route("all", "/"),
+            route("deep", "/a/b/"),
+            route("top", "/a/"),
+        ],
         services: vec![ServiceEntry {
             name: Arc::from("orders"),
             health_path: "/health".to_owned(),
@@ -151,6 +155,9 @@
     let mut restored = ConfigStore::default();
     restored.restore(&store.snapshot()).unwrap();
     assert_eq!(restored.version(), 7);
-    assert_eq!(restored.apply(3, &change(5, 0, "a")), ChangeOutcome::Accepted);
+    assert_eq!(
+        restored.apply(3, &change(5, 0, "a")),
+        ChangeOutcome::Accepted
+    );
     assert!(restored.restore(b"\x09rest").is_err());
 }
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -10,6 +10,7 @@
 use fleet::TeamShare;
 use link::LinkReceiver;
 use link::LinkSender;
+use model::door::WorkPlace;
 use model::ids::ConfigVersion;
 use model::ids::NodeId;
 use quorum::MemberDuty;
@@ -174,6 +175,12 @@
                 book.shares
                     .report(node, &used.team, used.asked_per_s, used.share_milli, now);
             }
+            let record = &report.record;
+            let place = WorkPlace {
+                service: record.service.clone(),
+                slots: if record.takes_work { record.slots } else { 0 },
+            };
+            book.door.report(node, place, &report.work, now);
             let crashed = !report.crashed.is_empty();
             for fingerprint in report.crashed {
                 *book.suspects.entry(fingerprint).or_default() += 1;
@@ -190,9 +197,11 @@
         let node = self.node.unwrap_or_default();
         let shares = self.state.with_book(|book| {
             let may_raise = book.registry.is_settled(now);
-            book.shares.grant(node, may_raise, now)
+            (book.shares.grant(node, may_raise, now), book.door_plan(now))
         });
-        let shares = shares.unwrap_or_default().into_iter();
+        let (shares, door) = shares.unwrap_or_default();
+        self.reply(ControlReply::Door(door));
+        let shares = shares.into_iter();
         let shares = shares.map(|(team, share_milli)| TeamShare { team, share_milli });
         self.reply(ControlReply::Shares(shares.collect()));
         let (state, sender) = (self.state.clone(), self.sender.clone());
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -6,11 +6,14 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
+use admit::DoorPlanner;
 use clock::Clock;
 use fleet::ConfigChange;
 use fleet::ConfigStore;
 use limit::ShareBook;
+use model::door::DoorShare;
 use model::ids::ConfigVersion;
 use model::ids::InstanceId;
 use quorum::MemberDuty;
@@ -29,6 +32,11 @@
 /// Time to confirm the leader for a read or a lease, in milliseconds.
 const CONFIRM_MS: u64 = 900;
 
+/// Time for which a plan for the doors is used, in milliseconds.
+const PLAN_MS: u64 = 100;
+/// Time between two lines on the plan, in milliseconds.
+const PLAN_LOGGED_MS: u64 = 1_000;
+
 /// What a leader knows of the nodes; gone with its leadership.
 #[derive(Debug)]
 pub(crate) struct LeaderBook {
@@ -36,10 +44,34 @@
     pub(crate) registry: NodeRegistry,
     pub(crate) shares: ShareBook,
     pub(crate) declared: ConfigVersion,
+    pub(crate) door: DoorPlanner,
+    /// The last plan, and when it was made.
+    pub(crate) plan: Option<(Instant, Vec<DoorShare>)>,
+    pub(crate) plan_logged: Option<Instant>,
     /// Fingerprints of requests that crashed backend servers, with how often.
     pub(crate) suspects: std::collections::BTreeMap<u64, u32>,
 }
 
+impl LeaderBook {
+    /// Returns the plan for the doors, made anew when it is old.
+    pub(crate) fn door_plan(&mut self, now: Instant) -> Vec<DoorShare> {
+        let limit = Duration::from_millis(PLAN_MS);
+        match &self.plan {
+            Some((at, plan)) if now < *at + limit => plan.clone(),
+            _ => {
+                let plan = self.door.plan(now);
+                let logged = Duration::from_millis(PLAN_LOGGED_MS);
+                if self.plan_logged.is_none_or(|at| now >= at + logged) {
+                    self.plan_logged = Some(now);
+                    tracing::info!(event = "door-planned", plan = %self.door.explain(&plan));
+                }
+                self.plan = Some((now, plan.clone()));
+                plan
+            }
+        }
+    }
+}
+
 /// Shared state; clones share it.
 #[derive(Debug)]
 pub(crate) struct GroupState<C> {
@@ -158,6 +190,9 @@
                     self.settings.bounds.quota_overage,
                 ),
                 declared: 0,
+                door: DoorPlanner::default(),
+                plan: None,
+                plan_logged: None,
                 suspects: std::collections::BTreeMap::new(),
             });
         }
--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -27,7 +27,9 @@
 }
 
 fn five() -> Vec<MemberView> {
-    (1..=5).map(|last| view(at(last, 0), true, LIVELY)).collect()
+    (1..=5)
+        .map(|last| view(at(last, 0), true, LIVELY))
+        .collect()
 }
 
 fn next(members: &[MemberView]) -> Option<MemberChange> {
--- a/crates/group/tests/start.rs
+++ b/crates/group/tests/start.rs
@@ -22,7 +22,9 @@
     GroupSettings {
         process: "control".to_owned(),
         data_centre: Arc::from("a"),
-        seeds: [3, 1, 2].map(|last| SocketAddr::new(ip(last), 8540)).to_vec(),
+        seeds: [3, 1, 2]
+            .map(|last| SocketAddr::new(ip(last), 8540))
+            .to_vec(),
         address: ip(own),
         operators: SocketAddr::new(ip(own), 8540),
         link_port: 7000,
--- a/crates/limit/src/bucket.rs
+++ b/crates/limit/src/bucket.rs
@@ -66,6 +66,11 @@
         Err(Duration::from_secs_f64((1.0 - self.tokens) / rate_per_s))
     }
 
+    /// Takes back a token that was not used after all.
+    pub fn give_back(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.capacity());
+    }
+
     /// Returns the requests asked per second since the last call of this.
     pub fn asked_per_s(&mut self, now: Instant) -> u32 {
         let elapsed_s = now
--- a/crates/limit/tests/shares.rs
+++ b/crates/limit/tests/shares.rs
@@ -61,7 +61,9 @@
 #[test]
 fn a_node_where_all_callers_turn_up_gets_most_of_the_rate() {
     let asked = |busy: usize| -> Vec<u32> {
-        (0..10).map(|node| if node == busy { 300 } else { 0 }).collect()
+        (0..10)
+            .map(|node| if node == busy { 300 } else { 0 })
+            .collect()
     };
     let mut periods = vec![asked(0); 20];
     periods.extend(vec![asked(7); 20]);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod change;
 pub mod context;
 pub mod declaration;
+pub mod door;
 pub mod exchange;
 pub mod hex;
 pub mod ids;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -19,7 +19,7 @@
 use crate::state::ProxyState;
 
 /// Period of the reports, in milliseconds.
-const REPORT_MS: u64 = 450;
+const REPORT_MS: u64 = 300;
 /// Time to connect to a control instance, in milliseconds.
 const CONNECT_MS: u64 = 400;
 /// Time without a renewal after which another instance is tried, in milliseconds.
@@ -155,6 +155,10 @@
             applied: self.state.view().version(),
             members_seen: self.state.members().number,
             teams: self.state.quota().uses(now),
+            work: {
+                let offered = self.state.door().offered();
+                self.state.work().report(offered, now)
+            },
             crashed: Vec::new(),
         };
         self.pending.push_back((self.number, now));
@@ -199,6 +203,7 @@
                 tracing::debug!(event = "shares-given", shares = ?shares);
                 self.state.quota().share(&shares, now);
             }
+            ControlReply::Door(shares) => self.state.door().follow(&shares, now),
             ControlReply::Suspects(_) => {}
         }
         true
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use admit::DoorDecision;
+use admit::DoorRequest;
 use bytes::Bytes;
 use clock::Clock;
 use fleet::CallHead;
@@ -31,6 +33,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use model::context::CallRank;
+use model::door::RequestKind;
 use model::ids::ServiceName;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -215,6 +218,10 @@
         let too_many = StatusCode::TOO_MANY_REQUESTS;
         return Err(OwnRefusal::later(too_many, "over-quota", delay));
     }
+    match team {
+        Some(team) => pass_door(state, route, team, &marks)?,
+        None => count_inner(state, route, &marks, started),
+    }
     let timeout = marks
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
@@ -246,6 +253,50 @@
     respond(outcome)
 }
 
+/// Counts a call of the backend server for the run that made it.
+fn count_inner<C: Clock, D: WireDialect>(
+    state: &ProxyState<C, D>,
+    route: &RouteEntry,
+    marks: &RequestMarks,
+    started: Instant,
+) {
+    let deadline = marks.deadline.map(|left| started + left);
+    let parent = deadline.and_then(|deadline| state.server.parent(deadline));
+    if let Some(parent) = parent {
+        state.work().called(&parent.route, &route.name);
+    }
+}
+
+/// Lets a request of a caller enter by the leader's plan, or says when to come back.
+fn pass_door<C: Clock, D: WireDialect>(
+    state: &ProxyState<C, D>,
+    route: &RouteEntry,
+    team: &TeamEntry,
+    marks: &RequestMarks,
+) -> Result<(), OwnRefusal> {
+    let kind = RequestKind {
+        route_order: route.order,
+        team_order: team.order,
+        route: route.name.clone(),
+    };
+    let request = DoorRequest {
+        kind: &kind,
+        deadline: marks.deadline.unwrap_or(route.timeout),
+        aim: route.aim,
+    };
+    let drawn = (rand::random(), rand::random());
+    let decision = state.door().decide(request, drawn, state.now());
+    let DoorDecision::Later { retry_after } = decision else {
+        return Ok(());
+    };
+    state.quota().give_back(&team.name);
+    Err(OwnRefusal {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        reason: "turned-away",
+        retry_after: Some(retry_after),
+    })
+}
+
 fn check_head(table: &RouteTable, headers: &HeaderMap) -> Result<(), OwnRefusal> {
     let length = |(name, value): (&http::HeaderName, &HeaderValue)| {
         name.as_str().len() + value.len() + ": \r\n".len()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod run;
 mod state;
 mod view;
+mod work;
 
 pub use crate::fate::CallEnd;
 pub use crate::fate::CallFate;
--- a/crates/proxy/src/own_server.rs
+++ b/crates/proxy/src/own_server.rs
@@ -1,5 +1,6 @@
 //! The backend server beside this node: what it announced, its slots, and calls to it.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,7 +31,9 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use model::context::CallRank;
 use model::context::ServerLoad;
+use model::ids::RouteName;
 use model::ids::ServiceName;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -47,6 +50,8 @@
 const ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// Part of the time to drain for which calls that are still on their way are taken.
 const DRAIN_PART: f64 = 0.6;
+/// Difference of the deadlines of a call and of the one that made it, at the most, in milliseconds.
+const PARENT_MS: u64 = 25;
 /// Delay named when there is no backend server to wait for.
 const ABSENT_RETRY: Duration = Duration::from_millis(300);
 
@@ -60,6 +65,16 @@
     leaving_since: Option<Instant>,
     gate: SlotGate,
     waiting: HashMap<u64, oneshot::Sender<SlotOutcome>>,
+    /// Calls that run, by their deadline and a number.
+    running: BTreeMap<(Instant, u64), ParentCall>,
+}
+
+/// What a call that the backend server makes takes over from the one it runs.
+#[derive(Clone, Debug)]
+pub(crate) struct ParentCall {
+    pub(crate) route: RouteName,
+    pub(crate) rank: CallRank,
+    pub(crate) repeated: bool,
 }
 
 /// The backend server beside this node; clones share it.
@@ -189,6 +204,7 @@
         let permit = match self.slot(head, started).await {
             Ok(permit) => permit,
             Err(retry_after) => {
+                proxy.work().refused();
                 return CallEnd::Refused {
                     cause: RefuseCause::Overloaded,
                     retry_after,
@@ -203,18 +219,52 @@
             };
         }
         let sent = proxy.now();
+        proxy.work().started(&head.route);
+        let _running = self.begin(head, sent + left);
         let exchange = self.exchange(proxy, head, body, &server, left);
         let end = timeout(left, exchange).await.unwrap_or(CallEnd::Failed {
             cause: FailCause::Timeout,
         });
         let service = proxy.now().saturating_duration_since(sent);
-        permit.finish(
-            matches!(end, CallEnd::Answered { .. }).then_some(service),
-            proxy.now(),
-        );
+        let is_answered = matches!(end, CallEnd::Answered { .. });
+        if is_answered {
+            proxy.work().ran(&head.route, service);
+        }
+        permit.finish(is_answered.then_some(service), proxy.now());
         end
     }
 
+    /// Returns the running call whose deadline is nearest to that of a call of the backend server.
+    ///
+    /// Such a call names no parent, but it expires at its parent's deadline.
+    pub(crate) fn parent(&self, deadline: Instant) -> Option<ParentCall> {
+        let state = lock(&self.state);
+        let after = state.running.range((deadline, 0)..).next();
+        let before = state.running.range(..(deadline, 0)).next_back();
+        let distance = |((at, _), _): &(&(Instant, u64), &ParentCall)| {
+            let late = at.saturating_duration_since(deadline);
+            late.max(deadline.saturating_duration_since(*at))
+        };
+        let nearest = after.into_iter().chain(before).min_by_key(distance)?;
+        let limit = Duration::from_millis(PARENT_MS);
+        (distance(&nearest) <= limit).then(|| nearest.1.clone())
+    }
+
+    fn begin(&self, head: &CallHead, deadline: Instant) -> RunningCall {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let key = (deadline, id);
+        let parent = ParentCall {
+            route: head.route.clone(),
+            rank: head.rank,
+            repeated: head.repeated,
+        };
+        lock(&self.state).running.insert(key, parent);
+        RunningCall {
+            server: self.clone(),
+            key,
+        }
+    }
+
     /// Returns the backend server that may get a call now.
     fn target<C: Clock, D: WireDialect>(
         &self,
@@ -399,6 +449,18 @@
     Some(request)
 }
 
+/// A call that counts as running until this is dropped.
+struct RunningCall {
+    server: OwnServer,
+    key: (Instant, u64),
+}
+
+impl Drop for RunningCall {
+    fn drop(&mut self) {
+        lock(&self.server.state).running.remove(&self.key);
+    }
+}
+
 /// A call's place in the queue, which is given up when this is dropped.
 struct QueuePlace<'a> {
     server: &'a OwnServer,
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -55,6 +55,13 @@
         }
     }
 
+    /// Takes back what a request took that did not enter after all.
+    pub(crate) fn give_back(&mut self, team: &TeamName) {
+        if let Some(quota) = self.teams.get_mut(team) {
+            quota.bucket.give_back();
+        }
+    }
+
     /// Returns what was asked since the last report.
     pub(crate) fn uses(&mut self, now: Instant) -> Vec<TeamUse> {
         let teams = self.teams.iter_mut();
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use admit::DoorKeeper;
 use clock::Clock;
 use fleet::NodeRecord;
 use fleet::RouteTable;
@@ -25,6 +26,7 @@
 use crate::peers::PeerLinks;
 use crate::quota::QuotaTable;
 use crate::view::ConfigView;
+use crate::work::WorkCounter;
 
 /// Part of the memory that bodies under way may take.
 const BODY_MEMORY_DIVISOR: u64 = 3;
@@ -94,6 +96,8 @@
     view: Mutex<ConfigView>,
     members: Mutex<MemberTable>,
     quota: Mutex<QuotaTable>,
+    door: Mutex<DoorKeeper>,
+    work: Mutex<WorkCounter>,
     repeats: Mutex<HashMap<ServiceName, RepeatBudget>>,
     stopping: AtomicBool,
     started: Instant,
@@ -115,6 +119,8 @@
             peers: PeerLinks::default(),
             report_now: Notify::new(),
             quota: Mutex::default(),
+            door: Mutex::default(),
+            work: Mutex::default(),
             repeats: Mutex::default(),
             stopping: AtomicBool::new(false),
             started: clock.now(),
@@ -147,6 +153,14 @@
         lock(&self.inner.quota)
     }
 
+    pub(crate) fn door(&self) -> MutexGuard<'_, DoorKeeper> {
+        lock(&self.inner.door)
+    }
+
+    pub(crate) fn work(&self) -> MutexGuard<'_, WorkCounter> {
+        lock(&self.inner.work)
+    }
+
     /// Returns the routes and teams, and whether the lease on them holds.
     pub(crate) fn table(&self) -> Option<(Arc<RouteTable>, bool)> {
         let view = self.view();
--- /dev/null
+++ b/crates/proxy/src/work.rs
@@ -0,0 +1,79 @@
+//! Counts of what the backend server beside this node ran, and of what it asked for.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use model::door::OfferedKind;
+use model::door::RouteCall;
+use model::door::RouteRun;
+use model::door::WorkReport;
+use model::ids::RouteName;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RunSum {
+    started: u32,
+    count: u32,
+    busy: Duration,
+}
+
+/// Counts since the last report.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WorkCounter {
+    runs: HashMap<RouteName, RunSum>,
+    calls: HashMap<(RouteName, RouteName), u32>,
+    refused: u32,
+    since: Option<Instant>,
+}
+
+impl WorkCounter {
+    /// Counts a call that is sent to the backend server.
+    pub(crate) fn started(&mut self, route: &RouteName) {
+        self.runs.entry(route.clone()).or_default().started += 1;
+    }
+
+    /// Counts a call that the backend server answered.
+    pub(crate) fn ran(&mut self, route: &RouteName, busy: Duration) {
+        let sum = self.runs.entry(route.clone()).or_default();
+        sum.count += 1;
+        sum.busy += busy;
+    }
+
+    /// Counts a call that a run on `parent` made.
+    pub(crate) fn called(&mut self, parent: &RouteName, route: &RouteName) {
+        let key = (parent.clone(), route.clone());
+        *self.calls.entry(key).or_default() += 1;
+    }
+
+    /// Counts a call that was refused here for load.
+    pub(crate) fn refused(&mut self) {
+        self.refused += 1;
+    }
+
+    /// Returns the counts and starts over.
+    pub(crate) fn report(&mut self, offered: Vec<OfferedKind>, now: Instant) -> WorkReport {
+        let since = self.since.replace(now).unwrap_or(now);
+        let window = now.saturating_duration_since(since);
+        let runs = self.runs.drain().map(|(route, sum)| RouteRun {
+            route,
+            started: sum.started,
+            count: sum.count,
+            busy_ms: u32::try_from(sum.busy.as_millis()).unwrap_or(u32::MAX),
+        });
+        let calls = self
+            .calls
+            .drain()
+            .map(|((parent, route), count)| RouteCall {
+                parent,
+                route,
+                count,
+            });
+        WorkReport {
+            window_ms: u32::try_from(window.as_millis()).unwrap_or(u32::MAX).max(1),
+            offered,
+            runs: runs.collect(),
+            calls: calls.collect(),
+            refused: std::mem::take(&mut self.refused),
+        }
+    }
+}
--- a/crates/proxy/tests/promises.rs
+++ b/crates/proxy/tests/promises.rs
@@ -42,7 +42,11 @@
         },
         body: Bytes::new(),
     };
-    refused.into_iter().chain(failed).chain([answered]).collect()
+    refused
+        .into_iter()
+        .chain(failed)
+        .chain([answered])
+        .collect()
 }
 
 #[test]
