--- a/crates/admit/src/door/plan.rs
+++ b/crates/admit/src/door/plan.rs
@@ -18,8 +18,9 @@
 
 /// Part of the slots that the plan fills.
 const FILL_PART: f64 = 0.93;
-/// Weight of the newest window in rates and times.
-const RATE_WEIGHT: f64 = 0.4;
+/// Part of a rate that a window leaves when the rate falls; a rate that rises counts at once.
+const RATE_KEPT: f64 = 0.7;
+/// Weight of the newest window in times.
 const TIME_WEIGHT: f64 = 0.1;
 /// Part of every kind that enters before more important kinds get all they ask for,
 /// so that no kind and no team starves.
@@ -101,12 +102,16 @@
             .remove(&node)
             .map_or_else(BTreeMap::new, |known| known.offered);
         for rate in offered.values_mut() {
-            *rate *= 1.0 - RATE_WEIGHT;
+            *rate *= RATE_KEPT;
         }
         for kind in &work.offered {
             let rate = f64::from(kind.count) / window_s;
-            let known = offered.entry(kind.kind.clone());
-            *known.or_insert((1.0 - RATE_WEIGHT) * rate) += RATE_WEIGHT * rate;
+            let known = offered.entry(kind.kind.clone()).or_default();
+            *known = if rate > *known {
+                rate
+            } else {
+                *known + (1.0 - RATE_KEPT) * rate
+            };
         }
         let entry = NodeWork {
             place,
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -52,6 +52,10 @@
         node: None,
     };
     state.earn_repeat(&head.service);
+    if head.repeated {
+        // A call that a repeated run makes counts as repeated itself.
+        state.spend_repeat(&head.service);
+    }
     loop {
         let now = state.now();
         head.time_left = deadline.saturating_duration_since(now);
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -44,6 +44,7 @@
 use crate::attempt::carry;
 use crate::fate::CallEnd;
 use crate::headers;
+use crate::own_server::ParentCall;
 use crate::state::ProxyState;
 
 /// Largest head that is read, in bytes; the configured limit is checked after it.
@@ -59,12 +60,10 @@
 const SPREAD_PART: f64 = 0.5;
 /// One in this many requests that went well is logged.
 const LOGGED_ONE_IN: u64 = 128;
-/// Importance of a call that a backend server makes for a request which was let in before.
-const INNER_IMPORTANCE: u8 = u8::MAX;
-/// Importance of the most important request of a caller.
-const ENTRY_IMPORTANCE: u8 = 200;
-/// Steps of importance between two orders of teams.
-const TEAM_STEP: u8 = 16;
+/// Importance of the most important request, and of a call whose origin is not known.
+const IMPORTANCE_MAX: u8 = 250;
+/// Steps of importance between two orders of routes.
+const ROUTE_STEP: u8 = 16;
 
 type OwnAnswer = Response<Full<Bytes>>;
 
@@ -218,10 +217,13 @@
         let too_many = StatusCode::TOO_MANY_REQUESTS;
         return Err(OwnRefusal::later(too_many, "over-quota", delay));
     }
-    match team {
-        Some(team) => pass_door(state, route, team, &marks)?,
-        None => count_inner(state, route, &marks, started),
-    }
+    let parent = match team {
+        Some(team) => {
+            pass_door(state, route, team, &marks)?;
+            None
+        }
+        None => find_parent(state, route, &marks, started),
+    };
     let timeout = marks
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
@@ -241,8 +243,8 @@
         route: route.name.clone(),
         service: service_of(route),
         idempotent: route.idempotent,
-        repeated: false,
-        rank: rank_of(route, team),
+        repeated: parent.as_ref().is_some_and(|parent| parent.repeated),
+        rank: parent.map_or_else(|| rank_of(route, team), |parent| parent.rank),
         time_left: timeout,
         team: team.map(|team| team.name.clone()),
         caller: state.settings.service.clone(),
@@ -253,18 +255,19 @@
     respond(outcome)
 }
 
-/// Counts a call of the backend server for the run that made it.
-fn count_inner<C: Clock, D: WireDialect>(
+/// Finds the run that made a call of the backend server, and counts the call for it.
+fn find_parent<C: Clock, D: WireDialect>(
     state: &ProxyState<C, D>,
     route: &RouteEntry,
     marks: &RequestMarks,
     started: Instant,
-) {
+) -> Option<ParentCall> {
     let deadline = marks.deadline.map(|left| started + left);
     let parent = deadline.and_then(|deadline| state.server.parent(deadline));
-    if let Some(parent) = parent {
+    if let Some(parent) = &parent {
         state.work().called(&parent.route, &route.name);
     }
+    parent
 }
 
 /// Lets a request of a caller enter by the leader's plan, or says when to come back.
@@ -345,13 +348,13 @@
         .map_or_else(|| Arc::from(""), |part| part.service.clone())
 }
 
-/// Ranks a call: those of requests that were let in go first, then by team and by route.
+/// Ranks a request by its route, then by its team; calls made for it inherit the rank.
 fn rank_of(route: &RouteEntry, team: Option<&TeamEntry>) -> CallRank {
     let importance = match team {
-        None => INNER_IMPORTANCE,
+        None => IMPORTANCE_MAX,
         Some(team) => {
-            let steps = team.order.saturating_mul(TEAM_STEP);
-            ENTRY_IMPORTANCE.saturating_sub(steps.saturating_add(route.order.min(TEAM_STEP - 1)))
+            let steps = route.order.saturating_mul(ROUTE_STEP);
+            IMPORTANCE_MAX.saturating_sub(steps.saturating_add(team.order.min(ROUTE_STEP - 1)))
         }
     };
     CallRank::new(importance, 0, 0)
