--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -151,6 +151,12 @@
             return self.unavailable(version, "not encoded");
         };
         let outcome = replica.propose(entry).await;
+        let detail = match &outcome {
+            Ok(ChangeOutcome::Accepted) => "accepted",
+            Ok(_) => "refused",
+            Err(_) => "unknown",
+        };
+        self.state.metrics.count("config", detail);
         info!(event = "config-decided", version, base = change.config.base, outcome = ?outcome);
         match outcome {
             Ok(ChangeOutcome::Accepted) => {
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -9,6 +9,7 @@
 use fleet::ConfigStore;
 use fleet::GroupMessage;
 use fleet::WireDialect;
+use metrics::MetricBook;
 use model::ids::InstanceId;
 use quorum::MemberDuty;
 use replica::CoreTiming;
@@ -32,6 +33,8 @@
 use crate::start::StartPlan;
 use crate::state::GroupState;
 
+/// Name with which the names of all metrics begin.
+const METRIC_NAME: &str = "ragwortplank_control";
 /// Time between two heartbeats of a leader, in milliseconds.
 const HEARTBEAT_MS: u64 = 75;
 /// Shortest and longest election timeout, in milliseconds.
@@ -72,11 +75,16 @@
 ) -> anyhow::Result<()> {
     let links = bind(SocketAddr::new(settings.address, settings.link_port)).await?;
     let operators = bind(settings.operators).await?;
-    let state = GroupState::new(settings, clock, stop);
+    let figures = bind(settings.metrics).await?;
+    let book = MetricBook::new(METRIC_NAME).context("creating the metrics")?;
+    let state = GroupState::new(settings, clock, stop, book);
+    info!(event = "process-started", process = %state.settings.process,
+        data_centre = %state.settings.data_centre, first_start = state.settings.first_start);
     let tasks = [
         tokio::spawn(session::serve(state.clone(), links)),
         tokio::spawn(operators::serve(state.clone(), dialect, operators)),
         tokio::spawn(upkeep(state.clone())),
+        tokio::spawn(metrics::serve(state.metrics.clone(), figures)),
     ];
     let lived = live(&state).await;
     for task in tasks {
@@ -215,6 +223,9 @@
                 }
             }
             known = (current.duty, current.term, version);
+            state.metrics.count("duty", &current.duty.to_string());
+            state.metrics.set("config-version", version);
+            state.metrics.set("term", current.term);
             state.announce();
         }
         let belongs = current.membership.member(own).is_some();
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -138,6 +138,7 @@
             });
             return;
         }
+        self.state.metrics.count("report", "taken");
         if self.node != Some(node) {
             info!(event = "node-reported", node, peer = %self.peer, applied = report.applied);
             self.node = Some(node);
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -13,6 +13,7 @@
 use fleet::ConfigChange;
 use fleet::ConfigStore;
 use limit::ShareBook;
+use metrics::MetricBook;
 use model::door::DoorShare;
 use model::ids::ConfigVersion;
 use model::ids::InstanceId;
@@ -79,6 +80,7 @@
     pub(crate) clock: C,
     pub(crate) mesh: GroupMesh<C>,
     pub(crate) stop: CancellationToken,
+    pub(crate) metrics: MetricBook,
     replica: Arc<Mutex<Option<ReplicaHandle<ConfigStore>>>>,
     book: Arc<Mutex<Option<LeaderBook>>>,
     news: watch::Sender<u64>,
@@ -91,6 +93,7 @@
             clock: self.clock.clone(),
             mesh: self.mesh.clone(),
             stop: self.stop.clone(),
+            metrics: self.metrics.clone(),
             replica: Arc::clone(&self.replica),
             book: Arc::clone(&self.book),
             news: self.news.clone(),
@@ -99,13 +102,19 @@
 }
 
 impl<C: Clock> GroupState<C> {
-    pub(crate) fn new(settings: GroupSettings, clock: C, stop: CancellationToken) -> Self {
+    pub(crate) fn new(
+        settings: GroupSettings,
+        clock: C,
+        stop: CancellationToken,
+        metrics: MetricBook,
+    ) -> Self {
         let (news, _) = watch::channel(0);
         Self {
             mesh: GroupMesh::new(settings.link_port, clock.clone()),
             settings: Arc::new(settings),
             clock,
             stop,
+            metrics,
             replica: Arc::default(),
             book: Arc::default(),
             news,
--- a/crates/group/tests/start.rs
+++ b/crates/group/tests/start.rs
@@ -27,6 +27,7 @@
             .to_vec(),
         address: ip(own),
         operators: SocketAddr::new(ip(own), 8540),
+        metrics: SocketAddr::new(ip(own), 9100),
         link_port: 7000,
         data: PathBuf::new(),
         first_start,
--- /dev/null
+++ b/crates/metrics/src/server.rs
@@ -0,0 +1,42 @@
+//! The listener for metrics.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::MetricBook;
+
+/// Answers every request with the metrics until the listener fails.
+pub async fn serve(book: MetricBook, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(event = "accept-failed", listener = "metrics", %error);
+                continue;
+            }
+        };
+        let book = book.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|_: Request<Incoming>| answer(&book));
+            let served = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                tracing::debug!(event = "metrics-link-ended", %error);
+            }
+        });
+    }
+}
+
+async fn answer(book: &MetricBook) -> Result<Response<Full<Bytes>>, Infallible> {
+    Ok(Response::new(Full::new(Bytes::from(book.encode()))))
+}
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -78,6 +78,7 @@
             state.peers.call(address, &head, body.clone()).await
         };
         attempt.learn(&end, load);
+        count(state, &end);
         outcome.fate.note(&end);
         outcome.end = end;
         outcome.node = Some(chosen.node);
@@ -88,6 +89,15 @@
     }
 }
 
+fn count<C: Clock, D: WireDialect>(state: &ProxyState<C, D>, end: &CallEnd) {
+    let metrics = &state.metrics;
+    match end {
+        CallEnd::Answered { .. } => metrics.count("attempt", "answered"),
+        CallEnd::Refused { cause, .. } => metrics.count("attempt-refused", &cause.to_string()),
+        CallEnd::Failed { cause } => metrics.count("attempt-failed", &cause.to_string()),
+    }
+}
+
 fn goes_on<C: Clock, D: WireDialect>(
     state: &ProxyState<C, D>,
     head: &CallHead,
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -229,14 +229,13 @@
         let earlier = self.state.view().version();
         if self.state.view().apply(config) {
             self.state.quota().declare(&limits, now);
-            let rates: u32 = limits.teams.iter().map(|team| team.rate_per_s).sum();
+            self.state.metrics.set("config-version", version);
             info!(
                 event = "config-applied",
                 config = version,
                 earlier,
                 routes = limits.routes.len(),
                 teams = limits.teams.len(),
-                rates
             );
         }
     }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -157,6 +157,7 @@
         attempt: Option<&str>,
         started: Instant,
     ) -> OwnAnswer {
+        state.metrics.count("refused", self.reason);
         if state.may_log() {
             let held = state.now().saturating_duration_since(started);
             info!(
@@ -405,7 +406,14 @@
     table: &RouteTable,
     started: Instant,
 ) {
-    let held_ms = state.now().saturating_duration_since(started).as_millis();
+    let held = state.now().saturating_duration_since(started);
+    let held_ms = held.as_millis();
+    state.metrics.observe("request", held);
+    if let CallEnd::Answered { head, .. } = &outcome.end {
+        state
+            .metrics
+            .count("answered", if head.status < 500 { "ok" } else { "failed" });
+    }
     let (what, cause) = match &outcome.end {
         CallEnd::Answered { head, .. } if head.status < 500 => {
             if !state.is_sampled(LOGGED_ONE_IN) {
--- a/crates/proxy/src/own_server.rs
+++ b/crates/proxy/src/own_server.rs
@@ -229,6 +229,7 @@
         let is_answered = matches!(end, CallEnd::Answered { .. });
         if is_answered {
             proxy.work().ran(&head.route, service);
+            proxy.metrics.observe("server", service);
         }
         permit.finish(is_answered.then_some(service), proxy.now());
         end
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -7,6 +7,7 @@
 use anyhow::Context;
 use clock::Clock;
 use fleet::WireDialect;
+use metrics::MetricBook;
 use settings::ProxySettings;
 use tokio::net::TcpListener;
 use tokio::time::MissedTickBehavior;
@@ -21,6 +22,8 @@
 use crate::inbound;
 use crate::state::ProxyState;
 
+/// Name with which the names of all metrics begin.
+const METRIC_NAME: &str = "ragwortplank_node";
 /// Period of the upkeep, in milliseconds.
 const UPKEEP_MS: u64 = 50;
 /// Part of the time to stop in which callers may still come, since they learn of it late.
@@ -47,9 +50,12 @@
     let callers = bind(settings.callers).await?;
     let servers = bind(settings.servers).await?;
     let ready = bind(settings.ready).await?;
-    let state = ProxyState::new(settings, dialect, clock);
+    let figures = bind(settings.metrics).await?;
+    let book = MetricBook::new(METRIC_NAME).context("creating the metrics")?;
+    let state = ProxyState::new(settings, dialect, clock, book);
     info!(event = "process-started", process = %state.settings.process, node = state.node,
         service = %state.settings.service, data_centre = %state.settings.data_centre);
+    tokio::spawn(metrics::serve(state.metrics.clone(), figures));
     tokio::spawn(inbound::serve(state.clone(), links));
     tokio::spawn(announce::serve(state.clone(), servers));
     tokio::spawn(announce::serve(state.clone(), ready));
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -16,6 +16,7 @@
 use fleet::RouteTable;
 use fleet::WireDialect;
 use limit::RepeatBudget;
+use metrics::MetricBook;
 use model::ids::NodeId;
 use model::ids::ServiceName;
 use settings::ProxySettings;
@@ -91,6 +92,7 @@
     pub(crate) clock: C,
     pub(crate) server: OwnServer,
     pub(crate) peers: PeerLinks,
+    pub(crate) metrics: MetricBook,
     /// Wakes the exchange with control.
     pub(crate) report_now: Notify,
     view: Mutex<ConfigView>,
@@ -110,13 +112,14 @@
 }
 
 impl<C: Clock, D: WireDialect> ProxyState<C, D> {
-    pub(crate) fn new(settings: ProxySettings, dialect: D, clock: C) -> Self {
+    pub(crate) fn new(settings: ProxySettings, dialect: D, clock: C, metrics: MetricBook) -> Self {
         let inner = StateInner {
             node: rand::random(),
             view: Mutex::new(ConfigView::new(settings.bounds.revoke)),
             members: Mutex::new(MemberTable::new(settings.data_centre.clone())),
             server: OwnServer::new(settings.service.clone()),
             peers: PeerLinks::default(),
+            metrics,
             report_now: Notify::new(),
             quota: Mutex::default(),
             door: Mutex::default(),
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -41,6 +41,7 @@
     pub(crate) callers: SocketAddr,
     pub(crate) servers: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
 }
 
 /// Settings file of a control instance in such a deployment.
@@ -63,6 +64,7 @@
 pub(crate) struct GroupListen {
     pub(crate) address: IpAddr,
     pub(crate) operators: SocketAddr,
+    pub(crate) metrics: SocketAddr,
 }
 
 /// What the deployment promises, as its operators state it.
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -70,6 +70,8 @@
     pub servers: SocketAddr,
     /// Listener for questions whether this node takes callers.
     pub ready: SocketAddr,
+    /// Listener for metrics.
+    pub metrics: SocketAddr,
     /// Port for links between nodes.
     pub link_port: u16,
     /// Port of the control instances for links.
@@ -93,6 +95,8 @@
     pub address: IpAddr,
     /// Listener for operators.
     pub operators: SocketAddr,
+    /// Listener for metrics.
+    pub metrics: SocketAddr,
     /// Port for links among control instances and from nodes.
     pub link_port: u16,
     /// Folder of the log, the snapshots and the identity.
@@ -118,6 +122,7 @@
             callers: file.listen.callers,
             servers: file.listen.servers,
             ready: file.listen.ready,
+            metrics: file.listen.metrics,
             link_port,
             control_port,
             memory_bytes: file.memory_mb * MEBIBYTE,
@@ -135,6 +140,7 @@
             seeds: self.addresses("seeds", file.seeds)?,
             address: file.listen.address,
             operators: file.listen.operators,
+            metrics: file.listen.metrics,
             link_port,
             data: file.data,
             first_start: file.first_start,
