--- a/crates/admit/tests/door.rs
+++ b/crates/admit/tests/door.rs
@@ -157,7 +157,10 @@
         checks: 130.0,
     };
     let (plan, _) = play(&offered, 171, 20);
-    assert!(plan.iter().all(|share| share.part_milli == 1000), "{plan:?}");
+    assert!(
+        plan.iter().all(|share| share.part_milli == 1000),
+        "{plan:?}"
+    );
 }
 
 #[test]
--- a/crates/proxy/src/members.rs
+++ b/crates/proxy/src/members.rs
@@ -24,6 +24,7 @@
 /// Nodes known, with a picker for each service.
 #[derive(Debug)]
 pub(crate) struct MemberTable {
+    own: NodeId,
     data_centre: DataCentreName,
     records: HashMap<NodeId, NodeRecord>,
     pickers: HashMap<ServiceName, SpreadPicker>,
@@ -32,8 +33,9 @@
 }
 
 impl MemberTable {
-    pub(crate) fn new(data_centre: DataCentreName) -> Self {
+    pub(crate) fn new(own: NodeId, data_centre: DataCentreName) -> Self {
         Self {
+            own,
             data_centre,
             records: HashMap::new(),
             pickers: HashMap::new(),
@@ -83,6 +85,7 @@
         let is_new_server = known.is_none_or(|known| known.server != record.server);
         let member = &mut members[position];
         member.local = record.data_centre == self.data_centre;
+        member.own = record.node == self.own;
         member.slots = record.slots;
         member.takes_work = record.takes_work && record.server.is_some();
         if is_new_server {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -113,10 +113,11 @@
 
 impl<C: Clock, D: WireDialect> ProxyState<C, D> {
     pub(crate) fn new(settings: ProxySettings, dialect: D, clock: C, metrics: MetricBook) -> Self {
+        let node = rand::random();
         let inner = StateInner {
-            node: rand::random(),
+            node,
             view: Mutex::new(ConfigView::new(settings.bounds.revoke)),
-            members: Mutex::new(MemberTable::new(settings.data_centre.clone())),
+            members: Mutex::new(MemberTable::new(node, settings.data_centre.clone())),
             server: OwnServer::new(settings.service.clone()),
             peers: PeerLinks::default(),
             metrics,
--- a/crates/route/src/spread.rs
+++ b/crates/route/src/spread.rs
@@ -9,7 +9,9 @@
 /// Members that are compared for one call, at the most.
 const COMPARED: usize = 4;
 /// Load added to members in other data centres, as a part of their slots.
-const REMOTE_LOAD: f64 = 0.08;
+const REMOTE_LOAD: f64 = 0.25;
+/// Load added to members on other instances, as a part of their slots.
+const AWAY_LOAD: f64 = 0.05;
 /// Time after which a load report has lost half of its weight, in milliseconds.
 const REPORT_HALF_MS: f64 = 150.0;
 /// Failures in a row after which a member is passed over.
@@ -45,6 +47,8 @@
     pub node: NodeId,
     /// Whether it stands in the own data centre.
     pub local: bool,
+    /// Whether it stands on the own instance.
+    pub own: bool,
     /// Calls that its backend server runs at once.
     pub slots: u32,
     /// Whether it takes new calls.
@@ -66,6 +70,7 @@
         Self {
             node,
             local: false,
+            own: false,
             slots: 1,
             takes_work: true,
             cold_until: now,
@@ -91,7 +96,11 @@
         } else {
             1.0
         };
-        let remote = if self.local { 0.0 } else { REMOTE_LOAD };
+        let remote = match (self.own, self.local) {
+            (true, _) => 0.0,
+            (false, true) => AWAY_LOAD,
+            (false, false) => REMOTE_LOAD,
+        };
         calls * cold / f64::from(self.slots.max(1)) + remote
     }
 }
