--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -12,9 +12,11 @@
 /// Weight of the newest demand in its average, when demand rises and when it falls.
 const RISING_WEIGHT: f64 = 0.5;
 const FALLING_WEIGHT: f64 = 0.15;
+/// Part of the overage that is given out.
+const OVERAGE_GIVEN: f64 = 0.9;
 /// Part of the mean demand that counts at every node, so that a node where a team turns up
 /// is not dry, and few requests at a node don't decide its part.
-const EVEN_PART: f64 = 0.6;
+const EVEN_PART: f64 = 0.8;
 /// Demand that counts at every node besides, in requests per second.
 const EVEN_PER_S: f64 = 1.0;
 
@@ -52,13 +54,13 @@
 impl ShareBook {
     /// Creates an empty book; a silent node keeps its parts for `lease`.
     ///
-    /// `overage` is the part by which a team may exceed its limit. Half of it
+    /// `overage` is the part by which a team may exceed its limit. Most of it
     /// is given out, to make up for parts that lie where nobody asks.
     #[must_use]
     pub fn new(lease: Duration, overage: f64) -> Self {
         Self {
             lease,
-            overage: overage / 2.0,
+            overage: overage * OVERAGE_GIVEN,
             teams: HashMap::new(),
         }
     }
