--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -56,6 +56,7 @@
 /// Delays named to callers, in milliseconds.
 const NO_CONFIG_RETRY_MS: u64 = 500;
 const NO_MEMORY_RETRY_MS: u64 = 500;
+const NO_SHARE_RETRY_MS: u64 = 200;
 /// Part by which a delay is spread, so that callers do not come back together.
 const SPREAD_PART: f64 = 0.5;
 /// One in this many requests that went well is logged.
@@ -212,11 +213,8 @@
         return Err(OwnRefusal::new(StatusCode::NOT_FOUND, "no-route"));
     };
     let team = team_of(&table, route, marks.key.as_deref())?;
-    if let Some(team) = team
-        && let Err(delay) = state.quota().take(&team.name, state.now())
-    {
-        let too_many = StatusCode::TOO_MANY_REQUESTS;
-        return Err(OwnRefusal::later(too_many, "over-quota", delay));
+    if let Some(team) = team {
+        take_token(state, team)?;
     }
     let parent = match team {
         Some(team) => {
@@ -256,6 +254,24 @@
     respond(outcome)
 }
 
+/// Takes a token of the team's limit.
+fn take_token<C: Clock, D: WireDialect>(
+    state: &ProxyState<C, D>,
+    team: &TeamEntry,
+) -> Result<(), OwnRefusal> {
+    let mut quota = state.quota();
+    if quota.lacks_share(&team.name) {
+        let delay = Duration::from_millis(NO_SHARE_RETRY_MS);
+        let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(OwnRefusal::later(unavailable, "no-share", delay));
+    }
+    let taken = quota.take(&team.name, state.now());
+    taken.map_err(|delay| {
+        let too_many = StatusCode::TOO_MANY_REQUESTS;
+        OwnRefusal::later(too_many, "over-quota", delay)
+    })
+}
+
 /// Finds the run that made a call of the backend server, and counts the call for it.
 fn find_parent<C: Clock, D: WireDialect>(
     state: &ProxyState<C, D>,
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -55,6 +55,21 @@
         }
     }
 
+    /// Returns whether this node was given no part of a team's limit yet.
+    ///
+    /// Then nothing is known of how much the team asked elsewhere, so a request
+    /// must wait, but is not over the limit.
+    pub(crate) fn lacks_share(&self, team: &TeamName) -> bool {
+        let quota = self.teams.get(team);
+        quota.is_some_and(|quota| quota.bucket.share_milli() == 0)
+    }
+
+    /// Returns whether this node was given a part of some limit, or needs none.
+    pub(crate) fn has_shares(&self) -> bool {
+        let mut quotas = self.teams.values();
+        self.teams.is_empty() || quotas.any(|quota| quota.bucket.share_milli() > 0)
+    }
+
     /// Takes back what a request took that did not enter after all.
     pub(crate) fn give_back(&mut self, team: &TeamName) {
         if let Some(quota) = self.teams.get_mut(team) {
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -183,7 +183,8 @@
 
     /// Returns whether callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.table().is_some_and(|(_, leased)| leased)
+        let is_leased = self.table().is_some_and(|(_, leased)| leased);
+        !self.is_stopping() && is_leased && self.quota().has_shares()
     }
 
     /// Returns what this node tells of itself.
