--- a/crates/admit/tests/door.rs
+++ b/crates/admit/tests/door.rs
@@ -208,14 +208,14 @@
         deadline: Duration::from_millis(deadline_ms),
         aim: Duration::from_millis(1500),
     };
-    let mut draws = 0_u32;
-    let mut draw = move || {
-        draws = draws.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
-        f64::from(draws) / f64::from(u32::MAX)
+    let mut state = 0_u32;
+    let mut random = move || {
+        state = state.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        f64::from(state) / f64::from(u32::MAX)
     };
     let (mut entered, mut back, mut back_entered) = (0, 0, 0);
     for number in 0..4_000 {
-        let drawn = (draw(), draw());
+        let drawn = (random(), random());
         if keeper.decide(request(5_000), drawn, now) == DoorDecision::Enter {
             entered += 1;
             continue;
@@ -224,7 +224,7 @@
             continue;
         }
         back += 1;
-        let drawn = (draw(), draw());
+        let drawn = (random(), random());
         let decision = keeper.decide(request(4_000), drawn, now);
         back_entered += u32::from(decision == DoorDecision::Enter);
     }
--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -20,7 +20,7 @@
 use crate::server::StandinServer;
 
 /// Time that the slowest machine may take for any step.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(50);
 /// Ports that a deployment uses, the same at each address.
--- a/crates/daemon/tests/fleet/http.rs
+++ b/crates/daemon/tests/fleet/http.rs
@@ -27,12 +27,11 @@
 ) -> io::Result<PlainAnswer> {
     let mut stream = TcpStream::connect_timeout(&to, PATIENCE)?;
     stream.set_read_timeout(Some(PATIENCE))?;
-    let mut request = format!("{start} HTTP/1.1\r\nConnection: close\r\n");
+    write!(stream, "{start} HTTP/1.1\r\nConnection: close\r\n")?;
     for (name, value) in headers {
-        request += &format!("{name}: {value}\r\n");
+        write!(stream, "{name}: {value}\r\n")?;
     }
-    request += &format!("Content-Length: {}\r\n\r\n{body}", body.len());
-    stream.write_all(request.as_bytes())?;
+    write!(stream, "Content-Length: {}\r\n\r\n{body}", body.len())?;
     let mut answer = String::new();
     stream.read_to_string(&mut answer)?;
     let (head, body) = answer
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -102,7 +102,7 @@
             Some(change) => {
                 let version = change.config.version;
                 info!(event = "config-read", outcome = "answered", version);
-                self.respond(StatusCode::OK, change.document)
+                Self::respond(StatusCode::OK, change.document)
             }
             None => self.explain(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
         }
@@ -193,10 +193,10 @@
     }
 
     fn explain(&self, status: StatusCode, reason: &str) -> OwnAnswer {
-        self.respond(status, self.dialect.explanation(reason).into())
+        Self::respond(status, self.dialect.explanation(reason).into())
     }
 
-    fn respond(&self, status: StatusCode, body: Bytes) -> OwnAnswer {
+    fn respond(status: StatusCode, body: Bytes) -> OwnAnswer {
         let mut answer = Response::new(Full::new(body));
         *answer.status_mut() = status;
         let json = HeaderValue::from_static("application/json");
--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -49,7 +49,7 @@
     #[must_use]
     pub fn next_step(&self, own: InstanceId, members: &[MemberView]) -> Option<MemberChange> {
         let remove = |view: &MemberView| MemberChange::Remove(view.instance);
-        if let Some(gone) = self.gone_learner(members) {
+        if let Some(gone) = gone_learner(members) {
             return Some(remove(gone));
         }
         let voters = members.iter().filter(|view| view.voter).count();
@@ -79,12 +79,11 @@
             .max_by_key(|voter| voter.silent)
             .map(remove)
     }
+}
 
-    /// Returns a learner that will not come back, or whose address has a newer one.
-    fn gone_learner<'a>(&self, members: &'a [MemberView]) -> Option<&'a MemberView> {
-        let learners = members.iter().filter(|view| !view.voter);
-        let mut gone =
-            learners.filter(|view| view.silent >= Duration::from_millis(LEARNER_GONE_MS));
-        gone.next()
-    }
+/// Returns a learner that will not come back.
+fn gone_learner(members: &[MemberView]) -> Option<&MemberView> {
+    let learners = members.iter().filter(|view| !view.voter);
+    let mut gone = learners.filter(|view| view.silent >= Duration::from_millis(LEARNER_GONE_MS));
+    gone.next()
 }
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -102,15 +102,14 @@
 async fn live<C: Clock>(state: &GroupState<C>) -> anyhow::Result<()> {
     let file = StartFile::new(&state.settings.data).context("creating the data folder")?;
     loop {
-        let end = match start(state, &file).await {
-            Ok(Some(plan)) => match live_once(state, &file, &plan).await {
+        let end = match start(state, &file) {
+            Ok(plan) => match live_once(state, &file, &plan).await {
                 Ok(end) => end,
                 Err(error) => {
                     warn!(event = "replica-not-started", error = %format!("{error:#}"));
                     LifeEnd::Reopen
                 }
             },
-            Ok(None) => LifeEnd::Reopen,
             Err(error) => {
                 warn!(event = "identity-not-saved", %error);
                 LifeEnd::Reopen
@@ -134,12 +133,9 @@
 }
 
 /// Returns the plan to start with; one that is new is durable before it is used.
-async fn start<C: Clock>(
-    state: &GroupState<C>,
-    file: &StartFile<'_>,
-) -> io::Result<Option<StartPlan>> {
+fn start<C: Clock>(state: &GroupState<C>, file: &StartFile<'_>) -> io::Result<StartPlan> {
     if let Some(plan) = file.load() {
-        return Ok(Some(plan));
+        return Ok(plan);
     }
     // Without a plan nothing that a log may hold was ever promised.
     file.forget()?;
@@ -150,7 +146,7 @@
         instance = plan.instance,
         forms = !plan.first.is_empty()
     );
-    Ok(Some(plan))
+    Ok(plan)
 }
 
 async fn live_once<C: Clock>(
--- a/crates/group/src/start.rs
+++ b/crates/group/src/start.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::io::Write;
 use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::path::Path;
 
 use model::ids::InstanceId;
@@ -36,7 +37,7 @@
     /// was never used, since whatever the address held before is lost.
     #[must_use]
     pub fn with_empty_folder(settings: &GroupSettings, folder: u32) -> Self {
-        let mut first: Vec<IpAddr> = settings.seeds.iter().map(|seed| seed.ip()).collect();
+        let mut first: Vec<IpAddr> = settings.seeds.iter().map(SocketAddr::ip).collect();
         first.sort_unstable();
         first.dedup();
         if settings.first_start && first.contains(&settings.address) {
--- a/crates/link/src/sender.rs
+++ b/crates/link/src/sender.rs
@@ -155,6 +155,7 @@
 
     /// Asks the peer for a sign of life when it was silent for `ask_after`, and
     /// closes the link when it stayed silent for `give_up_after`.
+    #[must_use]
     pub fn probe(&self, ask_after: Duration, give_up_after: Duration) -> LinkHealth {
         let state = &self.raw.state;
         let silent = Duration::from_millis(state.silent_ms());
--- a/crates/metrics/src/server.rs
+++ b/crates/metrics/src/server.rs
@@ -1,6 +1,7 @@
 //! The listener for metrics.
 
 use std::convert::Infallible;
+use std::future::ready;
 
 use bytes::Bytes;
 use http::Request;
@@ -26,7 +27,8 @@
         };
         let book = book.clone();
         tokio::spawn(async move {
-            let service = service_fn(|_: Request<Incoming>| answer(&book));
+            let service =
+                service_fn(|_: Request<Incoming>| ready(Ok::<_, Infallible>(answer(&book))));
             let served = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
@@ -37,6 +39,6 @@
     }
 }
 
-async fn answer(book: &MetricBook) -> Result<Response<Full<Bytes>>, Infallible> {
-    Ok(Response::new(Full::new(Bytes::from(book.encode()))))
+fn answer(book: &MetricBook) -> Response<Full<Bytes>> {
+    Response::new(Full::new(Bytes::from(book.encode())))
 }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -60,7 +60,7 @@
 /// Part by which a delay is spread, so that callers do not come back together.
 const SPREAD_PART: f64 = 0.5;
 /// One in this many requests that went well is logged.
-const LOGGED_ONE_IN: u64 = 128;
+const LOGGED_ONE_IN: usize = 128;
 /// Importance of the most important request, and of a call whose origin is not known.
 const IMPORTANCE_MAX: u8 = 250;
 /// Steps of importance between two orders of routes.
--- a/crates/proxy/src/fate.rs
+++ b/crates/proxy/src/fate.rs
@@ -46,13 +46,9 @@
     /// Notes how an attempt ended.
     pub const fn note(&mut self, end: &CallEnd) {
         match end {
-            CallEnd::Answered { .. } => {
-                self.arrivals += 1;
-                self.may_have_run = true;
-            }
             CallEnd::Refused { cause, .. } if cause.has_arrived() => self.arrivals += 1,
             CallEnd::Refused { .. } => self.refusals += 1,
-            CallEnd::Failed { .. } => {
+            CallEnd::Answered { .. } | CallEnd::Failed { .. } => {
                 self.arrivals += 1;
                 self.may_have_run = true;
             }
--- a/crates/proxy/src/own_server.rs
+++ b/crates/proxy/src/own_server.rs
@@ -126,14 +126,14 @@
         if news.phase == ServerPhase::Draining && state.leaving_since.is_none() {
             state.leaving_since = Some(now);
         }
-        let changed = known_differs(state.announced.as_ref(), &news);
+        let is_news = known_differs(state.announced.as_ref(), &news);
         state.cold_until = (!news.cold.is_zero()).then(|| now + news.cold);
         state.gate.set_slots(news.slots);
         state.announced = Some(news);
         let changes = state.gate.advance(now);
         drop(state);
         self.settle(changes);
-        if changed {
+        if is_news {
             AnnounceEffect::Changed
         } else {
             AnnounceEffect::Nothing
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -15,6 +15,7 @@
 use fleet::FailCause;
 use fleet::LinkMessage;
 use fleet::RefuseCause;
+use link::LinkHealth;
 use link::LinkReceiver;
 use link::LinkSender;
 use model::context::ServerLoad;
@@ -106,7 +107,10 @@
             };
             if !lock(&link.waiting).is_empty() {
                 let ask = Duration::from_millis(ASK_MS);
-                link.sender.probe(ask, Duration::from_millis(GIVE_UP_MS));
+                let give_up = Duration::from_millis(GIVE_UP_MS);
+                if link.sender.probe(ask, give_up) == LinkHealth::Silent {
+                    tracing::info!(event = "node-silent", calls = lock(&link.waiting).len());
+                }
             }
         }
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -255,8 +255,9 @@
     }
 
     /// Returns whether this is one of the requests in `one_in` that are looked at.
-    pub(crate) fn is_sampled(&self, one_in: u64) -> bool {
-        self.inner.sampled.fetch_add(1, Ordering::Relaxed) % one_in as usize == 0
+    pub(crate) fn is_sampled(&self, one_in: usize) -> bool {
+        let number = self.inner.sampled.fetch_add(1, Ordering::Relaxed);
+        number.is_multiple_of(one_in)
     }
 
     /// Counts a request of a caller until the returned guard is dropped.
--- a/crates/settings/tests/fixtures.rs
+++ b/crates/settings/tests/fixtures.rs
@@ -51,10 +51,13 @@
 
 #[test]
 fn relative_paths_count_from_the_folder_of_the_file() {
-    let path = &fixtures("valid")[0];
+    let paths = fixtures("valid");
+    let mut named = paths.iter().filter(|path| path.ends_with("node.toml"));
+    let path = named.next().expect("settings of a node");
     let tls = match CheckedSettings::load(path).expect("valid") {
         CheckedSettings::Node(settings) => settings.tls,
         CheckedSettings::Control(settings) => settings.tls,
+        CheckedSettings::Proxy(_) | CheckedSettings::Group(_) => panic!("it has no keys"),
     };
     assert_eq!(tls.authority, path.with_file_name("tls/authority.pem"));
 }
