--- a/crates/bench/src/group/process.rs
+++ b/crates/bench/src/group/process.rs
@@ -46,7 +46,7 @@
         let child = Command::new(&path)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(file.try_clone()?)
             .stderr(file)
             .spawn()
             .with_context(|| format!("starting {} as {name}", path.display()))?;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -40,6 +40,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(event = "process-failed", error = %format!("{error:#}"));
+            eprintln!("ragwortplankd: {error:#}");
             ExitCode::FAILURE
         }
     }
