--- a/crates/fleet/src/call.rs
+++ b/crates/fleet/src/call.rs
@@ -64,9 +64,6 @@
     /// The backend server could not be connected to.
     #[display("connect-failed")]
     ConnectFailed,
-    /// The request crashed several backend servers.
-    #[display("quarantined")]
-    Quarantined,
 }
 
 impl RefuseCause {
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -49,8 +49,6 @@
     pub teams: Vec<TeamUse>,
     /// What was asked for and done since the last report.
     pub work: WorkReport,
-    /// Fingerprints of requests that ran when the backend server crashed.
-    pub crashed: Vec<u64>,
 }
 
 /// A configuration that is in force.
@@ -94,8 +92,6 @@
     Shares(Vec<TeamShare>),
     /// Parts of the requests that may enter.
     Door(Vec<DoorShare>),
-    /// Fingerprints of requests that crashed backend servers, with how often.
-    Suspects(Vec<(u64, u32)>),
 }
 
 /// What processes say to a control instance.
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -20,10 +20,6 @@
 use tracing::info;
 
 use crate::state::GroupState;
-use crate::state::LeaderBook;
-
-/// Crashes after which the nodes are told of a request's fingerprint.
-const SUSPECT_TOLD_FROM: u32 = 1;
 
 /// Serves links until the listener fails.
 pub(crate) async fn serve<C: Clock>(state: GroupState<C>, listener: TcpListener) {
@@ -52,7 +48,6 @@
         node: None,
         told_version: 0,
         told_members: 0,
-        told_suspects: 0,
     };
     session.run(receiver).await;
 }
@@ -66,7 +61,6 @@
     node: Option<NodeId>,
     told_version: ConfigVersion,
     told_members: u64,
-    told_suspects: usize,
 }
 
 impl<C: Clock> LinkSession<C> {
@@ -182,11 +176,7 @@
                 slots: if record.takes_work { record.slots } else { 0 },
             };
             book.door.report(node, place, &report.work, now);
-            let crashed = !report.crashed.is_empty();
-            for fingerprint in report.crashed {
-                *book.suspects.entry(fingerprint).or_default() += 1;
-            }
-            book.registry.report(report.record, now) | crashed
+            book.registry.report(report.record, now)
         });
         changed.unwrap_or(false)
     }
@@ -247,29 +237,9 @@
             }
             self.reply(list);
         }
-        let told = self.told_suspects;
-        let suspects = self.state.with_book(|book| told_suspects(book));
-        if let Some(suspects) = suspects
-            && suspects.1 != told
-        {
-            self.told_suspects = suspects.1;
-            self.reply(ControlReply::Suspects(suspects.0));
-        }
     }
 
     fn reply(&self, reply: ControlReply) {
         self.sender.send(&GroupMessage::Reply(Box::new(reply)));
     }
 }
-
-/// Returns the suspects, and a sum by which a change of them shows.
-fn told_suspects(book: &LeaderBook) -> (Vec<(u64, u32)>, usize) {
-    let suspects: Vec<_> = book
-        .suspects
-        .iter()
-        .filter(|(_, count)| **count >= SUSPECT_TOLD_FROM)
-        .map(|(fingerprint, count)| (*fingerprint, *count))
-        .collect();
-    let sum = suspects.iter().map(|(_, count)| *count as usize).sum();
-    (suspects, sum)
-}
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -49,8 +49,6 @@
     /// The last plan, and when it was made.
     pub(crate) plan: Option<(Instant, Vec<DoorShare>)>,
     pub(crate) plan_logged: Option<Instant>,
-    /// Fingerprints of requests that crashed backend servers, with how often.
-    pub(crate) suspects: std::collections::BTreeMap<u64, u32>,
 }
 
 impl LeaderBook {
@@ -202,7 +200,6 @@
                 door: DoorPlanner::default(),
                 plan: None,
                 plan_logged: None,
-                suspects: std::collections::BTreeMap::new(),
             });
         }
         book.as_mut().map(work)
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -186,7 +186,7 @@
             RefuseCause::Leaving | RefuseCause::NoServer | RefuseCause::ConnectFailed => {
                 SendResult::Unreachable
             }
-            RefuseCause::TooLate | RefuseCause::Quarantined => SendResult::GivenUp,
+            RefuseCause::TooLate => SendResult::GivenUp,
         },
         CallEnd::Failed { cause } => match cause {
             FailCause::Timeout => SendResult::GivenUp,
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -159,7 +159,6 @@
                 let offered = self.state.door().offered();
                 self.state.work().report(offered, now)
             },
-            crashed: Vec::new(),
         };
         self.pending.push_back((self.number, now));
         if self.pending.len() > PENDING_REPORTS {
@@ -204,7 +203,6 @@
                 self.state.quota().share(&shares, now);
             }
             ControlReply::Door(shares) => self.state.door().follow(&shares, now),
-            ControlReply::Suspects(_) => {}
         }
         true
     }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -29,7 +29,7 @@
 /// Part of the time to stop in which callers may still come, since they learn of it late.
 const ACCEPT_PART: f64 = 0.5;
 /// Part of the time to stop after which the process ends in any case.
-const END_PART: f64 = 0.93;
+const END_PART: f64 = 0.85;
 /// Time without a request after which nothing more is expected, in milliseconds.
 const QUIET_MS: u64 = 300;
 /// Period in which a node that stops looks whether it may end, in milliseconds.
