Read the settings again on SIGHUP and when the file changes, instead of ending

The seeds of control are taken over; other keys hold until the next start. Ruled out: the grace time, as no stop was logged. The new test sends SIGHUP to all processes; before, each ended.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,8 +2,10 @@
 
 mod arguments;
 mod logging;
+mod reload;
 mod signals;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use anyhow::Context;
@@ -36,7 +38,7 @@
         return ExitCode::SUCCESS;
     }
     let _logs = logging::init();
-    match run(settings) {
+    match run(settings, arguments.config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(event = "process-failed", error = %format!("{error:#}"));
@@ -46,40 +48,41 @@
     }
 }
 
-fn run(settings: CheckedSettings) -> anyhow::Result<()> {
+fn run(settings: CheckedSettings, file: PathBuf) -> anyhow::Result<()> {
     let threads = match settings {
         CheckedSettings::Node(_) => NODE_THREADS,
         CheckedSettings::Control(_) => CONTROL_THREADS,
-        CheckedSettings::Proxy(_) | CheckedSettings::Group(_) => return run_single(settings),
+        CheckedSettings::Proxy(_) | CheckedSettings::Group(_) => return run_single(settings, file),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
         .enable_all()
         .build()
         .context("starting the runtime")?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, file))
 }
 
 /// Runs on one thread, as suits instances with a part of a core.
-fn run_single(settings: CheckedSettings) -> anyhow::Result<()> {
+fn run_single(settings: CheckedSettings, file: PathBuf) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("starting the runtime")?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, file))
 }
 
-async fn serve(settings: CheckedSettings) -> anyhow::Result<()> {
+async fn serve(settings: CheckedSettings, file: PathBuf) -> anyhow::Result<()> {
     let stop = CancellationToken::new();
     signals::cancel_on_signal(stop.clone())?;
+    let seeds = reload::watch_seeds(file, &settings)?;
     match settings {
         CheckedSettings::Node(settings) => node::run(settings, SystemClock, stop).await,
         CheckedSettings::Control(settings) => control::run(settings, SystemClock, stop).await,
         CheckedSettings::Proxy(settings) => {
-            proxy::run(settings, PlatformDialect, BootClock::new(), stop).await
+            proxy::run(settings, seeds, PlatformDialect, BootClock::new(), stop).await
         }
         CheckedSettings::Group(settings) => {
-            group::run(settings, PlatformDialect, BootClock::new(), stop).await
+            group::run(settings, seeds, PlatformDialect, BootClock::new(), stop).await
         }
     }
 }
--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::process::Pid;
+use rustix::process::Signal;
 use tempfile::TempDir;
 
 use crate::http;
@@ -132,6 +134,19 @@
         kill(&mut self.control[usize::from(number)]);
     }
 
+    /// Sends a signal to all processes.
+    pub(crate) fn signal_all(&mut self, signal: Signal) {
+        for child in self.control.iter_mut().chain(&mut self.nodes).flatten() {
+            rustix::process::kill_process(Pid::from_child(child), signal).unwrap();
+        }
+    }
+
+    /// Returns whether all processes run.
+    pub(crate) fn all_run(&mut self) -> bool {
+        let mut all = self.control.iter_mut().chain(&mut self.nodes).flatten();
+        all.all(|child| child.try_wait().unwrap().is_none())
+    }
+
     /// Loses the disk of a control instance that does not run.
     pub(crate) fn wipe_control(&self, number: u8) {
         fs::remove_dir_all(self.data(number)).unwrap();
--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -1,5 +1,7 @@
 //! What callers, backend servers and operators see of a whole deployment.
 
+use rustix::process::Signal;
+
 use crate::deployment::TestDeployment;
 use crate::deployment::eventually;
 use crate::server::ServerMood;
@@ -152,6 +154,18 @@
     );
 }
 
+#[test]
+fn a_hangup_ends_no_process() {
+    let mut deployment = deployment();
+    for number in 0..3 {
+        deployment.signal_all(Signal::HUP);
+        let id = format!("id-hup-{number}");
+        let answer = deployment.call(1, "POST /orders/1", &id, "key-1");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert!(deployment.all_run());
+}
+
 #[test]
 fn what_was_acknowledged_survives_two_lost_disks_and_a_kill_of_all() {
     let mut deployment = deployment();
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -18,6 +18,7 @@
 use replica::ReplicaHandle;
 use settings::GroupSettings;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -64,11 +65,14 @@
 
 /// Runs a control instance until `stop` is cancelled.
 ///
+/// `seeds` holds the control instances that the settings name at present.
+///
 /// # Errors
 ///
 /// Fails when an address cannot be bound or the data folder cannot be created.
 pub async fn run<C: Clock, D: WireDialect>(
     settings: GroupSettings,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
     dialect: D,
     clock: C,
     stop: CancellationToken,
@@ -77,7 +81,7 @@
     let operators = bind(settings.operators).await?;
     let figures = bind(settings.metrics).await?;
     let book = MetricBook::new(METRIC_NAME).context("creating the metrics")?;
-    let state = GroupState::new(settings, clock, stop, book);
+    let state = GroupState::new(settings, seeds, clock, stop, book);
     info!(event = "process-started", process = %state.settings.process,
         data_centre = %state.settings.data_centre, first_start = state.settings.first_start);
     let tasks = [
@@ -255,7 +259,7 @@
 /// Asks the seeds until one names the members of the group; none once asked to stop.
 async fn find_group<C: Clock>(state: &GroupState<C>) -> Option<Vec<InstanceId>> {
     loop {
-        for seed in &state.settings.seeds {
+        for seed in state.seeds() {
             if seed.ip() == state.settings.address {
                 continue;
             }
@@ -277,7 +281,7 @@
 /// Returns whether a quorum says that `own` does not belong to the group.
 async fn is_expelled<C: Clock>(state: &GroupState<C>, own: InstanceId) -> bool {
     let mut addresses = state.instances();
-    let seeds = state.settings.seeds.iter();
+    let seeds = state.seeds().into_iter();
     addresses.extend(seeds.map(|seed| SocketAddr::new(seed.ip(), state.settings.link_port)));
     for address in addresses {
         if address.ip() == state.settings.address {
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -75,6 +75,7 @@
 #[derive(Debug)]
 pub(crate) struct GroupState<C> {
     pub(crate) settings: Arc<GroupSettings>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
     pub(crate) clock: C,
     pub(crate) mesh: GroupMesh<C>,
     pub(crate) stop: CancellationToken,
@@ -88,6 +89,7 @@
     fn clone(&self) -> Self {
         Self {
             settings: Arc::clone(&self.settings),
+            seeds: self.seeds.clone(),
             clock: self.clock.clone(),
             mesh: self.mesh.clone(),
             stop: self.stop.clone(),
@@ -102,6 +104,7 @@
 impl<C: Clock> GroupState<C> {
     pub(crate) fn new(
         settings: GroupSettings,
+        seeds: watch::Receiver<Vec<SocketAddr>>,
         clock: C,
         stop: CancellationToken,
         metrics: MetricBook,
@@ -110,6 +113,7 @@
         Self {
             mesh: GroupMesh::new(settings.link_port, clock.clone()),
             settings: Arc::new(settings),
+            seeds,
             clock,
             stop,
             metrics,
@@ -119,6 +123,11 @@
         }
     }
 
+    /// Returns the control instances that the settings name at present.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.borrow().clone()
+    }
+
     /// Returns the running replica, none while it is being started.
     pub(crate) fn replica(&self) -> Option<ReplicaHandle<ConfigStore>> {
         lock(&self.replica).clone()
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -11,6 +11,7 @@
 use fleet::NodeReport;
 use fleet::WireDialect;
 use link::LinkSender;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -32,8 +33,11 @@
 const KNOWN_INSTANCES: usize = 16;
 
 /// Talks to the leader until the process ends.
-pub(crate) async fn run<C: Clock, D: WireDialect>(state: ProxyState<C, D>) {
-    let mut book = InstanceBook::new(&state);
+pub(crate) async fn run<C: Clock, D: WireDialect>(
+    state: ProxyState<C, D>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+) {
+    let mut book = InstanceBook::new(state.settings.control_port, seeds);
     loop {
         let address = book.next();
         let opened = link::connect(address, Duration::from_millis(CONNECT_MS)).await;
@@ -60,7 +64,8 @@
 
 /// Control instances to try, the most promising first.
 struct InstanceBook {
-    seeds: Vec<SocketAddr>,
+    port: u16,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
     known: Vec<SocketAddr>,
     /// The leader as last named, to be tried next.
     leader: Option<SocketAddr>,
@@ -68,11 +73,10 @@
 }
 
 impl InstanceBook {
-    fn new<C: Clock, D: WireDialect>(state: &ProxyState<C, D>) -> Self {
-        let port = state.settings.control_port;
-        let seeds = state.settings.control.iter();
+    fn new(port: u16, seeds: watch::Receiver<Vec<SocketAddr>>) -> Self {
         Self {
-            seeds: seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect(),
+            port,
+            seeds,
             known: Vec::new(),
             leader: None,
             turn: rand::random::<u8>().into(),
@@ -85,10 +89,12 @@
             return leader;
         }
         self.turn += 1;
-        let count = self.known.len() + self.seeds.len();
-        let position = self.turn % count;
-        let known = self.known.get(position);
-        *known.unwrap_or_else(|| &self.seeds[(position - self.known.len()) % self.seeds.len()])
+        let seeds = self.seeds.borrow();
+        let seeds = seeds
+            .iter()
+            .map(|seed| SocketAddr::new(seed.ip(), self.port));
+        let all: Vec<SocketAddr> = self.known.iter().copied().chain(seeds).collect();
+        all[self.turn % all.len()]
     }
 
     fn learn(&mut self, instances: Vec<SocketAddr>) {
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -10,6 +10,7 @@
 use metrics::MetricBook;
 use settings::ProxySettings;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -37,11 +38,14 @@
 
 /// Runs a node until `stop` is cancelled, and then until its callers are served.
 ///
+/// `seeds` holds the control instances that the settings name at present.
+///
 /// # Errors
 ///
 /// Fails when an address cannot be bound.
 pub async fn run<C: Clock, D: WireDialect>(
     settings: ProxySettings,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
     dialect: D,
     clock: C,
     stop: CancellationToken,
@@ -59,7 +63,7 @@
     tokio::spawn(inbound::serve(state.clone(), links));
     tokio::spawn(announce::serve(state.clone(), servers));
     tokio::spawn(announce::serve(state.clone(), ready));
-    tokio::spawn(control::run(state.clone()));
+    tokio::spawn(control::run(state.clone(), seeds));
     tokio::spawn(upkeep(state.clone()));
     let entry = tokio::spawn(entry::serve(state.clone(), callers));
     stop.cancelled().await;
