Open an existing log without asking the seeds who belongs

Cause: an instance that had joined asked the seeds for the members at every start, though its log names them. When every seed had lost its disk before and all were stopped, each waited for an answer that only a running replica gives, for ever. Ruled out: the quorum, of which all five logs were there.

--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -166,6 +166,20 @@
     assert!(deployment.all_run());
 }
 
+/// Waits until every control instance reads back `document`.
+fn await_read_back(deployment: &TestDeployment, document: &str) {
+    for number in 0..5 {
+        eventually("every instance reads back what was acknowledged", || {
+            let answer = deployment.get_config(number);
+            let answer = answer.filter(|answer| answer.status == 200);
+            answer.is_some_and(|answer| {
+                assert_eq!(answer.body, document);
+                true
+            })
+        });
+    }
+}
+
 #[test]
 fn what_was_acknowledged_survives_two_lost_disks_and_a_kill_of_all() {
     let mut deployment = deployment();
@@ -179,16 +193,7 @@
     for number in 0..5 {
         deployment.start_control(number, false);
     }
-    for number in 0..5 {
-        eventually("every instance reads back what was acknowledged", || {
-            let answer = deployment.get_config(number);
-            let answer = answer.filter(|answer| answer.status == 200);
-            answer.is_some_and(|answer| {
-                assert_eq!(answer.body, document);
-                true
-            })
-        });
-    }
+    await_read_back(&deployment, &document);
     eventually("the nodes serve again", || {
         deployment
             .call(1, "GET /stock/1", "id-again", "key-2")
@@ -196,3 +201,27 @@
             == 200
     });
 }
+
+#[test]
+fn a_kill_of_all_is_survived_also_when_every_seed_lost_its_disk_before() {
+    let mut deployment = deployment();
+    let document = document(9, 3, "key-2");
+    assert_eq!(deployment.put_config(&document).status, 200);
+    for seed in 0..3 {
+        deployment.kill_control(seed);
+        deployment.wipe_control(seed);
+        deployment.start_control(seed, false);
+        await_read_back(&deployment, &document);
+        // A change is taken only by a group that is whole again.
+        eventually("the group is whole again", || {
+            deployment.put_config(&document).status == 200
+        });
+    }
+    for number in 0..5 {
+        deployment.kill_control(number);
+    }
+    for number in 0..5 {
+        deployment.start_control(number, false);
+    }
+    await_read_back(&deployment, &document);
+}
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -59,6 +59,8 @@
     Stopped,
     /// The disk failed; the log on it is opened again.
     Reopen,
+    /// The instance never became a member; it must ask others who belongs.
+    Ask,
     /// The group does not know this identity any more.
     Rejoin,
 }
@@ -105,9 +107,10 @@
 
 async fn live<C: Clock>(state: &GroupState<C>) -> anyhow::Result<()> {
     let file = StartFile::new(&state.settings.data).context("creating the data folder")?;
+    let mut must_ask = false;
     loop {
         let end = match start(state, &file) {
-            Ok(plan) => match live_once(state, &file, &plan).await {
+            Ok(plan) => match live_once(state, &file, &plan, must_ask).await {
                 Ok(end) => end,
                 Err(error) => {
                     warn!(event = "replica-not-started", error = %format!("{error:#}"));
@@ -120,9 +123,10 @@
             }
         };
         state.set_replica(None);
+        must_ask = matches!(end, LifeEnd::Ask);
         match end {
             LifeEnd::Stopped => return Ok(()),
-            LifeEnd::Reopen => {}
+            LifeEnd::Reopen | LifeEnd::Ask => {}
             LifeEnd::Rejoin => {
                 if let Err(error) = file.forget() {
                     warn!(event = "folder-not-cleared", %error);
@@ -157,10 +161,12 @@
     state: &GroupState<C>,
     file: &StartFile<'_>,
     plan: &StartPlan,
+    must_ask: bool,
 ) -> anyhow::Result<LifeEnd> {
     state.mesh.set_own(plan.instance);
     let joins = plan.first.is_empty();
-    let group = if joins {
+    // A log names the members itself; after a stop of all, nobody else could.
+    let group = if joins && (must_ask || !file.log().exists()) {
         let Some(members) = find_group(state).await else {
             return Ok(LifeEnd::Stopped);
         };
@@ -238,8 +244,8 @@
                 return LifeEnd::Rejoin;
             }
             if !belongs {
-                // The members that were asked may all be gone by now.
-                return LifeEnd::Reopen;
+                // The members that were asked, if any, may all be gone by now.
+                return LifeEnd::Ask;
             }
         }
     }
