Return a failure that a server answers instead of trying elsewhere

The budget of one service counts only attempts made there, not those that they cause below. Ruled out: calls of repeated runs marked so, which are counted but not stopped. The test sees two runs for one request with the second attempts, one without.

--- a/crates/admit/src/door/keeper.rs
+++ b/crates/admit/src/door/keeper.rs
@@ -111,14 +111,6 @@
         }
     }
 
-    /// Returns whether every kind may enter, so that there is room for second attempts.
-    #[must_use]
-    pub fn is_open(&self, now: Instant) -> bool {
-        let limit = Duration::from_millis(PLAN_MS);
-        let is_planned = self.planned.is_some_and(|at| now < at + limit);
-        !is_planned || self.kinds.values().all(|kind| kind.part >= 1.0)
-    }
-
     /// Returns what asked to enter since the last call of this.
     pub fn offered(&mut self) -> Vec<OfferedKind> {
         let mut offered = Vec::new();
--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -114,6 +114,25 @@
     }
 }
 
+#[test]
+fn a_failure_that_a_server_answers_is_returned_and_not_repeated() {
+    let deployment = deployment();
+    for server in &deployment.servers {
+        server.set_mood(ServerMood::Fails);
+    }
+    let ran = || -> usize {
+        deployment
+            .servers
+            .iter()
+            .map(|server| server.ran().len())
+            .sum()
+    };
+    let before = ran();
+    let answer = deployment.call(1, "GET /stock/1", "id-fails", "key-1");
+    assert_eq!(answer.status, 500, "{answer:?}");
+    assert_eq!(ran(), before + 1);
+}
+
 #[test]
 fn a_drained_server_gets_nothing_more() {
     let deployment = deployment();
--- a/crates/daemon/tests/fleet/server.rs
+++ b/crates/daemon/tests/fleet/server.rs
@@ -22,6 +22,8 @@
     LosesAnswers,
     /// Runs it and answers with the id of another request.
     AnswersOthers,
+    /// Runs it and answers that it failed.
+    Fails,
     /// Runs it and ends the answer early.
     BreaksOff,
 }
@@ -124,10 +126,14 @@
             ServerMood::LosesAnswers => return false,
             ServerMood::AnswersOthers => ("of-another-request".to_owned(), 2),
             ServerMood::BreaksOff => (id, 100),
-            ServerMood::Well | ServerMood::Sheds => (id, 2),
+            ServerMood::Well | ServerMood::Sheds | ServerMood::Fails => (id, 2),
+        };
+        let status = match mood {
+            ServerMood::Fails => "500 Internal Server Error",
+            _ => "200 OK",
         };
         let answer = format!(
-            "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: {id}\r\nX-Ragwortplank-Server-Stamp: {}\r\nContent-Length: {length}\r\n\r\nok",
+            "HTTP/1.1 {status}\r\nX-Ragwortplank-Request-Id: {id}\r\nX-Ragwortplank-Server-Stamp: {}\r\nContent-Length: {length}\r\n\r\nok",
             self.name
         );
         stream.write_all(answer.as_bytes()).is_ok() && mood != ServerMood::BreaksOff
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -22,8 +22,6 @@
 
 /// Delay named when no backend server takes work.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(400);
-/// Status of a backend server that failed, and not for lack of time.
-const SERVER_ERROR: u16 = 500;
 /// Time that must be left for another attempt to be worth it, in milliseconds.
 const WORTHWHILE_MS: u64 = 20;
 
@@ -53,7 +51,6 @@
         fate: CallFate::default(),
         node: None,
     };
-    let mut failure = None;
     state.earn_repeat(&head.service);
     if head.repeated {
         // A call that a repeated run makes counts as repeated itself.
@@ -64,7 +61,7 @@
         head.time_left = deadline.saturating_duration_since(now);
         let chosen = state.members().pick(&head.service, &tried, now);
         let Some(chosen) = chosen else {
-            return outcome.or_failure(failure);
+            return outcome;
         };
         tried.push(chosen.node);
         let attempt = SentAttempt {
@@ -86,10 +83,7 @@
         outcome.end = end;
         outcome.node = Some(chosen.node);
         if !goes_on(state, &head, &outcome, attempts_allowed, deadline) {
-            return outcome.or_failure(failure);
-        }
-        if matches!(outcome.end, CallEnd::Answered { .. }) {
-            failure = Some(outcome.end.clone());
+            return outcome;
         }
         head.repeated |= outcome.fate.arrivals > 0;
     }
@@ -111,7 +105,9 @@
     attempts_allowed: u32,
     deadline: Instant,
 ) -> bool {
-    if !is_worth_repeating(state, &outcome.end) {
+    // A server's own failure is an answer: its run has made all its calls already,
+    // and a repeated run would make them again.
+    if matches!(outcome.end, CallEnd::Answered { .. }) {
         return false;
     }
     let left = deadline.saturating_duration_since(state.now());
@@ -125,29 +121,6 @@
     }
 }
 
-/// Returns whether another backend server may do better.
-///
-/// A failure that a server answers itself is tried elsewhere while nothing is
-/// overloaded; under load most such failures come from calls that were refused.
-fn is_worth_repeating<C: Clock, D: WireDialect>(state: &ProxyState<C, D>, end: &CallEnd) -> bool {
-    match end {
-        CallEnd::Answered { head, .. } => {
-            head.status == SERVER_ERROR && state.door().is_open(state.now())
-        }
-        CallEnd::Refused { .. } | CallEnd::Failed { .. } => true,
-    }
-}
-
-impl CarryOutcome {
-    /// Returns the server's own failure when nothing better came of trying again.
-    fn or_failure(mut self, failure: Option<CallEnd>) -> Self {
-        if let (false, Some(failure)) = (matches!(self.end, CallEnd::Answered { .. }), failure) {
-            self.end = failure;
-        }
-        self
-    }
-}
-
 /// An attempt that the picker counts until it has learned how it ended.
 struct SentAttempt<'a, C: Clock, D: WireDialect> {
     state: &'a ProxyState<C, D>,
