Let a new leader raise limits as soon as every node on a replicated list has reported

Now the leader replicates the addresses of its nodes. The next one is settled once each of them has reported, under whatever new start, or the lease has passed. A part of a node that started again is free at once, and a bucket starts empty, so that a restart brings no second burst.

Ruled out: giving parts out at once (a node that is cut off goes on with its part, quotaSlack does not cover it); a shorter lease on parts (an ordinary election would turn callers away).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -50,5 +50,7 @@
 pub use store::ChangeOutcome;
 pub use store::ConfigChange;
 pub use store::ConfigStore;
+pub use store::NodeRoster;
+pub use store::StoreEntry;
 pub use table::KeyOwner;
 pub use table::RouteTable;
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -1,7 +1,9 @@
-//! The replicated state: the configuration in force, and which ones were ever accepted.
+//! The replicated state: the configuration in force, which ones were ever accepted, and the nodes.
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use model::ids::ChangeHash;
@@ -14,7 +16,7 @@
 use crate::FleetConfig;
 
 /// Version of the encoding of entries and snapshots, their first byte.
-const STORE_VERSION: u8 = 1;
+const STORE_VERSION: u8 = 2;
 /// Accepted changes that are remembered, so that one sent again is acknowledged again.
 const REMEMBERED_CHANGES: usize = 8_192;
 
@@ -28,7 +30,30 @@
 }
 
 impl ConfigChange {
-    /// Encodes the change for the log.
+    /// Returns the digest by which a change that is sent again is recognised.
+    #[must_use]
+    pub fn digest(&self) -> ChangeHash {
+        *blake3::hash(&self.document).as_bytes()
+    }
+}
+
+/// Addresses of the nodes that may hold parts of teams' limits.
+///
+/// A leader that takes over waits for word of each of them, since one that is
+/// cut off goes on with the part that an earlier leader gave it.
+pub type NodeRoster = BTreeSet<SocketAddr>;
+
+/// An entry of the log.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum StoreEntry {
+    /// A change of the configuration.
+    Change(ConfigChange),
+    /// Replaces the nodes known.
+    Roster(NodeRoster),
+}
+
+impl StoreEntry {
+    /// Encodes the entry for the log.
     ///
     /// # Errors
     ///
@@ -43,15 +68,9 @@
             .then(|| postcard::from_bytes(body).ok())
             .flatten()
     }
-
-    /// Returns the digest by which a change that is sent again is recognised.
-    #[must_use]
-    pub fn digest(&self) -> ChangeHash {
-        *blake3::hash(&self.document).as_bytes()
-    }
 }
 
-/// What became of a change.
+/// What became of an entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ChangeOutcome {
     /// It is in force, or was until a later one replaced it.
@@ -66,6 +85,8 @@
         /// Version in force.
         current: ConfigVersion,
     },
+    /// It was a list of nodes, which is known now.
+    Listed,
     /// The entry could not be read.
     Unreadable,
 }
@@ -76,6 +97,7 @@
     current: Option<ConfigChange>,
     accepted: HashSet<ChangeHash>,
     order: VecDeque<ChangeHash>,
+    roster: NodeRoster,
 }
 
 /// A snapshot's content.
@@ -83,6 +105,7 @@
 struct StoreSnapshot {
     current: Option<ConfigChange>,
     order: VecDeque<ChangeHash>,
+    roster: NodeRoster,
 }
 
 impl ConfigStore {
@@ -100,6 +123,12 @@
             .map_or(0, |change| change.config.version)
     }
 
+    /// Returns the nodes that may hold parts of teams' limits.
+    #[must_use]
+    pub const fn roster(&self) -> &NodeRoster {
+        &self.roster
+    }
+
     /// Returns what would become of a change now.
     #[must_use]
     pub fn judge(&self, change: &ConfigChange) -> ChangeOutcome {
@@ -139,8 +168,12 @@
     type Output = ChangeOutcome;
 
     fn apply(&mut self, _index: LogIndex, entry: &[u8]) -> ChangeOutcome {
-        match ConfigChange::decode(entry) {
-            Some(change) => self.take(change),
+        match StoreEntry::decode(entry) {
+            Some(StoreEntry::Change(change)) => self.take(change),
+            Some(StoreEntry::Roster(roster)) => {
+                self.roster = roster;
+                ChangeOutcome::Listed
+            }
             None => ChangeOutcome::Unreadable,
         }
     }
@@ -149,6 +182,7 @@
         let snapshot = StoreSnapshot {
             current: self.current.clone(),
             order: self.order.clone(),
+            roster: self.roster.clone(),
         };
         postcard::to_extend(&snapshot, vec![STORE_VERSION]).unwrap_or_default()
     }
@@ -161,6 +195,7 @@
         self.accepted = snapshot.order.iter().copied().collect();
         self.order = snapshot.order;
         self.current = snapshot.current;
+        self.roster = snapshot.roster;
         Ok(())
     }
 }
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -15,6 +15,7 @@
 pub use crate::identity::instance_at;
 pub use crate::identity::instance_ip;
 pub use crate::registry::NodeRegistry;
+pub use crate::registry::ReportEffect;
 pub use crate::repair::MemberView;
 pub use crate::repair::RepairPolicy;
 pub use crate::run::run;
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -8,6 +8,7 @@
 use clock::Clock;
 use fleet::ChangeOutcome;
 use fleet::ConfigChange;
+use fleet::StoreEntry;
 use fleet::ControlCall;
 use fleet::WireDialect;
 use http::HeaderValue;
@@ -147,7 +148,8 @@
         if !self.state.is_large_enough() {
             return self.unavailable(version, "too few members");
         }
-        let Ok(entry) = change.encode() else {
+        let base = change.config.base;
+        let Ok(entry) = StoreEntry::Change(change).encode() else {
             return self.unavailable(version, "not encoded");
         };
         let outcome = replica.propose(entry).await;
@@ -157,7 +159,7 @@
             Err(_) => "unknown",
         };
         self.state.metrics.count("config", detail);
-        info!(event = "config-decided", version, base = change.config.base, outcome = ?outcome);
+        info!(event = "config-decided", version, base, outcome = ?outcome);
         match outcome {
             Ok(ChangeOutcome::Accepted) => {
                 self.state.announce();
@@ -171,7 +173,9 @@
                 let reason = format!("the version must be above {current}");
                 self.explain(StatusCode::BAD_REQUEST, &reason)
             }
-            Ok(ChangeOutcome::Unreadable) => self.unavailable(version, "unreadable entry"),
+            Ok(ChangeOutcome::Unreadable | ChangeOutcome::Listed) => {
+                self.unavailable(version, "unreadable entry")
+            }
             Err(ProposeError::NotLeader { .. } | ProposeError::Unknown) => {
                 self.unavailable(version, "no outcome")
             }
--- a/crates/group/src/registry.rs
+++ b/crates/group/src/registry.rs
@@ -5,12 +5,21 @@
 use std::time::Instant;
 
 use fleet::NodeRecord;
+use fleet::NodeRoster;
 use model::ids::NodeId;
 
-/// Time without a report after which a node is taken off the list, in milliseconds.
+/// Time without a report after which a node is taken off the list, in milliseconds,
+/// unless it may hold parts of limits for longer.
 const REPORT_GONE_MS: u64 = 5_000;
-/// Time of leadership after which every live node has reported, in milliseconds.
-const SETTLED_MS: u64 = 3_000;
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReportEffect {
+    /// Whether other nodes must be told.
+    pub changed: bool,
+    /// An earlier start of the node, which has ended.
+    pub replaced: Option<NodeId>,
+}
 
 /// One node with its last report.
 #[derive(Clone, Debug)]
@@ -23,23 +32,28 @@
 #[derive(Clone, Debug)]
 pub struct NodeRegistry {
     since: Instant,
+    /// Time for which a node that is cut off goes on with what an earlier leader gave it.
+    lease: Duration,
     number: u64,
     nodes: HashMap<NodeId, RegistryEntry>,
 }
 
 impl NodeRegistry {
     /// Creates the list of a leader in `term` that leads since `now`.
+    ///
+    /// What an earlier leader gave to a node counts for `lease` without a renewal.
     #[must_use]
-    pub fn new(term: u64, now: Instant) -> Self {
+    pub fn new(term: u64, lease: Duration, now: Instant) -> Self {
         Self {
             since: now,
+            lease,
             number: (term << 24) + 1,
             nodes: HashMap::new(),
         }
     }
 
-    /// Takes a report; returns whether others must be told.
-    pub fn report(&mut self, record: NodeRecord, now: Instant) -> bool {
+    /// Takes a report.
+    pub fn report(&mut self, record: NodeRecord, now: Instant) -> ReportEffect {
         let earlier = self
             .nodes
             .iter()
@@ -54,12 +68,15 @@
         let entry = RegistryEntry { record, seen: now };
         self.nodes.insert(entry.record.node, entry);
         self.number += u64::from(changed);
-        changed
+        ReportEffect {
+            changed,
+            replaced: earlier,
+        }
     }
 
     /// Takes off the nodes that have not reported for long; returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let limit = Duration::from_millis(REPORT_GONE_MS);
+        let limit = Duration::from_millis(REPORT_GONE_MS).max(self.lease);
         let count = self.nodes.len();
         self.nodes
             .retain(|_, entry| now.saturating_duration_since(entry.seen) < limit);
@@ -74,10 +91,38 @@
         self.number
     }
 
-    /// Returns whether every live node must have reported by now.
+    /// Returns whether every node of `roster` has reported, or lost what it held of limits.
+    #[must_use]
+    pub fn is_settled(&self, roster: &NodeRoster, now: Instant) -> bool {
+        if now.saturating_duration_since(self.since) >= self.lease {
+            return true;
+        }
+        let reported = self.addresses();
+        roster.iter().all(|address| reported.contains(address))
+    }
+
+    /// Returns whether a node stands on `roster`, so that the next leader will wait for it.
+    #[must_use]
+    pub fn is_listed(&self, node: NodeId, roster: &NodeRoster) -> bool {
+        let entry = self.nodes.get(&node);
+        entry.is_some_and(|entry| roster.contains(&entry.record.address))
+    }
+
+    /// Returns the roster that should replace `roster`, none while it is right.
+    ///
+    /// A node stays on it until it is certain that it holds no part of a limit.
     #[must_use]
-    pub fn is_settled(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.since) >= Duration::from_millis(SETTLED_MS)
+    pub fn next_roster(&self, roster: &NodeRoster, now: Instant) -> Option<NodeRoster> {
+        let mut next = self.addresses();
+        if !self.is_settled(roster, now) {
+            next.extend(roster);
+        }
+        (next != *roster).then_some(next)
+    }
+
+    fn addresses(&self) -> NodeRoster {
+        let entries = self.nodes.values();
+        entries.map(|entry| entry.record.address).collect()
     }
 
     /// Returns the records.
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -8,6 +8,7 @@
 use clock::Clock;
 use fleet::ConfigStore;
 use fleet::GroupMessage;
+use fleet::StoreEntry;
 use fleet::WireDialect;
 use metrics::MetricBook;
 use model::ids::InstanceId;
@@ -16,6 +17,7 @@
 use replica::ReplicaConfig;
 use replica::ReplicaFault;
 use replica::ReplicaHandle;
+use replica::ReplicatedState;
 use settings::GroupSettings;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -50,6 +52,8 @@
 const RETRY_MS: u64 = 250;
 /// Time to ask another instance who belongs to the group, in milliseconds.
 const ASK_MS: u64 = 1_200;
+/// Time to replicate the list of nodes, in milliseconds.
+const PROPOSE_MS: u64 = 1_000;
 /// Time without a leader after which an instance asks whether it still belongs, in milliseconds.
 const ALONE_MS: u64 = 2_500;
 
@@ -330,10 +334,35 @@
         if state.with_book(|book| book.registry.expire(now)) == Some(true) {
             state.announce();
         }
+        list_nodes(&state).await;
         repair(&state).await;
     }
 }
 
+/// Replicates the addresses of the nodes when they changed.
+async fn list_nodes<C: Clock>(state: &GroupState<C>) {
+    let now = state.clock.now();
+    let roster = state.roster();
+    let next = state.with_book(|book| book.registry.next_roster(&roster, now));
+    let (Some(Some(next)), Some(replica)) = (next, state.replica()) else {
+        return;
+    };
+    let nodes = next.len();
+    let entry = match StoreEntry::Roster(next).encode() {
+        Ok(entry) => entry,
+        Err(error) => {
+            warn!(event = "nodes-not-listed", %error);
+            return;
+        }
+    };
+    let limit = Duration::from_millis(PROPOSE_MS);
+    match timeout(limit, replica.propose(entry)).await {
+        Ok(Ok(_)) => info!(event = "nodes-listed", nodes, earlier = roster.len()),
+        Ok(Err(error)) => tracing::debug!(event = "nodes-not-listed", %error),
+        Err(_) => tracing::debug!(event = "nodes-not-listed", error = "timeout"),
+    }
+}
+
 async fn repair<C: Clock>(state: &GroupState<C>) {
     let Some(replica) = state.replica() else {
         return;
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -176,7 +176,11 @@
                 slots: if record.takes_work { record.slots } else { 0 },
             };
             book.door.report(node, place, &report.work, now);
-            book.registry.report(report.record, now)
+            let effect = book.registry.report(report.record, now);
+            if let Some(ended) = effect.replaced {
+                book.shares.forget(ended);
+            }
+            effect.changed
         });
         changed.unwrap_or(false)
     }
@@ -186,8 +190,10 @@
         self.tell_news();
         let now = self.state.clock.now();
         let node = self.node.unwrap_or_default();
+        let roster = self.state.roster();
         let shares = self.state.with_book(|book| {
-            let may_raise = book.registry.is_settled(now);
+            let may_raise =
+                book.registry.is_settled(&roster, now) && book.registry.is_listed(node, &roster);
             (book.shares.grant(node, may_raise, now), book.door_plan(now))
         });
         let (shares, door) = shares.unwrap_or_default();
@@ -221,8 +227,9 @@
         }
         let now = self.state.clock.now();
         let told = self.told_members;
+        let roster = self.state.roster();
         let list = self.state.with_book(|book| {
-            let settled = book.registry.is_settled(now);
+            let settled = book.registry.is_settled(&roster, now);
             // A list grows by one more step once it is settled, so that all learn who has left.
             let number = book.registry.number() * 2 + u64::from(settled);
             (number > told || number >> 25 != told >> 25).then(|| ControlReply::Members {
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -12,6 +12,7 @@
 use clock::Clock;
 use fleet::ConfigChange;
 use fleet::ConfigStore;
+use fleet::NodeRoster;
 use limit::ShareBook;
 use metrics::MetricBook;
 use model::door::DoorShare;
@@ -183,6 +184,14 @@
         self.replica()?.read(|store| store.current().cloned())
     }
 
+    /// Returns the nodes that may hold parts of limits, as far as applied here.
+    pub(crate) fn roster(&self) -> NodeRoster {
+        let replica = self.replica();
+        replica.map_or_else(NodeRoster::new, |replica| {
+            replica.read(|store| store.roster().clone())
+        })
+    }
+
     pub(crate) fn version(&self) -> ConfigVersion {
         self.replica()
             .map_or(0, |replica| replica.read(ConfigStore::version))
@@ -200,7 +209,7 @@
             let now = self.clock.now();
             *book = Some(LeaderBook {
                 term: status.term,
-                registry: NodeRegistry::new(status.term, now),
+                registry: NodeRegistry::new(status.term, self.settings.bounds.revoke, now),
                 shares: ShareBook::new(
                     self.settings.bounds.revoke,
                     self.settings.bounds.quota_overage,
--- a/crates/limit/src/bucket.rs
+++ b/crates/limit/src/bucket.rs
@@ -7,6 +7,8 @@
 const MILLI: f64 = 1000.0;
 
 /// Token bucket that is filled at the part of a team's rate that the node was given.
+///
+/// It starts empty: a node that started again may have spent a burst just before.
 #[derive(Clone, Debug)]
 pub struct TokenBucket {
     share_milli: u64,
@@ -35,12 +37,8 @@
     /// Sets the part of the rate, in thousandths of a request per second, and the depth.
     pub fn set_share(&mut self, share_milli: u64, depth_s: f64, now: Instant) {
         self.refill(now);
-        let is_first = self.share_milli == 0;
         self.share_milli = share_milli;
         self.depth_s = depth_s;
-        if is_first {
-            self.tokens = self.capacity();
-        }
         self.tokens = self.tokens.min(self.capacity());
     }
 
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -108,12 +108,10 @@
         share.seen = now;
     }
 
-    /// Notes that a node's connection was seen, though it said nothing of its teams.
-    pub fn seen(&mut self, node: NodeId, now: Instant) {
+    /// Forgets a node that has ended, so that its parts are free.
+    pub fn forget(&mut self, node: NodeId) {
         for shares in self.teams.values_mut() {
-            if let Some(share) = shares.nodes.get_mut(&node) {
-                share.seen = now;
-            }
+            shares.nodes.remove(&node);
         }
     }
 
