Notice a crash also when the backend server's listener outlives its connections

Cause: after a lost connection the node connects once and takes success for a sign of life. Of a process that dies, the system may close a connection before the listener and accept meanwhile, more so on a busy machine; the crash was then never reported and its suspects were held nowhere, so the same request went on to the next servers. Now a connection must last 60 ms, and one that ends is followed by a second, which decides.

Ruled out: holding suspects after every lost connection (innocent requests would wait for servers that only reset a connection).

--- a/crates/node/src/lost.rs
+++ b/crates/node/src/lost.rs
@@ -1,11 +1,14 @@
 //! Finds out whether a lost connection means that the backend server died.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use clock::Clock;
 use timeline::EventRecord;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::server::ServerTarget;
 use crate::state::NodeState;
@@ -13,6 +16,9 @@
 
 /// Time to connect to a backend server that lives, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 250;
+/// Time for which a new connection must last to show that the backend server lives,
+/// in milliseconds.
+const LASTS_MS: u64 = 60;
 
 /// Probes the backend server after a connection to it was lost.
 ///
@@ -24,10 +30,7 @@
     let target = target.clone();
     let tracker = state.background.clone();
     tracker.spawn(async move {
-        let connecting = TcpStream::connect(target.address);
-        let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
-        let alive = matches!(tokio::time::timeout(timeout, connecting).await, Ok(Ok(_)));
-        if alive || !state.server.crashed(target.address) {
+        if is_alive(target.address).await || !state.server.crashed(target.address) {
             return;
         }
         state.gate.crashed();
@@ -42,3 +45,25 @@
         state.wake.notify_one();
     });
 }
+
+/// Returns whether a backend server takes connections and keeps them.
+///
+/// Of a process that dies, connections may end before its listener does, and the
+/// system accepts on its behalf meanwhile; so a connection that ends at once
+/// shows nothing, and only a second one decides.
+async fn is_alive(address: SocketAddr) -> bool {
+    match connect(address).await {
+        None => false,
+        Some(mut stream) => {
+            let lasts = Duration::from_millis(LASTS_MS);
+            let ended = timeout(lasts, stream.read_u8()).await;
+            ended.is_err() || connect(address).await.is_some()
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<TcpStream> {
+    let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
+    let connected = timeout(limit, TcpStream::connect(address)).await;
+    connected.ok()?.ok()
+}
--- a/crates/node/tests/path/backend.rs
+++ b/crates/node/tests/path/backend.rs
@@ -1,6 +1,9 @@
 //! A backend server that behaves as the path of a request says.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -27,9 +30,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, seen) = mpsc::unbounded_channel();
+        let dying = Arc::new(AtomicBool::new(false));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, sender.clone()));
+                // Of a process that dies, the listener may outlive a connection.
+                if dying.load(Ordering::SeqCst) {
+                    return;
+                }
+                tokio::spawn(serve(stream, sender.clone(), Arc::clone(&dying)));
             }
         });
         Self { address, seen }
@@ -44,7 +52,7 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, seen: mpsc::UnboundedSender<Seen>) {
+async fn serve(mut stream: TcpStream, seen: mpsc::UnboundedSender<Seen>, dying: Arc<AtomicBool>) {
     while let Some(request) = read_request(&mut stream).await {
         let path = request.split(' ').nth(1).unwrap().to_owned();
         let _ = seen.send(Seen::Request(request));
@@ -55,6 +63,10 @@
                 let _ = seen.send(Seen::HungUp);
                 return;
             }
+            "die" => {
+                dying.store(true, Ordering::SeqCst);
+                return;
+            }
             "cut" => {
                 let half = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf";
                 stream.write_all(half).await.unwrap();
--- a/crates/node/tests/path/control.rs
+++ b/crates/node/tests/path/control.rs
@@ -8,6 +8,7 @@
 use futures::StreamExt;
 use model::declaration::Declaration;
 use model::exchange::ConfigUpdate;
+use model::exchange::CrashReport;
 use model::exchange::ExchangeReply;
 use model::exchange::ExchangeRequest;
 use model::exchange::LeaseGrant;
@@ -35,6 +36,7 @@
     pub(crate) declaration: Declaration,
     pub(crate) grants_leases: bool,
     pub(crate) exchanges: u64,
+    pub(crate) crashes: Vec<CrashReport>,
 }
 
 #[derive(Clone)]
@@ -49,6 +51,7 @@
                 declaration,
                 grants_leases: true,
                 exchanges: 0,
+                crashes: Vec::new(),
             })),
         };
         let served = control.clone();
@@ -69,6 +72,10 @@
         change(&mut self.state.lock().unwrap());
     }
 
+    pub(crate) fn crashes(&self) -> Vec<CrashReport> {
+        self.state.lock().unwrap().crashes.clone()
+    }
+
     pub(crate) fn exchanges(&self) -> u64 {
         self.state.lock().unwrap().exchanges
     }
@@ -98,6 +105,7 @@
     ) -> Result<ExchangeReply, ControlError> {
         let mut state = self.state.lock().unwrap();
         state.exchanges += 1;
+        state.crashes.extend(request.crashes.iter().cloned());
         let grants = request.demands.iter().map(|demand| TokenGrant {
             team: demand.team.clone(),
             sequence: demand.sequence,
--- a/crates/node/tests/path/main.rs
+++ b/crates/node/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod caller;
 mod control;
+mod crash;
 mod heads;
 mod lease;
 mod parents;
