Split the listener for callers and the own server's module by job

Refusals, tokens and outcomes of the one, slots and exchanges of the other now have files of their own.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -1,5 +1,9 @@
 //! The listener for callers and for the backend server's own calls.
 
+mod outcome;
+mod refusal;
+mod token;
+
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +14,6 @@
 use bytes::Bytes;
 use clock::Clock;
 use fleet::CallHead;
-use fleet::FailCause;
 use fleet::KeyOwner;
 use fleet::RequestMarks;
 use fleet::RouteEntry;
@@ -20,11 +23,9 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
-use http::Response;
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
@@ -35,16 +36,16 @@
 use model::context::CallRank;
 use model::door::RequestKind;
 use model::ids::ServiceName;
-use model::ids::TeamName;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
-use tracing::info;
 use tracing::warn;
 
-use crate::attempt::CarryOutcome;
 use crate::attempt::carry;
-use crate::fate::CallEnd;
+use crate::entry::outcome::log_outcome;
+use crate::entry::outcome::respond;
+use crate::entry::refusal::OwnAnswer;
+use crate::entry::refusal::OwnRefusal;
+use crate::entry::token::take_token;
 use crate::headers;
 use crate::own_server::ParentCall;
 use crate::state::ProxyState;
@@ -58,23 +59,11 @@
 /// Delays named to callers, in milliseconds.
 const NO_CONFIG_RETRY_MS: u64 = 500;
 const NO_MEMORY_RETRY_MS: u64 = 500;
-const NO_SHARE_RETRY_MS: u64 = 200;
-const OVER_QUOTA_RETRY_MS: u64 = 300;
-/// Longest time that a request waits for a token of its team, in milliseconds,
-/// and as a part of the time within which an answer is worth most.
-const TOKEN_WAIT_MS: u64 = 100;
-const TOKEN_WAIT_PART: f64 = 0.12;
-/// Part by which a delay is spread, so that callers do not come back together.
-const SPREAD_PART: f64 = 0.5;
-/// One in this many requests that went well is logged.
-const LOGGED_ONE_IN: usize = 128;
 /// Importance of the most important request, and of a call whose origin is not known.
 const IMPORTANCE_MAX: u8 = 250;
 /// Steps of importance between two orders of routes.
 const ROUTE_STEP: u8 = 16;
 
-type OwnAnswer = Response<Full<Bytes>>;
-
 /// Serves callers until the listener fails.
 pub(crate) async fn serve<C: Clock, D: WireDialect>(
     state: ProxyState<C, D>,
@@ -133,67 +122,6 @@
     Ok(response)
 }
 
-/// An answer of this node's own.
-struct OwnRefusal {
-    status: StatusCode,
-    reason: &'static str,
-    retry_after: Option<Duration>,
-    /// The team whose limit decided.
-    team: Option<TeamName>,
-    /// This node's part of the limit, in thousandths of a request per second.
-    share_milli: Option<u64>,
-}
-
-impl OwnRefusal {
-    const fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self {
-            status,
-            reason,
-            retry_after: None,
-            team: None,
-            share_milli: None,
-        }
-    }
-
-    /// Creates a refusal that names a delay, spread so that callers come back one by one.
-    fn later(status: StatusCode, reason: &'static str, delay: Duration) -> Self {
-        let spread = 1.0 + SPREAD_PART * rand::random::<f64>();
-        Self {
-            retry_after: Some(delay.mul_f64(spread)),
-            ..Self::new(status, reason)
-        }
-    }
-
-    fn respond<C: Clock, D: WireDialect>(
-        &self,
-        state: &ProxyState<C, D>,
-        attempt: Option<&str>,
-        started: Instant,
-    ) -> OwnAnswer {
-        state.metrics.count("refused", self.reason);
-        if state.may_log() {
-            let held = state.now().saturating_duration_since(started);
-            info!(
-                event = "request-refused",
-                request = attempt.unwrap_or("-"),
-                status = self.status.as_u16(),
-                reason = self.reason,
-                team = self.team.as_deref(),
-                share_milli = self.share_milli,
-                config = state.view().version(),
-                retry_after_ms = self.retry_after.map(|delay| delay.as_millis()),
-                held_ms = held.as_millis(),
-            );
-        }
-        let body = state.dialect.explanation(self.reason);
-        let mut answer = Response::new(Full::new(Bytes::from(body)));
-        *answer.status_mut() = self.status;
-        let dialect = &state.dialect;
-        dialect.mark_own_answer(answer.headers_mut(), attempt, self.retry_after);
-        answer
-    }
-}
-
 /// Checks a request, and carries it when it may enter.
 async fn admit<C: Clock, D: WireDialect>(
     state: &ProxyState<C, D>,
@@ -268,50 +196,6 @@
     respond(outcome)
 }
 
-/// Takes a token of the team's limit, from the leader if there is none here.
-async fn take_token<C: Clock, D: WireDialect>(
-    state: &ProxyState<C, D>,
-    route: &RouteEntry,
-    team: &TeamEntry,
-) -> Result<(), OwnRefusal> {
-    let now = state.now();
-    let waiter = {
-        let mut quota = state.quota();
-        if quota.take(&team.name, now) {
-            return Ok(());
-        }
-        if !quota.is_granted() {
-            return Err(no_token("no-share", team));
-        }
-        state.desk().wait(&team.name, now)
-    };
-    let Some(waiter) = waiter else {
-        return Err(over_quota(state, team));
-    };
-    state.ask_now.notify_one();
-    let limit = Duration::from_millis(TOKEN_WAIT_MS).min(route.aim.mul_f64(TOKEN_WAIT_PART));
-    match timeout(limit, waiter).await {
-        Ok(Ok(true)) => Ok(()),
-        Ok(Ok(false)) => Err(over_quota(state, team)),
-        Ok(Err(_)) | Err(_) => Err(no_token("no-token", team)),
-    }
-}
-
-fn over_quota<C: Clock, D: WireDialect>(state: &ProxyState<C, D>, team: &TeamEntry) -> OwnRefusal {
-    let delay = Duration::from_millis(OVER_QUOTA_RETRY_MS);
-    let mut refusal = OwnRefusal::later(StatusCode::TOO_MANY_REQUESTS, "over-quota", delay);
-    refusal.team = Some(team.name.clone());
-    refusal.share_milli = Some(state.quota().share_milli(&team.name));
-    refusal
-}
-
-fn no_token(reason: &'static str, team: &TeamEntry) -> OwnRefusal {
-    let delay = Duration::from_millis(NO_SHARE_RETRY_MS);
-    let mut refusal = OwnRefusal::later(StatusCode::SERVICE_UNAVAILABLE, reason, delay);
-    refusal.team = Some(team.name.clone());
-    refusal
-}
-
 /// Finds the run that made a call of the backend server, and counts the call for it.
 fn find_parent<C: Clock, D: WireDialect>(
     state: &ProxyState<C, D>,
@@ -428,72 +312,3 @@
         Err(_) => Err(OwnRefusal::new(StatusCode::BAD_REQUEST, "body-broken")),
     }
 }
-
-fn respond(outcome: CarryOutcome) -> Result<OwnAnswer, OwnRefusal> {
-    let may_have_run = outcome.fate.may_have_run;
-    match outcome.end {
-        CallEnd::Answered { head, body } => {
-            let mut answer = Response::new(Full::new(body));
-            let status = StatusCode::from_u16(head.status);
-            *answer.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
-            *answer.headers_mut() = headers::rebuilt(&head.headers);
-            Ok(answer)
-        }
-        // An earlier attempt may have run, so nothing may be promised any more.
-        CallEnd::Refused { .. } if may_have_run => {
-            Err(OwnRefusal::new(StatusCode::BAD_GATEWAY, "may-have-run"))
-        }
-        CallEnd::Refused { retry_after, .. } => {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            Err(OwnRefusal::later(status, "not-run", retry_after))
-        }
-        CallEnd::Failed {
-            cause: FailCause::Timeout,
-        } => Err(OwnRefusal::new(StatusCode::GATEWAY_TIMEOUT, "timeout")),
-        CallEnd::Failed { .. } => Err(OwnRefusal::new(StatusCode::BAD_GATEWAY, "may-have-run")),
-    }
-}
-
-fn log_outcome<C: Clock, D: WireDialect>(
-    state: &ProxyState<C, D>,
-    attempt: &str,
-    route: &RouteEntry,
-    outcome: &CarryOutcome,
-    table: &RouteTable,
-    started: Instant,
-) {
-    let held = state.now().saturating_duration_since(started);
-    let held_ms = held.as_millis();
-    state.metrics.observe("request", held);
-    if let CallEnd::Answered { head, .. } = &outcome.end {
-        state
-            .metrics
-            .count("answered", if head.status < 500 { "ok" } else { "failed" });
-    }
-    let (what, cause) = match &outcome.end {
-        CallEnd::Answered { head, .. } if head.status < 500 => {
-            if !state.is_sampled(LOGGED_ONE_IN) {
-                return;
-            }
-            ("answered", head.status.to_string())
-        }
-        CallEnd::Answered { head, .. } => ("server-failed", head.status.to_string()),
-        CallEnd::Refused { cause, .. } => ("not-run", cause.to_string()),
-        CallEnd::Failed { cause } => ("may-have-run", cause.to_string()),
-    };
-    if !state.may_log() {
-        return;
-    }
-    info!(
-        event = "request-ended",
-        request = attempt,
-        route = %route.name,
-        outcome = what,
-        cause,
-        arrivals = outcome.fate.arrivals,
-        refusals = outcome.fate.refusals,
-        node = outcome.node,
-        config = table.version(),
-        held_ms,
-    );
-}
--- a/crates/proxy/src/own_server.rs
+++ b/crates/proxy/src/own_server.rs
@@ -1,5 +1,8 @@
 //! The backend server beside this node: what it announced, its slots, and calls to it.
 
+mod exchange;
+mod slots;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,12 +13,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use admit::SlotChanges;
-use admit::SlotDecision;
 use admit::SlotGate;
 use bytes::Bytes;
 use clock::Clock;
-use fleet::AnswerHead;
 use fleet::CallHead;
 use fleet::FailCause;
 use fleet::NodeRecord;
@@ -24,13 +24,6 @@
 use fleet::ServerName;
 use fleet::ServerPhase;
 use fleet::WireDialect;
-use http::Request;
-use http::Response;
-use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::body::Incoming;
 use model::context::CallRank;
 use model::context::ServerLoad;
 use model::ids::RouteName;
@@ -39,15 +32,11 @@
 use tokio::time::timeout;
 
 use crate::fate::CallEnd;
-use crate::headers;
+use crate::own_server::slots::SlotOutcome;
 use crate::pool::LinkPool;
-use crate::pool::SendFault;
-use crate::pool::ServerLink;
 use crate::state::ProxyState;
 use crate::state::lock;
 
-/// Largest answer, in bytes.
-const ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// Part of the time to drain for which calls that are still on their way are taken.
 const DRAIN_PART: f64 = 0.6;
 /// Difference of the deadlines of a call and of the one that made it, at the most, in milliseconds.
@@ -55,9 +44,6 @@
 /// Delay named when there is no backend server to wait for.
 const ABSENT_RETRY: Duration = Duration::from_millis(300);
 
-/// Outcome of waiting for a slot.
-type SlotOutcome = Result<SlotPermit, Duration>;
-
 #[derive(Debug, Default)]
 struct ServerState {
     announced: Option<ServerAnnouncement>,
@@ -287,140 +273,6 @@
         }
         Ok(announced)
     }
-
-    async fn slot(&self, head: &CallHead, now: Instant) -> SlotOutcome {
-        let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let waiter = {
-            let mut state = lock(&self.state);
-            match state.gate.offer(id, head.rank, head.time_left, now) {
-                SlotDecision::Run => return Ok(self.permit()),
-                SlotDecision::Refuse { retry_after } => return Err(retry_after),
-                SlotDecision::Wait => {
-                    let (sender, waiter) = oneshot::channel();
-                    state.waiting.insert(id, sender);
-                    waiter
-                }
-            }
-        };
-        let place = QueuePlace { server: self, id };
-        let outcome = waiter.await;
-        drop(place);
-        outcome.unwrap_or(Err(ABSENT_RETRY))
-    }
-
-    fn permit(&self) -> SlotPermit {
-        SlotPermit {
-            server: self.clone(),
-            is_open: true,
-        }
-    }
-
-    fn settle(&self, changes: SlotChanges) {
-        let mut outcomes: Vec<(u64, SlotOutcome)> = Vec::new();
-        for id in changes.started {
-            outcomes.push((id, Ok(self.permit())));
-        }
-        for (id, retry_after) in changes.refused {
-            outcomes.push((id, Err(retry_after)));
-        }
-        for (id, outcome) in outcomes {
-            let waiter = lock(&self.state).waiting.remove(&id);
-            // A permit that nobody waits for is given back when it is dropped.
-            if let Some(waiter) = waiter {
-                let _ = waiter.send(outcome);
-            }
-        }
-    }
-
-    /// Sends the call and reads its answer.
-    async fn exchange<C: Clock, D: WireDialect>(
-        &self,
-        proxy: &ProxyState<C, D>,
-        head: &CallHead,
-        body: Bytes,
-        server: &ServerAnnouncement,
-        left: Duration,
-    ) -> CallEnd {
-        let Some(request) = request(proxy, head, body, &server.server, left) else {
-            return CallEnd::Refused {
-                cause: RefuseCause::NoServer,
-                retry_after: ABSENT_RETRY,
-            };
-        };
-        let address = proxy.settings.server;
-        match self.pool.send(address, request).await {
-            Ok((response, link)) => self.read(proxy, head, response, link).await,
-            Err(SendFault::NotSent) => CallEnd::Refused {
-                cause: RefuseCause::ConnectFailed,
-                retry_after: ABSENT_RETRY,
-            },
-            Err(SendFault::Lost(error)) => {
-                tracing::debug!(event = "server-lost", attempt = %head.attempt, %error);
-                let cause = if error.is_parse() {
-                    FailCause::BadAnswer
-                } else {
-                    FailCause::ConnectionLost
-                };
-                CallEnd::Failed { cause }
-            }
-        }
-    }
-
-    async fn read<C: Clock, D: WireDialect>(
-        &self,
-        proxy: &ProxyState<C, D>,
-        head: &CallHead,
-        response: Response<Incoming>,
-        link: ServerLink,
-    ) -> CallEnd {
-        let (parts, body) = response.into_parts();
-        let marks = proxy.dialect.answer_marks(&parts.headers);
-        let refused = marks.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST;
-        let belongs = match &marks.attempt {
-            Some(attempt) => *attempt == head.attempt,
-            None => refused,
-        };
-        if !belongs || parts.headers.contains_key(http::header::CONTENT_ENCODING) {
-            tracing::debug!(event = "foreign-answer", attempt = %head.attempt);
-            return CallEnd::Failed {
-                cause: FailCause::BadAnswer,
-            };
-        }
-        let collected = Limited::new(body, ANSWER_BYTES).collect().await;
-        if refused {
-            if collected.is_ok() {
-                self.pool.put_back(link);
-            }
-            let cause = if parts.status == StatusCode::MISDIRECTED_REQUEST {
-                RefuseCause::NoServer
-            } else {
-                RefuseCause::ServerRefused
-            };
-            return CallEnd::Refused {
-                cause,
-                retry_after: ABSENT_RETRY,
-            };
-        }
-        match collected {
-            Ok(body) => {
-                self.pool.put_back(link);
-                let head = AnswerHead {
-                    status: parts.status.as_u16(),
-                    headers: headers::returned(&parts.headers),
-                };
-                CallEnd::Answered {
-                    head,
-                    body: body.to_bytes(),
-                }
-            }
-            Err(error) => {
-                tracing::debug!(event = "answer-broken", attempt = %head.attempt, %error);
-                CallEnd::Failed {
-                    cause: FailCause::BadAnswer,
-                }
-            }
-        }
-    }
 }
 
 fn known_differs(known: Option<&ServerAnnouncement>, news: &ServerAnnouncement) -> bool {
@@ -432,24 +284,6 @@
     })
 }
 
-fn request<C: Clock, D: WireDialect>(
-    proxy: &ProxyState<C, D>,
-    head: &CallHead,
-    body: Bytes,
-    server: &ServerName,
-    left: Duration,
-) -> Option<Request<Full<Bytes>>> {
-    let mut request = Request::builder()
-        .method(head.method.as_str())
-        .uri(head.path.as_str())
-        .body(Full::new(body))
-        .ok()?;
-    let mut map = headers::rebuilt(&head.headers);
-    proxy.dialect.mark_call(&mut map, head, Some(server), left);
-    *request.headers_mut() = map;
-    Some(request)
-}
-
 /// A call that counts as running until this is dropped.
 struct RunningCall {
     server: OwnServer,
@@ -461,47 +295,3 @@
         lock(&self.server.state).running.remove(&self.key);
     }
 }
-
-/// A call's place in the queue, which is given up when this is dropped.
-struct QueuePlace<'a> {
-    server: &'a OwnServer,
-    id: u64,
-}
-
-impl Drop for QueuePlace<'_> {
-    fn drop(&mut self) {
-        let mut state = lock(&self.server.state);
-        if state.waiting.remove(&self.id).is_some() {
-            state.gate.forget(self.id);
-        }
-    }
-}
-
-/// The right to run one call; it is given back when this is dropped.
-#[derive(Debug)]
-pub(crate) struct SlotPermit {
-    server: OwnServer,
-    is_open: bool,
-}
-
-impl SlotPermit {
-    /// Gives the slot back; `service` is the time in the backend server of a completed call.
-    fn finish(mut self, service: Option<Duration>, now: Instant) {
-        self.release(service, now);
-    }
-
-    fn release(&mut self, service: Option<Duration>, now: Instant) {
-        if !std::mem::replace(&mut self.is_open, false) {
-            return;
-        }
-        let changes = lock(&self.server.state).gate.finish(service, now);
-        self.server.settle(changes);
-    }
-}
-
-impl Drop for SlotPermit {
-    fn drop(&mut self) {
-        // A call that was cut off says nothing of service times, so any time will do here.
-        self.release(None, Instant::now());
-    }
-}
