--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -1,6 +1,7 @@
 //! The listener for operators, who send and read the configuration.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -141,7 +142,7 @@
         if status.duty != MemberDuty::Leader {
             let other = status.leader.filter(|leader| *leader != status.instance);
             return match other {
-                Some(leader) => self.redirect(instance_ip(leader), path),
+                Some(leader) => self.redirect(version, instance_ip(leader), path),
                 None => self.unavailable(version, "no leader"),
             };
         }
@@ -182,8 +183,9 @@
         }
     }
 
-    fn redirect(&self, leader: std::net::IpAddr, path: &str) -> OwnAnswer {
+    fn redirect(&self, version: u64, leader: IpAddr, path: &str) -> OwnAnswer {
         let address = SocketAddr::new(leader, self.state.settings.operators.port());
+        info!(event = "config-redirected", version, leader = %address);
         let mut answer = self.explain(StatusCode::TEMPORARY_REDIRECT, "another instance leads");
         if let Ok(location) = HeaderValue::from_str(&format!("http://{address}{path}")) {
             answer.headers_mut().insert(header::LOCATION, location);
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -7,10 +7,8 @@
 use fleet::ControlReply;
 use fleet::GroupMessage;
 use fleet::NodeReport;
-use fleet::TeamEntry;
 use fleet::TeamShare;
 use fleet::TeamTokens;
-use limit::TeamLimit;
 use link::LinkReceiver;
 use link::LinkSender;
 use model::door::WorkPlace;
@@ -24,9 +22,6 @@
 
 use crate::state::GroupState;
 
-/// Thousandths in one request.
-const MILLI: u64 = 1000;
-
 /// Serves links until the listener fails.
 pub(crate) async fn serve<C: Clock>(state: GroupState<C>, listener: TcpListener) {
     loop {
@@ -157,19 +152,10 @@
     /// Takes the report into the leader's book; returns whether other nodes must be told.
     fn book_report(&self, report: NodeReport) -> bool {
         let now = self.state.clock.now();
-        let limits = self.state.current().map(|change| {
-            let version = change.config.version;
-            let teams = change.config.teams.into_iter();
-            let limits = teams
-                .filter(|team| team.rate_per_s > 0)
-                .map(|team| (team.name.clone(), limit_of(&team)));
-            (version, limits.collect::<Vec<_>>())
-        });
+        let version = self.state.version();
         let changed = self.state.with_book(|book| {
-            if let Some((version, limits)) = limits
-                && book.declared != version
-            {
-                book.shares.declare(&limits, now);
+            if book.declared != version {
+                book.shares.declare(&self.state.limits(), now);
                 book.declared = version;
             }
             let node = report.record.node;
@@ -276,10 +262,3 @@
         self.sender.send(&GroupMessage::Reply(Box::new(reply)));
     }
 }
-
-fn limit_of(team: &TeamEntry) -> TeamLimit {
-    TeamLimit {
-        rate_milli: u64::from(team.rate_per_s) * MILLI,
-        burst_milli: u64::from(team.burst) * MILLI,
-    }
-}
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -13,13 +13,16 @@
 use fleet::ConfigChange;
 use fleet::ConfigStore;
 use fleet::NodeRoster;
+use fleet::TeamEntry;
 use fleet::TeamTokens;
 use limit::ShareBook;
+use limit::TeamLimit;
 use metrics::MetricBook;
 use model::door::DoorShare;
 use model::ids::ConfigVersion;
 use model::ids::InstanceId;
 use model::ids::NodeId;
+use model::ids::TeamName;
 use quorum::MemberDuty;
 use replica::ReplicaHandle;
 use replica::ReplicaStatus;
@@ -33,6 +36,8 @@
 use crate::registry::NodeRegistry;
 use crate::repair::RepairPolicy;
 
+/// Thousandths in one request.
+const MILLI: u64 = 1000;
 /// Time to confirm the leader for a read or a lease, in milliseconds.
 const CONFIRM_MS: u64 = 900;
 
@@ -191,6 +196,16 @@
         self.replica()?.read(|store| store.current().cloned())
     }
 
+    /// Returns the limits of the teams that have one, as far as applied here.
+    pub(crate) fn limits(&self) -> Vec<(TeamName, TeamLimit)> {
+        let current = self.current();
+        let teams = current.into_iter().flat_map(|change| change.config.teams);
+        teams
+            .filter(|team| team.rate_per_s > 0)
+            .map(|team| (team.name.clone(), limit_of(&team)))
+            .collect()
+    }
+
     /// Returns the nodes that may hold parts of limits, as far as applied here.
     pub(crate) fn roster(&self) -> NodeRoster {
         let replica = self.replica();
@@ -256,6 +271,13 @@
     }
 }
 
+fn limit_of(team: &TeamEntry) -> TeamLimit {
+    TeamLimit {
+        rate_milli: u64::from(team.rate_per_s) * MILLI,
+        burst_milli: u64::from(team.burst) * MILLI,
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
