Prefer near servers while they have room, and name a second where no leader lends

Now near members count for more (0.2 and 0.45 of the slots), and from 0.85 of the slots in use the reluctance grows five times as fast.

The test of the placement failed before.

--- a/crates/proxy/src/entry/token.rs
+++ b/crates/proxy/src/entry/token.rs
@@ -12,8 +12,10 @@
 use crate::entry::refusal::OwnRefusal;
 use crate::state::ProxyState;
 
-/// Delays named to callers, in milliseconds.
-const NO_TOKEN_RETRY_MS: u64 = 200;
+/// Delay named when no leader lends, in milliseconds: an election and the way to the new
+/// leader take about a second, and who comes back before is refused again.
+const NO_TOKEN_RETRY_MS: u64 = 700;
+/// Delay named to callers of a team at its limit, in milliseconds.
 const OVER_QUOTA_RETRY_MS: u64 = 300;
 /// Longest time that a request waits for a token of its team, in milliseconds,
 /// and as a part of the time within which an answer is worth most.
--- a/crates/route/src/spread.rs
+++ b/crates/route/src/spread.rs
@@ -9,9 +9,13 @@
 /// Members that are compared for one call, at the most.
 const COMPARED: usize = 4;
 /// Load added to members in other data centres, as a part of their slots.
-const REMOTE_LOAD: f64 = 0.25;
+const REMOTE_LOAD: f64 = 0.45;
 /// Load added to members on other instances, as a part of their slots.
-const AWAY_LOAD: f64 = 0.05;
+const AWAY_LOAD: f64 = 0.2;
+/// Part of the slots in use from which a call may have to wait, and how much faster than
+/// the load the reluctance to choose such a member grows.
+const CROWDED_FROM: f64 = 0.85;
+const CROWDED_SLOPE: f64 = 4.0;
 /// Time after which a load report has lost half of its weight, in milliseconds.
 const REPORT_HALF_MS: f64 = 150.0;
 /// Failures in a row after which a member is passed over.
@@ -86,6 +90,9 @@
     }
 
     /// Returns the load as a part of the slots; own calls count at once, reports fade.
+    ///
+    /// A near member is worth a longer way only while it has room: waiting there
+    /// costs more than the way to one that has some.
     fn load(&self, now: Instant) -> f64 {
         let age_ms = now
             .saturating_duration_since(self.reported_at)
@@ -103,7 +110,9 @@
             (false, true) => AWAY_LOAD,
             (false, false) => REMOTE_LOAD,
         };
-        calls * cold / f64::from(self.slots.max(1)) + remote
+        let load = calls * cold / f64::from(self.slots.max(1));
+        let crowded = CROWDED_SLOPE * (load - CROWDED_FROM).max(0.0);
+        load + crowded + remote
     }
 }
 
--- a/crates/route/tests/spread.rs
+++ b/crates/route/tests/spread.rs
@@ -86,6 +86,30 @@
     }
     assert_eq!(picker.pick(&[2], 0, now), Some(1));
     let later = now + Duration::from_millis(250);
-    let picked: Vec<_> = (0..20).map(|seed| picker.pick(&[], seed, later)).collect();
-    assert!(picked.contains(&Some(1)), "{picked:?}");
+    let chosen: Vec<_> = (0..20).map(|seed| picker.pick(&[], seed, later)).collect();
+    assert!(chosen.contains(&Some(1)), "{chosen:?}");
+}
+
+/// Load pattern: the service is scarce, and the own data centre's server is the first to fill up.
+#[test]
+fn a_full_near_member_is_no_reason_to_wait_while_a_far_one_has_room() {
+    let now = Instant::now();
+    let report = |in_flight| ServerLoad {
+        in_flight,
+        queued: 0,
+        limit: 100,
+    };
+    let chosen = |near: u32, far: u32| {
+        let mut picker = picker(now, 2);
+        picker.members_mut()[1].local = false;
+        for (node, in_flight) in [(1, near), (2, far)] {
+            picker.members_mut()[usize::try_from(node).unwrap() - 1].slots = 100;
+            picker.pick(&[3 - node], 0, now);
+            picker.learn(node, SendResult::Answered, Some(report(in_flight)), now);
+        }
+        picker.pick(&[], 0, now).unwrap()
+    };
+    assert_eq!(chosen(70, 55), 1);
+    assert_eq!(chosen(102, 85), 2);
+    assert_eq!(chosen(98, 97), 1);
 }
