Credit the leader's tokens for the parts that were out, not for those that are

Cause, found on reading: a report may lower a node's part, and what was saved up since the last look was then counted at the new, higher free rate; a node whose report came late was paid back for a time in which it still used its part. Each change of parts is now preceded by the count.

The test failed before.

--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -171,7 +171,7 @@
             book.door.report(node, place, &report.work, now);
             let effect = book.registry.report(report.record, now);
             if let Some(ended) = effect.replaced {
-                book.shares.forget(ended);
+                book.shares.forget(ended, now);
             }
             effect.changed
         });
--- a/crates/limit/src/shares.rs
+++ b/crates/limit/src/shares.rs
@@ -49,12 +49,12 @@
 ///
 /// Load pattern: a small team's callers are spread over many nodes, where each
 /// part would be less than a request; callers move between nodes; one team
-/// sends many times its usual; the leader is away for seconds. A node has its demand as
-/// its own rate as long as all of them fit into a part of the limit, and draws single
-/// tokens from the rest. A part
-/// is raised only by what others are known to go without, so parts and tokens
-/// never add up to more than the rate; the part of a node that went silent
-/// stays taken until its lease has run out.
+/// sends many times its usual; the leader is away for seconds. A node has its
+/// demand as its own rate as long as all of them fit into a part of the limit,
+/// and draws single tokens from the rest. A part is raised only by what others
+/// are known to go without, so parts and tokens never add up to more than the
+/// rate; the part of a node that went silent stays taken until its lease has
+/// run out.
 #[derive(Clone, Debug)]
 pub struct ShareBook {
     lease: Duration,
@@ -110,6 +110,7 @@
         let Some(shares) = self.teams.get_mut(team) else {
             return;
         };
+        shares.refill(now);
         let asked = f64::from(asked_per_s);
         let share = shares.nodes.entry(node).or_insert(NodeShare {
             asked_per_s: asked,
@@ -126,8 +127,9 @@
     }
 
     /// Forgets a node that has ended, so that its parts are free.
-    pub fn forget(&mut self, node: NodeId) {
+    pub fn forget(&mut self, node: NodeId, now: Instant) {
         for shares in self.teams.values_mut() {
+            shares.refill(now);
             shares.nodes.remove(&node);
         }
     }
@@ -139,7 +141,6 @@
         let lease = self.lease;
         let mut granted = Vec::new();
         for (team, shares) in &mut self.teams {
-            // What was saved up until now goes by the parts that were out until now.
             shares.refill(now);
             shares
                 .nodes
@@ -223,6 +224,9 @@
         drawn
     }
 
+    /// Saves up what the parts left free since the last call of this.
+    ///
+    /// Must be called before any of the parts or the rate changes.
     fn refill(&mut self, now: Instant) {
         let free_milli = self.rate_milli.saturating_sub(self.out_milli());
         let rate_per_s = free_milli as f64 / MILLI as f64;
--- a/crates/limit/tests/shares.rs
+++ b/crates/limit/tests/shares.rs
@@ -127,6 +127,31 @@
     assert!(u64::from(drawn) * 1000 > bound_milli() - held, "{drawn}");
 }
 
+/// Load pattern: callers leave a node whose next report comes late.
+#[test]
+fn a_part_that_was_out_is_not_lent_for_the_time_until_the_report_that_gave_it_back() {
+    let start = Instant::now();
+    let (mut book, team) = book(start);
+    let half_second = Duration::from_millis(500);
+    book.report(1, &team, 600, 0, start);
+    let held = book.grant(1, true, start)[0].1;
+    let mut now = start;
+    let mut lower = held;
+    // The demand falls until the leader grants less than it had.
+    while lower == held {
+        now += half_second;
+        book.report(1, &team, 0, held, now);
+        lower = book.grant(1, true, now)[0].1;
+    }
+    while book.draw(&team, 1000, now) > 0 {}
+    now += half_second;
+    book.report(1, &team, 0, lower, now);
+    book.grant(1, true, now);
+    // Less than one token may have been left over from before.
+    let drawn = book.draw(&team, 1000, now) - 1;
+    assert!(u64::from(drawn) * 2000 <= bound_milli() - held, "{drawn}");
+}
+
 /// Load pattern: a small team whose callers are spread over so many nodes that
 /// each one's part of the limit is far below a request.
 #[test]
