--- a/crates/admit/src/slots.rs
+++ b/crates/admit/src/slots.rs
@@ -170,17 +170,6 @@
         changes
     }
 
-    /// Refuses everything that waits, as when the backend server leaves.
-    pub fn refuse_all(&mut self) -> SlotChanges {
-        let retry_after = Duration::from_millis(RETRY_MIN_MS);
-        let waiting = std::mem::take(&mut self.queue);
-        let refused = waiting.into_values().map(|call| (call.id, retry_after));
-        SlotChanges {
-            started: Vec::new(),
-            refused: refused.collect(),
-        }
-    }
-
     /// Returns the load to report.
     #[must_use]
     pub fn load(&self) -> ServerLoad {
@@ -191,12 +180,6 @@
         }
     }
 
-    /// Returns the mean time that calls spend in the backend server.
-    #[must_use]
-    pub fn service_time(&self) -> Duration {
-        Duration::from_secs_f64(self.service_s)
-    }
-
     /// Returns how long the call at a place in the queue waits, counted from 1.
     fn expected_wait(&self, place: usize) -> Duration {
         let turn_s = self.service_s / f64::from(self.slots);
