Kill the whole group in the soak, and say why a request was cut

In about 3 of 10 seeds all control instances are killed within 0.4 s of a change. The line of a seed now tells cuts by a kill or a freeze, cuts of requests that crossed the node's close, cuts with the excuse of the last sixth of the grace period, and losses apart.

--- a/crates/daemon/tests/soak/checks.rs
+++ b/crates/daemon/tests/soak/checks.rs
@@ -30,6 +30,19 @@
 /// Statuses that say that a request has not run and never will.
 const REFUSALS: [u16; 4] = [408, 421, 429, 503];
 
+/// What a request that ended with its connection has to do with the promise not to lose it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CutKind {
+    /// The node was killed or frozen.
+    Disturbed,
+    /// The node closed the connection before it read the request whole, and nothing ran.
+    Crossed,
+    /// A backend server was still at work at the end of the grace period, on a request that was
+    /// sent early.
+    Excused,
+    Lost,
+}
+
 /// The records of a soak, by request and by process.
 #[derive(Debug)]
 pub(crate) struct PromiseChecker {
@@ -72,7 +85,7 @@
         for request in &self.requests {
             let outcome = match &request.outcome {
                 RequestOutcome::Answered { status, .. } => status.to_string(),
-                RequestOutcome::Cut { .. } => "cut".to_owned(),
+                RequestOutcome::Cut { .. } => format!("cut {:?}", self.cut_kind(request)),
                 RequestOutcome::Silent => "silent".to_owned(),
             };
             *counts.entry(outcome).or_default() += 1;
@@ -98,7 +111,9 @@
             {
                 Some("REFUSED")
             }
-            RequestOutcome::Cut { .. } if self.is_lost(request) => Some("LOST"),
+            RequestOutcome::Cut { .. } => {
+                (self.cut_kind(request) == CutKind::Lost).then_some("LOST")
+            }
             RequestOutcome::Answered {
                 is_stamped: false, ..
             } if self.is_replaced(request) => Some("LOST (answered by the node)"),
@@ -106,12 +121,19 @@
         }
     }
 
-    /// Returns whether a request that was cut had been read whole, with no excuse.
-    fn is_lost(&self, request: &RequestRecord) -> bool {
+    /// Returns what a cut request has to do with the promise not to lose it.
+    fn cut_kind(&self, request: &RequestRecord) -> CutKind {
         let slack = LOSS_SLACK + self.stall(request);
         let was_read = !self.runs(request).is_empty() || request.ended - request.sent > slack;
-        let entry = ProcessName::Node(request.node);
-        was_read && !self.is_disturbed(entry, request) && !self.is_excused(request)
+        if self.is_disturbed(ProcessName::Node(request.node), request) {
+            CutKind::Disturbed
+        } else if !was_read {
+            CutKind::Crossed
+        } else if self.is_excused(request) {
+            CutKind::Excused
+        } else {
+            CutKind::Lost
+        }
     }
 
     /// Returns whether a node in its stop broke off a request that a backend server worked on.
--- a/crates/daemon/tests/soak/driver.rs
+++ b/crates/daemon/tests/soak/driver.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::deployment::CONTROL_COUNT;
 use crate::deployment::GRACE;
 use crate::deployment::SoakDeployment;
 use crate::history::ProcessEvent;
@@ -115,6 +116,11 @@
                     self.signal(process, ProcessEvent::Thawed);
                 }
             }
+            SoakAction::KillGroup => {
+                for number in 0..CONTROL_COUNT {
+                    self.signal(ProcessName::Control(number), ProcessEvent::Killed);
+                }
+            }
             SoakAction::Start(process) => self.deployment.launch(process, false),
             SoakAction::Change(steps) => self.change(steps),
             SoakAction::SetMode(server, mode) => {
--- a/crates/daemon/tests/soak/schedule.rs
+++ b/crates/daemon/tests/soak/schedule.rs
@@ -29,6 +29,8 @@
     EndGrace(ProcessName),
     Freeze(ActionTarget, Duration),
     Thaw(ProcessName),
+    /// Kills all control instances.
+    KillGroup,
     Start(ProcessName),
     /// Sends changes on the same base, to these versions above it.
     Change(Vec<u64>),
@@ -56,6 +58,10 @@
             at += builder.random.millis(100, 1_800);
             builder.add_series(at);
         }
+        // Drawn last, so that what a seed has brought before stays.
+        if builder.random.chance(30) {
+            builder.add_group_kill();
+        }
         builder.actions
     }
 
@@ -145,6 +151,14 @@
         }
     }
 
+    /// Kills all control instances at once, soon after a change is sent.
+    fn add_group_kill(&mut self) {
+        let at = self.random.millis(2_000, 12_000);
+        self.add_changes(at);
+        let kill = at + self.random.millis(0, 400);
+        self.add(kill, SoakAction::KillGroup);
+    }
+
     fn add_changes(&mut self, at: Duration) {
         let step = self.random.between(1, 5);
         let mut steps = vec![step];
