Take a SIGTERM before a process handles signals for no fault in the soak

Cause: the check. The SIGTERM came right after a restart, before the process had installed its handlers, and ended it; its log has no line of that start, so it had bound no address and taken nothing. The check asked for exit status 0 of every stop. Now a process that dies of SIGTERM or SIGHUP passes if it has logged nothing in that start; every line is logged after the handlers are there, so a second SIGTERM that ends a process in its stop is still a fault. (A SIGHUP in that window would end a process too; it was not seen.)

--- a/crates/daemon/tests/soak/deployment.rs
+++ b/crates/daemon/tests/soak/deployment.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::fs::OpenOptions;
 use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -46,6 +47,8 @@
 #[derive(Debug)]
 pub(crate) struct SoakProcess {
     child: Option<Child>,
+    /// Size of its log when it was started.
+    log_size: u64,
     /// Set by SIGTERM, for this start.
     pub(crate) terminated: Option<Instant>,
     pub(crate) is_frozen: bool,
@@ -67,6 +70,7 @@
     pub(crate) fn start(random: &mut SeededRandom, history: Arc<SoakHistory>) -> Self {
         let absent = || SoakProcess {
             child: None,
+            log_size: 0,
             terminated: None,
             is_frozen: false,
         };
@@ -134,7 +138,8 @@
         let settings = self.settings(name, first_start);
         let path = self.directory.path().join(format!("{name}.toml"));
         fs::write(&path, settings).unwrap();
-        let log = self.directory.path().join(format!("{name}.log"));
+        let log = self.log(name);
+        let log_size = self.log_size(name);
         let log = OpenOptions::new()
             .create(true)
             .append(true)
@@ -149,6 +154,7 @@
             .unwrap();
         *self.process(name) = SoakProcess {
             child: Some(child),
+            log_size,
             terminated: None,
             is_frozen: false,
         };
@@ -193,6 +199,14 @@
         }
     }
 
+    fn log(&self, name: ProcessName) -> PathBuf {
+        self.directory.path().join(format!("{name}.log"))
+    }
+
+    fn log_size(&self, name: ProcessName) -> u64 {
+        fs::metadata(self.log(name)).map_or(0, |log| log.len())
+    }
+
     /// Records an event and sends the signal that goes with it, if the process is there.
     pub(crate) fn signal(&mut self, name: ProcessName, event: ProcessEvent) {
         let signal = match event {
@@ -241,10 +255,14 @@
             let Some(status) = child.try_wait().unwrap() else {
                 continue;
             };
-            let was_asked = process.terminated.is_some();
+            let was_asked = process.terminated.is_some() && status.success();
+            let log_size = process.log_size;
             process.child = None;
             self.history.record(name, ProcessEvent::Exited);
-            if !(was_asked && status.success()) {
+            // Before a process handles signals, which it does before it logs, they end it.
+            let ends = [Signal::TERM, Signal::HUP].map(|signal| Some(signal.as_raw()));
+            let was_early = ends.contains(&status.signal()) && self.log_size(name) == log_size;
+            if !(was_asked || was_early) {
                 let fault = format!("ENDED: {name} ended by itself or failed: {status}");
                 self.history.faults().push(fault);
             }
