Believe a refusal without id on a new connection only

Callers of unsafe requests were told 503 ("not run, try again") for requests that a backend server ran, or such a request ran a second time at another server. Cause: `read_response` took the not-executed marker, or status 421, without a request id for a refusal of the request under way, and put the connection back. A faulty server that wrote an earlier refusal once more on the kept connection so refused a request that it was running.

A refusal without id now counts only on a connection that carried no earlier request, and that connection is not used again. One that bears the id still keeps its connection, so no further connections are opened for ordinary refusals. Everything else that bears no id is a bad answer, as before.

--- /dev/null
+++ b/crates/daemon/tests/servers/endless.rs
@@ -0,0 +1,1 @@
+//! Answers and requests without end.
--- /dev/null
+++ b/crates/daemon/tests/servers/main.rs
@@ -0,0 +1,8 @@
+//! Tests of daemon processes beside faulty backend servers and odd input, on loopback addresses.
+
+mod cluster;
+mod endless;
+mod http;
+mod odd_entries;
+mod raw_server;
+mod refusals;
--- /dev/null
+++ b/crates/daemon/tests/servers/odd_entries.rs
@@ -0,0 +1,1 @@
+//! Odd announcements.
--- a/crates/proxy/src/connection_pool.rs
+++ b/crates/proxy/src/connection_pool.rs
@@ -42,6 +42,15 @@
 #[derive(Debug)]
 pub(crate) struct ServerConnection {
     sender: SendRequest<RequestBody>,
+    is_reused: bool,
+}
+
+impl ServerConnection {
+    /// Returns whether the connection carried an earlier request, to which a response without an
+    /// id may belong.
+    pub(crate) const fn is_reused(&self) -> bool {
+        self.is_reused
+    }
 }
 
 #[derive(Debug)]
@@ -63,8 +72,9 @@
     }
 
     /// Returns a connection to the pool; its last response must have been read completely.
-    pub(crate) fn put_back(&self, connection: ServerConnection) {
+    pub(crate) fn put_back(&self, mut connection: ServerConnection) {
         let since = Instant::now();
+        connection.is_reused = true;
         let mut idle = self.lock();
         if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
             idle.push(IdleConnection { connection, since });
@@ -148,5 +158,8 @@
             tracing::debug!(event = "server-link-ended", %error);
         }
     });
-    Ok(ServerConnection { sender })
+    Ok(ServerConnection {
+        sender,
+        is_reused: false,
+    })
 }
--- a/crates/proxy/src/local_server/exchange.rs
+++ b/crates/proxy/src/local_server/exchange.rs
@@ -9,11 +9,13 @@
 use fleet::ProtocolAdapter;
 use fleet::RefusalReason;
 use fleet::ResponseHead;
+use fleet::ResponseMetadata;
 use fleet::ServerAnnouncement;
 use fleet::ServerName;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -76,20 +78,20 @@
     ) -> AttemptOutcome {
         let (parts, body) = response.into_parts();
         let metadata = proxy.adapter.response_metadata(&parts.headers);
-        let refused = metadata.not_executed || parts.status == StatusCode::MISDIRECTED_REQUEST;
-        let matches_attempt = match &metadata.attempt {
-            Some(attempt) => *attempt == head.attempt,
-            None => refused,
-        };
-        if !matches_attempt || parts.headers.contains_key(http::header::CONTENT_ENCODING) {
-            tracing::debug!(event = "foreign-answer", attempt = %head.attempt);
+        let claim = classify(&parts, &metadata, &head.attempt, connection.is_reused());
+        if claim == ResponseClaim::Foreign {
+            if proxy.may_log_request() {
+                let status = parts.status.as_u16();
+                tracing::info!(event = "foreign-answer", request = %head.attempt, status,
+                    id = metadata.attempt.as_deref().unwrap_or("-"));
+            }
             return AttemptOutcome::Failed {
                 cause: FailureReason::BadResponse,
             };
         }
         let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        if refused {
-            if collected.is_ok() {
+        if claim == ResponseClaim::Refusal {
+            if collected.is_ok() && metadata.attempt.is_some() {
                 self.pool.put_back(connection);
             }
             let cause = if parts.status == StatusCode::MISDIRECTED_REQUEST {
@@ -124,6 +126,41 @@
     }
 }
 
+/// What a response says of the request to which it came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResponseClaim {
+    /// The backend server ran the request.
+    Answer,
+    /// The backend server did not run the request and never will.
+    Refusal,
+    /// Nothing: the response belongs to another request.
+    Foreign,
+}
+
+/// Tells what a response says of the request `attempt`.
+///
+/// A refusal without an id counts only on a new connection: on one that `is_reused` it may be that
+/// of an earlier request, written once more, while the backend server runs this one.
+fn classify(
+    parts: &Parts,
+    metadata: &ResponseMetadata,
+    attempt: &str,
+    is_reused: bool,
+) -> ResponseClaim {
+    let refuses = metadata.not_executed || parts.status == StatusCode::MISDIRECTED_REQUEST;
+    let matches_attempt = match &metadata.attempt {
+        Some(answered) => answered == attempt,
+        None => refuses && !is_reused,
+    };
+    if !matches_attempt || parts.headers.contains_key(http::header::CONTENT_ENCODING) {
+        ResponseClaim::Foreign
+    } else if refuses {
+        ResponseClaim::Refusal
+    } else {
+        ResponseClaim::Answer
+    }
+}
+
 fn build_request<C: Clock, A: ProtocolAdapter>(
     proxy: &ProxyState<C, A>,
     head: &CallHead,
