Take an answer that switches protocols for a bad answer

Callers got status 101 from a faulty backend server, and whatever else was on that connection was cut. Cause: hyper hands status 101 on as the final answer, and only the id was checked. Informational statuses other than 101 never get so far, since hyper skips them. Now an informational status that does is a bad answer (502), also when it bears the not-executed marker.

--- a/crates/daemon/tests/servers/refusals.rs
+++ b/crates/daemon/tests/servers/refusals.rs
@@ -287,3 +287,29 @@
     }
     cluster.assert_running();
 }
+
+#[test]
+fn an_answer_that_switches_protocols_is_a_bad_answer() {
+    let mut cluster = TestCluster::start(&SERVICES);
+    for marker in ["", "X-Ragwortplank-Not-Executed: 1\r\n"] {
+        for server in &cluster.servers {
+            server.set_script(move |server, stream, request| {
+                server.execute(request);
+                let mut bytes = format!(
+                    "HTTP/1.1 101 Switching Protocols\r\nX-Ragwortplank-Request-Id: {}\r\nConnection: upgrade\r\nUpgrade: other\r\n{marker}\r\n",
+                    request.id
+                )
+                .into_bytes();
+                bytes.extend(server.answer(&request.id, b"ok"));
+                stream.write_all(&bytes).is_ok()
+            });
+        }
+        for number in 0..REQUESTS {
+            let id = format!("{:016x}", rand::random::<u64>());
+            let response = cluster.call(u8::from(number % 2 == 0), "POST /unsafe/orders/1", &id);
+            assert_eq!(response.unwrap().status, 502, "{marker:?}");
+            assert_eq!(cluster.executions(&id), 1, "{marker:?}");
+        }
+    }
+    cluster.assert_running();
+}
--- a/crates/proxy/src/local_server/exchange.rs
+++ b/crates/proxy/src/local_server/exchange.rs
@@ -133,7 +133,7 @@
     Answer,
     /// The backend server did not run the request and never will.
     Refusal,
-    /// Nothing: the response belongs to another request.
+    /// Nothing: the response belongs to another request or answers none.
     Foreign,
 }
 
@@ -152,7 +152,11 @@
         Some(answered) => answered == attempt,
         None => refuses && !is_reused,
     };
-    if !matches_attempt || parts.headers.contains_key(http::header::CONTENT_ENCODING) {
+    // Nodes ask for no other protocol, so a status such as 101 answers none of their requests.
+    if !matches_attempt
+        || parts.status.is_informational()
+        || parts.headers.contains_key(http::header::CONTENT_ENCODING)
+    {
         ResponseClaim::Foreign
     } else if refuses {
         ResponseClaim::Refusal
