--- a/crates/daemon/tests/servers/refusals.rs
+++ b/crates/daemon/tests/servers/refusals.rs
@@ -313,3 +313,22 @@
     }
     cluster.assert_running();
 }
+
+#[test]
+fn an_answer_with_the_ids_of_two_requests_is_a_bad_answer() {
+    let mut cluster = TestCluster::start(&SERVICES);
+    for server in &cluster.servers {
+        server.set_script(|server, stream, request| {
+            server.execute(request);
+            let lines = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Ragwortplank-Request-Id: {}\r\nX-Ragwortplank-Request-Id: another\r\nX-Ragwortplank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                request.id
+            );
+            stream.write_all(lines.as_bytes()).is_ok()
+        });
+    }
+    for number in 0..REQUESTS {
+        call_and_check(&cluster, u8::from(number % 2 == 0), "two ids");
+    }
+    cluster.assert_running();
+}
