Bound the memory that all answers of backend servers take at a node

A node grew without bound, and was killed with all that it held, when faulty backend servers sent bodies without end, or callers did not read large answers. Cause: each answer could take 64 MiB with no bound over all of them, `collect` kept one entry for each chunk (a multiple of the body where chunks are small), `to_bytes` copied all of it, and the entry node's `append_body` had no bound.

All answers in flight at a node, from its server and from other nodes, now share a third of its memory limit. An answer that doesn't fit is a bad answer, its connection or call is ended, and the outcome is logged as any other.

--- a/crates/daemon/tests/servers/endless.rs
+++ b/crates/daemon/tests/servers/endless.rs
@@ -1,1 +1,294 @@
-//! Answers and requests without end.
+//! Answers of backend servers, and requests of callers, that never end.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use crate::cluster::NODE_MEMORY_MIB;
+use crate::cluster::TestCluster;
+use crate::cluster::eventually;
+use crate::http;
+use crate::raw_server::RawServer;
+use crate::raw_server::ReceivedRequest;
+
+/// Requests under way at once.
+const CALLERS: usize = 12;
+/// Size of one write, in bytes.
+const BLOCK_BYTES: usize = 64 * 1024;
+/// Size of a large answer that is not at fault, in bytes.
+const LARGE_ANSWER_BYTES: usize = 20 * 1000 * 1000;
+/// A faulty server's node is at the end of the first request, and the caller's at the other.
+const SERVICES: [&str; 2] = ["orders", "stock"];
+
+/// An answer without end: how it begins, and what then repeats.
+#[derive(Clone, Copy, Debug)]
+struct EndlessAnswer {
+    name: &'static str,
+    begin: &'static str,
+    repeat: &'static str,
+}
+
+const ANSWERS: [EndlessAnswer; 10] = [
+    EndlessAnswer {
+        name: "header line",
+        begin: "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: ID\r\nX-Long: ",
+        repeat: "long",
+    },
+    EndlessAnswer {
+        name: "headers",
+        begin: "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: ID\r\n",
+        repeat: "X-More: more\r\n",
+    },
+    EndlessAnswer {
+        name: "informational answers",
+        begin: "",
+        repeat: "HTTP/1.1 103 Early Hints\r\nX-More: more\r\n\r\n",
+    },
+    EndlessAnswer {
+        name: "chunk size line",
+        begin: "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n",
+        repeat: "0",
+    },
+    EndlessAnswer {
+        name: "chunk extension",
+        begin: "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        repeat: "more",
+    },
+    EndlessAnswer {
+        name: "chunks",
+        begin: "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n",
+        repeat: "10\r\n0123456789abcdef\r\n",
+    },
+    EndlessAnswer {
+        name: "chunks of one byte",
+        begin: "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n",
+        repeat: "1\r\nx\r\n",
+    },
+    EndlessAnswer {
+        name: "enormous length",
+        begin: "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: ID\r\nContent-Length: 1000000000000000\r\n\r\n",
+        repeat: "body",
+    },
+    EndlessAnswer {
+        name: "body that ends with its connection",
+        begin: "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: ID\r\n\r\n",
+        repeat: "body",
+    },
+    EndlessAnswer {
+        name: "trailers",
+        begin: "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+        repeat: "X-More: more\r\n",
+    },
+];
+
+impl EndlessAnswer {
+    /// Writes until the node closes the connection.
+    fn write(
+        self,
+        server: &RawServer,
+        stream: &mut TcpStream,
+        request: &ReceivedRequest,
+    ) -> io::Result<()> {
+        server.execute(request);
+        stream.write_all(self.begin.replace("ID", &request.id).as_bytes())?;
+        let block = self.repeat.repeat(BLOCK_BYTES / self.repeat.len());
+        loop {
+            stream.write_all(block.as_bytes())?;
+        }
+    }
+}
+
+/// Calls a faulty server with many callers at once; returns the statuses.
+fn call_at_once(cluster: &TestCluster, node: u8, method_and_path: &str) -> Vec<u16> {
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|_| {
+                scope.spawn(|| {
+                    let id = format!("{:016x}", rand::random::<u64>());
+                    let deadline = [("X-Ragwortplank-Deadline-Ms", "1500")];
+                    let response = cluster.call_with(node, method_and_path, &id, &deadline);
+                    assert!(cluster.executions(&id) <= 1);
+                    response.unwrap().status
+                })
+            })
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .collect()
+    })
+}
+
+fn check_endless_answer(answer: EndlessAnswer) {
+    let mut cluster = TestCluster::start(&SERVICES);
+    let name = answer.name;
+    cluster.servers[0]
+        .set_script(move |server, stream, request| answer.write(server, stream, request).is_ok());
+    for node in 0..2 {
+        let statuses = call_at_once(&cluster, node, "POST /unsafe/orders/1");
+        let expected = |status: &u16| matches!(status, 502 | 504);
+        assert!(statuses.iter().all(expected), "{name}: {statuses:?}");
+        let other = cluster.call(node, "POST /unsafe/stock/1", "0123456789abcdef");
+        assert_eq!(other.unwrap().status, 200, "{name}");
+    }
+    for node in 0..2 {
+        let peak = cluster.peak_memory_mib(node);
+        assert!(
+            peak < NODE_MEMORY_MIB,
+            "{name}: node {node} took {peak} MiB"
+        );
+    }
+    eventually("the connections of endless answers are closed", || {
+        let (opened, closed) = cluster.servers[0].connections();
+        opened == closed
+    });
+    eventually("the end is logged", || {
+        let log = cluster.log("node-0") + &cluster.log("node-1");
+        log.contains("cause=bad-answer") || log.contains("cause=timeout")
+    });
+    cluster.assert_running();
+}
+
+macro_rules! endless_answer_tests {
+    ($($test:ident: $position:literal,)*) => {
+        $(#[test]
+        fn $test() {
+            check_endless_answer(ANSWERS[$position]);
+        })*
+    };
+}
+
+endless_answer_tests! {
+    a_header_line_without_end_is_given_up: 0,
+    headers_without_end_are_given_up: 1,
+    informational_answers_without_end_are_given_up: 2,
+    a_chunk_size_line_without_end_is_given_up: 3,
+    a_chunk_extension_without_end_is_given_up: 4,
+    chunks_without_end_are_given_up: 5,
+    chunks_of_one_byte_without_end_are_given_up: 6,
+    an_answer_of_enormous_length_is_given_up: 7,
+    a_body_that_ends_with_a_connection_without_end_is_given_up: 8,
+    trailers_without_end_are_given_up: 9,
+}
+
+#[test]
+fn a_large_answer_arrives_whole() {
+    let mut cluster = TestCluster::start(&SERVICES);
+    let pattern: Vec<u8> = (0..251).collect();
+    let body: Arc<Vec<u8>> = Arc::new(
+        pattern
+            .iter()
+            .copied()
+            .cycle()
+            .take(LARGE_ANSWER_BYTES)
+            .collect(),
+    );
+    let served = Arc::clone(&body);
+    cluster.servers[0].set_script(move |server, stream, request| {
+        server.execute(request);
+        stream
+            .write_all(&server.answer(&request.id, &served))
+            .is_ok()
+    });
+    for node in [0, 1, 0, 1] {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let response = cluster.call(node, "POST /unsafe/orders/1", &id).unwrap();
+        assert_eq!(response.status, 200, "node {node}: {}", response.head);
+        assert!(response.body == *body, "node {node}: the body differs");
+    }
+    for node in 0..2 {
+        let peak = cluster.peak_memory_mib(node);
+        assert!(peak < NODE_MEMORY_MIB, "node {node} took {peak} MiB");
+    }
+    cluster.assert_running();
+}
+
+#[test]
+fn others_are_served_while_an_endless_answer_is_under_way() {
+    let cluster = TestCluster::start(&SERVICES);
+    let under_way = Arc::new(AtomicBool::new(true));
+    let answer = ANSWERS[8];
+    cluster.servers[0]
+        .set_script(move |server, stream, request| answer.write(server, stream, request).is_ok());
+    thread::scope(|scope| {
+        let faulty = scope.spawn(|| {
+            let statuses: Vec<u16> = (0..4)
+                .flat_map(|_| call_at_once(&cluster, 1, "POST /unsafe/orders/1"))
+                .collect();
+            under_way.store(false, Ordering::Relaxed);
+            statuses
+        });
+        while under_way.load(Ordering::Relaxed) {
+            let id = format!("{:016x}", rand::random::<u64>());
+            let response = cluster.call(1, "POST /unsafe/stock/1", &id).unwrap();
+            assert_eq!(response.status, 200, "{response:?}");
+        }
+        let statuses = faulty.join().unwrap();
+        let expected = |status: &u16| matches!(status, 502 | 504);
+        assert!(statuses.iter().all(expected), "{statuses:?}");
+    });
+}
+
+#[test]
+fn an_entry_node_bounds_the_answers_that_callers_do_not_read() {
+    // The node beside the server has room for all of these answers, the entry node has not.
+    let memory = [4096, NODE_MEMORY_MIB];
+    let mut cluster = TestCluster::start_with_memory(&SERVICES, &memory);
+    let body = Arc::new(vec![b'x'; LARGE_ANSWER_BYTES]);
+    cluster.servers[0].set_script(move |server, stream, request| {
+        server.execute(request);
+        stream.write_all(&server.answer(&request.id, &body)).is_ok()
+    });
+    let unread: Vec<TcpStream> = (0..CALLERS)
+        .map(|number| {
+            let mut stream = http::connect(cluster.node_address(1, 0)).unwrap();
+            let head = format!(
+                "POST /unsafe/orders/1 HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer key-1\r\nX-Ragwortplank-Request-Id: unread-{number}\r\nX-Ragwortplank-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).unwrap();
+            let mut begin = [0; 12];
+            stream.read_exact(&mut begin).unwrap();
+            assert!([b"200", b"502"].contains(&begin[9..].try_into().unwrap()));
+            stream
+        })
+        .collect();
+    let peak = cluster.peak_memory_mib(1);
+    assert!(peak < NODE_MEMORY_MIB, "the entry node took {peak} MiB");
+    let other = cluster.call(1, "POST /unsafe/stock/1", "0123456789abcdef");
+    assert_eq!(other.unwrap().status, 200);
+    drop(unread);
+    eventually("large answers pass again", || {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let response = cluster.call(1, "POST /unsafe/orders/1", &id);
+        response.is_ok_and(|response| response.status == 200)
+    });
+    cluster.assert_running();
+}
+
+#[test]
+fn a_request_head_without_end_is_given_up() {
+    let mut cluster = TestCluster::start(&SERVICES);
+    for begin in ["GET /", "GET / HTTP/1.1\r\nX-Long: "] {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|_| {
+                let mut stream = http::connect(cluster.node_address(0, 0)).unwrap();
+                thread::spawn(move || {
+                    stream.write_all(begin.as_bytes()).unwrap();
+                    let block = vec![b'x'; BLOCK_BYTES];
+                    while stream.write_all(&block).is_ok() {}
+                })
+            })
+            .collect();
+        eventually("the node closes the connections", || {
+            callers.iter().all(thread::JoinHandle::is_finished)
+        });
+    }
+    let peak = cluster.peak_memory_mib(0);
+    assert!(peak < NODE_MEMORY_MIB, "the node took {peak} MiB");
+    cluster.assert_running();
+}
--- a/crates/daemon/tests/servers/http.rs
+++ b/crates/daemon/tests/servers/http.rs
@@ -34,12 +34,12 @@
     body: &[u8],
 ) -> io::Result<HttpResponse> {
     let mut stream = connect(to)?;
-    let mut request = format!("{method_and_path} HTTP/1.1\r\nConnection: close\r\n");
+    let mut request = format!("{method_and_path} HTTP/1.1\r\nConnection: close\r\n").into_bytes();
     for (name, value) in headers {
-        request.push_str(&format!("{name}: {value}\r\n"));
+        request.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
     }
-    request.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
-    stream.write_all(request.as_bytes())?;
+    request.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+    stream.write_all(&request)?;
     stream.write_all(body)?;
     receive(&mut stream)
 }
--- /dev/null
+++ b/crates/proxy/src/body.rs
@@ -0,0 +1,38 @@
+//! Reading of HTTP bodies within a memory budget.
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::memory_budget::BodyBuffer;
+
+/// Why a body could not be read.
+#[derive(Debug, Display, Error)]
+pub(crate) enum BodyError {
+    /// It does not fit into the memory for it.
+    #[display("too large")]
+    TooLarge,
+    /// The connection broke, or the bytes are no body.
+    #[display("{_0}")]
+    Broken(hyper::Error),
+}
+
+/// Reads a whole body into `buffer`; `note_progress` is told the length of each chunk.
+///
+/// Trailers are left out.
+pub(crate) async fn read_body(
+    mut body: Incoming,
+    mut buffer: BodyBuffer,
+    note_progress: impl Fn(usize),
+) -> Result<Bytes, BodyError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(BodyError::Broken)?;
+        if let Some(chunk) = frame.data_ref() {
+            buffer.append(chunk).map_err(|_| BodyError::TooLarge)?;
+            note_progress(chunk.len());
+        }
+    }
+    Ok(buffer.freeze())
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! guarantees.
 
 mod announce;
+mod body;
 mod connection_pool;
 mod control;
 mod forward;
@@ -13,6 +14,7 @@
 mod ingress;
 mod leased_config;
 mod local_server;
+mod memory_budget;
 mod node_table;
 mod peer_server;
 mod peers;
@@ -24,6 +26,9 @@
 mod work;
 
 pub use crate::leased_config::LeasedConfig;
+pub use crate::memory_budget::BodyBuffer;
+pub use crate::memory_budget::BodyTooLarge;
+pub use crate::memory_budget::MemoryBudget;
 pub use crate::retry::AttemptHistory;
 pub use crate::retry::AttemptOutcome;
 pub use crate::retry::RetryDecision;
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -33,6 +33,7 @@
 use tokio::time::timeout;
 
 use crate::connection_pool::ConnectionPool;
+pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
 use crate::local_server::slots::SlotResult;
 use crate::retry::AttemptOutcome;
 use crate::state::ProxyState;
--- a/crates/proxy/src/local_server/exchange.rs
+++ b/crates/proxy/src/local_server/exchange.rs
@@ -16,11 +16,10 @@
 use http::Response;
 use http::StatusCode;
 use http::response::Parts;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 
+use crate::body::read_body;
 use crate::connection_pool::SendError;
 use crate::connection_pool::ServerConnection;
 use crate::headers;
@@ -30,7 +29,7 @@
 use crate::state::ProxyState;
 
 /// Largest response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
 impl LocalServer {
     /// Sends a call to the backend server and reads the response.
@@ -89,7 +88,8 @@
                 cause: FailureReason::BadResponse,
             };
         }
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let buffer = proxy.answer_memory.buffer(MAX_RESPONSE_BYTES);
+        let collected = read_body(body, buffer, |_| ()).await;
         if claim == ResponseClaim::Refusal {
             if collected.is_ok() && metadata.attempt.is_some() {
                 self.pool.put_back(connection);
@@ -111,13 +111,12 @@
                     status: parts.status.as_u16(),
                     headers: headers::response_headers(&parts.headers),
                 };
-                AttemptOutcome::Answered {
-                    head,
-                    body: body.to_bytes(),
-                }
+                AttemptOutcome::Answered { head, body }
             }
             Err(error) => {
-                tracing::debug!(event = "answer-broken", attempt = %head.attempt, %error);
+                if proxy.may_log_request() {
+                    tracing::info!(event = "answer-broken", request = %head.attempt, %error);
+                }
                 AttemptOutcome::Failed {
                     cause: FailureReason::BadResponse,
                 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use fleet::CallHead;
 use fleet::FailureReason;
 use fleet::NodeMessage;
@@ -22,6 +21,9 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::local_server::MAX_RESPONSE_BYTES;
+use crate::memory_budget::BodyBuffer;
+use crate::memory_budget::MemoryBudget;
 use crate::retry::AttemptOutcome;
 use crate::state::lock;
 
@@ -47,7 +49,7 @@
 struct PendingCall {
     outcome: oneshot::Sender<PeerOutcome>,
     /// Response whose body has not been received completely.
-    incomplete: Option<(ResponseHead, BytesMut, ServerLoad)>,
+    incomplete: Option<(ResponseHead, BodyBuffer, ServerLoad)>,
 }
 
 /// A link to another node, with the calls in flight on it.
@@ -55,6 +57,7 @@
 struct PeerLink {
     sender: LinkSender<NodeMessage>,
     pending: Arc<Mutex<HashMap<u64, PendingCall>>>,
+    answer_memory: MemoryBudget,
 }
 
 /// The current link to a node, and the lock that allows one task at a time to connect.
@@ -65,13 +68,22 @@
 }
 
 /// Links to other nodes, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PeerPool {
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     next_id: AtomicU64,
+    answer_memory: MemoryBudget,
 }
 
 impl PeerPool {
+    pub(crate) fn new(answer_memory: MemoryBudget) -> Self {
+        Self {
+            peers: Mutex::default(),
+            next_id: AtomicU64::new(0),
+            answer_memory,
+        }
+    }
+
     /// Sends a call to the node at `address` and waits for its outcome.
     ///
     /// When the returned future is dropped, the call is cancelled at the other node.
@@ -155,6 +167,7 @@
                 let link = PeerLink {
                     sender,
                     pending: Arc::default(),
+                    answer_memory: self.answer_memory.clone(),
                 };
                 tokio::spawn(receive_messages(link.clone(), receiver));
                 tracing::info!(event = "node-connected", peer = %address);
@@ -213,12 +226,11 @@
                 last,
                 load,
             } => {
-                if last {
-                    let outcome = AttemptOutcome::Answered { head, body };
-                    self.complete(id, (outcome, Some(load)));
-                } else if let Some(call) = lock(&self.pending).get_mut(&id) {
-                    call.incomplete = Some((head, BytesMut::from(&body[..]), load));
+                let buffer = self.answer_memory.buffer(MAX_RESPONSE_BYTES);
+                if let Some(call) = lock(&self.pending).get_mut(&id) {
+                    call.incomplete = Some((head, buffer, load));
                 }
+                self.append_body(id, &body, last);
             }
             NodeMessage::Data { id, body, last } => self.append_body(id, &body, last),
             NodeMessage::Refused {
@@ -244,16 +256,23 @@
         let Some(call) = pending.get_mut(&id) else {
             return;
         };
-        if let Some((_, body, _)) = &mut call.incomplete {
-            body.extend_from_slice(chunk);
+        let Some((_, buffer, _)) = &mut call.incomplete else {
+            return;
+        };
+        if let Err(error) = buffer.append(chunk) {
+            drop(pending);
+            tracing::info!(event = "answer-given-up", id, %error);
+            self.complete(id, (failed_outcome(FailureReason::BadResponse), None));
+            self.sender.send(&NodeMessage::Cancel { id });
+            return;
         }
         if !last {
             return;
         }
         let incomplete = call.incomplete.take();
         drop(pending);
-        if let Some((head, body, load)) = incomplete {
-            let body = body.freeze();
+        if let Some((head, buffer, load)) = incomplete {
+            let body = buffer.freeze();
             self.complete(id, (AttemptOutcome::Answered { head, body }, Some(load)));
         }
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -24,6 +24,7 @@
 
 use crate::leased_config::LeasedConfig;
 use crate::local_server::LocalServer;
+use crate::memory_budget::MemoryBudget;
 use crate::node_table::NodeTable;
 use crate::peers::PeerPool;
 use crate::quota::QuotaTable;
@@ -33,6 +34,9 @@
 /// Request bodies in flight may use the memory limit divided by this.
 const BODY_MEMORY_DIVISOR: u64 = 3;
 
+/// Answers in flight may use the memory limit divided by this.
+const ANSWER_MEMORY_DIVISOR: u64 = 3;
+
 /// Most log lines on individual requests in one second.
 const MAX_LINES_PER_S: u32 = 150;
 
@@ -93,6 +97,8 @@
     pub(crate) clock: C,
     pub(crate) server: LocalServer,
     pub(crate) peers: PeerPool,
+    /// Memory of the answers in flight, from the local backend server and from other nodes.
+    pub(crate) answer_memory: MemoryBudget,
     pub(crate) metrics: ProcessMetrics,
     /// Wakes the control session to send a report at once.
     pub(crate) report_now: Notify,
@@ -123,12 +129,14 @@
         metrics: ProcessMetrics,
     ) -> Self {
         let node = rand::random();
+        let answer_memory = MemoryBudget::new(settings.memory_bytes / ANSWER_MEMORY_DIVISOR);
         let inner = StateInner {
             node,
             config: Mutex::new(LeasedConfig::new(settings.bounds.revocation_time)),
             nodes: Mutex::new(NodeTable::new(node, settings.data_centre.clone())),
             server: LocalServer::new(settings.service.clone()),
-            peers: PeerPool::default(),
+            peers: PeerPool::new(answer_memory.clone()),
+            answer_memory,
             metrics,
             report_now: Notify::new(),
             request_tokens_now: Notify::new(),
