Give up answers that never yield a byte of their body

With 12 answers at once of informational heads without end, or a chunk size line of zeros without end, no caller of the node got an answer within 30 s or others were refused. Cause: hyper parses what it gets for as long as bytes arrive, and neither form ever ends or takes memory, so only the deadline ends it, which a node that is kept busy doesn't see in time.

From a connection to a backend server only 256 KiB are read for an answer, and 4 bytes more for each byte of its body. Beyond, the answer is a bad answer and its connection is closed. The buffer for heads of answers is 64 KiB, as that for heads of requests, instead of 400 KiB a connection.

--- a/crates/proxy/src/connection_pool.rs
+++ b/crates/proxy/src/connection_pool.rs
@@ -19,10 +19,15 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::bounded_stream::BoundedStream;
+use crate::bounded_stream::ReadAllowance;
+
 /// Timeout to connect to the local backend server, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 400;
 /// Longest idle time after which a connection is reused, in milliseconds.
 const MAX_IDLE_MS: u64 = 2_500;
+/// Size of the buffer for response heads, in bytes.
+const MAX_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 /// Most idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 512;
 
@@ -42,6 +47,7 @@
 #[derive(Debug)]
 pub(crate) struct ServerConnection {
     sender: SendRequest<RequestBody>,
+    allowance: ReadAllowance,
     is_reused: bool,
 }
 
@@ -51,6 +57,11 @@
     pub(crate) const fn is_reused(&self) -> bool {
         self.is_reused
     }
+
+    /// Returns how much may still be read for the response under way.
+    pub(crate) const fn allowance(&self) -> &ReadAllowance {
+        &self.allowance
+    }
 }
 
 #[derive(Debug)]
@@ -110,6 +121,7 @@
         mut request: Request<RequestBody>,
     ) -> Result<(Response<Incoming>, ServerConnection), SendError> {
         while let Some(mut connection) = self.take_idle() {
+            connection.allowance.begin_response();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -119,6 +131,7 @@
             }
         }
         let mut connection = connect(address).await?;
+        connection.allowance.begin_response();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
@@ -149,7 +162,10 @@
     };
     // On failure Nagle's algorithm stays on, which only delays small writes.
     let _ = stream.set_nodelay(true);
+    let allowance = ReadAllowance::default();
+    let stream = BoundedStream::new(stream, allowance.clone());
     let handshake_result = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BUFFER_BYTES)
         .handshake::<_, RequestBody>(TokioIo::new(stream))
         .await;
     let (sender, driver) = handshake_result.map_err(|_| SendError::NotSent)?;
@@ -160,6 +176,7 @@
     });
     Ok(ServerConnection {
         sender,
+        allowance,
         is_reused: false,
     })
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod announce;
 mod body;
+mod bounded_stream;
 mod connection_pool;
 mod control;
 mod forward;
--- a/crates/proxy/src/local_server/exchange.rs
+++ b/crates/proxy/src/local_server/exchange.rs
@@ -1,5 +1,6 @@
 //! HTTP exchange with the local backend server for one call.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -58,7 +59,7 @@
             },
             Err(SendError::ResponseLost(error)) => {
                 tracing::debug!(event = "server-lost", attempt = %head.attempt, %error);
-                let cause = if error.is_parse() {
+                let cause = if error.is_parse() || is_invalid_data(&error) {
                     FailureReason::BadResponse
                 } else {
                     FailureReason::ConnectionLost
@@ -89,7 +90,8 @@
             };
         }
         let buffer = proxy.answer_memory.buffer(MAX_RESPONSE_BYTES);
-        let collected = read_body(body, buffer, |_| ()).await;
+        let allowance = connection.allowance();
+        let collected = read_body(body, buffer, |length| allowance.note_progress(length)).await;
         if claim == ResponseClaim::Refusal {
             if collected.is_ok() && metadata.attempt.is_some() {
                 self.pool.put_back(connection);
@@ -164,6 +166,13 @@
     }
 }
 
+/// Returns whether the response was given up since it had no end.
+fn is_invalid_data(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|source| source.kind() == io::ErrorKind::InvalidData)
+}
+
 fn build_request<C: Clock, A: ProtocolAdapter>(
     proxy: &ProxyState<C, A>,
     head: &CallHead,
