Read request bodies within their memory and until their deadline

A caller could make a node hold memory without bound: a body counted towards the memory for bodies only once it had been read whole, a body in chunks of one byte took a multiple of its size, and no time-out ended one that stopped short.

The buffer of a body now draws on the memory for bodies as the bytes arrive, in one piece, and reading ends at the request's deadline with 408, which promises that it has not run: nothing has been passed on by then. 413 and the 503 without memory stay what they were.

--- a/crates/daemon/tests/servers/endless.rs
+++ b/crates/daemon/tests/servers/endless.rs
@@ -270,6 +270,66 @@
     cluster.assert_running();
 }
 
+/// Sends requests with a body that never ends, in chunks of one byte or of many, at once.
+fn send_endless_bodies(chunk: &'static str) {
+    let mut cluster = TestCluster::start(&SERVICES);
+    let to = cluster.node_address(0, 0);
+    let stopped = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let stopped = Arc::clone(&stopped);
+            thread::spawn(move || {
+                let mut stream = http::connect(to).unwrap();
+                let head = format!(
+                    "POST /unsafe/orders/1 HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer key-1\r\nX-Ragwortplank-Request-Id: endless-{number}\r\nX-Ragwortplank-Deadline-Ms: 1500\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                stream.write_all(head.as_bytes()).unwrap();
+                let block = chunk.repeat(BLOCK_BYTES / chunk.len());
+                while !stopped.load(Ordering::Relaxed) {
+                    if stream.write_all(block.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            })
+        })
+        .collect();
+    eventually("the node closes the connections", || {
+        callers.iter().all(thread::JoinHandle::is_finished)
+    });
+    stopped.store(true, Ordering::Relaxed);
+    let peak = cluster.peak_memory_mib(0);
+    assert!(peak < NODE_MEMORY_MIB, "the node took {peak} MiB");
+    let other = cluster.call(0, "POST /unsafe/stock/1", "0123456789abcdef");
+    assert_eq!(other.unwrap().status, 200);
+    assert!((0..CALLERS).all(|number| cluster.executions(&format!("endless-{number}")) == 0));
+    cluster.assert_running();
+}
+
+#[test]
+fn request_bodies_without_end_are_given_up() {
+    send_endless_bodies("10\r\n0123456789abcdef\r\n");
+}
+
+#[test]
+fn request_bodies_of_one_byte_chunks_without_end_are_given_up() {
+    send_endless_bodies("1\r\nx\r\n");
+}
+
+#[test]
+fn a_request_body_that_stops_short_is_given_up_at_its_deadline() {
+    let cluster = TestCluster::start(&SERVICES);
+    for head in ["Content-Length: 1000", "Transfer-Encoding: chunked"] {
+        let mut stream = http::connect(cluster.node_address(0, 0)).unwrap();
+        let request = format!(
+            "POST /unsafe/orders/1 HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer key-1\r\nX-Ragwortplank-Request-Id: short\r\nX-Ragwortplank-Deadline-Ms: 500\r\n{head}\r\n\r\n3\r\n"
+        );
+        stream.write_all(request.as_bytes()).unwrap();
+        let response = http::receive(&mut stream).unwrap();
+        assert_eq!(response.status, 408, "{head}: {response:?}");
+        assert_eq!(cluster.executions("short"), 0, "{head}");
+    }
+}
+
 #[test]
 fn a_request_head_without_end_is_given_up() {
     let mut cluster = TestCluster::start(&SERVICES);
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -7,13 +7,14 @@
 use hyper::body::Incoming;
 
 use crate::memory_budget::BodyBuffer;
+use crate::memory_budget::BodyTooLarge;
 
 /// Why a body could not be read.
 #[derive(Debug, Display, Error)]
 pub(crate) enum BodyError {
     /// It does not fit into the memory for it.
-    #[display("too large")]
-    TooLarge,
+    #[display("{_0}")]
+    TooLarge(BodyTooLarge),
     /// The connection broke, or the bytes are no body.
     #[display("{_0}")]
     Broken(hyper::Error),
@@ -30,7 +31,7 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(BodyError::Broken)?;
         if let Some(chunk) = frame.data_ref() {
-            buffer.append(chunk).map_err(|_| BodyError::TooLarge)?;
+            buffer.append(chunk).map_err(BodyError::TooLarge)?;
             note_progress(chunk.len());
         }
     }
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -25,9 +25,6 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -38,8 +35,11 @@
 use model::ids::ServiceName;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 use tracing::warn;
 
+use crate::body::BodyError;
+use crate::body::read_body;
 use crate::forward::forward;
 use crate::headers;
 use crate::ingress::outcome::build_response;
@@ -48,6 +48,7 @@
 use crate::ingress::refusal::Refusal;
 use crate::ingress::token::take_token;
 use crate::local_server::ParentCall;
+use crate::memory_budget::BodyTooLarge;
 use crate::state::ProxyState;
 
 /// Size of the buffer for request heads, in bytes; the configured limit is checked after reading.
@@ -172,17 +173,13 @@
         }
         None => find_parent_call(state, route, &metadata, started),
     };
-    let timeout = metadata
+    let time_left = metadata
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let deadline = started + timeout;
+    let deadline = started + time_left;
     let method = request.method().as_str().to_owned();
     let forwarded_headers = headers::request_headers(&state.adapter, request.headers());
-    let body = read_body(&table, request.into_body()).await?;
-    let Some(_reservation) = state.reserve_body(body.len()) else {
-        let delay = Duration::from_millis(NO_MEMORY_RETRY_AFTER_MS);
-        return Err(Refusal::with_retry_after(unavailable, "no-memory", delay));
-    };
+    let body = read_request_body(state, &table, request.into_body(), deadline).await?;
     let head = CallHead {
         attempt: metadata.attempt.unwrap_or_default(),
         method,
@@ -193,7 +190,7 @@
         idempotent: route.idempotent,
         repeated: parent.as_ref().is_some_and(|parent| parent.is_retry),
         rank: parent.map_or_else(|| request_rank(route, team), |parent| parent.rank),
-        time_left: timeout,
+        time_left,
         team: team.map(|team| team.name.clone()),
         caller_service: state.settings.service.clone(),
     };
@@ -315,14 +312,31 @@
     CallRank::new(importance, 0, 0)
 }
 
-async fn read_body(table: &RouteTable, body: Incoming) -> Result<Bytes, Refusal> {
+/// Reads the body of a request within the memory for bodies and until `deadline`.
+async fn read_request_body<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    table: &RouteTable,
+    body: Incoming,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
     let limit = table.config().limits.body_bytes.min(MAX_BODY_BYTES);
-    match Limited::new(body, limit as usize).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
+    let buffer = state.request_memory.buffer(limit as usize);
+    let time_left = deadline.saturating_duration_since(state.now());
+    match timeout(time_left, read_body(body, buffer, |_| ())).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge(BodyTooLarge::OverLimit))) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             Err(Refusal::new(status, "body-too-large"))
         }
-        Err(_) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body-broken")),
+        Ok(Err(BodyError::TooLarge(BodyTooLarge::NoMemory))) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let delay = Duration::from_millis(NO_MEMORY_RETRY_AFTER_MS);
+            Err(Refusal::with_retry_after(status, "no-memory", delay))
+        }
+        Ok(Err(BodyError::Broken(error))) => {
+            tracing::debug!(event = "body-broken", %error);
+            Err(Refusal::new(StatusCode::BAD_REQUEST, "body-broken"))
+        }
+        Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body-late")),
     }
 }
--- a/crates/proxy/src/memory_budget.rs
+++ b/crates/proxy/src/memory_budget.rs
@@ -16,10 +16,16 @@
 /// A buffer that is full grows by this fraction of its size.
 const GROWTH_DIVISOR: usize = 4;
 
-/// A body does not fit into the memory that is left, or exceeds its own limit.
+/// Why a body cannot grow.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
-#[display("the body is too large")]
-pub struct BodyTooLarge;
+pub enum BodyTooLarge {
+    /// It exceeds its own limit.
+    #[display("the body exceeds its limit")]
+    OverLimit,
+    /// It does not fit into the memory that is left.
+    #[display("no memory is left for the body")]
+    NoMemory,
+}
 
 /// Memory that all bodies of one kind may take together; clones share it.
 #[derive(Clone, Debug)]
@@ -93,12 +99,12 @@
     pub fn append(&mut self, chunk: &[u8]) -> Result<(), BodyTooLarge> {
         let needed = self.bytes.len().saturating_add(chunk.len());
         if needed > self.max_bytes {
-            return Err(BodyTooLarge);
+            return Err(BodyTooLarge::OverLimit);
         }
         if needed > self.reserved_bytes {
             let wanted = needed.max(self.reserved_bytes + self.reserved_bytes / GROWTH_DIVISOR);
             if !self.grow(wanted) && !self.grow(needed) {
-                return Err(BodyTooLarge);
+                return Err(BodyTooLarge::NoMemory);
             }
         }
         self.bytes.extend_from_slice(chunk);
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -99,6 +99,8 @@
     pub(crate) peers: PeerPool,
     /// Memory of the answers in flight, from the local backend server and from other nodes.
     pub(crate) answer_memory: MemoryBudget,
+    /// Memory of the request bodies in flight.
+    pub(crate) request_memory: MemoryBudget,
     pub(crate) metrics: ProcessMetrics,
     /// Wakes the control session to send a report at once.
     pub(crate) report_now: Notify,
@@ -115,8 +117,6 @@
     started: Instant,
     request_log_limiter: Mutex<RequestLogLimiter>,
     sample_count: AtomicUsize,
-    /// Total size of the request bodies in flight.
-    body_bytes_in_flight: AtomicUsize,
     /// Requests in flight, from callers and from the local backend server.
     requests_in_flight: AtomicUsize,
 }
@@ -137,6 +137,7 @@
             server: LocalServer::new(settings.service.clone()),
             peers: PeerPool::new(answer_memory.clone()),
             answer_memory,
+            request_memory: MemoryBudget::new(settings.memory_bytes / BODY_MEMORY_DIVISOR),
             metrics,
             report_now: Notify::new(),
             request_tokens_now: Notify::new(),
@@ -149,7 +150,6 @@
             started: clock.now(),
             request_log_limiter: Mutex::default(),
             sample_count: AtomicUsize::new(0),
-            body_bytes_in_flight: AtomicUsize::new(0),
             requests_in_flight: AtomicUsize::new(0),
             settings,
             adapter,
@@ -260,21 +260,6 @@
         operation(budget, now)
     }
 
-    /// Reserves memory for a request body; returns `None` when the limit is exceeded.
-    pub(crate) fn reserve_body(&self, bytes: usize) -> Option<BodyReservation<C, A>> {
-        let limit = self.inner.settings.memory_bytes / BODY_MEMORY_DIVISOR;
-        let reserved = self
-            .inner
-            .body_bytes_in_flight
-            .fetch_add(bytes, Ordering::Relaxed)
-            + bytes;
-        let reservation = BodyReservation {
-            state: self.clone(),
-            bytes,
-        };
-        (reserved as u64 <= limit).then_some(reservation)
-    }
-
     /// Returns whether a line on a request may be logged now, within the limit per second.
     pub(crate) fn may_log_request(&self) -> bool {
         let second = self.now().duration_since(self.inner.started).as_secs();
@@ -303,21 +288,6 @@
     }
 }
 
-/// Memory reserved for a request body; released on drop.
-pub(crate) struct BodyReservation<C, A> {
-    state: ProxyState<C, A>,
-    bytes: usize,
-}
-
-impl<C, A> Drop for BodyReservation<C, A> {
-    fn drop(&mut self) {
-        self.state
-            .inner
-            .body_bytes_in_flight
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Counts a request as in flight until it is dropped.
 pub(crate) struct RequestGuard<C, A> {
     state: ProxyState<C, A>,
--- a/crates/proxy/tests/memory_budget.rs
+++ b/crates/proxy/tests/memory_budget.rs
@@ -53,7 +53,7 @@
     let budget = MemoryBudget::new(LIMIT_BYTES as u64);
     let mut buffer = budget.buffer(10);
     assert_eq!(buffer.append(&[7; 10]), Ok(()));
-    assert_eq!(buffer.append(&[7]), Err(BodyTooLarge));
+    assert_eq!(buffer.append(&[7]), Err(BodyTooLarge::OverLimit));
 }
 
 #[test]
