Wait for a link's queue before the next part of a large body

Several large answers, or request bodies, at once ended the link between two nodes, and with it every call on it: callers of unsafe requests got 502 for requests that ran. Cause: all parts of a body were queued at once, 24 MiB are the most that a link queues, and beyond that it is closed. The queue was also memory without bound over all links.

Before each part after the first, the sender now waits until less than 1 MiB is queued. Parts of other messages go in between. The wait ends with the link or with the call, whose time includes it now.

--- a/crates/daemon/tests/servers/cluster.rs
+++ b/crates/daemon/tests/servers/cluster.rs
@@ -197,12 +197,19 @@
         method_and_path: &str,
         id: &str,
     ) -> std::io::Result<HttpResponse> {
-        self.call_with(
-            node,
-            method_and_path,
-            id,
-            &[("X-Ragwortplank-Deadline-Ms", "3000")],
-        )
+        self.post(node, method_and_path, id, b"")
+    }
+
+    /// Sends a caller's request with a body to a node.
+    pub(crate) fn post(
+        &self,
+        node: u8,
+        method_and_path: &str,
+        id: &str,
+        body: &[u8],
+    ) -> std::io::Result<HttpResponse> {
+        let deadline = [("X-Ragwortplank-Deadline-Ms", "3000")];
+        self.send(node, method_and_path, id, &deadline, body)
     }
 
     /// Sends a caller's request with further headers to a node.
@@ -212,6 +219,17 @@
         method_and_path: &str,
         id: &str,
         more: &[(&str, &str)],
+    ) -> std::io::Result<HttpResponse> {
+        self.send(node, method_and_path, id, more, b"")
+    }
+
+    fn send(
+        &self,
+        node: u8,
+        method_and_path: &str,
+        id: &str,
+        more: &[(&str, &str)],
+        body: &[u8],
     ) -> std::io::Result<HttpResponse> {
         let bearer = format!("Bearer {KEY}");
         let mut headers = vec![
@@ -220,7 +238,7 @@
             ("Authorization", bearer.as_str()),
         ];
         headers.extend_from_slice(more);
-        http::send(self.node_address(node, 0), method_and_path, &headers, b"")
+        http::send(self.node_address(node, 0), method_and_path, &headers, body)
     }
 
     /// Returns how often a request ran, at all servers together.
--- a/crates/daemon/tests/servers/endless.rs
+++ b/crates/daemon/tests/servers/endless.rs
@@ -270,6 +270,44 @@
     cluster.assert_running();
 }
 
+#[test]
+fn large_answers_at_once_do_not_end_a_link() {
+    let mut cluster = TestCluster::start_with_memory(&SERVICES, &[4096, 4096]);
+    let body = Arc::new(vec![b'x'; LARGE_ANSWER_BYTES]);
+    cluster.servers[0].set_script(move |server, stream, request| {
+        server.execute(request);
+        stream.write_all(&server.answer(&request.id, &body)).is_ok()
+    });
+    let statuses = call_at_once(&cluster, 1, "POST /unsafe/orders/1");
+    // A slow machine may reach the deadline.
+    let expected = |status: &u16| matches!(status, 200 | 504);
+    assert!(statuses.iter().all(expected), "{statuses:?}");
+    assert!(!cluster.log("node-1").contains("node-link-lost"));
+    cluster.assert_running();
+}
+
+#[test]
+fn large_request_bodies_at_once_do_not_end_a_link() {
+    let cluster = TestCluster::start_with_memory(&SERVICES, &[4096, 4096]);
+    let body = vec![b'x'; LARGE_ANSWER_BYTES];
+    let statuses: Vec<u16> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|number| {
+                let id = format!("large-{number}");
+                let (cluster, body) = (&cluster, &body);
+                scope.spawn(move || cluster.post(1, "POST /unsafe/orders/1", &id, body).unwrap())
+            })
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap().status)
+            .collect()
+    });
+    let expected = |status: &u16| matches!(status, 200 | 408 | 504);
+    assert!(statuses.iter().all(expected), "{statuses:?}");
+    assert!(!cluster.log("node-1").contains("node-link-lost"));
+}
+
 /// Sends requests with a body that never ends, in chunks of one byte or of many, at once.
 fn send_endless_bodies(chunk: &'static str) {
     let mut cluster = TestCluster::start(&SERVICES);
--- a/crates/link/src/sender.rs
+++ b/crates/link/src/sender.rs
@@ -13,6 +13,7 @@
 use futures::SinkExt;
 use serde::Serialize;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
@@ -26,6 +27,8 @@
 
 /// Bytes that may be queued for a peer that does not read; the link is closed when more are.
 const MAX_QUEUED_BYTES: usize = 24 * 1024 * 1024;
+/// Bytes queued for a peer below which [`LinkSender::ready`] lets more be queued.
+const READY_QUEUED_BYTES: usize = 1024 * 1024;
 /// Most frames that are written with one flush.
 const MAX_BATCH_FRAMES: usize = 256;
 
@@ -50,6 +53,8 @@
     last_received_ms: AtomicU64,
     /// Bytes queued and not yet flushed to the connection.
     queued_bytes: AtomicUsize,
+    /// Wakes those that wait for the queue to shrink.
+    flushed: Notify,
     is_ping_pending: AtomicBool,
     closed: CancellationToken,
 }
@@ -133,6 +138,7 @@
             opened_at: Instant::now(),
             last_received_ms: AtomicU64::new(0),
             queued_bytes: AtomicUsize::new(0),
+            flushed: Notify::new(),
             is_ping_pending: AtomicBool::new(false),
             closed: CancellationToken::new(),
         });
@@ -158,6 +164,28 @@
         }
     }
 
+    /// Waits until little is queued; returns `false` when the link is closed.
+    ///
+    /// Whoever sends a long message in parts waits before each of them, so that the queue neither
+    /// takes the memory of all messages under way nor overruns.
+    pub async fn ready(&self) -> bool {
+        let state = &self.frame_sender.state;
+        loop {
+            // Created before the check, so that no flush after it is missed.
+            let flushed = state.flushed.notified();
+            if self.is_closed() {
+                return false;
+            }
+            if state.queued_bytes.load(Ordering::Relaxed) < READY_QUEUED_BYTES {
+                return true;
+            }
+            tokio::select! {
+                () = flushed => {}
+                () = state.closed() => return false,
+            }
+        }
+    }
+
     /// Pings the peer when nothing was received for `ping_after`, and closes the link when
     /// nothing was received for `close_after`.
     ///
@@ -241,5 +269,6 @@
     }
     SinkExt::<Bytes>::flush(sink).await?;
     state.queued_bytes.fetch_sub(length, Ordering::Relaxed);
+    state.flushed.notify_waiters();
     Ok(())
 }
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -129,13 +129,13 @@
         let call = tokio::spawn(async move {
             let outcome = state.server.run_call(&state, &head, body).await;
             let load = state.server.load();
-            send_outcome(&sender, id, outcome, load);
+            send_outcome(&sender, id, outcome, load).await;
         });
         self.running.insert(id, call.abort_handle());
     }
 }
 
-fn send_outcome(
+async fn send_outcome(
     sender: &LinkSender<NodeMessage>,
     id: u64,
     outcome: AttemptOutcome,
@@ -152,7 +152,7 @@
                 load,
             });
             while sent && !body.is_empty() {
-                sent = send_chunk(sender, id, &mut body);
+                sent = sender.ready().await && send_chunk(sender, id, &mut body);
             }
         }
         AttemptOutcome::Refused { cause, retry_after } => {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -104,15 +104,17 @@
         };
         lock(&link.pending).insert(id, call);
         let _guard = CancelOnDrop { link: &link, id };
-        if !send_call_messages(&link.sender, id, head, body) {
-            return (unreachable_outcome(), None);
-        }
+        let exchange = async {
+            if send_call_messages(&link.sender, id, head, body).await {
+                let outcome = waiter.await;
+                outcome.unwrap_or_else(|_| (failed_outcome(FailureReason::LinkLost), None))
+            } else {
+                (unreachable_outcome(), None)
+            }
+        };
         let limit = head.time_left + Duration::from_millis(DEADLINE_GRACE_MS);
-        match timeout(limit, waiter).await {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) => (failed_outcome(FailureReason::LinkLost), None),
-            Err(_) => (failed_outcome(FailureReason::Timeout), None),
-        }
+        let outcome = timeout(limit, exchange).await;
+        outcome.unwrap_or_else(|_| (failed_outcome(FailureReason::Timeout), None))
     }
 
     /// Pings nodes that have calls in flight but sent nothing for a while; must be called about
@@ -285,7 +287,7 @@
     }
 }
 
-fn send_call_messages(
+async fn send_call_messages(
     sender: &LinkSender<NodeMessage>,
     id: u64,
     head: &CallHead,
@@ -299,7 +301,7 @@
         last: body.is_empty(),
     });
     while sent && !body.is_empty() {
-        sent = send_chunk(sender, id, &mut body);
+        sent = sender.ready().await && send_chunk(sender, id, &mut body);
     }
     sent
 }
