Bound the request bodies that a node takes from other nodes

A node beside a slow server grew with the bodies of the calls that waited for it: bodies that come over links were not counted towards the memory for bodies, and one above 64 MiB was dropped without an outcome, so that its caller waited for its whole deadline. They draw on that memory now; a call whose body doesn't fit is refused as overloaded, which is true, since it was not started.

--- a/crates/daemon/tests/servers/endless.rs
+++ b/crates/daemon/tests/servers/endless.rs
@@ -308,6 +308,31 @@
     assert!(!cluster.log("node-1").contains("node-link-lost"));
 }
 
+#[test]
+fn a_node_bounds_the_request_bodies_that_arrive_from_other_nodes() {
+    // The entry node has room for all of these bodies, the node beside the server has not.
+    let mut cluster = TestCluster::start_with_memory(&SERVICES, &[NODE_MEMORY_MIB, 4096]);
+    cluster.announce_anew();
+    cluster.servers[0].stop_reading();
+    let body = vec![b'x'; LARGE_ANSWER_BYTES];
+    thread::scope(|scope| {
+        for number in 0..CALLERS {
+            let (cluster, body) = (&cluster, &body);
+            scope.spawn(move || {
+                let id = format!("large-{number}");
+                let response = cluster.post(1, "POST /unsafe/orders/1", &id, body).unwrap();
+                let status = response.status;
+                assert!(matches!(status, 200 | 408 | 502 | 503 | 504), "{status}");
+                assert!(cluster.executions(&id) <= 1);
+                assert!(status != 503 || cluster.executions(&id) == 0);
+            });
+        }
+    });
+    let peak = cluster.peak_memory_mib(0);
+    assert!(peak < NODE_MEMORY_MIB, "the node took {peak} MiB");
+    cluster.assert_running();
+}
+
 /// Sends requests with a body that never ends, in chunks of one byte or of many, at once.
 fn send_endless_bodies(chunk: &'static str) {
     let mut cluster = TestCluster::start(&SERVICES);
--- a/crates/daemon/tests/servers/raw_server.rs
+++ b/crates/daemon/tests/servers/raw_server.rs
@@ -8,6 +8,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 
 use crate::http::find;
@@ -41,6 +43,7 @@
     pub(crate) address: SocketAddr,
     record: Arc<Mutex<ServerRecord>>,
     script: Arc<Mutex<Arc<AnswerScript>>>,
+    is_deaf: Arc<AtomicBool>,
 }
 
 impl RawServer {
@@ -51,6 +54,7 @@
             address,
             record: Arc::default(),
             script: Arc::new(Mutex::new(Arc::new(Self::answer_soundly))),
+            is_deaf: Arc::default(),
         };
         let serving = server.clone();
         thread::spawn(move || {
@@ -70,6 +74,11 @@
         *self.script.lock().unwrap() = Arc::new(script);
     }
 
+    /// From now on, nothing is read from new connections, which stay open.
+    pub(crate) fn stop_reading(&self) {
+        self.is_deaf.store(true, Ordering::Relaxed);
+    }
+
     /// Runs the request and answers it.
     pub(crate) fn answer_soundly(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
         self.execute(request);
@@ -117,6 +126,9 @@
 
     fn serve(&self, mut stream: TcpStream) {
         self.record.lock().unwrap().opened += 1;
+        while self.is_deaf.load(Ordering::Relaxed) {
+            thread::park();
+        }
         self.serve_requests(&mut stream);
         self.record.lock().unwrap().closed += 1;
     }
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -2,19 +2,21 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use clock::Clock;
 use fleet::CallHead;
 use fleet::NodeMessage;
 use fleet::ProtocolAdapter;
+use fleet::RefusalReason;
 use link::LinkReceiver;
 use link::LinkSender;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::memory_budget::BodyBuffer;
 use crate::peers::BODY_CHUNK_BYTES;
 use crate::peers::send_chunk;
 use crate::retry::AttemptOutcome;
@@ -22,6 +24,8 @@
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Retry-after delay when a request body does not fit into the memory for bodies.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Number of listed calls from which on the ended ones are removed before the next starts.
 const CLEANUP_CALLS: usize = 256;
 
@@ -65,7 +69,7 @@
     sender: LinkSender<NodeMessage>,
     running: HashMap<u64, AbortHandle>,
     /// Calls whose body has not been received completely.
-    incomplete: HashMap<u64, (CallHead, BytesMut)>,
+    incomplete: HashMap<u64, (CallHead, BodyBuffer)>,
 }
 
 impl<C: Clock, A: ProtocolAdapter> PeerSession<C, A> {
@@ -89,8 +93,9 @@
                 if last {
                     self.start_call(id, *head, body);
                 } else {
-                    let body = BytesMut::from(&body[..]);
-                    self.incomplete.insert(id, (*head, body));
+                    let buffer = self.state.request_memory.buffer(MAX_BODY_BYTES);
+                    self.incomplete.insert(id, (*head, buffer));
+                    self.append_body(id, &body, last);
                 }
             }
             NodeMessage::Data { id, body, last } => self.append_body(id, &body, last),
@@ -107,17 +112,22 @@
     }
 
     fn append_body(&mut self, id: u64, chunk: &[u8], last: bool) {
-        let Some((_, body)) = self.incomplete.get_mut(&id) else {
+        let Some((_, buffer)) = self.incomplete.get_mut(&id) else {
             return;
         };
-        if body.len() + chunk.len() > MAX_BODY_BYTES {
-            tracing::warn!(event = "body-too-large", id);
+        if let Err(error) = buffer.append(chunk) {
+            tracing::info!(event = "body-given-up", id, %error);
             self.incomplete.remove(&id);
+            self.sender.send(&NodeMessage::Refused {
+                id,
+                cause: RefusalReason::Overloaded,
+                retry_after: NO_MEMORY_RETRY_AFTER,
+                load: self.state.server.load(),
+            });
             return;
         }
-        body.extend_from_slice(chunk);
-        if last && let Some((head, body)) = self.incomplete.remove(&id) {
-            self.start_call(id, head, body.freeze());
+        if last && let Some((head, buffer)) = self.incomplete.remove(&id) {
+            self.start_call(id, head, buffer.freeze());
         }
     }
 
