Refuse weights and rates that no configuration can mean

A configuration with two weights of 1e300 was taken, and every request on its route ended without an answer: the sum of the weights overflows in `choose_service`, which panics in a debug build (a release build wraps and splits the requests anyhow). A negative rate or burst was taken for none, which means "no limit".

The same test shows what can't happen: deep nesting, numbers too large, negative or fractional ones are refused, and times, attempts and rates at the end of their range are applied without harm.

--- a/crates/daemon/tests/servers/odd_entries.rs
+++ b/crates/daemon/tests/servers/odd_entries.rs
@@ -233,6 +233,72 @@
     assert_serving(&mut cluster, "after odd deadlines");
 }
 
+#[test]
+fn an_odd_configuration_is_refused_and_the_one_in_force_stays() {
+    let mut cluster = TestCluster::start(&SERVICES);
+    let sound = include_str!("config.json")
+        .replace("\"version\":3", "\"version\":4")
+        .replace("\"baseVersion\":0", "\"baseVersion\":3");
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let weights = |weight: &str| {
+        let backends = format!(
+            "\"weightedBackends\":[{{\"service\":\"orders\",\"weight\":{weight}}},{{\"service\":\"stock\",\"weight\":{weight}}}],\"service\":\"orders\""
+        );
+        sound.replacen("\"service\":\"orders\"", &backends, 1)
+    };
+    let documents = [
+        deep.clone(),
+        "{\"a\":".repeat(100_000),
+        sound.replacen("3000", &deep, 1),
+        sound.replacen("3000", "1e400", 1),
+        sound.replacen("3000", "18446744073709551615", 1),
+        sound.replacen("3000", "18446744073709551616", 1),
+        sound.replacen("3000", "-1", 1),
+        sound.replacen("3000", "0.5", 1),
+        sound.replacen("\"priority\":0", "\"priority\":256", 1),
+        sound.replacen("\"version\":4", "\"version\":1e30", 1),
+        sound.replace("\"ratePerS\":0", "\"ratePerS\":-1"),
+        sound.replace("\"ratePerS\":0", "\"ratePerS\":1e400"),
+        sound.replace("\"burst\":0", "\"burst\":-0.5"),
+        weights("1e18"),
+        weights("1e300"),
+        weights("-1"),
+    ];
+    for document in documents {
+        let shown = &document[..document.len().min(400)];
+        let status = cluster.put_document(document.as_bytes());
+        assert_eq!(status, Some(400), "{shown}");
+    }
+    assert_serving(&mut cluster, "after odd configurations");
+    let extreme = sound
+        .replace("\"aim\":1500", "\"aim\":18446744073709551615")
+        .replace(
+            "\"headerTimeout\":3000",
+            "\"headerTimeout\":18446744073709551615",
+        )
+        .replace(
+            "\"idleTimeout\":15000",
+            "\"idleTimeout\":18446744073709551615",
+        )
+        .replace("\"maxAttempts\":2", "\"maxAttempts\":4294967295")
+        .replace("\"ratePerS\":0", "\"ratePerS\":1e15")
+        .replace("\"burst\":0", "\"burst\":1e300");
+    assert_eq!(cluster.put_document(extreme.as_bytes()), Some(200));
+    for node in ["node-0", "node-1"] {
+        eventually("the configuration is in force", || {
+            cluster.log(node).contains("event=config-applied config=4")
+        });
+    }
+    for _ in 0..20 {
+        eventually("a node serves calls", || {
+            let id = format!("{:016x}", rand::random::<u64>());
+            let response = cluster.call(0, "POST /unsafe/orders/1", &id);
+            response.is_ok_and(|response| response.status == 200)
+        });
+    }
+    cluster.assert_running();
+}
+
 #[test]
 fn odd_frames_on_a_link_stop_no_process() {
     let mut cluster = TestCluster::start(&SERVICES);
