--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -23,6 +23,7 @@
 
 use crate::local_server::MAX_RESPONSE_BYTES;
 use crate::memory_budget::BodyBuffer;
+use crate::memory_budget::BodyTooLarge;
 use crate::memory_budget::MemoryBudget;
 use crate::retry::AttemptOutcome;
 use crate::state::lock;
@@ -228,11 +229,15 @@
                 last,
                 load,
             } => {
-                let buffer = self.answer_memory.buffer(MAX_RESPONSE_BYTES);
-                if let Some(call) = lock(&self.pending).get_mut(&id) {
+                let mut buffer = self.answer_memory.buffer(MAX_RESPONSE_BYTES);
+                if let Err(error) = buffer.append(&body) {
+                    self.give_up(id, error);
+                } else if last {
+                    let body = buffer.freeze();
+                    self.complete(id, (AttemptOutcome::Answered { head, body }, Some(load)));
+                } else if let Some(call) = lock(&self.pending).get_mut(&id) {
                     call.incomplete = Some((head, buffer, load));
                 }
-                self.append_body(id, &body, last);
             }
             NodeMessage::Data { id, body, last } => self.append_body(id, &body, last),
             NodeMessage::Refused {
@@ -263,9 +268,7 @@
         };
         if let Err(error) = buffer.append(chunk) {
             drop(pending);
-            tracing::info!(event = "answer-given-up", id, %error);
-            self.complete(id, (failed_outcome(FailureReason::BadResponse), None));
-            self.sender.send(&NodeMessage::Cancel { id });
+            self.give_up(id, error);
             return;
         }
         if !last {
@@ -279,6 +282,13 @@
         }
     }
 
+    /// Ends a call whose answer does not fit, here and at the other node.
+    fn give_up(&self, id: u64, error: BodyTooLarge) {
+        tracing::info!(event = "answer-given-up", id, %error);
+        self.complete(id, (failed_outcome(FailureReason::BadResponse), None));
+        self.sender.send(&NodeMessage::Cancel { id });
+    }
+
     fn complete(&self, id: u64, outcome: PeerOutcome) {
         if let Some(call) = lock(&self.pending).remove(&id) {
             // Sending fails when the waiting task was cancelled meanwhile.
