--- a/crates/daemon/tests/servers/endless.rs
+++ b/crates/daemon/tests/servers/endless.rs
@@ -29,7 +29,7 @@
 const BLOCK_BYTES: usize = 64 * 1024;
 /// Size of a large answer that is not at fault, in bytes.
 const LARGE_ANSWER_BYTES: usize = 20 * 1000 * 1000;
-/// A faulty server's node is at the end of the first request, and the caller's at the other.
+/// The faulty server runs the first service; callers call at either node.
 const SERVICES: [&str; 2] = ["orders", "stock"];
 
 /// An answer without end: how it begins, and what then repeats.
@@ -195,6 +195,35 @@
     trailers_without_end_are_given_up: 9,
 }
 
+#[test]
+fn a_refusal_with_a_body_without_end_refuses_and_ends_its_connection() {
+    let _turn = take_turn();
+    let mut cluster = TestCluster::start(&SERVICES);
+    cluster.servers[0].set_script(|_, stream, request| {
+        let head = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nX-Ragwortplank-Request-Id: {}\r\nX-Ragwortplank-Not-Executed: 1\r\n\r\n",
+            request.id
+        );
+        let block = vec![b'x'; BLOCK_BYTES];
+        let mut written = stream.write_all(head.as_bytes());
+        while written.is_ok() {
+            written = stream.write_all(&block);
+        }
+        false
+    });
+    for node in 0..2 {
+        let statuses = call_at_once(&cluster, node, "POST /unsafe/orders/1", LONG_DEADLINE_MS);
+        assert_eq!(statuses, [503; CALLERS], "node {node}");
+    }
+    eventually("the connections of endless refusals are closed", || {
+        let (opened, closed) = cluster.servers[0].connections();
+        opened == closed
+    });
+    let peak = cluster.peak_memory_mib(0);
+    assert!(peak < NODE_MEMORY_MIB, "the node took {peak} MiB");
+    cluster.assert_running();
+}
+
 #[test]
 fn a_large_answer_arrives_whole() {
     let _turn = take_turn();
