Let bodies of tiny chunks through within what is read for an answer

A body of 100,000 chunks of one byte, which passed before, got 502: a chunk of one byte takes six bytes, and only four were allowed for each byte of a body beside the first 256 KiB. Eight are allowed now, so every body of plain chunks passes, and one without end is bounded by its memory and deadline.

--- a/crates/daemon/tests/servers/endless.rs
+++ b/crates/daemon/tests/servers/endless.rs
@@ -29,6 +29,8 @@
 const BLOCK_BYTES: usize = 64 * 1024;
 /// Size of a large answer that is not at fault, in bytes.
 const LARGE_ANSWER_BYTES: usize = 20 * 1000 * 1000;
+/// Chunks of one byte in a body that is not at fault.
+const MANY_CHUNKS: usize = 100_000;
 /// The faulty server runs the first service; callers call at either node.
 const SERVICES: [&str; 2] = ["orders", "stock"];
 
@@ -257,6 +259,27 @@
     cluster.assert_running();
 }
 
+#[test]
+fn a_body_in_chunks_of_one_byte_arrives_whole() {
+    let cluster = TestCluster::start(&SERVICES);
+    cluster.servers[0].set_script(|server, stream, request| {
+        server.execute(request);
+        let mut answer = format!(
+            "HTTP/1.1 200 OK\r\nX-Ragwortplank-Request-Id: {}\r\nTransfer-Encoding: chunked\r\n\r\n",
+            request.id
+        );
+        answer.push_str(&"1\r\nx\r\n".repeat(MANY_CHUNKS));
+        answer.push_str("0\r\n\r\n");
+        stream.write_all(answer.as_bytes()).is_ok()
+    });
+    for node in [0, 1, 0, 1] {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let response = cluster.call(node, "POST /unsafe/orders/1", &id).unwrap();
+        assert_eq!(response.status, 200, "node {node}: {}", response.head);
+        assert!(response.body == [b'x'].repeat(MANY_CHUNKS), "node {node}");
+    }
+}
+
 #[test]
 fn others_are_served_while_an_endless_answer_is_under_way() {
     let _turn = take_turn();
--- a/crates/proxy/src/bounded_stream.rs
+++ b/crates/proxy/src/bounded_stream.rs
@@ -19,8 +19,8 @@
 /// Heads and informational responses, the framing of chunks, and what is read ahead of the body's
 /// reader all come out of this.
 const BASE_ALLOWANCE_BYTES: usize = 256 * 1024;
-/// Bytes that may be read for each byte of the body; a chunk of two bytes takes seven.
-const BYTES_PER_BODY_BYTE: usize = 4;
+/// Bytes that may be read for each byte of the body; a chunk of one byte takes six.
+const BYTES_PER_BODY_BYTE: usize = 8;
 
 /// How many bytes may still be read for the response under way; clones share it.
 ///
