--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -24,6 +24,7 @@
 
 use crate::leased_config::LeasedConfig;
 use crate::local_server::LocalServer;
+use crate::memory_budget::MemoryBudget;
 use crate::node_table::NodeTable;
 use crate::peers::PeerPool;
 use crate::quota::QuotaTable;
@@ -33,6 +34,9 @@
 /// Request bodies in flight may use the memory limit divided by this.
 const BODY_MEMORY_DIVISOR: u64 = 3;
 
+/// Answers in flight may use the memory limit divided by this.
+const ANSWER_MEMORY_DIVISOR: u64 = 3;
+
 /// Most log lines on individual requests in one second.
 const MAX_LINES_PER_S: u32 = 150;
 
@@ -93,6 +97,10 @@
     pub(crate) clock: C,
     pub(crate) server: LocalServer,
     pub(crate) peers: PeerPool,
+    /// Memory of the answers in flight, from the local backend server and from other nodes.
+    pub(crate) answer_memory: MemoryBudget,
+    /// Memory of the request bodies in flight.
+    pub(crate) request_memory: MemoryBudget,
     pub(crate) metrics: ProcessMetrics,
     /// Wakes the control session to send a report at once.
     pub(crate) report_now: Notify,
@@ -109,8 +117,6 @@
     started: Instant,
     request_log_limiter: Mutex<RequestLogLimiter>,
     sample_count: AtomicUsize,
-    /// Total size of the request bodies in flight.
-    body_bytes_in_flight: AtomicUsize,
     /// Requests in flight, from callers and from the local backend server.
     requests_in_flight: AtomicUsize,
 }
@@ -123,12 +129,15 @@
         metrics: ProcessMetrics,
     ) -> Self {
         let node = rand::random();
+        let answer_memory = MemoryBudget::new(settings.memory_bytes / ANSWER_MEMORY_DIVISOR);
         let inner = StateInner {
             node,
             config: Mutex::new(LeasedConfig::new(settings.bounds.revocation_time)),
             nodes: Mutex::new(NodeTable::new(node, settings.data_centre.clone())),
             server: LocalServer::new(settings.service.clone()),
-            peers: PeerPool::default(),
+            peers: PeerPool::new(answer_memory.clone()),
+            answer_memory,
+            request_memory: MemoryBudget::new(settings.memory_bytes / BODY_MEMORY_DIVISOR),
             metrics,
             report_now: Notify::new(),
             request_tokens_now: Notify::new(),
@@ -141,7 +150,6 @@
             started: clock.now(),
             request_log_limiter: Mutex::default(),
             sample_count: AtomicUsize::new(0),
-            body_bytes_in_flight: AtomicUsize::new(0),
             requests_in_flight: AtomicUsize::new(0),
             settings,
             adapter,
@@ -252,21 +260,6 @@
         operation(budget, now)
     }
 
-    /// Reserves memory for a request body; returns `None` when the limit is exceeded.
-    pub(crate) fn reserve_body(&self, bytes: usize) -> Option<BodyReservation<C, A>> {
-        let limit = self.inner.settings.memory_bytes / BODY_MEMORY_DIVISOR;
-        let reserved = self
-            .inner
-            .body_bytes_in_flight
-            .fetch_add(bytes, Ordering::Relaxed)
-            + bytes;
-        let reservation = BodyReservation {
-            state: self.clone(),
-            bytes,
-        };
-        (reserved as u64 <= limit).then_some(reservation)
-    }
-
     /// Returns whether a line on a request may be logged now, within the limit per second.
     pub(crate) fn may_log_request(&self) -> bool {
         let second = self.now().duration_since(self.inner.started).as_secs();
@@ -295,21 +288,6 @@
     }
 }
 
-/// Memory reserved for a request body; released on drop.
-pub(crate) struct BodyReservation<C, A> {
-    state: ProxyState<C, A>,
-    bytes: usize,
-}
-
-impl<C, A> Drop for BodyReservation<C, A> {
-    fn drop(&mut self) {
-        self.state
-            .inner
-            .body_bytes_in_flight
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Counts a request as in flight until it is dropped.
 pub(crate) struct RequestGuard<C, A> {
     state: ProxyState<C, A>,
