Name voters, lost voters and quorum where a change is decided

No change of logic. The lines `config-decided` and `config-not-taken` could not tell with how many voters a change was taken, and neither a plan that could not be read nor a deleted log left a line.

--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -12,6 +12,7 @@
 mod session;
 mod start;
 mod state;
+mod strength;
 
 pub use crate::identity::instance_id;
 pub use crate::identity::instance_ip;
@@ -22,3 +23,4 @@
 pub use crate::run::run;
 pub use crate::start::DataDirectory;
 pub use crate::start::StartPlan;
+pub use crate::strength::GroupStrength;
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -163,7 +163,8 @@
             Err(_) => "unknown",
         };
         self.state.metrics.count("config", detail);
-        info!(event = "config-decided", version, base, outcome = ?outcome);
+        let group = self.describe_group();
+        info!(event = "config-decided", version, base, outcome = ?outcome, group);
         match outcome {
             Ok(ChangeOutcome::Accepted) => {
                 self.state.notify_sessions();
@@ -198,10 +199,17 @@
     }
 
     fn unavailable(&self, version: u64, reason: &str) -> HttpResponse {
-        info!(event = "config-not-taken", version, reason);
+        let group = self.describe_group();
+        info!(event = "config-not-taken", version, reason, group);
         self.respond_with_reason(StatusCode::SERVICE_UNAVAILABLE, reason)
     }
 
+    /// Returns voters, lost voters and quorum size for the log.
+    fn describe_group(&self) -> String {
+        let strength = self.state.strength();
+        strength.map_or_else(|| "unknown".to_owned(), |strength| strength.to_string())
+    }
+
     fn respond_with_reason(&self, status: StatusCode, reason: &str) -> HttpResponse {
         Self::respond(status, self.adapter.error_body(reason).into())
     }
--- a/crates/group/src/start.rs
+++ b/crates/group/src/start.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use settings::GroupSettings;
+use tracing::warn;
 
 use crate::identity::instance_id;
 
@@ -82,8 +83,20 @@
     /// Reads the plan; returns `None` if it is missing or incompletely written.
     #[must_use]
     pub fn load_plan(&self) -> Option<StartPlan> {
-        let content = fs::read(self.path.join(PLAN_FILE)).ok()?;
-        postcard::from_bytes(&content).ok()
+        let path = self.path.join(PLAN_FILE);
+        let content = match fs::read(&path) {
+            Ok(content) => content,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
+            Err(error) => {
+                warn!(event = "plan-unreadable", file = %path.display(), %error);
+                return None;
+            }
+        };
+        let plan = postcard::from_bytes(&content);
+        plan.inspect_err(|error| {
+            warn!(event = "plan-unreadable", file = %path.display(), %error);
+        })
+        .ok()
     }
 
     /// Writes the plan durably.
@@ -111,6 +124,7 @@
     pub fn clear(&self) -> io::Result<()> {
         let log = self.path.join(LOG_DIRECTORY);
         if log.exists() {
+            warn!(event = "log-deleted", folder = %log.display());
             fs::remove_dir_all(&log)?;
         }
         let plan = self.path.join(PLAN_FILE);
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -35,6 +35,7 @@
 use crate::peer_links::PeerLinks;
 use crate::registry::NodeRegistry;
 use crate::repair::RepairPolicy;
+use crate::strength::GroupStrength;
 
 /// Factor from requests to thousandths of a request.
 const MILLI: u64 = 1000;
@@ -192,8 +193,14 @@
     /// Returns whether a committed entry is stored on more disks than may be lost at once.
     pub(crate) fn tolerates_losses(&self) -> bool {
         let tolerated = self.settings.bounds.tolerated_losses;
+        self.strength()
+            .is_some_and(|strength| strength.tolerates(tolerated))
+    }
+
+    /// Returns the strength of the group as this instance knows it; `None` before the start.
+    pub(crate) fn strength(&self) -> Option<GroupStrength> {
         self.status()
-            .is_some_and(|status| status.membership.quorum_size() > tolerated)
+            .map(|status| GroupStrength::new(&status.membership))
     }
 
     /// Waits until a quorum has confirmed the leader and all entries committed before are applied
