Acknowledge a change only while a quorum survives the tolerated losses

Callers saw: a change was acknowledged, two disks were lost, and no instance ever returned it again.

Cause: a change was taken once the quorum was larger than the tolerated losses. That keeps it on a disk, but not readable: of 4 voters (while the group grows, or while a member is replaced) 2 lost disks leave 2, and 3 are a quorum. Voters whose disk was already lost were counted like the others.

Why it works: an entry is on a quorum of voters. If the voters that keep their disk are a quorum whichever tolerated disks are lost, one of them holds the entry, and each quorum of theirs meets it. Only a committed membership counts, so the one before it cannot come back. A disk that is lost and not yet known to be is one of the tolerated losses until the instance has been back for the time to catch up; by then its new identity has joined, and it counts as lost here.

A request waits up to 400 ms for a whole group, so that an operator's order is not put off by a replacement that is nearly done. A committed change that is not acknowledged is acknowledged when it is sent again.

--- /dev/null
+++ b/crates/daemon/tests/control/control_group.rs
@@ -0,0 +1,237 @@
+//! Control instances as processes, each with its own loopback address and data directory.
+
+use std::fs;
+use std::fs::OpenOptions;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use tempfile::TempDir;
+
+use crate::http;
+use crate::http::HttpResponse;
+
+/// Timeout for any step, long enough for a slow machine.
+const STEP_TIMEOUT: Duration = Duration::from_mins(1);
+/// Interval between two polls of a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of ports that a group uses, the same at each address.
+const PORT_COUNT: u16 = 8;
+/// Number of instances whose addresses the settings name.
+const SEED_COUNT: u8 = 3;
+/// Guarantees in the settings of all instances.
+const BOUNDS: &str = "[bounds]\ntolerated-losses = 2\nlease-ms = 5000\ndrain-ms = 2000\ngrace-s = 6\ncontact-ms = 3000\nattempt-window-s = 10\nattempt-ratio = 0.2\nattempt-slack = 49\nquota-window-s = 5\nquota-overage = 0.1\nquota-slack = 20\n";
+
+/// Processes and data directories of a group; dropping it kills its processes.
+pub(crate) struct ControlGroup {
+    directory: TempDir,
+    /// Second and third byte of all addresses, random so that tests do not share addresses.
+    subnet: (u8, u8),
+    first_port: u16,
+    instances: Vec<Option<Child>>,
+}
+
+impl ControlGroup {
+    /// Starts the instances below `started` of a group of `size` for the first time.
+    pub(crate) fn start(size: u8, started: u8) -> Self {
+        let subnet = (rand::random::<u8>() | 1, rand::random());
+        let mut group = Self {
+            directory: TempDir::new().unwrap(),
+            subnet,
+            first_port: first_free_port(subnet),
+            instances: (0..size).map(|_| None).collect(),
+        };
+        for number in 0..started {
+            group.start_instance(number, true);
+        }
+        group
+    }
+
+    pub(crate) fn start_instance(&mut self, number: u8, first_start: bool) {
+        let seeds: Vec<String> = (0..SEED_COUNT)
+            .map(|seed| format!("\"{}\"", self.address(seed, 0)))
+            .collect();
+        let settings = format!(
+            "role = \"group\"\nprocess = \"control-{number}\"\ndata-centre = \"a\"\nseeds = [{}]\nports = [{}, {}]\ndata = \"{}\"\nfirst-start = {first_start}\n[listen]\naddress = \"{}\"\noperators = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}",
+            seeds.join(", "),
+            self.first_port + 5,
+            self.first_port + 6,
+            self.data(number).display(),
+            self.address(number, 0).ip(),
+            self.address(number, 0),
+            self.address(number, 1),
+        );
+        let path = self.directory.path().join(format!("control-{number}.toml"));
+        fs::write(&path, settings).unwrap();
+        let log = OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(self.log_path(number))
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_ragwortplankd"))
+            .arg("--config")
+            .arg(path)
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        self.instances[usize::from(number)] = Some(child);
+    }
+
+    /// Starts all instances that do not run, with the disks that they have.
+    pub(crate) fn start_missing(&mut self) {
+        for number in self.numbers() {
+            if self.instances[usize::from(number)].is_none() {
+                self.start_instance(number, false);
+            }
+        }
+    }
+
+    pub(crate) fn kill(&mut self, number: u8) {
+        kill(&mut self.instances[usize::from(number)]);
+    }
+
+    pub(crate) fn kill_all(&mut self) {
+        self.instances.iter_mut().for_each(kill);
+    }
+
+    /// Asks an instance to stop, and waits until it has.
+    pub(crate) fn terminate(&mut self, number: u8) {
+        if let Some(mut child) = self.instances[usize::from(number)].take() {
+            rustix::process::kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Loses the disk of an instance that does not run.
+    pub(crate) fn wipe(&self, number: u8) {
+        fs::remove_dir_all(self.data(number)).unwrap();
+    }
+
+    pub(crate) fn numbers(&self) -> std::ops::Range<u8> {
+        0..u8::try_from(self.instances.len()).unwrap()
+    }
+
+    pub(crate) fn data(&self, number: u8) -> PathBuf {
+        self.directory.path().join(format!("data-{number}"))
+    }
+
+    fn log_path(&self, number: u8) -> PathBuf {
+        self.directory.path().join(format!("control-{number}.log"))
+    }
+
+    /// Returns the lines that all instances have logged so far and that contain all `words`.
+    pub(crate) fn logged(&self, words: &[&str]) -> Vec<String> {
+        let numbers = self.numbers();
+        numbers
+            .flat_map(|number| self.logged_by(number, words))
+            .collect()
+    }
+
+    /// Returns the lines that an instance has logged so far and that contain all `words`.
+    pub(crate) fn logged_by(&self, number: u8, words: &[&str]) -> Vec<String> {
+        let log = fs::read_to_string(self.log_path(number)).unwrap_or_default();
+        log.lines()
+            .filter(|line| words.iter().all(|word| line.contains(word)))
+            .map(str::to_owned)
+            .collect()
+    }
+
+    /// Returns an address of an instance; port offset 0 is the operator listener.
+    pub(crate) fn address(&self, number: u8, port: u16) -> SocketAddr {
+        let (second, third) = self.subnet;
+        let ip = Ipv4Addr::new(127, second, third, 10 + number);
+        SocketAddr::new(IpAddr::V4(ip), self.first_port + port)
+    }
+
+    /// Sends a configuration to each instance once; returns whether one acknowledged it.
+    pub(crate) fn offer(&self, document: &str) -> bool {
+        self.numbers().any(|number| {
+            let to = self.address(number, 0);
+            let response = http::send(to, "PUT /v1/config", &[("Host", "control")], document);
+            response.is_ok_and(|response| {
+                let status = response.status;
+                let is_redirect = status == 307 && response.head.contains("location: ");
+                assert!(
+                    status == 200 || is_redirect || status >= 500,
+                    "{response:?}"
+                );
+                status == 200
+            })
+        })
+    }
+
+    /// Sends a configuration until an instance acknowledges it.
+    pub(crate) fn put(&self, document: &str) {
+        eventually("a change is acknowledged", || self.offer(document));
+    }
+
+    fn get(&self, number: u8) -> Option<HttpResponse> {
+        let to = self.address(number, 0);
+        http::send(to, "GET /v1/config", &[("Host", "control")], "").ok()
+    }
+
+    /// Waits until every instance returns `document` as the configuration.
+    pub(crate) fn await_everywhere(&self, document: &str) {
+        for number in self.numbers() {
+            eventually("every instance reads back what was acknowledged", || {
+                let response = self.get(number);
+                response
+                    .filter(|response| response.status == 200)
+                    .is_some_and(|response| {
+                        assert_eq!(response.body, document);
+                        true
+                    })
+            });
+        }
+    }
+}
+
+impl Drop for ControlGroup {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            for line in self.logged(&["event="]) {
+                println!("{line}");
+            }
+        }
+        self.kill_all();
+    }
+}
+
+fn kill(child: &mut Option<Child>) {
+    if let Some(mut child) = child.take() {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+/// Waits until a condition holds; the timeout is so long that only a stalled machine exceeds it.
+pub(crate) fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < STEP_TIMEOUT, "not in time: {what}");
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Returns the first port of the range that a group uses at its addresses.
+fn first_free_port(subnet: (u8, u8)) -> u16 {
+    let ip = Ipv4Addr::new(127, subnet.0, subnet.1, 1);
+    loop {
+        let listener = TcpListener::bind((ip, 0)).unwrap();
+        let first = listener.local_addr().unwrap().port();
+        if first < u16::MAX - PORT_COUNT {
+            return first;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/control/losses.rs
@@ -0,0 +1,93 @@
+//! What was acknowledged is read back after disks were lost.
+
+use crate::control_group::ControlGroup;
+use crate::control_group::eventually;
+
+/// Instances of a group that tolerates the loss of two disks.
+const SIZE: u8 = 5;
+
+fn document(version: u64, base: u64) -> String {
+    include_str!("../fleet/config.json")
+        .replace("VERSION", &version.to_string())
+        .replace("BASE", &base.to_string())
+        .replace("KEY", "key-1")
+}
+
+/// Kills all instances, loses the disks of two and starts all again.
+fn lose_two_disks(group: &mut ControlGroup, wiped: [u8; 2]) {
+    group.kill_all();
+    for number in wiped {
+        group.wipe(number);
+    }
+    group.start_missing();
+}
+
+/// Waits until `count` voters without their disks were removed; the next acknowledgement then
+/// shows that the group is whole again.
+fn await_removals(group: &ControlGroup, count: usize) {
+    eventually("the lost voters are removed", || {
+        group.logged(&["event=member-replaced", "Remove"]).len() >= count
+    });
+}
+
+#[test]
+fn a_change_offered_to_four_voters_survives_two_lost_disks() {
+    let mut group = ControlGroup::start(SIZE, SIZE - 1);
+    let first = document(3, 0);
+    let mut acknowledged = false;
+    eventually("a change is decided on by four voters", || {
+        acknowledged |= group.offer(&first);
+        !group.logged(&["event=config-", "\"4 voters"]).is_empty()
+    });
+    if !acknowledged {
+        group.start_instance(SIZE - 1, true);
+        group.put(&first);
+    }
+    lose_two_disks(&mut group, [0, 3]);
+    group.await_everywhere(&first);
+}
+
+#[test]
+fn a_change_survives_two_lost_seeds() {
+    let mut group = ControlGroup::start(SIZE, SIZE);
+    let first = document(3, 0);
+    group.put(&first);
+    lose_two_disks(&mut group, [0, 1]);
+    group.await_everywhere(&first);
+    group.put(&document(5, 3));
+}
+
+#[test]
+fn changes_survive_losses_of_one_disk_and_then_of_two() {
+    let mut group = ControlGroup::start(SIZE, SIZE);
+    group.put(&document(3, 0));
+    group.kill(2);
+    group.wipe(2);
+    group.start_missing();
+    await_removals(&group, 1);
+    let second = document(5, 3);
+    group.put(&second);
+    lose_two_disks(&mut group, [0, 4]);
+    group.await_everywhere(&second);
+    await_removals(&group, 3);
+    let third = document(8, 5);
+    group.put(&third);
+    lose_two_disks(&mut group, [1, 2]);
+    group.await_everywhere(&third);
+}
+
+#[test]
+fn a_change_sent_while_all_stop_is_kept_once_it_is_acknowledged() {
+    let mut group = ControlGroup::start(SIZE, SIZE);
+    let mut base = 0;
+    for version in [2, 3, 5] {
+        let change = document(version, base);
+        group.put(&change);
+        for number in group.numbers() {
+            group.terminate(number);
+        }
+        group.start_missing();
+        group.await_everywhere(&change);
+        base = version;
+    }
+}
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -149,7 +149,7 @@
                 None => self.unavailable(version, "no leader"),
             };
         }
-        if !self.state.tolerates_losses() {
+        if !self.state.await_strength().await {
             return self.unavailable(version, "too few members");
         }
         let base = change.config.base_version;
@@ -166,10 +166,7 @@
         let group = self.describe_group();
         info!(event = "config-decided", version, base, outcome = ?outcome, group);
         match outcome {
-            Ok(ChangeOutcome::Accepted) => {
-                self.state.notify_sessions();
-                self.respond_with_reason(StatusCode::OK, "accepted")
-            }
+            Ok(ChangeOutcome::Accepted) => self.acknowledge(version).await,
             Ok(ChangeOutcome::Conflict { current }) => {
                 let reason = format!("version {current} is in force");
                 self.respond_with_reason(StatusCode::PRECONDITION_FAILED, &reason)
@@ -187,6 +184,16 @@
         }
     }
 
+    /// Acknowledges a change that is committed, unless the members have changed meanwhile.
+    async fn acknowledge(&self, version: u64) -> HttpResponse {
+        self.state.notify_sessions();
+        if self.state.await_strength().await {
+            self.respond_with_reason(StatusCode::OK, "accepted")
+        } else {
+            self.unavailable(version, "too few members to acknowledge")
+        }
+    }
+
     fn redirect(&self, version: u64, leader: IpAddr, path: &str) -> HttpResponse {
         let address = SocketAddr::new(leader, self.state.settings.operator_listener.port());
         info!(event = "config-redirected", version, leader = %address);
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -42,6 +42,11 @@
 /// Timeout for confirming the leader before a read or a lease renewal, in milliseconds.
 const CONFIRM_TIMEOUT_MS: u64 = 900;
 
+/// Longest wait of an operator's request for a group that tolerates all losses, in milliseconds.
+///
+/// An operator gives up after a second, and a request waits up to twice.
+const STRENGTH_TIMEOUT_MS: u64 = 400;
+
 /// Time for which an entry admission plan is reused, in milliseconds.
 const PLAN_REUSE_MS: u64 = 100;
 /// Minimum interval between log lines about the entry admission plan, in milliseconds.
@@ -190,11 +195,24 @@
         RepairPolicy::new(self.settings.bounds.tolerated_losses)
     }
 
-    /// Returns whether a committed entry is stored on more disks than may be lost at once.
-    pub(crate) fn tolerates_losses(&self) -> bool {
+    /// Waits a moment until what is committed can be read back after all losses that the
+    /// deployment tolerates; returns whether that is so.
+    ///
+    /// Only a committed membership counts, since one that is not may be replaced by the one
+    /// before it.
+    pub(crate) async fn await_strength(&self) -> bool {
+        let Some(replica) = self.replica() else {
+            return false;
+        };
         let tolerated = self.settings.bounds.tolerated_losses;
-        self.strength()
-            .is_some_and(|strength| strength.tolerates(tolerated))
+        let mut status = replica.watch();
+        let is_strong = status.wait_for(|status| {
+            status.is_membership_committed()
+                && GroupStrength::new(&status.membership).tolerates(tolerated)
+        });
+        let time_limit = Duration::from_millis(STRENGTH_TIMEOUT_MS);
+        let waited = timeout(time_limit, is_strong).await;
+        waited.is_ok_and(|outcome| outcome.is_ok())
     }
 
     /// Returns the strength of the group as this instance knows it; `None` before the start.
--- a/crates/group/src/strength.rs
+++ b/crates/group/src/strength.rs
@@ -32,9 +32,12 @@
     }
 
     /// Returns whether a change may be acknowledged when `losses` disks may be lost at once.
+    ///
+    /// A quorum must remain whichever disks those are: otherwise no leader could ever be elected
+    /// again, and what was acknowledged could not be read although a disk still holds it.
     #[must_use]
     pub const fn tolerates(&self, losses: usize) -> bool {
-        self.quorum_size > losses
+        self.voters >= self.quorum_size + self.lost_voters + losses
     }
 }
 
--- a/crates/quorum/src/core/status.rs
+++ b/crates/quorum/src/core/status.rs
@@ -34,6 +34,8 @@
     pub leader: Option<InstanceId>,
     /// Membership in force, committed or not.
     pub membership: Membership,
+    /// Index of the entry that the membership is in force from.
+    pub membership_index: LogIndex,
     /// Index of the last committed entry.
     pub commit_index: LogIndex,
     /// Index of the last entry in the log.
@@ -57,6 +59,7 @@
             term: self.term,
             leader: self.leader,
             membership: self.log.membership().clone(),
+            membership_index: self.log.membership_index(),
             commit_index: self.commit_index,
             last_index: self.log.last().index,
             snapshot_index: self.log.snapshot_index(),
--- a/crates/replica/src/status.rs
+++ b/crates/replica/src/status.rs
@@ -66,6 +66,8 @@
     pub leader: Option<InstanceId>,
     /// Membership in force, committed or not.
     pub membership: Membership,
+    /// Index of the entry that the membership is in force from.
+    pub membership_index: LogIndex,
     /// Last index committed.
     pub commit_index: LogIndex,
     /// Last index applied.
@@ -77,6 +79,13 @@
 }
 
 impl ReplicaStatus {
+    /// Returns whether the membership is committed, so that no other can come into force unless
+    /// a quorum of it agrees.
+    #[must_use]
+    pub const fn is_membership_committed(&self) -> bool {
+        self.commit_index >= self.membership_index
+    }
+
     /// Returns whether observers must be notified of the difference.
     pub(crate) fn differs_from(&self, other: &Self) -> bool {
         self.role != other.role
