Keep the log of an instance whose plan cannot be read

Callers saw: nothing yet; an accepted change could be lost with a disk that was not lost.

Cause: any error of reading the plan (EIO, EMFILE, a permission) counted as a missing plan. The log was then deleted, and the instance joined under a new identity: a lost disk that no failure model has.

Why it works: a plan is missing only if its name is ("not found"), or if it is incomplete and there is no log, since a log is created only once the plan is durable. The tests of a missing plan now unwrap the outcome; what they assert is unchanged.

--- a/crates/daemon/tests/control/losses.rs
+++ b/crates/daemon/tests/control/losses.rs
@@ -1,5 +1,7 @@
 //! What was acknowledged is read back after disks were lost.
 
+use std::fs;
+
 use crate::control_group::ControlGroup;
 use crate::control_group::eventually;
 
@@ -91,3 +93,29 @@
         base = version;
     }
 }
+
+#[test]
+fn a_plan_that_cannot_be_read_does_not_delete_the_log() {
+    let mut group = ControlGroup::start(SIZE, SIZE);
+    let first = document(3, 0);
+    group.put(&first);
+    group.await_everywhere(&first);
+    group.kill_all();
+    let hidden = [0, 1, 2].map(|number| {
+        let plan = group.data(number).join("start");
+        let content = fs::read(&plan).unwrap();
+        fs::remove_file(&plan).unwrap();
+        // Reading a directory fails, and not because it is missing.
+        fs::create_dir(&plan).unwrap();
+        (number, plan, content)
+    });
+    group.start_missing();
+    for (number, plan, content) in hidden {
+        eventually("the unreadable plan is noticed", || {
+            !group.logged_by(number, &["Is a directory"]).is_empty()
+        });
+        fs::remove_dir(&plan).unwrap();
+        fs::write(&plan, content).unwrap();
+    }
+    group.await_everywhere(&first);
+}
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -1,6 +1,5 @@
 //! Runs a control instance: joins or forms its group, and rejoins when the group has removed it.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -124,7 +123,7 @@
                 }
             },
             Err(error) => {
-                warn!(event = "identity-not-saved", %error);
+                warn!(event = "no-identity", error = %format!("{error:#}"));
                 ReplicaExit::Reopen
             }
         };
@@ -150,14 +149,15 @@
 fn load_or_create_plan<C: Clock>(
     state: &GroupState<C>,
     directory: &DataDirectory<'_>,
-) -> io::Result<StartPlan> {
-    if let Some(plan) = directory.load_plan() {
+) -> anyhow::Result<StartPlan> {
+    let saved = directory.load_plan();
+    if let Some(plan) = saved.context("reading the plan")? {
         return Ok(plan);
     }
     // Without a plan, nothing in the log has been acknowledged to anyone.
-    directory.clear()?;
+    directory.clear().context("deleting the log")?;
     let plan = StartPlan::with_empty_directory(&state.settings, rand::random());
-    directory.save_plan(&plan)?;
+    directory.save_plan(&plan).context("saving the plan")?;
     info!(
         event = "identity-chosen",
         instance = plan.instance,
--- a/crates/group/src/start.rs
+++ b/crates/group/src/start.rs
@@ -80,23 +80,29 @@
         Ok(Self { path })
     }
 
-    /// Reads the plan; returns `None` if it is missing or incompletely written.
-    #[must_use]
-    pub fn load_plan(&self) -> Option<StartPlan> {
-        let path = self.path.join(PLAN_FILE);
-        let content = match fs::read(&path) {
-            Ok(content) => content,
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
+    /// Reads the plan; returns `None` if there is none, or if only a part of the first one was
+    /// written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there may be a plan that cannot be read now. The log must be kept then: it may
+    /// hold what was acknowledged.
+    pub fn load_plan(&self) -> io::Result<Option<StartPlan>> {
+        let content = match fs::read(self.path.join(PLAN_FILE)) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            content => content?,
+        };
+        match postcard::from_bytes(&content) {
+            Ok(plan) => Ok(Some(plan)),
+            // A log is created only once the plan is durable.
+            Err(error) if self.log_path().try_exists()? => {
+                Err(io::Error::new(io::ErrorKind::InvalidData, error))
+            }
             Err(error) => {
-                warn!(event = "plan-unreadable", file = %path.display(), %error);
-                return None;
+                warn!(event = "plan-incomplete", %error);
+                Ok(None)
             }
-        };
-        let plan = postcard::from_bytes(&content);
-        plan.inspect_err(|error| {
-            warn!(event = "plan-unreadable", file = %path.display(), %error);
-        })
-        .ok()
+        }
     }
 
     /// Writes the plan durably.
--- a/crates/group/tests/start.rs
+++ b/crates/group/tests/start.rs
@@ -74,16 +74,19 @@
 fn a_plan_survives_a_restart_until_it_is_deleted() {
     let directory = TempDir::new().unwrap();
     let data_directory = DataDirectory::new(directory.path()).unwrap();
-    assert_eq!(data_directory.load_plan(), None);
+    assert_eq!(data_directory.load_plan().unwrap(), None);
     let plan = StartPlan::with_empty_directory(&settings(1, true), 5);
     data_directory.save_plan(&plan).unwrap();
     assert_eq!(
-        DataDirectory::new(directory.path()).unwrap().load_plan(),
+        DataDirectory::new(directory.path())
+            .unwrap()
+            .load_plan()
+            .unwrap(),
         Some(plan)
     );
     std::fs::create_dir(data_directory.log_path()).unwrap();
     data_directory.clear().unwrap();
-    assert_eq!(data_directory.load_plan(), None);
+    assert_eq!(data_directory.load_plan().unwrap(), None);
     assert!(!data_directory.log_path().exists());
 }
 
@@ -92,5 +95,23 @@
     let directory = TempDir::new().unwrap();
     let data_directory = DataDirectory::new(directory.path()).unwrap();
     std::fs::write(directory.path().join("start"), [0xff]).unwrap();
-    assert_eq!(data_directory.load_plan(), None);
+    assert_eq!(data_directory.load_plan().unwrap(), None);
+}
+
+#[test]
+fn a_plan_that_cannot_be_read_is_not_taken_for_a_missing_one() {
+    let directory = TempDir::new().unwrap();
+    let data_directory = DataDirectory::new(directory.path()).unwrap();
+    // Reading a directory fails, and not because it is missing.
+    std::fs::create_dir(directory.path().join("start")).unwrap();
+    assert!(data_directory.load_plan().is_err());
+}
+
+#[test]
+fn a_damaged_plan_beside_a_log_is_not_taken_for_a_missing_one() {
+    let directory = TempDir::new().unwrap();
+    let data_directory = DataDirectory::new(directory.path()).unwrap();
+    std::fs::write(directory.path().join("start"), [0xff]).unwrap();
+    std::fs::create_dir(data_directory.log_path()).unwrap();
+    assert!(data_directory.load_plan().is_err());
 }
