Sync what a killed process left unsynced before it counts as stored

Callers saw: nothing yet. Found by reading: the whole core is killed while disks still write, is back within a second, and later loses power.

Cause: a process that is killed leaves in its files what it wrote and did not sync. The next start read that tail, took it for durable, and answered the leader that it holds these entries, but synced only the new segment. A later loss of power takes the tail, with entries that were committed on its account.

The syncs are observed through a trace line; a real loss of power was not played.

Why it works: the last segment, the only one that may end in writes without a sync, is synced before the segment after it is created, and so are the folders that hold the names that are read.

--- a/crates/replica/src/storage/files.rs
+++ b/crates/replica/src/storage/files.rs
@@ -13,9 +13,28 @@
 
 /// Syncs a folder, so that creations, renames and removals in it survive a crash.
 pub(super) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
-    File::open(folder)
+    sync_path(folder)
+}
+
+/// Syncs what a process that was killed may have written to a file and not synced.
+pub(super) fn sync_file(path: &Path) -> Result<(), StorageError> {
+    sync_path(path)
+}
+
+/// Syncs the parent of a folder, so that the folder itself survives a crash.
+pub(super) fn sync_parent(folder: &Path) -> Result<(), StorageError> {
+    match folder.parent() {
+        Some(parent) if !parent.as_os_str().is_empty() => sync_folder(parent),
+        _ => Ok(()),
+    }
+}
+
+fn sync_path(path: &Path) -> Result<(), StorageError> {
+    File::open(path)
         .and_then(|file| file.sync_all())
-        .map_err(StorageError::io(folder))
+        .map_err(StorageError::io(path))?;
+    tracing::trace!(event = "path-synced", path = %path.display());
+    Ok(())
 }
 
 /// Creates a folder and syncs its parent.
@@ -24,10 +43,7 @@
         return Ok(());
     }
     fs::create_dir_all(folder).map_err(StorageError::io(folder))?;
-    match folder.parent() {
-        Some(parent) if !parent.as_os_str().is_empty() => sync_folder(parent),
-        _ => Ok(()),
-    }
+    sync_parent(folder)
 }
 
 /// Replaces a file atomically: writes a temporary file, syncs it and renames it.
--- a/crates/replica/src/storage/folder.rs
+++ b/crates/replica/src/storage/folder.rs
@@ -34,11 +34,14 @@
     pub(super) fn open(config: &StoreConfig) -> Result<Self, StorageError> {
         let root = config.data_dir.clone();
         files::create_folder(&root)?;
+        // A process that was killed may have created or renamed without syncing what holds the name.
+        files::sync_parent(&root)?;
         let lock = lock(&root)?;
         files::remove_temporary_files(&root)?;
         files::create_folder(&log_folder(&root))?;
         files::create_folder(&snapshot_folder(&root))?;
         files::remove_temporary_files(&snapshot_folder(&root))?;
+        files::sync_folder(&snapshot_folder(&root))?;
         files::sync_folder(&root)?;
         let identity = match FolderIdentity::load(&root)? {
             Some(identity) => check_instance(&root, identity, config)?,
--- a/crates/replica/src/storage/store.rs
+++ b/crates/replica/src/storage/store.rs
@@ -78,6 +78,10 @@
                 replay.apply(record, &segment.path)?;
             }
         }
+        // A process that was killed during a sync left entries that a loss of power would still take.
+        if let Some(last) = closed_segments.last() {
+            files::sync_file(&last.path)?;
+        }
         let last_path = closed_segments
             .last()
             .map_or(folder.log_path(), |segment| segment.path.clone());
