Tell which of two members at an address is the one that runs

Cause: a learner at the address of a voter meant that the voter has lost its disk. When an instance loses its disk twice in a row, its first learner is left over; once the second one votes, it was removed although it runs, and the group was left with four voters. The left-over learner stayed for 6 s.

Why it works: at most one instance runs at an address, so the one that is heard is the later one. A new leader, which has heard neither, waits for 300 ms. The test of the immediate replacement gave both members the same silence, which does not tell them apart; it now gives the voter the silence of a restart (500 ms), and the equal silences have a test of their own.

--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -11,6 +11,12 @@
 const REPLACE_AFTER_MS: u64 = 4_000;
 /// Silence of a learner after which it is removed, in milliseconds.
 const REMOVE_LEARNER_AFTER_MS: u64 = 6_000;
+/// Difference in silence from which on one of two members at an address is the one that runs, in
+/// milliseconds; longer than a few heartbeats.
+const HEARD_MARGIN_MS: u64 = 300;
+/// Silence of a learner after which it is removed if another member at its address is heard, in
+/// milliseconds.
+const SUPERSEDED_AFTER_MS: u64 = 1_000;
 
 /// State of a member as the leader observes it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -56,35 +62,55 @@
         if voters < self.target_voters {
             return None;
         }
+        let replace_after = Duration::from_millis(REPLACE_AFTER_MS);
         let others = || {
             members
                 .iter()
                 .filter(|member| member.voter && member.instance != own)
         };
         let learners = || {
-            members.iter().filter(|member| {
-                !member.voter && member.silence < Duration::from_millis(REPLACE_AFTER_MS)
-            })
+            members
+                .iter()
+                .filter(|member| !member.voter && member.silence < replace_after)
         };
-        // A learner at the address of a voter means that the voter has lost its disk.
+        // A learner at the address of a voter means that the voter has lost its disk, unless the
+        // learner was there before and has lost its own: the one that is heard is the later one.
+        let heard_margin = Duration::from_millis(HEARD_MARGIN_MS);
         let wiped = others().find(|voter| {
-            learners().any(|learner| instance_ip(learner.instance) == instance_ip(voter.instance))
+            learners().any(|learner| {
+                shares_address(learner, voter) && learner.silence + heard_margin <= voter.silence
+            })
         });
         if let Some(wiped) = wiped {
             return Some(remove(wiped));
         }
         learners().next()?;
         others()
-            .filter(|voter| voter.silence >= Duration::from_millis(REPLACE_AFTER_MS))
+            .filter(|voter| voter.silence >= replace_after)
             .max_by_key(|voter| voter.silence)
             .map(remove)
     }
 }
 
-/// Returns a learner that has been silent for too long.
+/// Returns a learner that has been silent for too long, or whose address came back with another
+/// disk since.
 fn lost_learner(members: &[MemberView]) -> Option<&MemberView> {
-    let learners = members.iter().filter(|member| !member.voter);
-    let mut lost =
-        learners.filter(|member| member.silence >= Duration::from_millis(REMOVE_LEARNER_AFTER_MS));
-    lost.next()
+    let remove_after = Duration::from_millis(REMOVE_LEARNER_AFTER_MS);
+    let superseded_after = Duration::from_millis(SUPERSEDED_AFTER_MS);
+    let is_superseded = |learner: &MemberView| {
+        let mut successors = members.iter().filter(|member| {
+            member.instance != learner.instance && shares_address(member, learner)
+        });
+        learner.silence >= superseded_after
+            && successors.any(|member| member.silence < superseded_after)
+    };
+    members
+        .iter()
+        .filter(|member| !member.voter)
+        .find(|learner| learner.silence >= remove_after || is_superseded(learner))
+}
+
+/// Returns whether at most one of the two members can be running.
+fn shares_address(member: &MemberView, other: &MemberView) -> bool {
+    instance_ip(member.instance) == instance_ip(other.instance)
 }
--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -12,6 +12,8 @@
 use quorum::MemberChange;
 
 const SHORT_SILENCE: Duration = Duration::from_millis(80);
+/// Silence of an instance that was killed and is back.
+const RESTART_SILENCE: Duration = Duration::from_millis(500);
 const LONG_SILENCE: Duration = Duration::from_secs(10);
 
 fn at(last: u8, directory_id: u32) -> InstanceId {
@@ -73,6 +75,7 @@
 #[test]
 fn a_voter_whose_address_returns_with_an_empty_disk_is_replaced_immediately() {
     let mut members = five_voters();
+    members[1].silence = RESTART_SILENCE;
     members.push(member(at(2, 7), false, SHORT_SILENCE));
     assert_eq!(next(&members), Some(MemberChange::Remove(at(2, 0))));
 }
@@ -100,3 +103,24 @@
     members.push(member(at(1, 3), false, SHORT_SILENCE));
     assert_eq!(next(&members), None);
 }
+
+#[test]
+fn a_new_leader_that_has_heard_neither_of_two_members_at_an_address_removes_none() {
+    let mut members = five_voters();
+    members.push(member(at(2, 7), false, SHORT_SILENCE));
+    assert_eq!(next(&members), None);
+}
+
+#[test]
+fn a_voter_is_kept_when_an_earlier_learner_at_its_address_lost_its_disk() {
+    let mut members = five_voters();
+    members.push(member(at(2, 7), false, SHORT_SILENCE * 6));
+    assert_eq!(next(&members), None);
+}
+
+#[test]
+fn a_learner_whose_address_returned_with_another_disk_is_removed_at_once() {
+    let mut members = five_voters();
+    members.push(member(at(2, 7), false, SHORT_SILENCE * 20));
+    assert_eq!(next(&members), Some(MemberChange::Remove(at(2, 7))));
+}
