Give up a plan durably before its log is deleted

Callers saw: nothing yet. Found by reading: an instance that the group removed, and that is killed or loses power while it deletes its log, may never come back.

Cause: the log was deleted before the plan. A plan with a part of its log (the identity gone, a segment still there) fails as "missing identity" at each start. Files were also removed without a sync of their own folder, so that after a loss of power a segment of the old log could appear in the new one.

A loss of power between the steps was not played.

Why it works: a log without a plan is deleted at the next start, whatever is left of it, so the plan goes first and its removal is synced; then each folder is synced before it is removed.

--- a/crates/group/src/start.rs
+++ b/crates/group/src/start.rs
@@ -117,27 +117,29 @@
         file.write_all(&content)?;
         file.sync_all()?;
         fs::rename(&temporary, self.path.join(PLAN_FILE))?;
-        File::open(self.path)?.sync_all()
+        sync(self.path)
     }
 
-    /// Deletes the log and the plan, so that the next start joins under a new identity.
+    /// Deletes the plan and the log, so that the next start joins under a new identity.
     ///
-    /// The log is deleted first: a plan without a log is harmless, a log without its plan is not.
+    /// The plan is given up durably before any part of the log: a log without a plan is deleted
+    /// at the next start, but a plan with a part of its log could never be started.
     ///
     /// # Errors
     ///
     /// Fails on a disk error.
     pub fn clear(&self) -> io::Result<()> {
-        let log = self.path.join(LOG_DIRECTORY);
-        if log.exists() {
-            warn!(event = "log-deleted", folder = %log.display());
-            fs::remove_dir_all(&log)?;
+        match fs::remove_file(self.path.join(PLAN_FILE)) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+            removed => removed?,
         }
-        let plan = self.path.join(PLAN_FILE);
-        if plan.exists() {
-            fs::remove_file(plan)?;
+        sync(self.path)?;
+        let log = self.log_path();
+        if log.try_exists()? {
+            warn!(event = "log-deleted", folder = %log.display());
+            remove_durably(&log)?;
         }
-        File::open(self.path)?.sync_all()
+        sync(self.path)
     }
 
     /// Returns the directory of the replicated log.
@@ -146,3 +148,25 @@
         self.path.join(LOG_DIRECTORY)
     }
 }
+
+/// Syncs a directory, so that creations, renames and removals in it survive a loss of power.
+fn sync(directory: &Path) -> io::Result<()> {
+    File::open(directory)?.sync_all()
+}
+
+/// Removes a directory with all that is in it; the caller syncs its parent.
+///
+/// Each directory is synced before it is removed, so that no file of a log that was given up
+/// appears in the one that replaces it.
+fn remove_durably(directory: &Path) -> io::Result<()> {
+    for entry in fs::read_dir(directory)? {
+        let entry = entry?;
+        if entry.file_type()?.is_dir() {
+            remove_durably(&entry.path())?;
+        } else {
+            fs::remove_file(entry.path())?;
+        }
+    }
+    sync(directory)?;
+    fs::remove_dir(directory)
+}
--- a/crates/group/tests/start.rs
+++ b/crates/group/tests/start.rs
@@ -115,3 +115,15 @@
     std::fs::create_dir(data_directory.log_path()).unwrap();
     assert!(data_directory.load_plan().is_err());
 }
+
+#[test]
+fn a_plan_is_given_up_before_any_part_of_its_log_is_deleted() {
+    let directory = TempDir::new().unwrap();
+    let data_directory = DataDirectory::new(directory.path()).unwrap();
+    let plan = StartPlan::with_empty_directory(&settings(1, true), 5);
+    data_directory.save_plan(&plan).unwrap();
+    // A log that is no directory cannot be deleted as one.
+    std::fs::write(data_directory.log_path(), []).unwrap();
+    assert!(data_directory.clear().is_err());
+    assert_eq!(data_directory.load_plan().unwrap(), None);
+}
