--- a/crates/daemon/tests/control/control_group.rs
+++ b/crates/daemon/tests/control/control_group.rs
@@ -19,7 +19,6 @@
 use tempfile::TempDir;
 
 use crate::http;
-use crate::http::HttpResponse;
 
 /// Timeout for any step, long enough for a slow machine.
 const STEP_TIMEOUT: Duration = Duration::from_mins(1);
@@ -105,11 +104,15 @@
         self.instances.iter_mut().for_each(kill);
     }
 
-    /// Asks an instance to stop, and waits until it has.
-    pub(crate) fn terminate(&mut self, number: u8) {
-        if let Some(mut child) = self.instances[usize::from(number)].take() {
-            rustix::process::kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
-            child.wait().unwrap();
+    /// Asks all instances to stop at once, and waits until they have.
+    pub(crate) fn terminate_all(&mut self) {
+        for child in self.instances.iter().flatten() {
+            rustix::process::kill_process(Pid::from_child(child), Signal::TERM).unwrap();
+        }
+        for instance in &mut self.instances {
+            if let Some(mut child) = instance.take() {
+                child.wait().unwrap();
+            }
         }
     }
 
@@ -154,21 +157,15 @@
         SocketAddr::new(IpAddr::V4(ip), self.first_port + port)
     }
 
+    /// Returns the addresses at which the instances listen for operators.
+    pub(crate) fn operators(&self) -> Vec<SocketAddr> {
+        let numbers = self.numbers();
+        numbers.map(|number| self.address(number, 0)).collect()
+    }
+
     /// Sends a configuration to each instance once; returns whether one acknowledged it.
     pub(crate) fn offer(&self, document: &str) -> bool {
-        self.numbers().any(|number| {
-            let to = self.address(number, 0);
-            let response = http::send(to, "PUT /v1/config", &[("Host", "control")], document);
-            response.is_ok_and(|response| {
-                let status = response.status;
-                let is_redirect = status == 307 && response.head.contains("location: ");
-                assert!(
-                    status == 200 || is_redirect || status >= 500,
-                    "{response:?}"
-                );
-                status == 200
-            })
-        })
+        offer(&self.operators(), document)
     }
 
     /// Sends a configuration until an instance acknowledges it.
@@ -176,23 +173,23 @@
         eventually("a change is acknowledged", || self.offer(document));
     }
 
-    fn get(&self, number: u8) -> Option<HttpResponse> {
+    /// Reads the configuration from an instance, until it returns one that a quorum confirmed.
+    pub(crate) fn read(&self, number: u8) -> String {
         let to = self.address(number, 0);
-        http::send(to, "GET /v1/config", &[("Host", "control")], "").ok()
+        let mut document = None;
+        eventually("every instance reads back what was acknowledged", || {
+            let response = http::send(to, "GET /v1/config", &[("Host", "control")], "");
+            let response = response.ok().filter(|response| response.status == 200);
+            document = response.map(|response| response.body);
+            document.is_some()
+        });
+        document.unwrap()
     }
 
-    /// Waits until every instance returns `document` as the configuration.
+    /// Checks that every instance returns `document` as the configuration.
     pub(crate) fn await_everywhere(&self, document: &str) {
         for number in self.numbers() {
-            eventually("every instance reads back what was acknowledged", || {
-                let response = self.get(number);
-                response
-                    .filter(|response| response.status == 200)
-                    .is_some_and(|response| {
-                        assert_eq!(response.body, document);
-                        true
-                    })
-            });
+            assert_eq!(self.read(number), document);
         }
     }
 }
@@ -208,6 +205,22 @@
     }
 }
 
+/// Sends a configuration to each address once; returns whether one acknowledged it.
+pub(crate) fn offer(operators: &[SocketAddr], document: &str) -> bool {
+    operators.iter().any(|&to| {
+        let response = http::send(to, "PUT /v1/config", &[("Host", "control")], document);
+        response.is_ok_and(|response| {
+            let status = response.status;
+            let is_redirect = status == 307 && response.head.contains("location: ");
+            assert!(
+                status == 200 || is_redirect || status >= 500,
+                "{response:?}"
+            );
+            status == 200
+        })
+    })
+}
+
 fn kill(child: &mut Option<Child>) {
     if let Some(mut child) = child.take() {
         let _ = child.kill();
--- a/crates/daemon/tests/control/losses.rs
+++ b/crates/daemon/tests/control/losses.rs
@@ -1,9 +1,11 @@
 //! What was acknowledged is read back after disks were lost.
 
 use std::fs;
+use std::thread;
 
 use crate::control_group::ControlGroup;
 use crate::control_group::eventually;
+use crate::control_group::offer;
 
 /// Instances of a group that tolerates the loss of two disks.
 const SIZE: u8 = 5;
@@ -79,18 +81,71 @@
 }
 
 #[test]
-fn a_change_sent_while_all_stop_is_kept_once_it_is_acknowledged() {
+fn a_change_sent_while_a_member_is_replaced_survives_one_more_lost_disk() {
     let mut group = ControlGroup::start(SIZE, SIZE);
-    let mut base = 0;
-    for version in [2, 3, 5] {
-        let change = document(version, base);
+    group.put(&document(3, 0));
+    group.kill(1);
+    group.wipe(1);
+    group.start_missing();
+    let second = document(5, 3);
+    group.put(&second);
+    group.kill_all();
+    group.wipe(4);
+    group.start_missing();
+    group.await_everywhere(&second);
+}
+
+#[test]
+fn changes_are_acknowledged_while_one_instance_is_down() {
+    let mut group = ControlGroup::start(SIZE, SIZE);
+    group.put(&document(3, 0));
+    let mut base = 3;
+    for number in group.numbers() {
+        group.kill(number);
+        let change = document(base + 1, base);
         group.put(&change);
-        for number in group.numbers() {
-            group.terminate(number);
-        }
         group.start_missing();
         group.await_everywhere(&change);
-        base = version;
+        base += 1;
+    }
+}
+
+#[test]
+fn what_was_acknowledged_survives_repeated_kills_of_all() {
+    let mut group = ControlGroup::start(SIZE, SIZE);
+    for base in 0..4 {
+        let change = document(base + 1, base);
+        group.put(&change);
+        group.kill_all();
+        group.start_missing();
+        group.await_everywhere(&change);
+    }
+}
+
+#[test]
+fn a_change_sent_while_all_stop_is_kept_once_it_is_acknowledged() {
+    let mut group = ControlGroup::start(SIZE, SIZE);
+    let mut earlier = document(1, 0);
+    group.put(&earlier);
+    let mut base = 1;
+    for version in 2..6 {
+        let change = document(version, base);
+        let operators = group.operators();
+        let sent = change.clone();
+        let sender = thread::spawn(move || offer(&operators, &sent));
+        group.terminate_all();
+        let acknowledged = sender.join().unwrap();
+        group.start_missing();
+        let kept = group.read(0);
+        assert!(
+            kept == change || (kept == earlier && !acknowledged),
+            "acknowledged: {acknowledged}, kept: {kept}"
+        );
+        group.await_everywhere(&kept);
+        if kept == change {
+            base = version;
+            earlier = change;
+        }
     }
 }
 
