Keep the registration of a folder when another one is saved just after

Callers saw: what was acknowledged could not be read back after two disks were lost and all instances were killed, now and then.

Cause: a first member that was registered saved that, and until the disk reported it, kept "not registered" in memory. The request of another first member that arrived meanwhile saved the identity from memory, behind it and without the registration. The process went on as a voter, but after its next start it had to be registered anew by both other first members. With one of them wiped that never happens: a voter with its disk is locked out for ever, and with two lost disks a group of five has two voters left.

Why it works: each save of the identity says "registered" once enough members have answered, whether or not the disk has reported an earlier save.

--- a/crates/replica/src/driver/registration.rs
+++ b/crates/replica/src/driver/registration.rs
@@ -31,6 +31,8 @@
     saved: BTreeSet<InstanceId>,
     /// Members that must have registered this instance's folder before it votes.
     required: usize,
+    /// Whether enough members have registered this instance's folder; saved or being saved.
+    completed: bool,
     next_attempt: Instant,
 }
 
@@ -44,6 +46,7 @@
                 .map(|known| known.instance)
                 .collect(),
             required: required_acceptances(identity.initial_membership.members().len()),
+            completed: identity.registered,
             next_attempt: now,
         }
     }
@@ -98,7 +101,7 @@
         let known_before = self.identity.known_folders.len();
         let accepted = is_initial_member && self.identity.register_folder(from, folder);
         if accepted && self.identity.known_folders.len() > known_before {
-            self.send_storage_job(StorageJob::SaveIdentity(self.identity.clone()));
+            self.save_identity();
         }
         // A folder that is still being stored is accepted once that is synced.
         if !accepted || self.registration.is_saved(from) {
@@ -123,12 +126,18 @@
         }
         self.registration.accepted_by.insert(from);
         if self.registration.accepted_by.len() >= self.registration.required {
-            let mut identity = self.identity.clone();
-            identity.registered = true;
-            self.send_storage_job(StorageJob::SaveIdentity(identity));
+            self.registration.completed = true;
+            self.save_identity();
         }
     }
 
+    /// Saves the identity; a registration that is still being saved must not be undone.
+    fn save_identity(&self) {
+        let mut identity = self.identity.clone();
+        identity.registered |= self.registration.completed;
+        self.send_storage_job(StorageJob::SaveIdentity(identity));
+    }
+
     /// Applies what is durable now, and replies to the members whose folders it includes.
     pub(super) fn on_identity_saved(&mut self, saved: &FolderIdentity) {
         self.identity.registered |= saved.registered;
