Replace a voter that went away before its successor counts as caught up

Callers saw: nothing yet. Found by comparing the times.

Cause: the platform may take as many disks as are tolerated once the successor of a removed instance has run for 4 s. A voter was taken for lost only after 4 s of silence, so that its replacement ended after that: until then changes were acknowledged by five voters of which one was gone, and two more lost disks left two.

Why it works: 3 s of silence leave 1 s for the promotion and the removal, two steps of the leader that come every 100 ms. A voter that was only frozen for so long is replaced too if a learner waits; since the replacement is promoted first, no change waits for that.

--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -8,7 +8,7 @@
 use crate::identity::instance_ip;
 
 /// Silence of a voter after which a waiting learner replaces it, in milliseconds.
-const REPLACE_AFTER_MS: u64 = 4_000;
+const REPLACE_AFTER_MS: u64 = 3_000;
 /// Silence of a learner after which it is removed, in milliseconds.
 const REMOVE_LEARNER_AFTER_MS: u64 = 6_000;
 /// Difference in silence from which on one of two members at an address is the one that runs, in
--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -14,6 +14,8 @@
 const SHORT_SILENCE: Duration = Duration::from_millis(80);
 /// Silence of an instance that was killed and is back.
 const RESTART_SILENCE: Duration = Duration::from_millis(500);
+/// Silence that leaves time for a replacement within the 4 s that a successor may take.
+const REPLACED_SILENCE: Duration = Duration::from_millis(3_200);
 const LONG_SILENCE: Duration = Duration::from_secs(10);
 
 fn at(last: u8, directory_id: u32) -> InstanceId {
@@ -67,6 +69,14 @@
     assert_eq!(next(&members), Some(MemberChange::Remove(at(4, 0))));
 }
 
+#[test]
+fn a_voter_that_went_away_is_replaced_before_its_successor_counts_as_caught_up() {
+    let mut members = five_voters();
+    members[3].silence = REPLACED_SILENCE;
+    members.push(member(at(9, 4), false, SHORT_SILENCE));
+    assert_eq!(next(&members), Some(MemberChange::Promote(at(9, 4))));
+}
+
 #[test]
 fn a_sixth_voter_stays_while_none_is_silent() {
     let mut members = five_voters();
