Confirm members to an instance only once they are committed

Callers saw: nothing yet. Found by reading.

Cause: an instance that hears no leader asks whether it still belongs, deletes its log and joins anew when it doesn't. The members in the answer were the ones in force, committed or not. A removal that is later undone (its leader ends before a quorum has stored it) would have cost a disk that was not lost.

It takes two disks that hang while the leader is confirmed, which no test here can play.

--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -111,12 +111,19 @@
         let (state, sender) = (self.state.clone(), self.sender.clone());
         tokio::spawn(async move {
             let confirmed = state.confirm_leader().await;
-            let status = state.status();
-            let members = status.map(|status| status.membership.members().to_vec());
-            let members = members.unwrap_or_default();
+            let Some(status) = state.status() else {
+                sender.send(&ControlMessage::Members {
+                    instances: Vec::new(),
+                    confirmed: false,
+                });
+                return;
+            };
+            let members = status.membership.members().iter();
             sender.send(&ControlMessage::Members {
-                instances: members.iter().map(|member| member.instance).collect(),
-                confirmed,
+                instances: members.map(|member| member.instance).collect(),
+                // A removal that is not committed may still be undone, and the asker would
+                // have deleted its log by then.
+                confirmed: confirmed && status.is_membership_committed(),
             });
         });
     }
