--- a/crates/daemon/tests/control/losses.rs
+++ b/crates/daemon/tests/control/losses.rs
@@ -99,14 +99,12 @@
 fn changes_are_acknowledged_while_one_instance_is_down() {
     let mut group = ControlGroup::start(SIZE, SIZE);
     group.put(&document(3, 0));
-    let mut base = 3;
-    for number in group.numbers() {
+    for (base, number) in (3..).zip(group.numbers()) {
         group.kill(number);
         let change = document(base + 1, base);
         group.put(&change);
         group.start_missing();
         group.await_everywhere(&change);
-        base += 1;
     }
 }
 
