Fail on a file of the log that cannot be examined

Callers saw: nothing yet. Found by reading.

Without its last segment a log looks whole, and the next segment is created under the number of the one that was left out: entries that were acknowledged are cut off on a disk that is not lost.

Why it works: only a name that is gone is left out, since other threads rename and remove files; any other error ends the start, which is tried again.

--- a/crates/replica/src/storage/files.rs
+++ b/crates/replica/src/storage/files.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::fs::File;
+use std::io::ErrorKind;
 use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
@@ -75,11 +76,21 @@
 pub(super) fn list_files(folder: &Path) -> Result<Vec<PathBuf>, StorageError> {
     let mut paths = Vec::new();
     for entry in fs::read_dir(folder).map_err(StorageError::io(folder))? {
-        let entry = entry.map_err(StorageError::io(folder))?;
-        if entry.path().is_file() {
-            paths.push(entry.path());
+        let path = entry.map_err(StorageError::io(folder))?.path();
+        match fs::metadata(&path) {
+            Ok(metadata) if metadata.is_file() => paths.push(path),
+            Ok(_) => {}
+            // Another thread has removed or renamed it meanwhile.
+            Err(_) if is_gone(&path) => {}
+            Err(error) => return Err(StorageError::io(&path)(error)),
         }
     }
     paths.sort();
     Ok(paths)
 }
+
+/// Returns whether there is no such name.
+fn is_gone(path: &Path) -> bool {
+    let examined = fs::symlink_metadata(path);
+    examined.is_err_and(|error| error.kind() == ErrorKind::NotFound)
+}
--- a/crates/replica/tests/storage.rs
+++ b/crates/replica/tests/storage.rs
@@ -350,3 +350,15 @@
         Err(StorageError::MissingIdentity { .. })
     ));
 }
+
+#[test]
+fn a_segment_that_cannot_be_examined_is_not_taken_for_a_missing_one() {
+    let folder = TempDir::new().expect("a folder");
+    let (mut store, _) = open(&folder).expect("the folder opens");
+    store.write(&[append(1, 1)]).expect("the disk works");
+    drop(store);
+    // Examining a link without a target fails.
+    let segment = folder.path().join("data/log/0000000000000002.log");
+    std::os::unix::fs::symlink(folder.path().join("nowhere"), segment).expect("a link");
+    assert!(matches!(open(&folder), Err(StorageError::Io { .. })));
+}
