Start with a segment whose header was lost with the power

Callers saw: nothing yet. Found by reading: power is lost while an instance starts, or while it begins a new segment.

Cause: header and first frame of a new segment are two writes and one sync. A loss of power may keep the second and not the first. The start then took the segment for damaged and refused, each time: a voter with its disk was locked out for ever, beside the disks that are lost.

A real loss of power was not played.

--- a/crates/replica/src/storage/segment.rs
+++ b/crates/replica/src/storage/segment.rs
@@ -73,9 +73,8 @@
     pub(super) fn read(&mut self, is_last: bool) -> Result<Option<Vec<LogRecord>>, StorageError> {
         let content = fs::read(&self.path).map_err(StorageError::io(&self.path))?;
         match SEGMENT_FORMAT.check(&self.path, &content) {
-            Err(StorageError::Corrupt { .. })
-                if is_last && !frame::has_later_frame(&content, 0) =>
-            {
+            Err(StorageError::Corrupt { .. }) if is_last && was_being_created(&content) => {
+                tracing::warn!(event = "segment-not-created", file = %self.path.display());
                 self.remove()?;
                 return Ok(None);
             }
@@ -182,3 +181,13 @@
             .map_err(StorageError::io(&self.segment.path))
     }
 }
+
+/// Returns whether a segment without a readable header may be one whose creation was interrupted.
+///
+/// Header and first frame are synced together, so a loss of power may keep either. The first
+/// frame only repeats what earlier files hold; a second one means that the header was synced.
+fn was_being_created(content: &[u8]) -> bool {
+    let first = frame::read_frame(content, frame::HEADER_BYTES);
+    let first_end = first.map_or(0, |(_, next)| next - 1);
+    !frame::has_later_frame(content, first_end)
+}
--- a/crates/replica/tests/storage.rs
+++ b/crates/replica/tests/storage.rs
@@ -362,3 +362,26 @@
     std::os::unix::fs::symlink(folder.path().join("nowhere"), segment).expect("a link");
     assert!(matches!(open(&folder), Err(StorageError::Io { .. })));
 }
+
+#[test]
+fn a_segment_whose_header_was_lost_with_the_power_is_created_again() {
+    let folder = TempDir::new().expect("a folder");
+    write_entries(&folder, 3);
+    drop(open(&folder).expect("the folder opens"));
+    let segment = last_segment(&folder);
+    let mut content = fs::read(&segment).expect("the segment is read");
+    content[..usize::try_from(HEADER_BYTES).expect("a small number")].fill(0);
+    fs::write(&segment, content).expect("the segment is written");
+    assert_eq!(reopen(&folder).state.entries.len(), 3);
+}
+
+#[test]
+fn a_segment_that_was_synced_after_its_creation_is_not_created_again() {
+    let folder = TempDir::new().expect("a folder");
+    write_entries(&folder, 3);
+    flip_bit(&last_segment(&folder), 0);
+    assert!(matches!(
+        open(&folder),
+        Err(StorageError::Corrupt { offset: 0, .. })
+    ));
+}
