Sync each removal of a segment before the next one

Callers saw: nothing yet.

Cause: several removals had one sync after all of them. A loss of power may undo one and keep a later one, which leaves a gap in the numbers; the start then refuses the log, each time, and a voter with its disk is locked out.

A real loss of power was not played.

Why it works: segments are removed from the oldest on, and at most one removal is not synced, so what is left has no gap.

--- a/crates/replica/src/storage/store.rs
+++ b/crates/replica/src/storage/store.rs
@@ -163,10 +163,13 @@
             .iter()
             .take_while(|segment| segment.last_index <= index)
             .count();
+        let log_folder = self.folder.log_path();
         for segment in self.closed_segments.drain(..covered) {
             segment.remove()?;
+            // Without a sync, a loss of power may undo this removal and not the next one.
+            files::sync_folder(&log_folder)?;
         }
-        files::sync_folder(&self.folder.log_path())
+        Ok(())
     }
 
     /// Replaces the folder's identity durably.
--- a/crates/replica/tests/power.rs
+++ b/crates/replica/tests/power.rs
@@ -1,9 +1,9 @@
 //! What a process reads when it starts is on the disk before it counts as stored.
 
+use std::cell::RefCell;
 use std::fmt::Debug;
 use std::path::Path;
-use std::sync::Arc;
-use std::sync::Mutex;
+use std::sync::Once;
 
 use bytes::Bytes;
 use quorum::DurableWrite;
@@ -22,12 +22,14 @@
 use tracing::span::Id;
 use tracing::span::Record;
 
-/// Collects the paths that the storage reports as synced.
-#[derive(Clone, Default)]
-struct SyncRecorder {
-    paths: Arc<Mutex<Vec<String>>>,
+thread_local! {
+    /// Paths that were synced on this thread.
+    static SYNCED_PATHS: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
 }
 
+/// Collects the paths that the storage reports as synced, for each thread.
+struct SyncRecorder;
+
 impl Subscriber for SyncRecorder {
     fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
         true
@@ -42,7 +44,7 @@
     fn record_follows_from(&self, _span: &Id, _follows: &Id) {}
 
     fn event(&self, event: &Event<'_>) {
-        event.record(&mut self.clone());
+        event.record(&mut Self);
     }
 
     fn enter(&self, _span: &Id) {}
@@ -53,12 +55,15 @@
 impl Visit for SyncRecorder {
     fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
         if field.name() == "path" {
-            self.paths.lock().unwrap().push(format!("{value:?}"));
+            SYNCED_PATHS.with_borrow_mut(|paths| paths.push(format!("{value:?}")));
         }
     }
 }
 
+/// Returns the settings of a store whose syncs are recorded.
 fn config(folder: &TempDir) -> StoreConfig {
+    static RECORDER: Once = Once::new();
+    RECORDER.call_once(|| tracing::subscriber::set_global_default(SyncRecorder).unwrap());
     StoreConfig {
         data_dir: folder.path().join("data"),
         instance: 1,
@@ -68,14 +73,25 @@
     }
 }
 
+/// Returns the paths that were synced during `work`.
+fn synced_during(work: impl FnOnce()) -> Vec<String> {
+    SYNCED_PATHS.take();
+    work();
+    SYNCED_PATHS.take()
+}
+
 /// Opens the folder and returns the paths that were synced meanwhile.
 fn synced_by_opening(folder: &TempDir) -> Vec<String> {
-    let recorder = SyncRecorder::default();
-    tracing::subscriber::with_default(recorder.clone(), || {
+    synced_during(|| {
         LogStore::open(&config(folder)).unwrap();
-    });
-    let paths = recorder.paths.lock().unwrap();
-    paths.clone()
+    })
+}
+
+fn append(index: u64) -> DurableWrite {
+    DurableWrite::Append(vec![LogEntry {
+        position: LogPosition { index, term: 1 },
+        payload: EntryPayload::Command(Bytes::from_static(b"entry")),
+    }])
 }
 
 fn contains(paths: &[String], path: &Path) -> bool {
@@ -85,11 +101,7 @@
 fn folder_with_an_entry() -> TempDir {
     let folder = TempDir::new().unwrap();
     let (mut store, _) = LogStore::open(&config(&folder)).unwrap();
-    let entry = LogEntry {
-        position: LogPosition { index: 1, term: 1 },
-        payload: EntryPayload::Command(Bytes::from_static(b"entry")),
-    };
-    store.write(&[DurableWrite::Append(vec![entry])]).unwrap();
+    store.write(&[append(1)]).unwrap();
     folder
 }
 
@@ -112,3 +124,18 @@
         assert!(contains(&synced, path), "{path:?} of {synced:?}");
     }
 }
+
+#[test]
+fn removed_segments_leave_no_gap_when_power_is_lost() {
+    let folder = TempDir::new().unwrap();
+    let mut config = config(&folder);
+    config.segment_bytes = 1;
+    let (mut store, _) = LogStore::open(&config).unwrap();
+    for index in 1..=5 {
+        store.write(&[append(index)]).unwrap();
+    }
+    let synced = synced_during(|| store.remove_segments_through(5).unwrap());
+    let log = folder.path().join("data/log").display().to_string();
+    // A removal that is not synced may be undone alone, so that the later ones leave a gap.
+    assert!(synced.iter().filter(|path| **path == log).count() >= 5);
+}
