--- a/crates/group/tests/losses.rs
+++ b/crates/group/tests/losses.rs
@@ -16,10 +16,8 @@
 use quorum::MemberChange;
 use quorum::Membership;
 
-/// Losses that the group tolerates at once.
-const TOLERATED_LOSSES: usize = 2;
-/// Machines that the group may use, two of them spare at the start.
-const MACHINES: u8 = 7;
+/// Machines beside the voters at the start.
+const SPARE_MACHINES: u8 = 2;
 const HEARD_SILENCE: Duration = Duration::from_millis(80);
 const WIPED_SILENCE: Duration = Duration::from_millis(500);
 const CUT_SILENCE: Duration = Duration::from_secs(10);
@@ -49,6 +47,8 @@
 /// A group whose members follow the repair policy; changes of members take no time.
 #[derive(Debug)]
 struct RepairModel {
+    /// Losses that the group tolerates at once.
+    tolerated_losses: u8,
     machines: Vec<Machine>,
     membership: Membership,
     next_directory_id: u32,
@@ -56,18 +56,23 @@
 }
 
 impl RepairModel {
-    fn new() -> Self {
-        let machines: Vec<Machine> = (1..=MACHINES)
+    fn new(tolerated_losses: u8) -> Self {
+        let voters = 2 * tolerated_losses + 1;
+        let machines: Vec<Machine> = (1..=voters + SPARE_MACHINES)
             .map(|last| Machine {
                 last,
                 directory_id: 0,
-                running: last <= 5,
+                running: last <= voters,
                 cut_off: false,
                 unhealed: 0,
             })
             .collect();
-        let initial: Vec<InstanceId> = machines[..5].iter().map(Machine::instance).collect();
+        let initial: Vec<InstanceId> = machines[..usize::from(voters)]
+            .iter()
+            .map(Machine::instance)
+            .collect();
         Self {
+            tolerated_losses,
             machines,
             membership: Membership::initial(&initial),
             next_directory_id: 1,
@@ -76,9 +81,9 @@
     }
 
     fn run_event(&mut self, choices: &mut Unstructured<'_>) -> Result<()> {
-        let position = choices.int_in_range(0..=usize::from(MACHINES) - 1)?;
+        let position = choices.int_in_range(0..=self.machines.len() - 1)?;
         let event = choices.int_in_range(0..=9)?;
-        let may_lose = self.unhealed() < TOLERATED_LOSSES;
+        let may_lose = self.unhealed() < usize::from(self.tolerated_losses);
         let machine = &mut self.machines[position];
         match event {
             0 if machine.running && may_lose => {
@@ -87,7 +92,7 @@
                 machine.unhealed += 1;
                 self.next_directory_id += 1;
             }
-            1 if machine.running && may_lose && position >= 3 => {
+            1 if machine.running && may_lose => {
                 self.history.push(format!("remove {}", machine.last));
                 machine.running = false;
                 machine.unhealed += 1;
@@ -115,7 +120,7 @@
     }
 
     fn mark_healed(&mut self) {
-        let is_complete = self.membership.voters().count() > 2 * TOLERATED_LOSSES;
+        let is_complete = self.membership.voters().count() >= self.policy().target_voters;
         let voters: BTreeSet<InstanceId> = self.membership.voters().collect();
         for machine in &mut self.machines {
             let own = machine.running.then(|| machine.instance());
@@ -172,6 +177,10 @@
         }
     }
 
+    fn policy(&self) -> RepairPolicy {
+        RepairPolicy::new(usize::from(self.tolerated_losses))
+    }
+
     fn repair_step(&self, leader: InstanceId) -> Option<MemberChange> {
         let members = self.membership.members().iter();
         let views: Vec<MemberView> = members
@@ -181,7 +190,7 @@
                 silence: self.silence(member.instance),
             })
             .collect();
-        RepairPolicy::new(TOLERATED_LOSSES).next_step(leader, &views)
+        self.policy().next_step(leader, &views)
     }
 
     fn silence(&self, instance: InstanceId) -> Duration {
@@ -205,8 +214,7 @@
 
     /// Returns the promotion that replicas make by themselves up to the target size.
     fn promotion(&self, connected: &BTreeSet<InstanceId>) -> Option<MemberChange> {
-        let policy = RepairPolicy::new(TOLERATED_LOSSES);
-        if self.membership.voters().count() >= policy.target_voters {
+        if self.membership.voters().count() >= self.policy().target_voters {
             return None;
         }
         let mut learners = self
@@ -230,7 +238,7 @@
             .membership
             .voters()
             .filter(|voter| disks.contains(voter));
-        let further_losses = TOLERATED_LOSSES - self.unhealed();
+        let further_losses = usize::from(self.tolerated_losses) - self.unhealed();
         assert!(
             voters_with_disk.count() >= self.membership.quorum_size() + further_losses,
             "{further_losses} more disks may be lost: {self:#?}"
@@ -241,7 +249,7 @@
 #[test]
 fn no_replacement_leaves_fewer_disks_than_the_tolerated_losses_and_a_quorum() {
     arbtest(|choices| {
-        let mut model = RepairModel::new();
+        let mut model = RepairModel::new(choices.int_in_range(1..=3)?);
         while !choices.is_empty() {
             model.run_event(choices)?;
             model.check();
