--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -8,9 +8,15 @@
 use crate::identity::instance_ip;
 
 /// Silence of a voter after which a waiting learner replaces it, in milliseconds.
-const REPLACE_AFTER_MS: u64 = 4_000;
+const REPLACE_AFTER_MS: u64 = 3_000;
 /// Silence of a learner after which it is removed, in milliseconds.
 const REMOVE_LEARNER_AFTER_MS: u64 = 6_000;
+/// Difference in silence from which on one of two members at an address is the one that runs, in
+/// milliseconds; longer than a few heartbeats.
+const HEARD_MARGIN_MS: u64 = 300;
+/// Silence of a learner after which it is removed if another member at its address is heard, in
+/// milliseconds.
+const SUPERSEDED_AFTER_MS: u64 = 1_000;
 
 /// State of a member as the leader observes it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,9 +33,16 @@
 ///
 /// Failure model: disks and instances are lost permanently, at most as many at
 /// once as the deployment tolerates, and others may be partitioned at the same
-/// time. A voter is removed only when a replacement is connected, and never
-/// while a voter is missing: the group is at most one voter below its target
-/// size, so that every quorum still has more members than can be lost.
+/// time. Two cases differ:
+///
+/// - A voter whose address came back with an empty disk will never answer again,
+///   so its removal costs nothing: it is removed first, and its successor is
+///   promoted after.
+/// - A voter that is only silent may still have its disk. Its successor is
+///   promoted first, since the group would tolerate one loss less without it.
+///
+/// In both cases a replacement is connected, and the group is at most one voter
+/// off its target size.
 #[derive(Clone, Copy, Debug)]
 pub struct RepairPolicy {
     /// Target number of voters.
@@ -56,35 +69,59 @@
         if voters < self.target_voters {
             return None;
         }
+        let replace_after = Duration::from_millis(REPLACE_AFTER_MS);
         let others = || {
             members
                 .iter()
                 .filter(|member| member.voter && member.instance != own)
         };
         let learners = || {
-            members.iter().filter(|member| {
-                !member.voter && member.silence < Duration::from_millis(REPLACE_AFTER_MS)
-            })
+            members
+                .iter()
+                .filter(|member| !member.voter && member.silence < replace_after)
         };
-        // A learner at the address of a voter means that the voter has lost its disk.
+        // A learner at the address of a voter means that the voter has lost its disk, unless the
+        // learner was there before and has lost its own: the one that is heard is the later one.
+        let heard_margin = Duration::from_millis(HEARD_MARGIN_MS);
         let wiped = others().find(|voter| {
-            learners().any(|learner| instance_ip(learner.instance) == instance_ip(voter.instance))
+            learners().any(|learner| {
+                shares_address(learner, voter) && learner.silence + heard_margin <= voter.silence
+            })
         });
         if let Some(wiped) = wiped {
             return Some(remove(wiped));
         }
-        learners().next()?;
-        others()
-            .filter(|voter| voter.silence >= Duration::from_millis(REPLACE_AFTER_MS))
-            .max_by_key(|voter| voter.silence)
-            .map(remove)
+        let silent = others()
+            .filter(|voter| voter.silence >= replace_after)
+            .max_by_key(|voter| voter.silence)?;
+        if voters > self.target_voters {
+            return Some(remove(silent));
+        }
+        learners()
+            .min_by_key(|learner| learner.silence)
+            .map(|learner| MemberChange::Promote(learner.instance))
     }
 }
 
-/// Returns a learner that has been silent for too long.
+/// Returns a learner that has been silent for too long, or whose address came back with another
+/// disk since.
 fn lost_learner(members: &[MemberView]) -> Option<&MemberView> {
-    let learners = members.iter().filter(|member| !member.voter);
-    let mut lost =
-        learners.filter(|member| member.silence >= Duration::from_millis(REMOVE_LEARNER_AFTER_MS));
-    lost.next()
+    let remove_after = Duration::from_millis(REMOVE_LEARNER_AFTER_MS);
+    let superseded_after = Duration::from_millis(SUPERSEDED_AFTER_MS);
+    let is_superseded = |learner: &MemberView| {
+        let mut successors = members.iter().filter(|member| {
+            member.instance != learner.instance && shares_address(member, learner)
+        });
+        learner.silence >= superseded_after
+            && successors.any(|member| member.silence < superseded_after)
+    };
+    members
+        .iter()
+        .filter(|member| !member.voter)
+        .find(|learner| learner.silence >= remove_after || is_superseded(learner))
+}
+
+/// Returns whether at most one of the two members can be running.
+fn shares_address(member: &MemberView, other: &MemberView) -> bool {
+    instance_ip(member.instance) == instance_ip(other.instance)
 }
