--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -14,6 +14,7 @@
 use route::SendResult;
 use smallvec::SmallVec;
 
+use crate::open_call::CallProgress;
 use crate::retry::AttemptHistory;
 use crate::retry::AttemptOutcome;
 use crate::retry::RetryDecision;
@@ -39,6 +40,7 @@
     state: &ProxyState<C, A>,
     mut head: CallHead,
     body: Bytes,
+    progress: &CallProgress,
     attempts_allowed: u32,
     deadline: Instant,
 ) -> ForwardOutcome {
@@ -71,15 +73,22 @@
             is_pending: true,
         };
         let (attempt_outcome, load) = if chosen.node == state.node {
-            let attempt_outcome = state.server.run_call(state, &head, body.clone()).await;
+            let attempt_outcome = state
+                .server
+                .run_call(state, &head, body.clone(), progress)
+                .await;
             (attempt_outcome, Some(state.server.load()))
         } else {
             let address = chosen.address;
-            state.peers.send_call(address, &head, body.clone()).await
+            state
+                .peers
+                .send_call(address, &head, body.clone(), progress)
+                .await
         };
         attempt.finish(&attempt_outcome, load);
         count_attempt(state, &attempt_outcome);
         outcome.history.record(&attempt_outcome);
+        progress.resolve(outcome.history.may_have_run);
         outcome.last_attempt = attempt_outcome;
         outcome.last_node = Some(chosen.node);
         if !may_retry(state, &head, &outcome, attempts_allowed, deadline) {
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -48,6 +48,7 @@
 use crate::ingress::refusal::Refusal;
 use crate::ingress::token::take_token;
 use crate::local_server::ParentCall;
+use crate::open_call::OpenCall;
 use crate::state::ProxyState;
 
 /// Size of the buffer for request heads, in bytes; the configured limit is checked after reading.
@@ -72,7 +73,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(state.clone(), stream));
+                let connection = serve_connection(state.clone(), stream);
+                state.stop.connections.spawn(connection);
             }
             Err(error) => {
                 warn!(event = "accept-failed", listener = "callers", %error);
@@ -114,11 +116,15 @@
     let started = state.now();
     let metadata = state.adapter.request_metadata(request.headers());
     let attempt = metadata.attempt.clone();
-    let mut response = match check_and_forward(state, request, metadata, started).await {
+    let call = OpenCall::new(state.clone(), attempt.clone().unwrap_or_default(), started);
+    let result = check_and_forward(state, request, metadata, &call, started).await;
+    call.finish();
+    let mut response = match result {
         Ok(response) => response,
         Err(refusal) => refusal.respond(state, attempt.as_deref(), started),
     };
     if state.is_stopping() {
+        state.metrics.count("stop", "answered");
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -130,6 +136,7 @@
     state: &ProxyState<C, A>,
     request: Request<Incoming>,
     metadata: RequestMetadata,
+    call: &OpenCall<C, A>,
     started: Instant,
 ) -> Result<BufferedResponse, Refusal> {
     let no_config = Duration::from_millis(NO_CONFIG_RETRY_AFTER_MS);
@@ -161,6 +168,7 @@
     let Some(route) = table.route(&host, &path) else {
         return Err(Refusal::new(StatusCode::NOT_FOUND, "no-route"));
     };
+    call.set_route(&route.name);
     let team = authenticate(&table, route, metadata.key.as_deref())?;
     if let Some(team) = team {
         take_token(state, route, team).await?;
@@ -198,7 +206,15 @@
         caller_service: state.settings.service.clone(),
     };
     let attempt = head.attempt.clone();
-    let outcome = forward(state, head, body, route.max_attempts, deadline).await;
+    let outcome = forward(
+        state,
+        head,
+        body,
+        call.progress(),
+        route.max_attempts,
+        deadline,
+    )
+    .await;
     log_outcome(state, &attempt, route, &outcome, &table, started);
     build_response(outcome)
 }
--- a/crates/proxy/src/ingress/outcome.rs
+++ b/crates/proxy/src/ingress/outcome.rs
@@ -59,6 +59,7 @@
 ) {
     let elapsed = state.now().saturating_duration_since(started);
     let held_ms = elapsed.as_millis();
+    let after_stop = state.stop.since_request(started);
     state.metrics.observe("request", elapsed);
     if let AttemptOutcome::Answered { head, .. } = &outcome.last_attempt {
         state
@@ -67,7 +68,8 @@
     }
     let (kind, cause) = match &outcome.last_attempt {
         AttemptOutcome::Answered { head, .. } if head.status < 500 => {
-            if !state.is_sampled(SUCCESS_LOG_INTERVAL) {
+            // What happens around a stop is rare and worth every line.
+            if after_stop.is_none() && !state.is_sampled(SUCCESS_LOG_INTERVAL) {
                 return;
             }
             ("answered", head.status.to_string())
@@ -90,5 +92,6 @@
         node = outcome.last_node,
         config = table.version(),
         held_ms,
+        read_after_stop_ms = after_stop.map(|delay| delay.as_millis()),
     );
 }
--- a/crates/proxy/src/ingress/refusal.rs
+++ b/crates/proxy/src/ingress/refusal.rs
@@ -65,6 +65,7 @@
         state.metrics.count("refused", self.reason);
         if state.may_log_request() {
             let elapsed = state.now().saturating_duration_since(started);
+            let after_stop = state.stop.since_request(started);
             info!(
                 event = "request-refused",
                 request = attempt.unwrap_or("-"),
@@ -75,6 +76,7 @@
                 config = state.config().version(),
                 retry_after_ms = self.retry_after.map(|delay| delay.as_millis()),
                 held_ms = elapsed.as_millis(),
+                read_after_stop_ms = after_stop.map(|delay| delay.as_millis()),
             );
         }
         let body = state.adapter.error_body(self.reason);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,12 +14,14 @@
 mod leased_config;
 mod local_server;
 mod node_table;
+mod open_call;
 mod peer_server;
 mod peers;
 mod quota;
 mod retry;
 mod run;
 mod state;
+mod stop_control;
 mod token_wait_queue;
 mod work;
 
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -34,6 +34,7 @@
 
 use crate::connection_pool::ConnectionPool;
 use crate::local_server::slots::SlotResult;
+use crate::open_call::CallProgress;
 use crate::retry::AttemptOutcome;
 use crate::state::ProxyState;
 use crate::state::lock;
@@ -183,6 +184,7 @@
         proxy: &ProxyState<C, A>,
         head: &CallHead,
         body: Bytes,
+        progress: &CallProgress,
     ) -> AttemptOutcome {
         let started = proxy.now();
         let deadline = started + head.time_left;
@@ -215,6 +217,7 @@
         let sent = proxy.now();
         proxy.work().count_started(&head.route);
         let _running = self.register_running(head, sent + left);
+        progress.begin_send();
         let exchange = self.send_call(proxy, head, body, &server, left);
         let outcome = timeout(left, exchange)
             .await
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::open_call::OpenCall;
 use crate::peers::BODY_CHUNK_BYTES;
 use crate::peers::send_chunk;
 use crate::retry::AttemptOutcome;
@@ -126,10 +127,15 @@
             self.running.retain(|_, call| !call.is_finished());
         }
         let (state, sender) = (self.state.clone(), self.sender.clone());
-        let call = tokio::spawn(async move {
-            let outcome = state.server.run_call(&state, &head, body).await;
+        let call = OpenCall::new(state.clone(), head.attempt.clone(), state.now());
+        call.set_route(&head.route);
+        let calls = self.state.stop.calls.clone();
+        let call = calls.spawn(async move {
+            let progress = call.progress();
+            let outcome = state.server.run_call(&state, &head, body, progress).await;
             let load = state.server.load();
             send_outcome(&sender, id, outcome, load);
+            call.finish();
         });
         self.running.insert(id, call.abort_handle());
     }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -22,6 +22,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::open_call::CallProgress;
 use crate::retry::AttemptOutcome;
 use crate::state::lock;
 
@@ -80,6 +81,7 @@
         address: SocketAddr,
         head: &CallHead,
         body: Bytes,
+        progress: &CallProgress,
     ) -> PeerOutcome {
         let Some(link) = self.link_to(address).await else {
             return (unreachable_outcome(), None);
@@ -92,6 +94,7 @@
         };
         lock(&link.pending).insert(id, call);
         let _guard = CancelOnDrop { link: &link, id };
+        progress.begin_send();
         if !send_call_messages(&link.sender, id, head, body) {
             return (unreachable_outcome(), None);
         }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -106,6 +106,12 @@
     loop {
         sleep(Duration::from_millis(EXIT_CHECK_MS)).await;
         let now = state.now();
+        let connections = state.stop.connections.len();
+        let calls = state.stop.calls.len();
+        state
+            .metrics
+            .set("stop-open-connections", connections as u64);
+        state.metrics.set("stop-open-calls", calls as u64);
         let is_busy = state.requests_in_flight() > 0 || state.server.load().in_flight > 0;
         if is_busy {
             last_busy = now;
@@ -118,8 +124,11 @@
         if now >= end || (now >= accept_until && is_idle) {
             info!(
                 event = "stop-finished",
-                under_way = state.requests_in_flight()
+                under_way = state.requests_in_flight(),
+                connections,
+                calls,
             );
+            state.stop.end();
             return;
         }
     }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -27,6 +26,7 @@
 use crate::node_table::NodeTable;
 use crate::peers::PeerPool;
 use crate::quota::QuotaTable;
+use crate::stop_control::StopControl;
 use crate::token_wait_queue::TokenWaitQueue;
 use crate::work::WorkCounter;
 
@@ -94,6 +94,7 @@
     pub(crate) server: LocalServer,
     pub(crate) peers: PeerPool,
     pub(crate) metrics: ProcessMetrics,
+    pub(crate) stop: StopControl,
     /// Wakes the control session to send a report at once.
     pub(crate) report_now: Notify,
     /// Wakes the control session to request tokens, since a request waits for one.
@@ -105,7 +106,6 @@
     admission: Mutex<EntryAdmission>,
     work: Mutex<WorkCounter>,
     retry_budgets: Mutex<HashMap<ServiceName, ServiceRetryBudget>>,
-    stopping: AtomicBool,
     started: Instant,
     request_log_limiter: Mutex<RequestLogLimiter>,
     sample_count: AtomicUsize,
@@ -130,6 +130,7 @@
             server: LocalServer::new(settings.service.clone()),
             peers: PeerPool::default(),
             metrics,
+            stop: StopControl::default(),
             report_now: Notify::new(),
             request_tokens_now: Notify::new(),
             quota: Mutex::default(),
@@ -137,7 +138,6 @@
             admission: Mutex::default(),
             work: Mutex::default(),
             retry_budgets: Mutex::default(),
-            stopping: AtomicBool::new(false),
             started: clock.now(),
             request_log_limiter: Mutex::default(),
             sample_count: AtomicUsize::new(0),
@@ -188,11 +188,11 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.inner.stopping.load(Ordering::Relaxed)
+        self.inner.stop.is_requested()
     }
 
     pub(crate) fn begin_stop(&self) {
-        self.inner.stopping.store(true, Ordering::Relaxed);
+        self.inner.stop.request(self.now());
         self.report_now.notify_one();
     }
 
