Add tests of a node that stops, with real processes

The tests drive a node through a stop by events: a backend server holds requests until the test releases it, and a stop counts as far along once the node takes no new connections.

--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -5,9 +5,11 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
+use std::process::ExitStatus;
 use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
@@ -36,6 +38,8 @@
     /// Second and third byte of all addresses, random so that tests do not share addresses.
     subnet: (u8, u8),
     first_port: u16,
+    /// Time from SIGTERM to SIGKILL, in the settings of all processes.
+    grace: Duration,
     control: Vec<Option<Child>>,
     nodes: Vec<Option<Child>>,
     pub(crate) servers: Vec<FakeServer>,
@@ -43,12 +47,13 @@
 
 impl TestDeployment {
     /// Starts the control instances, and a node with a fake server for each service.
-    pub(crate) fn start(services: &[&str]) -> Self {
+    pub(crate) fn start(services: &[&str], grace: Duration) -> Self {
         let subnet = (rand::random::<u8>() | 1, rand::random());
         let mut deployment = Self {
             directory: TempDir::new().unwrap(),
             subnet,
             first_port: first_free_port(subnet),
+            grace,
             control: (0..CONTROL_COUNT).map(|_| None).collect(),
             nodes: services.iter().map(|_| None).collect(),
             servers: Vec::new(),
@@ -66,6 +71,33 @@
         deployment
     }
 
+    /// Starts a deployment, sets its configuration, and waits until all of its nodes serve.
+    ///
+    /// `paths` names, for each prefix in the configuration, how many backend servers serve it.
+    pub(crate) fn start_serving(
+        services: &[&str],
+        grace: Duration,
+        document: &str,
+        paths: &[(&str, u32)],
+    ) -> Self {
+        let deployment = Self::start(services, grace);
+        let response = deployment.put_config(document);
+        assert_eq!(response.status, 200, "{response:?}");
+        for (node, _) in (0..).zip(services) {
+            deployment.await_ready(node);
+        }
+        for (path, servers) in paths {
+            let mut served = 0;
+            eventually("the nodes know each other's backend servers", || {
+                let id = format!("first-{path}-{served}");
+                let response = deployment.call(0, &format!("GET {path}first"), &id, "key-1");
+                served += u32::from(response.status == 200);
+                served >= *servers
+            });
+        }
+        deployment
+    }
+
     /// Announces all fake servers until their nodes acknowledge it.
     pub(crate) fn announce(&self, services: &[&str], phase: &str, sequence: u64) {
         for ((number, service), server) in (0_u8..).zip(services).zip(&self.servers) {
@@ -81,7 +113,7 @@
             .map(|seed| format!("\"{}\"", self.control_address(seed, 0)))
             .collect();
         let settings = format!(
-            "role = \"group\"\nprocess = \"control-{number}\"\ndata-centre = \"a\"\nseeds = [{}]\nports = [{}, {}]\ndata = \"{}\"\nfirst-start = {first_start}\n[listen]\naddress = \"{}\"\noperators = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}",
+            "role = \"group\"\nprocess = \"control-{number}\"\ndata-centre = \"a\"\nseeds = [{}]\nports = [{}, {}]\ndata = \"{}\"\nfirst-start = {first_start}\n[listen]\naddress = \"{}\"\noperators = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}grace-s = {}\n",
             seeds.join(", "),
             self.first_port + 5,
             self.first_port + 6,
@@ -89,6 +121,7 @@
             self.control_address(number, 0).ip(),
             self.control_address(number, 0),
             self.control_address(number, 1),
+            self.grace.as_secs_f64(),
         );
         let child = self.spawn(&format!("control-{number}"), &settings);
         self.control[usize::from(number)] = Some(child);
@@ -99,7 +132,7 @@
             .map(|seed| format!("\"{}\"", self.control_address(seed, 0)))
             .collect();
         let settings = format!(
-            "role = \"proxy\"\nprocess = \"node-{number}\"\ndata-centre = \"a\"\nservice = \"{service}\"\nserver = \"{}\"\ncontrol = [{}]\nports = [{}, {}]\nmemory-mb = 160\n[listen]\naddress = \"{}\"\ncallers = \"{}\"\nservers = \"{}\"\nready = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}",
+            "role = \"proxy\"\nprocess = \"node-{number}\"\ndata-centre = \"a\"\nservice = \"{service}\"\nserver = \"{}\"\ncontrol = [{}]\nports = [{}, {}]\nmemory-mb = 160\n[listen]\naddress = \"{}\"\ncallers = \"{}\"\nservers = \"{}\"\nready = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}grace-s = {}\n",
             self.node_address(number, 4),
             seeds.join(", "),
             self.first_port + 5,
@@ -109,6 +142,7 @@
             self.node_address(number, 2),
             self.node_address(number, 3),
             self.node_address(number, 7),
+            self.grace.as_secs_f64(),
         );
         let child = self.spawn(&format!("node-{number}"), &settings);
         self.nodes[usize::from(number)] = Some(child);
@@ -139,6 +173,46 @@
         }
     }
 
+    /// Sends a signal to a node that runs.
+    pub(crate) fn signal_node(&self, number: u8, signal: Signal) {
+        let node = self.nodes[usize::from(number)].as_ref().unwrap();
+        rustix::process::kill_process(Pid::from_child(node), signal).unwrap();
+    }
+
+    /// Waits until a node ends by itself.
+    pub(crate) fn await_exit(&mut self, number: u8) -> ExitStatus {
+        let node = self.nodes[usize::from(number)].as_mut().unwrap();
+        let mut status = None;
+        eventually("a stopped node ends", || {
+            status = node.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+
+    /// Waits until a node no longer reports that it accepts callers.
+    pub(crate) fn await_not_ready(&self, node: u8) {
+        let ready = self.node_address(node, 3);
+        eventually("a stopping node is not ready", || {
+            let response = http::send(ready, "GET /v1/ready", &[("Host", "node")], "");
+            response.is_ok_and(|response| response.status == 503)
+        });
+    }
+
+    /// Waits until a node that stops takes no new connections of callers.
+    pub(crate) fn await_listener_closed(&self, node: u8) {
+        let address = self.node_address(node, 0);
+        eventually("a stopping node closes its listener", || {
+            TcpStream::connect(address).is_err()
+        });
+    }
+
+    /// Returns the log lines of a node.
+    pub(crate) fn node_log(&self, number: u8) -> String {
+        let path = self.directory.path().join(format!("node-{number}.log"));
+        fs::read_to_string(path).unwrap()
+    }
+
     /// Returns whether all processes run.
     pub(crate) fn all_running(&mut self) -> bool {
         let mut all = self.control.iter_mut().chain(&mut self.nodes).flatten();
@@ -229,8 +303,8 @@
     }
 }
 
-/// Guarantees in the settings of all processes of a deployment.
-const BOUNDS: &str = "[bounds]\ntolerated-losses = 2\nlease-ms = 5000\ndrain-ms = 2000\ngrace-s = 6\ncontact-ms = 3000\nattempt-window-s = 10\nattempt-ratio = 0.2\nattempt-slack = 49\nquota-window-s = 5\nquota-overage = 0.1\nquota-slack = 20\n";
+/// Guarantees in the settings of all processes of a deployment, without the grace period.
+const BOUNDS: &str = "[bounds]\ntolerated-losses = 2\nlease-ms = 5000\ndrain-ms = 2000\ncontact-ms = 3000\nattempt-window-s = 10\nattempt-ratio = 0.2\nattempt-slack = 49\nquota-window-s = 5\nquota-overage = 0.1\nquota-slack = 20\n";
 
 fn kill(child: &mut Option<Child>) {
     if let Some(mut child) = child.take() {
--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -1,5 +1,7 @@
 //! Behaviour of a whole deployment towards callers, backend servers and operators.
 
+use std::time::Duration;
+
 use rustix::process::Signal;
 
 use crate::deployment::TestDeployment;
@@ -9,6 +11,9 @@
 /// Service of each backend server: one for orders, two for stock.
 const SERVICES: [&str; 3] = ["orders", "stock", "stock"];
 
+/// Time from SIGTERM to SIGKILL.
+const GRACE: Duration = Duration::from_secs(6);
+
 fn document(version: u64, base: u64, key: &str) -> String {
     include_str!("config.json")
         .replace("VERSION", &version.to_string())
@@ -17,22 +22,8 @@
 }
 
 fn deployment() -> TestDeployment {
-    let deployment = TestDeployment::start(&SERVICES);
-    let response = deployment.put_config(&document(3, 0, "key-1"));
-    assert_eq!(response.status, 200, "{response:?}");
-    for node in 0..3 {
-        deployment.await_ready(node);
-    }
-    for (path, servers) in [("/orders/", 1), ("/stock/", 2)] {
-        let mut served = 0;
-        eventually("the nodes know each other's backend servers", || {
-            let id = format!("first-{path}-{served}");
-            let response = deployment.call(0, &format!("GET {path}first"), &id, "key-1");
-            served += u32::from(response.status == 200);
-            served >= servers
-        });
-    }
-    deployment
+    let paths = [("/orders/", 1), ("/stock/", 2)];
+    TestDeployment::start_serving(&SERVICES, GRACE, &document(3, 0, "key-1"), &paths)
 }
 
 #[test]
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -4,4 +4,6 @@
 mod deployment;
 mod http;
 mod journeys;
+mod peer;
 mod server;
+mod stop;
--- a/crates/daemon/tests/fleet/server.rs
+++ b/crates/daemon/tests/fleet/server.rs
@@ -6,8 +6,10 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::thread;
+use std::time::Duration;
 
 use crate::http;
 
@@ -26,6 +28,10 @@
     RespondsWithError,
     /// Runs it and closes the connection in the middle of the response.
     TruncatesResponse,
+    /// Begins to run it, and responds once the behaviour is another one.
+    Holds,
+    /// Runs it and responds with a body of this many bytes.
+    RespondsAtLength(usize),
 }
 
 /// A running fake server; it ends with the test process.
@@ -34,7 +40,7 @@
     pub(crate) name: String,
     address: SocketAddr,
     executed: Arc<Mutex<Vec<String>>>,
-    behaviour: Arc<Mutex<ServerBehaviour>>,
+    behaviour: Arc<(Mutex<ServerBehaviour>, Condvar)>,
 }
 
 impl FakeServer {
@@ -44,7 +50,7 @@
             name: name.to_owned(),
             address,
             executed: Arc::default(),
-            behaviour: Arc::new(Mutex::new(ServerBehaviour::Normal)),
+            behaviour: Arc::new((Mutex::new(ServerBehaviour::Normal), Condvar::new())),
         };
         let serving = server.clone();
         thread::spawn(move || {
@@ -61,8 +67,28 @@
         self.executed.lock().unwrap().clone()
     }
 
+    /// Returns whether a request with this id was run, or has begun to.
+    pub(crate) fn has_run(&self, id: &str) -> bool {
+        self.head_of(id).is_some()
+    }
+
+    /// Returns the time that the node gave this server for a request.
+    pub(crate) fn time_given(&self, id: &str) -> Option<Duration> {
+        let left = header(&self.head_of(id)?, "x-ragwortplank-deadline-ms")?;
+        left.parse().ok().map(Duration::from_millis)
+    }
+
+    fn head_of(&self, id: &str) -> Option<String> {
+        let executed = self.executed.lock().unwrap();
+        let is_wanted =
+            |head: &&String| header(head, "x-ragwortplank-request-id").is_some_and(|it| it == id);
+        executed.iter().find(is_wanted).cloned()
+    }
+
     pub(crate) fn set_behaviour(&self, behaviour: ServerBehaviour) {
-        *self.behaviour.lock().unwrap() = behaviour;
+        let (current, changed) = &*self.behaviour;
+        *current.lock().unwrap() = behaviour;
+        changed.notify_all();
     }
 
     /// Announces itself to its node; returns the status of the response.
@@ -107,7 +133,7 @@
 
     /// Responds to a request; returns whether the connection stays open.
     fn respond(&self, stream: &mut TcpStream, head: &str) -> bool {
-        let behaviour = *self.behaviour.lock().unwrap();
+        let mut behaviour = *self.behaviour.0.lock().unwrap();
         let id = header(head, "x-ragwortplank-request-id").unwrap_or_default();
         let expected = header(head, "x-ragwortplank-expect-instance");
         if expected.is_some_and(|expected| expected != self.name) {
@@ -122,11 +148,16 @@
             return stream.write_all(response.as_bytes()).is_ok();
         }
         self.executed.lock().unwrap().push(head.to_owned());
+        if behaviour == ServerBehaviour::Holds {
+            behaviour = self.await_release();
+        }
         let (id, length) = match behaviour {
             ServerBehaviour::DropsResponse => return false,
             ServerBehaviour::WrongRequestId => ("of-another-request".to_owned(), 2),
             ServerBehaviour::TruncatesResponse => (id, 100),
+            ServerBehaviour::RespondsAtLength(length) => (id, length),
             ServerBehaviour::Normal
+            | ServerBehaviour::Holds
             | ServerBehaviour::Sheds
             | ServerBehaviour::RespondsWithError => (id, 2),
         };
@@ -135,12 +166,23 @@
             _ => "200 OK",
         };
         let response = format!(
-            "HTTP/1.1 {status}\r\nX-Ragwortplank-Request-Id: {id}\r\nX-Ragwortplank-Server-Stamp: {}\r\nContent-Length: {length}\r\n\r\nok",
-            self.name
+            "HTTP/1.1 {status}\r\nX-Ragwortplank-Request-Id: {id}\r\nX-Ragwortplank-Server-Stamp: {}\r\nContent-Length: {length}\r\n\r\n{}",
+            self.name,
+            match behaviour {
+                ServerBehaviour::RespondsAtLength(length) => "x".repeat(length),
+                _ => "ok".to_owned(),
+            }
         );
         stream.write_all(response.as_bytes()).is_ok()
             && behaviour != ServerBehaviour::TruncatesResponse
     }
+
+    /// Waits until requests are no longer held; returns how to go on.
+    fn await_release(&self) -> ServerBehaviour {
+        let (current, changed) = &*self.behaviour;
+        let held = |behaviour: &mut ServerBehaviour| *behaviour == ServerBehaviour::Holds;
+        *changed.wait_while(current.lock().unwrap(), held).unwrap()
+    }
 }
 
 fn header(head: &str, name: &str) -> Option<String> {
