Let a stopping node take nothing that it cannot finish, and answer all it took

Callers saw requests end with their connection and no answer, up to the end of the grace period: a node read and forwarded whatever arrived on kept connections and links until its process ended 0.85 of the grace period after SIGTERM, and then dropped it all. A request counted as in flight only until its handler returned, so an answer that was still being written was cut, even early in a stop, and what waited for a slot was cut although the node knew how it would end.

A stop now has phases, decided by `StopSchedule` from the clock alone. While the node lingers it serves as before, since callers still have to learn of the stop. From half of the grace period on, 2.8 s at the latest, it takes nothing: the listener and idle connections are closed, other connections close after their answer, and what is still read is refused as not run, from callers and nodes alike. At 0.85 what has no answer gets the true one: 503 if it was certainly never sent to a backend server or another node (`CallProgress`, set before anything is sent), otherwise 504. The process ends once the tasks of all connections and calls have ended, which is after their answers are written, and links have been flushed; at 0.95 in any case.

Nothing is read whole and then dropped: a request that is read later than the first phase is answered by the node itself, and one that was read before it is waited for or answered at 0.85, which leaves a tenth of the grace period to write. A deadline beyond that is cut to it, so that a queue at another node refuses the call in time.

`cargo test -p proxy -p link`: all passed.

--- a/crates/link/src/sender.rs
+++ b/crates/link/src/sender.rs
@@ -13,6 +13,7 @@
 use futures::SinkExt;
 use serde::Serialize;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
@@ -50,6 +51,8 @@
     last_received_ms: AtomicU64,
     /// Bytes queued and not yet flushed to the connection.
     queued_bytes: AtomicUsize,
+    /// Wakes those that wait until no bytes are queued.
+    all_written: Notify,
     is_ping_pending: AtomicBool,
     closed: CancellationToken,
 }
@@ -133,6 +136,7 @@
             opened_at: Instant::now(),
             last_received_ms: AtomicU64::new(0),
             queued_bytes: AtomicUsize::new(0),
+            all_written: Notify::new(),
             is_ping_pending: AtomicBool::new(false),
             closed: CancellationToken::new(),
         });
@@ -188,6 +192,21 @@
         LinkHealth::TimedOut
     }
 
+    /// Waits until all queued messages are written to the connection, or the link is closed.
+    pub async fn flushed(&self) {
+        let state = &self.frame_sender.state;
+        loop {
+            let all_written = state.all_written.notified();
+            if state.queued_bytes.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+            tokio::select! {
+                () = all_written => {}
+                () = state.closed() => return,
+            }
+        }
+    }
+
     /// Closes the link; queued messages may be lost.
     pub fn close(&self) {
         self.frame_sender.state.close();
@@ -240,6 +259,8 @@
         sink.feed(next).await?;
     }
     SinkExt::<Bytes>::flush(sink).await?;
-    state.queued_bytes.fetch_sub(length, Ordering::Relaxed);
+    if state.queued_bytes.fetch_sub(length, Ordering::Relaxed) == length {
+        state.all_written.notify_waiters();
+    }
     Ok(())
 }
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -1,5 +1,6 @@
 //! HTTP server for requests of callers, and for calls that the local backend server makes.
 
+mod connection;
 mod outcome;
 mod refusal;
 mod token;
@@ -29,19 +30,16 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use model::context::CallRank;
 use model::entry::RequestKind;
 use model::ids::ServiceName;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tracing::warn;
 
 use crate::forward::forward;
 use crate::headers;
+use crate::ingress::connection::LastCall;
+use crate::ingress::connection::serve_connection;
 use crate::ingress::outcome::build_response;
 use crate::ingress::outcome::log_outcome;
 use crate::ingress::refusal::BufferedResponse;
@@ -51,10 +49,6 @@
 use crate::open_call::OpenCall;
 use crate::state::ProxyState;
 
-/// Size of the buffer for request heads, in bytes; the configured limit is checked after reading.
-const MAX_HEAD_BUFFER_BYTES: usize = 64 * 1024;
-/// Timeout for request heads while there is no configuration, in seconds.
-const DEFAULT_HEAD_TIMEOUT_S: u64 = 10;
 /// Largest request body, in bytes; a configuration can only lower it.
 const MAX_BODY_BYTES: u32 = 64 * 1024 * 1024;
 /// Retry-after delays, in milliseconds.
@@ -65,13 +59,18 @@
 /// Difference in importance between adjacent route orders; the team order ranks within it.
 const ROUTE_ORDER_STEP: u8 = 16;
 
-/// Accepts connections on `listener` and serves their requests; never returns.
+/// Accepts connections on `listener` and serves their requests, until a stopping node takes no
+/// more.
 pub(crate) async fn serve<C: Clock, A: ProtocolAdapter>(
     state: ProxyState<C, A>,
     listener: TcpListener,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.stop.finishing() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let connection = serve_connection(state.clone(), stream);
                 state.stop.connections.spawn(connection);
@@ -84,45 +83,27 @@
     }
 }
 
-async fn serve_connection<C: Clock, A: ProtocolAdapter>(
-    state: ProxyState<C, A>,
-    stream: TcpStream,
-) {
-    // On failure Nagle's algorithm stays on, which only delays small writes.
-    let _ = stream.set_nodelay(true);
-    let limits = state
-        .route_table()
-        .map(|(table, _)| table.config().limits.clone());
-    let head_timeout = limits.map_or(Duration::from_secs(DEFAULT_HEAD_TIMEOUT_S), |limits| {
-        limits.head_timeout.max(limits.idle_timeout)
-    });
-    let service = service_fn(|request| handle_request(&state, request));
-    let result = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
-        .max_buf_size(MAX_HEAD_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = result {
-        tracing::debug!(event = "caller-link-ended", %error);
-    }
-}
-
 async fn handle_request<C: Clock, A: ProtocolAdapter>(
     state: &ProxyState<C, A>,
+    last: &LastCall<C, A>,
     request: Request<Incoming>,
 ) -> Result<BufferedResponse, Infallible> {
-    let _request_guard = state.begin_request();
     let started = state.now();
     let metadata = state.adapter.request_metadata(request.headers());
     let attempt = metadata.attempt.clone();
     let call = OpenCall::new(state.clone(), attempt.clone().unwrap_or_default(), started);
-    let result = check_and_forward(state, request, metadata, &call, started).await;
-    call.finish();
+    let call = Arc::new(call);
+    last.replace(&call);
+    let result = tokio::select! {
+        biased;
+        result = check_and_forward(state, request, metadata, &call, started) => result,
+        () = state.stop.ending() => Err(Refusal::at_end(call.progress())),
+    };
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => refusal.respond(state, attempt.as_deref(), started),
     };
+    call.note_answer();
     if state.is_stopping() {
         state.metrics.count("stop", "answered");
         let close = HeaderValue::from_static("close");
@@ -139,6 +120,9 @@
     call: &OpenCall<C, A>,
     started: Instant,
 ) -> Result<BufferedResponse, Refusal> {
+    if !state.stop.takes_calls(started) {
+        return Err(Refusal::stopping());
+    }
     let no_config = Duration::from_millis(NO_CONFIG_RETRY_AFTER_MS);
     let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     let Some((table, leased)) = state.route_table() else {
@@ -187,6 +171,9 @@
     let method = request.method().as_str().to_owned();
     let forwarded_headers = headers::request_headers(&state.adapter, request.headers());
     let body = read_body(&table, request.into_body()).await?;
+    if !state.stop.takes_calls(state.now()) {
+        return Err(Refusal::stopping());
+    }
     let Some(_reservation) = state.reserve_body(body.len()) else {
         let delay = Duration::from_millis(NO_MEMORY_RETRY_AFTER_MS);
         return Err(Refusal::with_retry_after(unavailable, "no-memory", delay));
@@ -206,15 +193,9 @@
         caller_service: state.settings.service.clone(),
     };
     let attempt = head.attempt.clone();
-    let outcome = forward(
-        state,
-        head,
-        body,
-        call.progress(),
-        route.max_attempts,
-        deadline,
-    )
-    .await;
+    let deadline = state.stop.limit_deadline(deadline);
+    let progress = call.progress();
+    let outcome = forward(state, head, body, progress, route.max_attempts, deadline).await;
     log_outcome(state, &attempt, route, &outcome, &table, started);
     build_response(outcome)
 }
--- /dev/null
+++ b/crates/proxy/src/ingress/connection.rs
@@ -0,0 +1,123 @@
+//! A connection of a caller or of the local backend server, until its last answer is written.
+
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use clock::Clock;
+use fleet::ProtocolAdapter;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::ingress::handle_request;
+use crate::open_call::OpenCall;
+use crate::state::ProxyState;
+use crate::state::lock;
+
+/// Size of the buffer for request heads, in bytes; the configured limit is checked after reading.
+const MAX_HEAD_BUFFER_BYTES: usize = 64 * 1024;
+/// Timeout for request heads while there is no configuration, in seconds.
+const DEFAULT_HEAD_TIMEOUT_S: u64 = 10;
+
+/// The last request that was read from a connection.
+pub(super) struct LastCall<C: Clock, A: ProtocolAdapter> {
+    call: Mutex<Option<Arc<OpenCall<C, A>>>>,
+}
+
+impl<C: Clock, A: ProtocolAdapter> LastCall<C, A> {
+    const fn new() -> Self {
+        Self {
+            call: Mutex::new(None),
+        }
+    }
+
+    /// Notes the next request; the answer to the one before it has been written.
+    pub(super) fn replace(&self, call: &Arc<OpenCall<C, A>>) {
+        let earlier = lock(&self.call).replace(Arc::clone(call));
+        if let Some(earlier) = earlier {
+            earlier.finish();
+        }
+    }
+
+    fn is_none(&self) -> bool {
+        lock(&self.call).is_none()
+    }
+
+    /// Notes that the connection has ended, so that nothing more can be written.
+    fn finish(&self) {
+        if let Some(call) = &*lock(&self.call) {
+            call.finish();
+        }
+    }
+}
+
+/// Serves the requests on a connection, and ends with it.
+pub(super) async fn serve_connection<C: Clock, A: ProtocolAdapter>(
+    state: ProxyState<C, A>,
+    stream: TcpStream,
+) {
+    // On failure Nagle's algorithm stays on, which only delays small writes.
+    let _ = stream.set_nodelay(true);
+    let limits = state
+        .route_table()
+        .map(|(table, _)| table.config().limits.clone());
+    let head_timeout = limits.map_or(Duration::from_secs(DEFAULT_HEAD_TIMEOUT_S), |limits| {
+        limits.head_timeout.max(limits.idle_timeout)
+    });
+    if !has_input(&state, &stream, head_timeout).await {
+        return;
+    }
+    let last = LastCall::new();
+    let service = service_fn(|request| handle_request(&state, &last, request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_timeout)
+        .max_buf_size(MAX_HEAD_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = state.stop.finishing() => {
+            // An idle connection closes at once, any other after the answer to its request.
+            connection.as_mut().graceful_shutdown();
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = no_request_until_end(&state, &last) => Ok(()),
+            }
+        }
+    };
+    last.finish();
+    if let Err(error) = ended {
+        tracing::debug!(event = "caller-link-ended", %error);
+    }
+}
+
+/// Returns whether something arrives on a new connection before the time is up or the node stops.
+///
+/// The HTTP server would keep a connection that was never used until its first request.
+async fn has_input<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    stream: &TcpStream,
+    limit: Duration,
+) -> bool {
+    tokio::select! {
+        ready = timeout(limit, stream.readable()) => matches!(ready, Ok(Ok(()))),
+        () = state.stop.finishing() => false,
+    }
+}
+
+/// Completes at the end of a stop if no head was read whole by then; never otherwise.
+async fn no_request_until_end<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    last: &LastCall<C, A>,
+) {
+    state.stop.ending().await;
+    if !last.is_none() {
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/proxy/src/ingress/refusal.rs
+++ b/crates/proxy/src/ingress/refusal.rs
@@ -12,12 +12,17 @@
 use model::ids::TeamName;
 use tracing::info;
 
+use crate::open_call::CallProgress;
 use crate::state::ProxyState;
 
 /// Largest random addition to a retry-after delay, as a fraction of it, so that callers do not
 /// all retry at the same time.
 const JITTER_FRACTION: f64 = 0.5;
 
+/// Retry-after delay while the node stops, in milliseconds; callers that retry earlier may not
+/// know of the stop yet.
+const STOPPING_RETRY_AFTER_MS: u64 = 500;
+
 /// A response with its body in memory.
 pub(super) type BufferedResponse = Response<Full<Bytes>>;
 
@@ -56,6 +61,20 @@
         }
     }
 
+    /// Refuses a request that a stopping node no longer takes.
+    pub(super) fn stopping() -> Self {
+        let delay = Duration::from_millis(STOPPING_RETRY_AFTER_MS);
+        Self::with_retry_after(StatusCode::SERVICE_UNAVAILABLE, "stopping", delay)
+    }
+
+    /// Answers a request that has no answer when the node ends, by whether it may have run.
+    pub(super) fn at_end(progress: &CallProgress) -> Self {
+        if progress.may_have_run() {
+            return Self::new(StatusCode::GATEWAY_TIMEOUT, "stopped-may-have-run");
+        }
+        Self::stopping()
+    }
+
     pub(super) fn respond<C: Clock, A: ProtocolAdapter>(
         &self,
         state: &ProxyState<C, A>,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod run;
 mod state;
 mod stop_control;
+mod stop_schedule;
 mod token_wait_queue;
 mod work;
 
@@ -31,5 +32,7 @@
 pub use crate::retry::RetryDecision;
 pub use crate::retry::decide_retry;
 pub use crate::run::run;
+pub use crate::stop_schedule::StopPhase;
+pub use crate::stop_schedule::StopSchedule;
 pub use crate::token_wait_queue::TokenGranted;
 pub use crate::token_wait_queue::TokenWaitQueue;
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -45,7 +45,7 @@
 /// Largest difference between the deadlines of a call and of its parent call, in milliseconds.
 const PARENT_TOLERANCE_MS: u64 = 25;
 /// Retry-after delay when the backend server cannot run the call.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(crate) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 #[derive(Debug, Default)]
 struct LocalServerState {
--- a/crates/proxy/src/open_call.rs
+++ b/crates/proxy/src/open_call.rs
@@ -1,4 +1,5 @@
-//! A request of a caller or a call of another node, from when it was read until it is answered.
+//! A request of a caller or a call of another node, from when it was read until its answer is
+//! written.
 
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -20,6 +21,7 @@
     route: Mutex<Option<RouteName>>,
     read_at: Instant,
     progress: CallProgress,
+    is_answered: AtomicBool,
     is_finished: AtomicBool,
 }
 
@@ -31,6 +33,7 @@
             route: Mutex::default(),
             read_at,
             progress: CallProgress::default(),
+            is_answered: AtomicBool::new(false),
             is_finished: AtomicBool::new(false),
         }
     }
@@ -43,6 +46,11 @@
         &self.progress
     }
 
+    /// Notes that there is an answer, which has yet to be written.
+    pub(crate) fn note_answer(&self) {
+        self.is_answered.store(true, Ordering::Relaxed);
+    }
+
     /// Notes that nothing more has to be done for this call.
     pub(crate) fn finish(&self) {
         self.is_finished.store(true, Ordering::Relaxed);
@@ -62,6 +70,7 @@
             event = "request-cut",
             request = %self.attempt,
             route = lock(&self.route).as_deref(),
+            answered = self.is_answered.load(Ordering::Relaxed),
             may_have_run = self.progress.may_have_run(),
             held_ms = held.as_millis(),
             read_after_stop_ms = after_stop.map(|delay| delay.as_millis()),
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -7,14 +7,17 @@
 use bytes::BytesMut;
 use clock::Clock;
 use fleet::CallHead;
+use fleet::FailureReason;
 use fleet::NodeMessage;
 use fleet::ProtocolAdapter;
+use fleet::RefusalReason;
 use link::LinkReceiver;
 use link::LinkSender;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::local_server::UNAVAILABLE_RETRY_AFTER;
 use crate::open_call::OpenCall;
 use crate::peers::BODY_CHUNK_BYTES;
 use crate::peers::send_chunk;
@@ -34,7 +37,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::spawn(serve_link(state.clone(), stream, peer));
+                let link = serve_link(state.clone(), stream, peer);
+                state.stop.links.spawn(link);
             }
             Err(error) => tracing::warn!(event = "accept-failed", listener = "links", %error),
         }
@@ -71,14 +75,25 @@
 
 impl<C: Clock, A: ProtocolAdapter> PeerSession<C, A> {
     async fn run(mut self, mut receiver: LinkReceiver<NodeMessage>) {
-        while let Some(message) = receiver.next().await {
-            self.handle_message(message);
+        let state = self.state.clone();
+        let is_closing = tokio::select! {
+            () = self.receive(&mut receiver) => false,
+            () = state.stop.links_closing() => true,
+        };
+        if is_closing {
+            self.sender.flushed().await;
         }
         for call in self.running.into_values() {
             call.abort();
         }
     }
 
+    async fn receive(&mut self, receiver: &mut LinkReceiver<NodeMessage>) {
+        while let Some(message) = receiver.next().await {
+            self.handle_message(message);
+        }
+    }
+
     fn handle_message(&mut self, message: NodeMessage) {
         match message {
             NodeMessage::Call {
@@ -122,17 +137,29 @@
         }
     }
 
-    fn start_call(&mut self, id: u64, head: CallHead, body: Bytes) {
+    fn start_call(&mut self, id: u64, mut head: CallHead, body: Bytes) {
+        let now = self.state.now();
+        if !self.state.stop.takes_calls(now) {
+            let outcome = stopping_outcome(false);
+            send_outcome(&self.sender, id, outcome, self.state.server.load());
+            return;
+        }
+        let deadline = self.state.stop.limit_deadline(now + head.time_left);
+        head.time_left = deadline.saturating_duration_since(now);
         if self.running.len() >= CLEANUP_CALLS {
             self.running.retain(|_, call| !call.is_finished());
         }
         let (state, sender) = (self.state.clone(), self.sender.clone());
-        let call = OpenCall::new(state.clone(), head.attempt.clone(), state.now());
+        let call = OpenCall::new(state.clone(), head.attempt.clone(), now);
         call.set_route(&head.route);
         let calls = self.state.stop.calls.clone();
         let call = calls.spawn(async move {
             let progress = call.progress();
-            let outcome = state.server.run_call(&state, &head, body, progress).await;
+            let outcome = tokio::select! {
+                biased;
+                outcome = state.server.run_call(&state, &head, body, progress) => outcome,
+                () = state.stop.ending() => stopping_outcome(progress.may_have_run()),
+            };
             let load = state.server.load();
             send_outcome(&sender, id, outcome, load);
             call.finish();
@@ -141,6 +168,18 @@
     }
 }
 
+/// Returns the outcome of a call that this node gives up since it stops.
+const fn stopping_outcome(may_have_run: bool) -> AttemptOutcome {
+    if may_have_run {
+        let cause = FailureReason::Timeout;
+        return AttemptOutcome::Failed { cause };
+    }
+    AttemptOutcome::Refused {
+        cause: RefusalReason::Draining,
+        retry_after: UNAVAILABLE_RETRY_AFTER,
+    }
+}
+
 fn send_outcome(
     sender: &LinkSender<NodeMessage>,
     id: u64,
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
 use anyhow::Context;
 use clock::Clock;
@@ -14,6 +13,7 @@
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
@@ -22,22 +22,17 @@
 use crate::ingress;
 use crate::peer_server;
 use crate::state::ProxyState;
+use crate::stop_schedule::StopPhase;
+use crate::stop_schedule::StopSchedule;
 
 /// Prefix of all metric names.
 const METRIC_PREFIX: &str = "ragwortplank_node";
 /// Interval of the periodic maintenance, in milliseconds.
 const MAINTENANCE_PERIOD_MS: u64 = 50;
-/// New connections are accepted for this fraction of the shutdown time, since callers learn of
-/// the shutdown late.
-const ACCEPT_FRACTION: f64 = 0.5;
-/// Fraction of the shutdown time after which the node ends in any case.
-const EXIT_FRACTION: f64 = 0.85;
-/// Time without requests after which no more are expected during shutdown, in milliseconds.
-const IDLE_BEFORE_EXIT_MS: u64 = 300;
 /// Interval at which a node in shutdown checks whether it can end, in milliseconds.
 const EXIT_CHECK_MS: u64 = 25;
 
-/// Runs a node until `stop` is cancelled, then serves the requests in flight and returns.
+/// Runs a node until `stop` is cancelled, then stops it gracefully and returns.
 ///
 /// `seeds` holds the control instances named in the settings, which may be reloaded meanwhile.
 ///
@@ -66,11 +61,10 @@
     tokio::spawn(announce::serve(state.clone(), readiness_listener));
     tokio::spawn(control::run(state.clone(), seeds));
     tokio::spawn(maintain(state.clone()));
-    let ingress = tokio::spawn(ingress::serve(state.clone(), caller_listener));
+    tokio::spawn(ingress::serve(state.clone(), caller_listener));
     stop.cancelled().await;
-    state.begin_stop();
-    state.publish_record();
-    drain(&state, ingress).await;
+    let schedule = state.begin_stop();
+    drain(&state, schedule).await;
     info!(event = "process-stopped", process = %state.settings.process);
     Ok(())
 }
@@ -93,43 +87,38 @@
     }
 }
 
-/// Accepts new connections for a while, then waits for the requests in flight to end.
-async fn drain<C: Clock, A: ProtocolAdapter>(
-    state: &ProxyState<C, A>,
-    ingress: tokio::task::JoinHandle<()>,
-) {
-    let stopping_since = state.now();
-    let grace = state.settings.bounds.stop_grace_period;
-    let accept_until = stopping_since + grace.mul_f64(ACCEPT_FRACTION);
-    let end = stopping_since + grace.mul_f64(EXIT_FRACTION);
-    let mut last_busy: Instant = stopping_since;
+/// Leads the node through the phases of its stop, until nothing is open or the time is up.
+async fn drain<C: Clock, A: ProtocolAdapter>(state: &ProxyState<C, A>, schedule: StopSchedule) {
+    let mut announced = None;
     loop {
-        sleep(Duration::from_millis(EXIT_CHECK_MS)).await;
-        let now = state.now();
-        let connections = state.stop.connections.len();
-        let calls = state.stop.calls.len();
-        state
-            .metrics
-            .set("stop-open-connections", connections as u64);
-        state.metrics.set("stop-open-calls", calls as u64);
-        let is_busy = state.requests_in_flight() > 0 || state.server.load().in_flight > 0;
-        if is_busy {
-            last_busy = now;
-        }
-        let is_idle =
-            now.saturating_duration_since(last_busy) >= Duration::from_millis(IDLE_BEFORE_EXIT_MS);
-        if now >= accept_until && !ingress.is_finished() {
-            ingress.abort();
+        let phase = schedule.phase(state.now());
+        if announced.replace(phase) != Some(phase) {
+            state.stop.announce(phase);
+            log_phase(state, phase);
         }
-        if now >= end || (now >= accept_until && is_idle) {
-            info!(
-                event = "stop-finished",
-                under_way = state.requests_in_flight(),
-                connections,
-                calls,
-            );
-            state.stop.end();
-            return;
+        // What the phase asks of the tasks, they do before the next check.
+        sleep(Duration::from_millis(EXIT_CHECK_MS)).await;
+        if phase.may_end(state.stop.open_count()) {
+            break;
         }
     }
+    let left = schedule.over_at().saturating_duration_since(state.now());
+    let limit = left.max(Duration::from_millis(EXIT_CHECK_MS));
+    let is_flushed = timeout(limit, state.stop.close_links()).await.is_ok();
+    state.stop.end();
+    info!(
+        event = "stop-finished",
+        connections = state.stop.connections.len(),
+        calls = state.stop.calls.len(),
+        links_flushed = is_flushed,
+    );
+}
+
+fn log_phase<C: Clock, A: ProtocolAdapter>(state: &ProxyState<C, A>, phase: StopPhase) {
+    let connections = state.stop.connections.len();
+    let calls = state.stop.calls.len();
+    info!(event = "stop-phase", %phase, connections, calls);
+    let metrics = &state.metrics;
+    metrics.set("stop-open-connections", connections as u64);
+    metrics.set("stop-open-calls", calls as u64);
 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -27,6 +27,7 @@
 use crate::peers::PeerPool;
 use crate::quota::QuotaTable;
 use crate::stop_control::StopControl;
+use crate::stop_schedule::StopSchedule;
 use crate::token_wait_queue::TokenWaitQueue;
 use crate::work::WorkCounter;
 
@@ -111,8 +112,6 @@
     sample_count: AtomicUsize,
     /// Total size of the request bodies in flight.
     body_bytes_in_flight: AtomicUsize,
-    /// Requests in flight, from callers and from the local backend server.
-    requests_in_flight: AtomicUsize,
 }
 
 impl<C: Clock, A: ProtocolAdapter> ProxyState<C, A> {
@@ -142,7 +141,6 @@
             request_log_limiter: Mutex::default(),
             sample_count: AtomicUsize::new(0),
             body_bytes_in_flight: AtomicUsize::new(0),
-            requests_in_flight: AtomicUsize::new(0),
             settings,
             adapter,
             clock,
@@ -191,9 +189,12 @@
         self.inner.stop.is_requested()
     }
 
-    pub(crate) fn begin_stop(&self) {
-        self.inner.stop.request(self.now());
-        self.report_now.notify_one();
+    /// Begins the graceful stop, and tells control at once.
+    pub(crate) fn begin_stop(&self) -> StopSchedule {
+        let grace = self.inner.settings.bounds.stop_grace_period;
+        let schedule = self.inner.stop.request(self.now(), grace);
+        self.publish_record();
+        schedule
     }
 
     /// Returns whether the node is ready for requests of callers.
@@ -278,21 +279,6 @@
         let number = self.inner.sample_count.fetch_add(1, Ordering::Relaxed);
         number.is_multiple_of(one_in)
     }
-
-    /// Counts a request as in flight until the returned guard is dropped.
-    pub(crate) fn begin_request(&self) -> RequestGuard<C, A> {
-        self.inner
-            .requests_in_flight
-            .fetch_add(1, Ordering::Relaxed);
-        RequestGuard {
-            state: self.clone(),
-        }
-    }
-
-    /// Returns the number of requests in flight, from callers and the local backend server.
-    pub(crate) fn requests_in_flight(&self) -> usize {
-        self.inner.requests_in_flight.load(Ordering::Relaxed)
-    }
 }
 
 /// Memory reserved for a request body; released on drop.
@@ -310,20 +296,6 @@
     }
 }
 
-/// Counts a request as in flight until it is dropped.
-pub(crate) struct RequestGuard<C, A> {
-    state: ProxyState<C, A>,
-}
-
-impl<C, A> Drop for RequestGuard<C, A> {
-    fn drop(&mut self) {
-        self.state
-            .inner
-            .requests_in_flight
-            .fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/proxy/src/stop_control.rs
+++ b/crates/proxy/src/stop_control.rs
@@ -1,4 +1,4 @@
-//! The stop of a node: when it was requested, and what is still open.
+//! The stop of a node: its schedule, how its tasks learn of it, and which of them are open.
 
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
@@ -6,33 +6,90 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::stop_schedule::StopPhase;
+use crate::stop_schedule::StopSchedule;
+
 /// Tells the tasks of a node about its stop, and counts those that it has to wait for.
 #[derive(Debug, Default)]
 pub(crate) struct StopControl {
-    requested_at: OnceLock<Instant>,
+    schedule: OnceLock<StopSchedule>,
     has_ended: AtomicBool,
+    finishing: CancellationToken,
+    ending: CancellationToken,
+    links_closing: CancellationToken,
     /// Connections of callers and of the local backend server.
     pub(crate) connections: TaskTracker,
     /// Calls from other nodes.
     pub(crate) calls: TaskTracker,
+    /// Links on which other nodes send calls.
+    pub(crate) links: TaskTracker,
 }
 
 impl StopControl {
-    /// Notes that the stop was requested at `now`; a later request changes nothing.
-    pub(crate) fn request(&self, now: Instant) {
-        self.requested_at.get_or_init(|| now);
+    /// Begins the stop; a stop that has begun goes on as planned.
+    pub(crate) fn request(&self, now: Instant, grace: Duration) -> StopSchedule {
+        *self.schedule.get_or_init(|| StopSchedule::new(now, grace))
     }
 
     pub(crate) fn is_requested(&self) -> bool {
-        self.requested_at.get().is_some()
+        self.schedule.get().is_some()
     }
 
     /// Returns how long after the stop request `at` was, if there was one by then.
     pub(crate) fn since_request(&self, at: Instant) -> Option<Duration> {
-        let requested_at = *self.requested_at.get()?;
-        at.checked_duration_since(requested_at)
+        at.checked_duration_since(self.schedule.get()?.requested_at())
+    }
+
+    /// Returns whether a request or call that is read at `now` is taken.
+    pub(crate) fn takes_calls(&self, now: Instant) -> bool {
+        let schedule = self.schedule.get();
+        schedule.is_none_or(|schedule| schedule.phase(now) < StopPhase::Finishing)
+    }
+
+    /// Returns the deadline of a request or call that is taken now.
+    pub(crate) fn limit_deadline(&self, deadline: Instant) -> Instant {
+        let schedule = self.schedule.get();
+        schedule.map_or(deadline, |schedule| schedule.limit_deadline(deadline))
+    }
+
+    /// Tells the tasks that wait for it that `phase` has begun.
+    pub(crate) fn announce(&self, phase: StopPhase) {
+        if phase >= StopPhase::Finishing {
+            self.finishing.cancel();
+        }
+        if phase >= StopPhase::Ending {
+            self.ending.cancel();
+        }
+    }
+
+    /// Waits until nothing new is taken any more.
+    pub(crate) async fn finishing(&self) {
+        self.finishing.cancelled().await;
+    }
+
+    /// Waits until whatever has no answer yet must get one.
+    pub(crate) async fn ending(&self) {
+        self.ending.cancelled().await;
+    }
+
+    /// Waits until the links from other nodes have to close.
+    pub(crate) async fn links_closing(&self) {
+        self.links_closing.cancelled().await;
+    }
+
+    /// Waits until the links from other nodes have sent all answers and closed.
+    pub(crate) async fn close_links(&self) {
+        self.links_closing.cancel();
+        self.links.close();
+        self.links.wait().await;
+    }
+
+    /// Returns the number of open connections and calls.
+    pub(crate) fn open_count(&self) -> usize {
+        self.connections.len() + self.calls.len()
     }
 
     /// Notes that the process ends now, so that whatever is dropped from here on is cut.
