Merge the stop that takes nothing it cannot finish

Conflicts of two parts that were written side by side: bodies within a memory budget and answers that wait for room on a link, beside the phases of a stop. One Notify of a link serves both waits; a refusal of a call that was not started is sent in one place.

--- a/crates/link/src/sender.rs
+++ b/crates/link/src/sender.rs
@@ -216,6 +216,21 @@
         LinkHealth::TimedOut
     }
 
+    /// Waits until all queued messages are written to the connection, or the link is closed.
+    pub async fn flushed(&self) {
+        let state = &self.frame_sender.state;
+        loop {
+            let flushed = state.flushed.notified();
+            if state.queued_bytes.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+            tokio::select! {
+                () = flushed => {}
+                () = state.closed() => return,
+            }
+        }
+    }
+
     /// Closes the link; queued messages may be lost.
     pub fn close(&self) {
         self.frame_sender.state.close();
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -35,6 +35,7 @@
 use crate::connection_pool::ConnectionPool;
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
 use crate::local_server::slots::SlotResult;
+use crate::open_call::CallProgress;
 use crate::retry::AttemptOutcome;
 use crate::state::ProxyState;
 use crate::state::lock;
@@ -45,7 +46,7 @@
 /// Largest difference between the deadlines of a call and of its parent call, in milliseconds.
 const PARENT_TOLERANCE_MS: u64 = 25;
 /// Retry-after delay when the backend server cannot run the call.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(crate) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 #[derive(Debug, Default)]
 struct LocalServerState {
@@ -184,6 +185,7 @@
         proxy: &ProxyState<C, A>,
         head: &CallHead,
         body: Bytes,
+        progress: &CallProgress,
     ) -> AttemptOutcome {
         let started = proxy.now();
         let deadline = started + head.time_left;
@@ -216,6 +218,7 @@
         let sent = proxy.now();
         proxy.work().count_started(&head.route);
         let _running = self.register_running(head, sent + left);
+        progress.begin_send();
         let exchange = self.send_call(proxy, head, body, &server, left);
         let outcome = timeout(left, exchange)
             .await
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use clock::Clock;
 use fleet::CallHead;
+use fleet::FailureReason;
 use fleet::NodeMessage;
 use fleet::ProtocolAdapter;
 use fleet::RefusalReason;
@@ -16,7 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::local_server::UNAVAILABLE_RETRY_AFTER;
 use crate::memory_budget::BodyBuffer;
+use crate::open_call::OpenCall;
 use crate::peers::BODY_CHUNK_BYTES;
 use crate::peers::send_chunk;
 use crate::retry::AttemptOutcome;
@@ -37,7 +40,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::spawn(serve_link(state.clone(), stream, peer));
+                let link = serve_link(state.clone(), stream, peer);
+                state.stop.links.spawn(link);
             }
             Err(error) => tracing::warn!(event = "accept-failed", listener = "links", %error),
         }
@@ -74,14 +78,25 @@
 
 impl<C: Clock, A: ProtocolAdapter> PeerSession<C, A> {
     async fn run(mut self, mut receiver: LinkReceiver<NodeMessage>) {
-        while let Some(message) = receiver.next().await {
-            self.handle_message(message);
+        let state = self.state.clone();
+        let is_closing = tokio::select! {
+            () = self.receive(&mut receiver) => false,
+            () = state.stop.links_closing() => true,
+        };
+        if is_closing {
+            self.sender.flushed().await;
         }
         for call in self.running.into_values() {
             call.abort();
         }
     }
 
+    async fn receive(&mut self, receiver: &mut LinkReceiver<NodeMessage>) {
+        while let Some(message) = receiver.next().await {
+            self.handle_message(message);
+        }
+    }
+
     fn handle_message(&mut self, message: NodeMessage) {
         match message {
             NodeMessage::Call {
@@ -118,12 +133,7 @@
         if let Err(error) = buffer.append(chunk) {
             tracing::info!(event = "body-given-up", id, %error);
             self.incomplete.remove(&id);
-            self.sender.send(&NodeMessage::Refused {
-                id,
-                cause: RefusalReason::Overloaded,
-                retry_after: NO_MEMORY_RETRY_AFTER,
-                load: self.state.server.load(),
-            });
+            self.refuse(id, RefusalReason::Overloaded, NO_MEMORY_RETRY_AFTER);
             return;
         }
         if last && let Some((head, buffer)) = self.incomplete.remove(&id) {
@@ -131,20 +141,58 @@
         }
     }
 
-    fn start_call(&mut self, id: u64, head: CallHead, body: Bytes) {
+    /// Refuses a call that was not started.
+    fn refuse(&self, id: u64, cause: RefusalReason, retry_after: Duration) {
+        self.sender.send(&NodeMessage::Refused {
+            id,
+            cause,
+            retry_after,
+            load: self.state.server.load(),
+        });
+    }
+
+    fn start_call(&mut self, id: u64, mut head: CallHead, body: Bytes) {
+        let now = self.state.now();
+        if !self.state.stop.takes_calls(now) {
+            self.refuse(id, RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
+            return;
+        }
+        let deadline = self.state.stop.limit_deadline(now + head.time_left);
+        head.time_left = deadline.saturating_duration_since(now);
         if self.running.len() >= CLEANUP_CALLS {
             self.running.retain(|_, call| !call.is_finished());
         }
         let (state, sender) = (self.state.clone(), self.sender.clone());
-        let call = tokio::spawn(async move {
-            let outcome = state.server.run_call(&state, &head, body).await;
+        let call = OpenCall::new(state.clone(), head.attempt.clone(), now);
+        call.set_route(&head.route);
+        let calls = self.state.stop.calls.clone();
+        let call = calls.spawn(async move {
+            let progress = call.progress();
+            let outcome = tokio::select! {
+                biased;
+                outcome = state.server.run_call(&state, &head, body, progress) => outcome,
+                () = state.stop.ending() => stopping_outcome(progress.may_have_run()),
+            };
             let load = state.server.load();
             send_outcome(&sender, id, outcome, load).await;
+            call.finish();
         });
         self.running.insert(id, call.abort_handle());
     }
 }
 
+/// Returns the outcome of a call that this node gives up since it stops.
+const fn stopping_outcome(may_have_run: bool) -> AttemptOutcome {
+    if may_have_run {
+        let cause = FailureReason::Timeout;
+        return AttemptOutcome::Failed { cause };
+    }
+    AttemptOutcome::Refused {
+        cause: RefusalReason::Draining,
+        retry_after: UNAVAILABLE_RETRY_AFTER,
+    }
+}
+
 async fn send_outcome(
     sender: &LinkSender<NodeMessage>,
     id: u64,
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -25,6 +25,7 @@
 use crate::memory_budget::BodyBuffer;
 use crate::memory_budget::BodyTooLarge;
 use crate::memory_budget::MemoryBudget;
+use crate::open_call::CallProgress;
 use crate::retry::AttemptOutcome;
 use crate::state::lock;
 
@@ -93,6 +94,7 @@
         address: SocketAddr,
         head: &CallHead,
         body: Bytes,
+        progress: &CallProgress,
     ) -> PeerOutcome {
         let Some(link) = self.link_to(address).await else {
             return (unreachable_outcome(), None);
@@ -105,6 +107,7 @@
         };
         lock(&link.pending).insert(id, call);
         let _guard = CancelOnDrop { link: &link, id };
+        progress.begin_send();
         let exchange = async {
             if send_call_messages(&link.sender, id, head, body).await {
                 let outcome = waiter.await;
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -28,6 +27,8 @@
 use crate::node_table::NodeTable;
 use crate::peers::PeerPool;
 use crate::quota::QuotaTable;
+use crate::stop_control::StopControl;
+use crate::stop_schedule::StopSchedule;
 use crate::token_wait_queue::TokenWaitQueue;
 use crate::work::WorkCounter;
 
@@ -102,6 +103,7 @@
     /// Memory of the request bodies in flight.
     pub(crate) request_memory: MemoryBudget,
     pub(crate) metrics: ProcessMetrics,
+    pub(crate) stop: StopControl,
     /// Wakes the control session to send a report at once.
     pub(crate) report_now: Notify,
     /// Wakes the control session to request tokens, since a request waits for one.
@@ -113,12 +115,9 @@
     admission: Mutex<EntryAdmission>,
     work: Mutex<WorkCounter>,
     retry_budgets: Mutex<HashMap<ServiceName, ServiceRetryBudget>>,
-    stopping: AtomicBool,
     started: Instant,
     request_log_limiter: Mutex<RequestLogLimiter>,
     sample_count: AtomicUsize,
-    /// Requests in flight, from callers and from the local backend server.
-    requests_in_flight: AtomicUsize,
 }
 
 impl<C: Clock, A: ProtocolAdapter> ProxyState<C, A> {
@@ -139,6 +138,7 @@
             answer_memory,
             request_memory: MemoryBudget::new(settings.memory_bytes / BODY_MEMORY_DIVISOR),
             metrics,
+            stop: StopControl::default(),
             report_now: Notify::new(),
             request_tokens_now: Notify::new(),
             quota: Mutex::default(),
@@ -146,11 +146,9 @@
             admission: Mutex::default(),
             work: Mutex::default(),
             retry_budgets: Mutex::default(),
-            stopping: AtomicBool::new(false),
             started: clock.now(),
             request_log_limiter: Mutex::default(),
             sample_count: AtomicUsize::new(0),
-            requests_in_flight: AtomicUsize::new(0),
             settings,
             adapter,
             clock,
@@ -196,12 +194,15 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.inner.stopping.load(Ordering::Relaxed)
+        self.inner.stop.is_requested()
     }
 
-    pub(crate) fn begin_stop(&self) {
-        self.inner.stopping.store(true, Ordering::Relaxed);
-        self.report_now.notify_one();
+    /// Begins the graceful stop, and tells control at once.
+    pub(crate) fn begin_stop(&self) -> StopSchedule {
+        let grace = self.inner.settings.bounds.stop_grace_period;
+        let schedule = self.inner.stop.request(self.now(), grace);
+        self.publish_record();
+        schedule
     }
 
     /// Returns whether the node is ready for requests of callers.
@@ -271,35 +272,6 @@
         let number = self.inner.sample_count.fetch_add(1, Ordering::Relaxed);
         number.is_multiple_of(one_in)
     }
-
-    /// Counts a request as in flight until the returned guard is dropped.
-    pub(crate) fn begin_request(&self) -> RequestGuard<C, A> {
-        self.inner
-            .requests_in_flight
-            .fetch_add(1, Ordering::Relaxed);
-        RequestGuard {
-            state: self.clone(),
-        }
-    }
-
-    /// Returns the number of requests in flight, from callers and the local backend server.
-    pub(crate) fn requests_in_flight(&self) -> usize {
-        self.inner.requests_in_flight.load(Ordering::Relaxed)
-    }
-}
-
-/// Counts a request as in flight until it is dropped.
-pub(crate) struct RequestGuard<C, A> {
-    state: ProxyState<C, A>,
-}
-
-impl<C, A> Drop for RequestGuard<C, A> {
-    fn drop(&mut self) {
-        self.state
-            .inner
-            .requests_in_flight
-            .fetch_sub(1, Ordering::Relaxed);
-    }
 }
 
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
