--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -12,6 +12,10 @@
 use quorum::MemberChange;
 
 const SHORT_SILENCE: Duration = Duration::from_millis(80);
+/// Silence of an instance that was killed and is back.
+const RESTART_SILENCE: Duration = Duration::from_millis(500);
+/// Silence that leaves time for a replacement within the 4 s that a successor may take.
+const REPLACED_SILENCE: Duration = Duration::from_millis(3_200);
 const LONG_SILENCE: Duration = Duration::from_secs(10);
 
 fn at(last: u8, directory_id: u32) -> InstanceId {
@@ -56,13 +60,30 @@
 }
 
 #[test]
-fn a_silent_voter_is_replaced_by_a_connected_learner() {
+fn a_silent_voter_is_removed_only_after_a_connected_learner_was_promoted() {
     let mut members = five_voters();
     members[3].silence = LONG_SILENCE;
     members.push(member(at(9, 4), false, SHORT_SILENCE));
+    assert_eq!(next(&members), Some(MemberChange::Promote(at(9, 4))));
+    members[5].voter = true;
     assert_eq!(next(&members), Some(MemberChange::Remove(at(4, 0))));
 }
 
+#[test]
+fn a_voter_that_went_away_is_replaced_before_its_successor_counts_as_caught_up() {
+    let mut members = five_voters();
+    members[3].silence = REPLACED_SILENCE;
+    members.push(member(at(9, 4), false, SHORT_SILENCE));
+    assert_eq!(next(&members), Some(MemberChange::Promote(at(9, 4))));
+}
+
+#[test]
+fn a_sixth_voter_stays_while_none_is_silent() {
+    let mut members = five_voters();
+    members.push(member(at(9, 4), true, SHORT_SILENCE));
+    assert_eq!(next(&members), None);
+}
+
 #[test]
 fn a_learner_waits_while_no_voter_is_silent() {
     let mut members = five_voters();
@@ -73,6 +94,7 @@
 #[test]
 fn a_voter_whose_address_returns_with_an_empty_disk_is_replaced_immediately() {
     let mut members = five_voters();
+    members[1].silence = RESTART_SILENCE;
     members.push(member(at(2, 7), false, SHORT_SILENCE));
     assert_eq!(next(&members), Some(MemberChange::Remove(at(2, 0))));
 }
@@ -100,3 +122,24 @@
     members.push(member(at(1, 3), false, SHORT_SILENCE));
     assert_eq!(next(&members), None);
 }
+
+#[test]
+fn a_new_leader_that_has_heard_neither_of_two_members_at_an_address_removes_none() {
+    let mut members = five_voters();
+    members.push(member(at(2, 7), false, SHORT_SILENCE));
+    assert_eq!(next(&members), None);
+}
+
+#[test]
+fn a_voter_is_kept_when_an_earlier_learner_at_its_address_lost_its_disk() {
+    let mut members = five_voters();
+    members.push(member(at(2, 7), false, SHORT_SILENCE * 6));
+    assert_eq!(next(&members), None);
+}
+
+#[test]
+fn a_learner_whose_address_returned_with_another_disk_is_removed_at_once() {
+    let mut members = five_voters();
+    members.push(member(at(2, 7), false, SHORT_SILENCE * 20));
+    assert_eq!(next(&members), Some(MemberChange::Remove(at(2, 7))));
+}
--- a/crates/proxy/src/connection_pool.rs
+++ b/crates/proxy/src/connection_pool.rs
@@ -19,10 +19,15 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::bounded_stream::BoundedStream;
+use crate::bounded_stream::ReadAllowance;
+
 /// Timeout to connect to the local backend server, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 400;
 /// Longest idle time after which a connection is reused, in milliseconds.
 const MAX_IDLE_MS: u64 = 2_500;
+/// Size of the buffer for response heads, in bytes.
+const MAX_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 /// Most idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 512;
 
@@ -42,6 +47,21 @@
 #[derive(Debug)]
 pub(crate) struct ServerConnection {
     sender: SendRequest<RequestBody>,
+    allowance: ReadAllowance,
+    is_reused: bool,
+}
+
+impl ServerConnection {
+    /// Returns whether the connection carried an earlier request, to which a response without an
+    /// id may belong.
+    pub(crate) const fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Returns how much may still be read for the response under way.
+    pub(crate) const fn allowance(&self) -> &ReadAllowance {
+        &self.allowance
+    }
 }
 
 #[derive(Debug)]
@@ -63,8 +83,9 @@
     }
 
     /// Returns a connection to the pool; its last response must have been read completely.
-    pub(crate) fn put_back(&self, connection: ServerConnection) {
+    pub(crate) fn put_back(&self, mut connection: ServerConnection) {
         let since = Instant::now();
+        connection.is_reused = true;
         let mut idle = self.lock();
         if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
             idle.push(IdleConnection { connection, since });
@@ -100,6 +121,7 @@
         mut request: Request<RequestBody>,
     ) -> Result<(Response<Incoming>, ServerConnection), SendError> {
         while let Some(mut connection) = self.take_idle() {
+            connection.allowance.begin_response();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -109,6 +131,7 @@
             }
         }
         let mut connection = connect(address).await?;
+        connection.allowance.begin_response();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
@@ -139,7 +162,10 @@
     };
     // On failure Nagle's algorithm stays on, which only delays small writes.
     let _ = stream.set_nodelay(true);
+    let allowance = ReadAllowance::default();
+    let stream = BoundedStream::new(stream, allowance.clone());
     let handshake_result = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BUFFER_BYTES)
         .handshake::<_, RequestBody>(TokioIo::new(stream))
         .await;
     let (sender, driver) = handshake_result.map_err(|_| SendError::NotSent)?;
@@ -148,5 +174,9 @@
             tracing::debug!(event = "server-link-ended", %error);
         }
     });
-    Ok(ServerConnection { sender })
+    Ok(ServerConnection {
+        sender,
+        allowance,
+        is_reused: false,
+    })
 }
--- a/crates/proxy/src/local_server/exchange.rs
+++ b/crates/proxy/src/local_server/exchange.rs
@@ -1,5 +1,6 @@
 //! HTTP exchange with the local backend server for one call.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,16 +10,17 @@
 use fleet::ProtocolAdapter;
 use fleet::RefusalReason;
 use fleet::ResponseHead;
+use fleet::ResponseMetadata;
 use fleet::ServerAnnouncement;
 use fleet::ServerName;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
+use http::response::Parts;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 
+use crate::body::read_body;
 use crate::connection_pool::SendError;
 use crate::connection_pool::ServerConnection;
 use crate::headers;
@@ -28,7 +30,7 @@
 use crate::state::ProxyState;
 
 /// Largest response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
 impl LocalServer {
     /// Sends a call to the backend server and reads the response.
@@ -57,7 +59,7 @@
             },
             Err(SendError::ResponseLost(error)) => {
                 tracing::debug!(event = "server-lost", attempt = %head.attempt, %error);
-                let cause = if error.is_parse() {
+                let cause = if error.is_parse() || is_invalid_data(&error) {
                     FailureReason::BadResponse
                 } else {
                     FailureReason::ConnectionLost
@@ -76,20 +78,22 @@
     ) -> AttemptOutcome {
         let (parts, body) = response.into_parts();
         let metadata = proxy.adapter.response_metadata(&parts.headers);
-        let refused = metadata.not_executed || parts.status == StatusCode::MISDIRECTED_REQUEST;
-        let matches_attempt = match &metadata.attempt {
-            Some(attempt) => *attempt == head.attempt,
-            None => refused,
-        };
-        if !matches_attempt || parts.headers.contains_key(http::header::CONTENT_ENCODING) {
-            tracing::debug!(event = "foreign-answer", attempt = %head.attempt);
+        let claim = classify(&parts, &metadata, &head.attempt, connection.is_reused());
+        if claim == ResponseClaim::Foreign {
+            if proxy.may_log_request() {
+                let status = parts.status.as_u16();
+                tracing::info!(event = "foreign-answer", request = %head.attempt, status,
+                    id = metadata.attempt.as_deref().unwrap_or("-"));
+            }
             return AttemptOutcome::Failed {
                 cause: FailureReason::BadResponse,
             };
         }
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        if refused {
-            if collected.is_ok() {
+        let buffer = proxy.answer_memory.buffer(MAX_RESPONSE_BYTES);
+        let allowance = connection.allowance();
+        let collected = read_body(body, buffer, |length| allowance.note_progress(length)).await;
+        if claim == ResponseClaim::Refusal {
+            if collected.is_ok() && metadata.attempt.is_some() {
                 self.pool.put_back(connection);
             }
             let cause = if parts.status == StatusCode::MISDIRECTED_REQUEST {
@@ -109,13 +113,12 @@
                     status: parts.status.as_u16(),
                     headers: headers::response_headers(&parts.headers),
                 };
-                AttemptOutcome::Answered {
-                    head,
-                    body: body.to_bytes(),
-                }
+                AttemptOutcome::Answered { head, body }
             }
             Err(error) => {
-                tracing::debug!(event = "answer-broken", attempt = %head.attempt, %error);
+                if proxy.may_log_request() {
+                    tracing::info!(event = "answer-broken", request = %head.attempt, %error);
+                }
                 AttemptOutcome::Failed {
                     cause: FailureReason::BadResponse,
                 }
@@ -124,6 +127,52 @@
     }
 }
 
+/// What a response says of the request to which it came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResponseClaim {
+    /// The backend server ran the request.
+    Answer,
+    /// The backend server did not run the request and never will.
+    Refusal,
+    /// Nothing: the response belongs to another request or answers none.
+    Foreign,
+}
+
+/// Tells what a response says of the request `attempt`.
+///
+/// A refusal without an id counts only on a new connection: on one that `is_reused` it may be that
+/// of an earlier request, written once more, while the backend server runs this one.
+fn classify(
+    parts: &Parts,
+    metadata: &ResponseMetadata,
+    attempt: &str,
+    is_reused: bool,
+) -> ResponseClaim {
+    let refuses = metadata.not_executed || parts.status == StatusCode::MISDIRECTED_REQUEST;
+    let matches_attempt = match &metadata.attempt {
+        Some(answered) => answered == attempt,
+        None => refuses && !is_reused,
+    };
+    // Nodes ask for no other protocol, so a status such as 101 answers none of their requests.
+    if !matches_attempt
+        || parts.status.is_informational()
+        || parts.headers.contains_key(http::header::CONTENT_ENCODING)
+    {
+        ResponseClaim::Foreign
+    } else if refuses {
+        ResponseClaim::Refusal
+    } else {
+        ResponseClaim::Answer
+    }
+}
+
+/// Returns whether the response was given up since it had no end.
+fn is_invalid_data(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|source| source.kind() == io::ErrorKind::InvalidData)
+}
+
 fn build_request<C: Clock, A: ProtocolAdapter>(
     proxy: &ProxyState<C, A>,
     head: &CallHead,
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -24,15 +23,21 @@
 
 use crate::leased_config::LeasedConfig;
 use crate::local_server::LocalServer;
+use crate::memory_budget::MemoryBudget;
 use crate::node_table::NodeTable;
 use crate::peers::PeerPool;
 use crate::quota::QuotaTable;
+use crate::stop_control::StopControl;
+use crate::stop_schedule::StopSchedule;
 use crate::token_wait_queue::TokenWaitQueue;
 use crate::work::WorkCounter;
 
 /// Request bodies in flight may use the memory limit divided by this.
 const BODY_MEMORY_DIVISOR: u64 = 3;
 
+/// Answers in flight may use the memory limit divided by this.
+const ANSWER_MEMORY_DIVISOR: u64 = 3;
+
 /// Most log lines on individual requests in one second.
 const MAX_LINES_PER_S: u32 = 150;
 
@@ -93,7 +98,12 @@
     pub(crate) clock: C,
     pub(crate) server: LocalServer,
     pub(crate) peers: PeerPool,
+    /// Memory of the answers in flight, from the local backend server and from other nodes.
+    pub(crate) answer_memory: MemoryBudget,
+    /// Memory of the request bodies in flight.
+    pub(crate) request_memory: MemoryBudget,
     pub(crate) metrics: ProcessMetrics,
+    pub(crate) stop: StopControl,
     /// Wakes the control session to send a report at once.
     pub(crate) report_now: Notify,
     /// Wakes the control session to request tokens, since a request waits for one.
@@ -105,14 +115,9 @@
     admission: Mutex<EntryAdmission>,
     work: Mutex<WorkCounter>,
     retry_budgets: Mutex<HashMap<ServiceName, ServiceRetryBudget>>,
-    stopping: AtomicBool,
     started: Instant,
     request_log_limiter: Mutex<RequestLogLimiter>,
     sample_count: AtomicUsize,
-    /// Total size of the request bodies in flight.
-    body_bytes_in_flight: AtomicUsize,
-    /// Requests in flight, from callers and from the local backend server.
-    requests_in_flight: AtomicUsize,
 }
 
 impl<C: Clock, A: ProtocolAdapter> ProxyState<C, A> {
@@ -123,13 +128,17 @@
         metrics: ProcessMetrics,
     ) -> Self {
         let node = rand::random();
+        let answer_memory = MemoryBudget::new(settings.memory_bytes / ANSWER_MEMORY_DIVISOR);
         let inner = StateInner {
             node,
             config: Mutex::new(LeasedConfig::new(settings.bounds.revocation_time)),
             nodes: Mutex::new(NodeTable::new(node, settings.data_centre.clone())),
             server: LocalServer::new(settings.service.clone()),
-            peers: PeerPool::default(),
+            peers: PeerPool::new(answer_memory.clone()),
+            answer_memory,
+            request_memory: MemoryBudget::new(settings.memory_bytes / BODY_MEMORY_DIVISOR),
             metrics,
+            stop: StopControl::default(),
             report_now: Notify::new(),
             request_tokens_now: Notify::new(),
             quota: Mutex::default(),
@@ -137,12 +146,9 @@
             admission: Mutex::default(),
             work: Mutex::default(),
             retry_budgets: Mutex::default(),
-            stopping: AtomicBool::new(false),
             started: clock.now(),
             request_log_limiter: Mutex::default(),
             sample_count: AtomicUsize::new(0),
-            body_bytes_in_flight: AtomicUsize::new(0),
-            requests_in_flight: AtomicUsize::new(0),
             settings,
             adapter,
             clock,
@@ -188,12 +194,15 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.inner.stopping.load(Ordering::Relaxed)
+        self.inner.stop.is_requested()
     }
 
-    pub(crate) fn begin_stop(&self) {
-        self.inner.stopping.store(true, Ordering::Relaxed);
-        self.report_now.notify_one();
+    /// Begins the graceful stop, and tells control at once.
+    pub(crate) fn begin_stop(&self) -> StopSchedule {
+        let grace = self.inner.settings.bounds.stop_grace_period;
+        let schedule = self.inner.stop.request(self.now(), grace);
+        self.publish_record();
+        schedule
     }
 
     /// Returns whether the node is ready for requests of callers.
@@ -252,21 +261,6 @@
         operation(budget, now)
     }
 
-    /// Reserves memory for a request body; returns `None` when the limit is exceeded.
-    pub(crate) fn reserve_body(&self, bytes: usize) -> Option<BodyReservation<C, A>> {
-        let limit = self.inner.settings.memory_bytes / BODY_MEMORY_DIVISOR;
-        let reserved = self
-            .inner
-            .body_bytes_in_flight
-            .fetch_add(bytes, Ordering::Relaxed)
-            + bytes;
-        let reservation = BodyReservation {
-            state: self.clone(),
-            bytes,
-        };
-        (reserved as u64 <= limit).then_some(reservation)
-    }
-
     /// Returns whether a line on a request may be logged now, within the limit per second.
     pub(crate) fn may_log_request(&self) -> bool {
         let second = self.now().duration_since(self.inner.started).as_secs();
@@ -278,50 +272,6 @@
         let number = self.inner.sample_count.fetch_add(1, Ordering::Relaxed);
         number.is_multiple_of(one_in)
     }
-
-    /// Counts a request as in flight until the returned guard is dropped.
-    pub(crate) fn begin_request(&self) -> RequestGuard<C, A> {
-        self.inner
-            .requests_in_flight
-            .fetch_add(1, Ordering::Relaxed);
-        RequestGuard {
-            state: self.clone(),
-        }
-    }
-
-    /// Returns the number of requests in flight, from callers and the local backend server.
-    pub(crate) fn requests_in_flight(&self) -> usize {
-        self.inner.requests_in_flight.load(Ordering::Relaxed)
-    }
-}
-
-/// Memory reserved for a request body; released on drop.
-pub(crate) struct BodyReservation<C, A> {
-    state: ProxyState<C, A>,
-    bytes: usize,
-}
-
-impl<C, A> Drop for BodyReservation<C, A> {
-    fn drop(&mut self) {
-        self.state
-            .inner
-            .body_bytes_in_flight
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// Counts a request as in flight until it is dropped.
-pub(crate) struct RequestGuard<C, A> {
-    state: ProxyState<C, A>,
-}
-
-impl<C, A> Drop for RequestGuard<C, A> {
-    fn drop(&mut self) {
-        self.state
-            .inner
-            .requests_in_flight
-            .fetch_sub(1, Ordering::Relaxed);
-    }
 }
 
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/replica/src/storage/files.rs
+++ b/crates/replica/src/storage/files.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::fs::File;
+use std::io::ErrorKind;
 use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
@@ -13,9 +14,28 @@
 
 /// Syncs a folder, so that creations, renames and removals in it survive a crash.
 pub(super) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
-    File::open(folder)
+    sync_path(folder)
+}
+
+/// Syncs what a process that was killed may have written to a file and not synced.
+pub(super) fn sync_file(path: &Path) -> Result<(), StorageError> {
+    sync_path(path)
+}
+
+/// Syncs the parent of a folder, so that the folder itself survives a crash.
+pub(super) fn sync_parent(folder: &Path) -> Result<(), StorageError> {
+    match folder.parent() {
+        Some(parent) if !parent.as_os_str().is_empty() => sync_folder(parent),
+        _ => Ok(()),
+    }
+}
+
+fn sync_path(path: &Path) -> Result<(), StorageError> {
+    File::open(path)
         .and_then(|file| file.sync_all())
-        .map_err(StorageError::io(folder))
+        .map_err(StorageError::io(path))?;
+    tracing::trace!(event = "path-synced", path = %path.display());
+    Ok(())
 }
 
 /// Creates a folder and syncs its parent.
@@ -24,10 +44,7 @@
         return Ok(());
     }
     fs::create_dir_all(folder).map_err(StorageError::io(folder))?;
-    match folder.parent() {
-        Some(parent) if !parent.as_os_str().is_empty() => sync_folder(parent),
-        _ => Ok(()),
-    }
+    sync_parent(folder)
 }
 
 /// Replaces a file atomically: writes a temporary file, syncs it and renames it.
@@ -59,11 +76,21 @@
 pub(super) fn list_files(folder: &Path) -> Result<Vec<PathBuf>, StorageError> {
     let mut paths = Vec::new();
     for entry in fs::read_dir(folder).map_err(StorageError::io(folder))? {
-        let entry = entry.map_err(StorageError::io(folder))?;
-        if entry.path().is_file() {
-            paths.push(entry.path());
+        let path = entry.map_err(StorageError::io(folder))?.path();
+        match fs::metadata(&path) {
+            Ok(metadata) if metadata.is_file() => paths.push(path),
+            Ok(_) => {}
+            // Another thread has removed or renamed it meanwhile.
+            Err(_) if is_gone(&path) => {}
+            Err(error) => return Err(StorageError::io(&path)(error)),
         }
     }
     paths.sort();
     Ok(paths)
 }
+
+/// Returns whether there is no such name.
+fn is_gone(path: &Path) -> bool {
+    let examined = fs::symlink_metadata(path);
+    examined.is_err_and(|error| error.kind() == ErrorKind::NotFound)
+}
--- a/crates/replica/src/storage/store.rs
+++ b/crates/replica/src/storage/store.rs
@@ -78,6 +78,10 @@
                 replay.apply(record, &segment.path)?;
             }
         }
+        // A process that was killed during a sync left entries that a loss of power would still take.
+        if let Some(last) = closed_segments.last() {
+            files::sync_file(&last.path)?;
+        }
         let last_path = closed_segments
             .last()
             .map_or(folder.log_path(), |segment| segment.path.clone());
@@ -159,10 +163,13 @@
             .iter()
             .take_while(|segment| segment.last_index <= index)
             .count();
+        let log_folder = self.folder.log_path();
         for segment in self.closed_segments.drain(..covered) {
             segment.remove()?;
+            // Without a sync, a loss of power may undo this removal and not the next one.
+            files::sync_folder(&log_folder)?;
         }
-        files::sync_folder(&self.folder.log_path())
+        Ok(())
     }
 
     /// Replaces the folder's identity durably.
