--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -127,7 +127,7 @@
         self.control[usize::from(number)] = Some(child);
     }
 
-    fn start_node(&mut self, number: u8, service: &str) {
+    pub(crate) fn start_node(&mut self, number: u8, service: &str) {
         let seeds: Vec<String> = (0..3)
             .map(|seed| format!("\"{}\"", self.control_address(seed, 0)))
             .collect();
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -6,5 +6,6 @@
 mod journeys;
 mod kept_connection;
 mod peer;
+mod review;
 mod server;
 mod stop;
--- a/crates/daemon/tests/fleet/peer.rs
+++ b/crates/daemon/tests/fleet/peer.rs
@@ -1,5 +1,6 @@
 //! Fake node that sends calls to another node over a link.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +29,11 @@
 
 impl FakePeer {
     pub(crate) fn connect(node: SocketAddr) -> Self {
+        Self::try_connect(node).unwrap()
+    }
+
+    /// Opens a link; fails when it is refused.
+    pub(crate) fn try_connect(node: SocketAddr) -> io::Result<Self> {
         // The thread answers pings while the test waits elsewhere.
         let threads = Builder::new_multi_thread()
             .worker_threads(1)
@@ -35,18 +41,23 @@
             .build();
         let runtime = threads.unwrap();
         let (sender, receiver) = runtime.block_on(async {
-            let stream = link::connect(node, CONNECT_TIMEOUT).await.unwrap();
-            link::open(stream).unwrap()
-        });
-        Self {
+            let stream = link::connect(node, CONNECT_TIMEOUT).await?;
+            link::open(stream)
+        })?;
+        Ok(Self {
             runtime,
             sender,
             receiver,
-        }
+        })
     }
 
     /// Sends an unsafe call to `service`; returns whether the link was open.
     pub(crate) fn send_call(&self, id: u64, attempt: &str, service: &str) -> bool {
+        self.send_call_part(id, attempt, service, true)
+    }
+
+    /// Sends an unsafe call, whose body goes on unless this is its `last` part.
+    pub(crate) fn send_call_part(&self, id: u64, attempt: &str, service: &str, last: bool) -> bool {
         let head = CallHead {
             attempt: attempt.to_owned(),
             method: "POST".to_owned(),
@@ -65,7 +76,7 @@
             id,
             head: Box::new(head),
             body: Bytes::new(),
-            last: true,
+            last,
         })
     }
 
--- /dev/null
+++ b/crates/daemon/tests/fleet/review.rs
@@ -0,0 +1,163 @@
+//! Faults of the same class as the cut requests of a stop, found in review.
+
+use std::time::Duration;
+
+use fleet::NodeMessage;
+use rustix::process::Signal;
+
+use crate::deployment::TestDeployment;
+use crate::deployment::eventually;
+use crate::http;
+use crate::kept_connection::KeptConnection;
+use crate::peer::FakePeer;
+use crate::server::ServerBehaviour;
+
+const SERVICES: [&str; 2] = ["orders", "stock"];
+const GRACE: Duration = Duration::from_secs(12);
+/// Number of answers that a node which does not read lets queue up.
+const QUEUED_ANSWERS: u64 = 280;
+/// Number of slots that a fake server announces.
+const SLOTS: u64 = 8;
+/// Length of each of them, which goes into one message, in bytes.
+const QUEUED_ANSWER_BYTES: usize = 60_000;
+
+fn deployment() -> TestDeployment {
+    let document = include_str!("config.json")
+        .replace("VERSION", "3")
+        .replace("BASE", "0")
+        .replace("KEY", "key-1")
+        .replace("\"timeout\":2000", "\"timeout\":60000");
+    let paths = [("/orders/", 1), ("/stock/", 1)];
+    TestDeployment::start_serving(&SERVICES, GRACE, &document, &paths)
+}
+
+#[test]
+fn a_call_whose_body_is_under_way_at_the_end_of_a_stop_is_refused_as_not_run() {
+    let mut deployment = deployment();
+    let mut peer = FakePeer::connect(deployment.node_address(0, 6));
+    assert!(peer.send_call_part(1, "id-part", "orders", false));
+    deployment.signal_node(0, Signal::TERM);
+    assert!(deployment.await_exit(0).success());
+    let answer = peer.next();
+    assert!(
+        matches!(answer, Some(NodeMessage::Refused { id: 1, .. })),
+        "{answer:?}"
+    );
+}
+
+#[test]
+fn a_server_makes_its_calls_for_a_request_that_a_stopping_node_has_taken() {
+    let mut deployment = deployment();
+    deployment.servers[0].set_behaviour(ServerBehaviour::Holds);
+    let mut request = KeptConnection::open(deployment.node_address(0, 0));
+    let mut of_server = KeptConnection::open(deployment.node_address(0, 0));
+    of_server.send("GET /stock/1", "id-earlier-call").unwrap();
+    assert_eq!(of_server.read_response().unwrap().status, 200);
+    request.send("POST /orders/1", "id-taken").unwrap();
+    eventually("the backend server runs the request", || {
+        deployment.servers[0].has_run("id-taken")
+    });
+    deployment.signal_node(0, Signal::TERM);
+    deployment.await_listener_closed(0);
+    // The request may go on for another 7 s, and its server may call others meanwhile.
+    let sent = of_server.send("GET /stock/2", "id-call");
+    let kept = of_server.read_response().map(|response| response.status);
+    let new = KeptConnection::try_open(deployment.node_address(0, 0)).map(|_| ());
+    deployment.servers[0].set_behaviour(ServerBehaviour::Normal);
+    assert_eq!(request.read_response().unwrap().status, 200);
+    assert!(deployment.await_exit(0).success());
+    assert!(
+        matches!(kept, Ok(200)) || new.is_ok(),
+        "kept connection: sent {sent:?}, {kept:?}; new connection: {new:?}"
+    );
+}
+
+/// Stops node 0 and starts it again.
+fn restart_node(deployment: &mut TestDeployment) {
+    deployment.signal_node(0, Signal::TERM);
+    assert!(deployment.await_exit(0).success());
+    deployment.start_node(0, "orders");
+}
+
+#[test]
+fn a_server_that_left_at_a_restarted_node_gets_no_request_after_a_late_announcement() {
+    let mut deployment = deployment();
+    restart_node(&mut deployment);
+    let node = deployment.node_address(0, 2);
+    eventually("the leave is acknowledged", || {
+        let response = http::send(node, "DELETE /v1/instances/i-0", &[("Host", "node")], "");
+        response.is_ok_and(|response| response.status == 200)
+    });
+    // Sent before the leave, and late.
+    assert_eq!(
+        deployment.servers[0].announce(node, "orders", "ready", 2),
+        200
+    );
+    std::thread::sleep(Duration::from_secs(3));
+    let response = deployment.call(1, "POST /orders/1", "id-after-leave", "key-1");
+    let log = deployment.node_log(0);
+    assert!(
+        !deployment.servers[0].has_run("id-after-leave"),
+        "{response:?}, log {log}"
+    );
+}
+
+#[test]
+fn a_restarted_node_does_not_begin_a_drain_anew() {
+    let mut deployment = deployment();
+    let node = deployment.node_address(0, 2);
+    assert_eq!(
+        deployment.servers[0].announce(node, "orders", "draining", 2),
+        200
+    );
+    std::thread::sleep(Duration::from_secs(2));
+    restart_node(&mut deployment);
+    eventually("the next announcement is acknowledged", || {
+        deployment.servers[0].announce(node, "orders", "draining", 3) == 200
+    });
+    let mut peer = FakePeer::connect(deployment.node_address(0, 6));
+    assert!(peer.send_call(1, "id-drained", "orders"));
+    let answer = peer.next();
+    assert!(!deployment.servers[0].has_run("id-drained"), "{answer:?}");
+}
+
+/// Lets answers to `peer` queue up that the buffers of a connection cannot hold.
+fn fill_link(deployment: &TestDeployment, peer: &FakePeer) {
+    for batch in 0..QUEUED_ANSWERS / SLOTS {
+        let numbers = batch * SLOTS..(batch + 1) * SLOTS;
+        let id = |number| format!("id-queued-{number}");
+        for number in numbers.clone() {
+            assert!(peer.send_call(number, &id(number), "orders"));
+        }
+        eventually("the backend server runs the calls", || {
+            let mut numbers = numbers.clone();
+            numbers.all(|number| deployment.servers[0].has_run(&id(number)))
+        });
+    }
+}
+
+#[test]
+fn a_call_is_refused_as_not_run_while_a_stop_waits_for_a_node_that_does_not_read() {
+    let mut deployment = deployment();
+    let length = ServerBehaviour::RespondsAtLength(QUEUED_ANSWER_BYTES);
+    deployment.servers[0].set_behaviour(length);
+    let slow = FakePeer::connect(deployment.node_address(0, 6));
+    fill_link(&deployment, &slow);
+    let mut kept = FakePeer::connect(deployment.node_address(0, 6));
+    deployment.signal_node(0, Signal::TERM);
+    deployment.await_listener_closed(0);
+    let sent = kept.send_call(2, "id-kept", "orders");
+    let on_kept = sent.then(|| kept.next());
+    let new = FakePeer::try_connect(deployment.node_address(0, 6));
+    let on_new = new.map(|mut new| new.send_call(3, "id-new", "orders").then(|| new.next()));
+    let log = deployment.node_log(0);
+    drop(slow);
+    assert!(deployment.await_exit(0).success());
+    let refused = |answer: &Option<Option<NodeMessage>>| {
+        answer.is_none() || matches!(answer, Some(Some(NodeMessage::Refused { .. })))
+    };
+    assert!(
+        refused(&on_kept) && on_new.as_ref().ok().is_none_or(refused),
+        "kept link: {on_kept:?}, new link: {on_new:?}, log {log}"
+    );
+}
