Refuse calls as not run while a stop waits for a node that does not read

Callers saw 504 "may have run" for every call that another node sent while a stopping node waited for a node that read its answers slowly, for up to 0.95 of the grace period: links were not read any more, yet the listener went on accepting.

Links now go on receiving, and so refusing, until the answers on all links are sent, and the listener closes before, so that a connect is refused, which is "not run" as well.

--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -32,13 +32,19 @@
 /// Number of listed calls from which on the ended ones are removed before the next starts.
 const CLEANUP_CALLS: usize = 256;
 
-/// Accepts links from other nodes on `listener` and serves their calls; never returns.
+/// Accepts links from other nodes on `listener` and serves their calls, until links close.
+///
+/// From then on connects are refused, so that other nodes know that their calls have not run.
 pub(crate) async fn serve<C: Clock, A: ProtocolAdapter>(
     state: ProxyState<C, A>,
     listener: TcpListener,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.stop.links_closing() => return,
+        };
+        match accepted {
             Ok((stream, peer)) => {
                 let link = serve_link(state.clone(), stream, peer);
                 state.stop.links.spawn(link);
@@ -78,13 +84,19 @@
 
 impl<C: Clock, A: ProtocolAdapter> PeerSession<C, A> {
     async fn run(mut self, mut receiver: LinkReceiver<NodeMessage>) {
-        let state = self.state.clone();
-        let is_closing = tokio::select! {
-            () = self.receive(&mut receiver) => false,
-            () = state.stop.links_closing() => true,
+        let (state, sender) = (self.state.clone(), self.sender.clone());
+        let unflushed = state.stop.unflushed_links.token();
+        // Calls that arrive while any node reads its answers slowly are still refused.
+        let flush = async move {
+            state.stop.links_closing().await;
+            sender.flushed().await;
+            drop(unflushed);
+            state.stop.links_flushed().await;
+            sender.flushed().await;
         };
-        if is_closing {
-            self.sender.flushed().await;
+        tokio::select! {
+            () = self.receive(&mut receiver) => {}
+            () = flush => {}
         }
         for call in self.running.into_values() {
             call.abort();
--- a/crates/proxy/src/stop_control.rs
+++ b/crates/proxy/src/stop_control.rs
@@ -20,12 +20,15 @@
     finishing: CancellationToken,
     ending: CancellationToken,
     links_closing: CancellationToken,
+    links_flushed: CancellationToken,
     /// Connections of callers and of the local backend server.
     pub(crate) connections: TaskTracker,
     /// Calls from other nodes.
     pub(crate) calls: TaskTracker,
     /// Links on which other nodes send calls.
     pub(crate) links: TaskTracker,
+    /// Links with answers that may not have been sent yet.
+    pub(crate) unflushed_links: TaskTracker,
 }
 
 impl StopControl {
@@ -80,9 +83,20 @@
         self.links_closing.cancelled().await;
     }
 
+    /// Waits until every link from another node has sent the answers to its calls.
+    pub(crate) async fn links_flushed(&self) {
+        self.links_flushed.cancelled().await;
+    }
+
     /// Waits until the links from other nodes have sent all answers and closed.
+    ///
+    /// None of them closes before all have sent theirs, since a call that arrives on a link that
+    /// has closed counts as one that may have run.
     pub(crate) async fn close_links(&self) {
         self.links_closing.cancel();
+        self.unflushed_links.close();
+        self.unflushed_links.wait().await;
+        self.links_flushed.cancel();
         self.links.close();
         self.links.wait().await;
     }
