Refuse calls whose body is under way when a node stops taking calls

A call whose body was still arriving over a link got no outcome from a node that stopped: the link closed, which callers saw as 504 "may have run", though it had not begun.

Such calls are refused as draining as soon as the node takes none any more, and so is the first part of any later one.

a_call_whose_body_is_under_way_at_the_end_of_a_stop_is_refused_as_not_run: answer None before, now passed.

--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -85,18 +85,26 @@
 impl<C: Clock, A: ProtocolAdapter> PeerSession<C, A> {
     async fn run(mut self, mut receiver: LinkReceiver<NodeMessage>) {
         let (state, sender) = (self.state.clone(), self.sender.clone());
-        let unflushed = state.stop.unflushed_links.token();
+        let stop = &state.stop;
+        let unflushed = stop.unflushed_links.token();
         // Calls that arrive while any node reads its answers slowly are still refused.
         let flush = async move {
-            state.stop.links_closing().await;
+            stop.links_closing().await;
             sender.flushed().await;
             drop(unflushed);
-            state.stop.links_flushed().await;
+            stop.links_flushed().await;
             sender.flushed().await;
         };
-        tokio::select! {
-            () = self.receive(&mut receiver) => {}
-            () = flush => {}
+        let is_open = tokio::select! {
+            () = self.receive(&mut receiver) => false,
+            () = stop.finishing() => true,
+        };
+        if is_open {
+            self.refuse_incomplete();
+            tokio::select! {
+                () = self.receive(&mut receiver) => {}
+                () = flush => {}
+            }
         }
         for call in self.running.into_values() {
             call.abort();
@@ -119,6 +127,8 @@
             } => {
                 if last {
                     self.start_call(id, *head, body);
+                } else if !self.state.stop.takes_calls(self.state.now()) {
+                    self.refuse(id, RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
                 } else {
                     let buffer = self.state.request_memory.buffer(MAX_BODY_BYTES);
                     self.incomplete.insert(id, (*head, buffer));
@@ -153,6 +163,13 @@
         }
     }
 
+    /// Refuses the calls whose body is under way, since none of them will start any more.
+    fn refuse_incomplete(&mut self) {
+        for (id, _) in std::mem::take(&mut self.incomplete) {
+            self.refuse(id, RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
+        }
+    }
+
     /// Refuses a call that was not started.
     fn refuse(&self, id: u64, cause: RefusalReason, retry_after: Duration) {
         self.sender.send(&NodeMessage::Refused {
