Take a server's calls for what it runs while a stopping node finishes

A request that a stopping node had taken failed when its backend server made a call for it later than 2.8 s after SIGTERM: the node had closed its listener and idle connections, and refused what it read.

While finishing, they stay open as long as the server has a call, and a request is taken if it belongs to a running one and its whole time ends by 0.8 of the grace period. All else is refused as before, and connections left idle do not hold up the exit.

--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -207,6 +207,13 @@
         });
     }
 
+    /// Waits until a node that stops takes nothing new but calls of its own backend server.
+    pub(crate) fn await_finishing(&self, node: u8) {
+        eventually("a stopping node finishes", || {
+            self.node_log(node).contains("phase=finishing")
+        });
+    }
+
     /// Returns the log lines of a node.
     pub(crate) fn node_log(&self, number: u8) -> String {
         let path = self.directory.path().join(format!("node-{number}.log"));
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -69,7 +69,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = state.stop.finishing() => return,
+            () = state.stop.connections_closing() => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -121,7 +121,7 @@
     call: &OpenCall<C, A>,
     started: Instant,
 ) -> Result<BufferedResponse, Refusal> {
-    if !state.stop.takes_calls(started) {
+    if !state.stop.takes_calls(started) && !may_be_child(state, &metadata, started) {
         return Err(Refusal::stopping());
     }
     let no_config = Duration::from_millis(NO_CONFIG_RETRY_AFTER_MS);
@@ -156,6 +156,9 @@
     call.set_route(&route.name);
     let team = authenticate(&table, route, metadata.key.as_deref())?;
     if let Some(team) = team {
+        if !state.stop.takes_calls(started) {
+            return Err(Refusal::stopping());
+        }
         take_token(state, route, team).await?;
     }
     let parent = match team {
@@ -169,12 +172,11 @@
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = started + time_left;
+    check_stop(state, parent.as_ref(), deadline)?;
     let method = request.method().as_str().to_owned();
     let forwarded_headers = headers::request_headers(&state.adapter, request.headers());
     let body = read_request_body(state, &table, request.into_body(), deadline).await?;
-    if !state.stop.takes_calls(state.now()) {
-        return Err(Refusal::stopping());
-    }
+    check_stop(state, parent.as_ref(), deadline)?;
     let head = CallHead {
         attempt: metadata.attempt.unwrap_or_default(),
         method,
@@ -197,6 +199,33 @@
     build_response(outcome)
 }
 
+/// Returns whether a request may be one of the local backend server for a call that it runs.
+fn may_be_child<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    metadata: &RequestMetadata,
+    started: Instant,
+) -> bool {
+    let deadline = metadata.deadline.map(|left| started + left);
+    deadline.is_some_and(|deadline| state.server.find_parent(deadline).is_some())
+}
+
+/// Refuses a request that a stopping node does not take any more.
+///
+/// What the local backend server asks for a call that it runs is taken for longer, since the
+/// node has promised the answer to that call.
+fn check_stop<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    parent: Option<&ParentCall>,
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    let now = state.now();
+    let is_taken = match parent {
+        Some(_) => state.stop.takes_child(now, deadline),
+        None => state.stop.takes_calls(now),
+    };
+    is_taken.then_some(()).ok_or_else(Refusal::stopping)
+}
+
 /// Finds the running call on whose behalf the local backend server sent this request, and counts
 /// the request as made by it.
 fn find_parent_call<C: Clock, A: ProtocolAdapter>(
--- a/crates/proxy/src/ingress/connection.rs
+++ b/crates/proxy/src/ingress/connection.rs
@@ -82,7 +82,7 @@
     let mut connection = pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = state.stop.finishing() => {
+        () = state.stop.connections_closing() => {
             // An idle connection closes at once, any other after the answer to its request.
             connection.as_mut().graceful_shutdown();
             tokio::select! {
@@ -99,7 +99,8 @@
 
 /// Returns whether something arrives on a new connection before the time is up or the node stops.
 ///
-/// The HTTP server would keep a connection that was never used until its first request.
+/// Hyper, too, closes a connection by itself that is still untouched when a shutdown begins. Here
+/// such a connection has no HTTP state until it is used.
 async fn has_input<C: Clock, A: ProtocolAdapter>(
     state: &ProxyState<C, A>,
     stream: &TcpStream,
@@ -107,7 +108,7 @@
 ) -> bool {
     tokio::select! {
         ready = timeout(limit, stream.readable()) => matches!(ready, Ok(Ok(()))),
-        () = state.stop.finishing() => false,
+        () = state.stop.connections_closing() => false,
     }
 }
 
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -187,6 +187,7 @@
         body: Bytes,
         progress: &CallProgress,
     ) -> AttemptOutcome {
+        let _open = proxy.stop.server_calls.token();
         let started = proxy.now();
         let deadline = started + head.time_left;
         let server = match self.available_server(proxy, head, started) {
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -98,6 +98,7 @@
         }
         // What the phase asks of the tasks, they do before the next check.
         sleep(Duration::from_millis(EXIT_CHECK_MS)).await;
+        state.stop.close_connections(phase);
         if phase.may_end(state.stop.open_count()) {
             break;
         }
--- a/crates/proxy/src/stop_control.rs
+++ b/crates/proxy/src/stop_control.rs
@@ -19,10 +19,13 @@
     has_ended: AtomicBool,
     finishing: CancellationToken,
     ending: CancellationToken,
+    connections_closing: CancellationToken,
     links_closing: CancellationToken,
     links_flushed: CancellationToken,
     /// Connections of callers and of the local backend server.
     pub(crate) connections: TaskTracker,
+    /// Calls that the local backend server runs, or will.
+    pub(crate) server_calls: TaskTracker,
     /// Calls from other nodes.
     pub(crate) calls: TaskTracker,
     /// Links on which other nodes send calls.
@@ -52,6 +55,13 @@
         schedule.is_none_or(|schedule| schedule.phase(now) < StopPhase::Finishing)
     }
 
+    /// Returns whether a call that the local backend server makes for a request under way, and
+    /// that ends by `deadline`, is taken at `now`.
+    pub(crate) fn takes_child(&self, now: Instant, deadline: Instant) -> bool {
+        let schedule = self.schedule.get();
+        self.takes_calls(now) || schedule.is_some_and(|it| it.has_time_for_child(deadline))
+    }
+
     /// Returns the deadline of a request or call that is taken now.
     pub(crate) fn limit_deadline(&self, deadline: Instant) -> Instant {
         let schedule = self.schedule.get();
@@ -78,6 +88,21 @@
         self.ending.cancelled().await;
     }
 
+    /// Closes the listener for callers and idle connections, unless the local backend server
+    /// still has calls to make for what it runs; to be called repeatedly from `phase` finishing.
+    pub(crate) fn close_connections(&self, phase: StopPhase) {
+        if phase >= StopPhase::Ending
+            || (phase == StopPhase::Finishing && self.server_calls.is_empty())
+        {
+            self.connections_closing.cancel();
+        }
+    }
+
+    /// Waits until idle connections have to close, and no new one is accepted.
+    pub(crate) async fn connections_closing(&self) {
+        self.connections_closing.cancelled().await;
+    }
+
     /// Waits until the links from other nodes have to close.
     pub(crate) async fn links_closing(&self) {
         self.links_closing.cancelled().await;
--- a/crates/proxy/src/stop_schedule.rs
+++ b/crates/proxy/src/stop_schedule.rs
@@ -11,6 +11,9 @@
 /// then, and a request that is sent later than 3 s after it may not be cut at all; the rest of
 /// those 3 s is left for a signal that was handled late.
 const MAX_LINGER_MS: u64 = 2_800;
+/// Fraction of the grace period by which calls of the local backend server that are taken while
+/// the node finishes have ended. They are sent too late to be given up with the rest.
+const CHILD_FRACTION: f64 = 0.80;
 /// Fraction of the grace period after which whatever still waits is answered as it stands.
 const ANSWER_FRACTION: f64 = 0.85;
 /// Fraction of the grace period after which the process ends in any case.
@@ -50,6 +53,7 @@
 pub struct StopSchedule {
     requested: Instant,
     finishing: Instant,
+    children_until: Instant,
     ending: Instant,
     over: Instant,
 }
@@ -62,6 +66,7 @@
         Self {
             requested: requested_at,
             finishing: requested_at + linger,
+            children_until: requested_at + grace.mul_f64(CHILD_FRACTION),
             ending: requested_at + grace.mul_f64(ANSWER_FRACTION),
             over: requested_at + grace.mul_f64(EXIT_FRACTION),
         }
@@ -93,6 +98,13 @@
         }
     }
 
+    /// Returns whether the node can wait until `deadline` for a call that the local backend server
+    /// makes for a request under way.
+    #[must_use]
+    pub fn has_time_for_child(&self, deadline: Instant) -> bool {
+        deadline <= self.children_until
+    }
+
     /// Returns the deadline of a request or call that is taken during the stop.
     ///
     /// With a later deadline it could wait in a queue, or be worked on, beyond the end of this
--- a/crates/proxy/tests/stop_schedule.rs
+++ b/crates/proxy/tests/stop_schedule.rs
@@ -38,6 +38,16 @@
     });
 }
 
+#[test]
+fn calls_of_the_local_server_have_ended_before_anything_is_given_up() {
+    with_schedule(|schedule, _, after| {
+        let deadline = schedule.requested_at() + after;
+        if schedule.has_time_for_child(deadline) {
+            assert!(schedule.phase(deadline) < StopPhase::Ending);
+        }
+    });
+}
+
 #[test]
 fn the_process_ends_within_the_grace_period() {
     with_schedule(|schedule, grace, after| {
