Give up an answer that another node does not read by the call's deadline

A node that did not read its link kept a long answer in the memory of the node that sent it, without limit, since each part waits until little is queued.

The wait ends 0.5 s after the call's deadline, by when a node that reads has cancelled the call. The link closes then, since part of the answer was sent, with a line in the log. A deadline that was cut for a stop does not count here, so that answers under way at its end are still written.

--- a/crates/daemon/tests/fleet/peer.rs
+++ b/crates/daemon/tests/fleet/peer.rs
@@ -16,12 +16,14 @@
 
 /// Timeout for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time that each call has until its deadline.
+/// Time that each call has until its deadline, unless set otherwise.
 const TIME_LEFT: Duration = Duration::from_mins(1);
 
 /// A link to a node that is under test.
 #[derive(Debug)]
 pub(crate) struct FakePeer {
+    /// Time that each call has until its deadline.
+    pub(crate) time_left: Duration,
     runtime: Runtime,
     sender: LinkSender<NodeMessage>,
     receiver: LinkReceiver<NodeMessage>,
@@ -45,6 +47,7 @@
             link::open(stream)
         })?;
         Ok(Self {
+            time_left: TIME_LEFT,
             runtime,
             sender,
             receiver,
@@ -68,7 +71,7 @@
             idempotent: false,
             repeated: false,
             rank: CallRank::MAX,
-            time_left: TIME_LEFT,
+            time_left: self.time_left,
             team: None,
             caller_service: Arc::from("stock"),
         };
--- a/crates/daemon/tests/fleet/review.rs
+++ b/crates/daemon/tests/fleet/review.rs
@@ -15,6 +15,8 @@
 
 const SERVICES: [&str; 2] = ["orders", "stock"];
 const GRACE: Duration = Duration::from_secs(12);
+/// Length of an answer that the buffers of a connection cannot hold, in bytes.
+const LONG_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Time from SIGTERM to SIGKILL that no test waits for.
 const LONG_GRACE: Duration = Duration::from_mins(10);
 /// Number of times that a backend server sends a call.
@@ -193,3 +195,23 @@
         "kept link: {on_kept:?}, new link: {on_new:?}, log {log}"
     );
 }
+
+#[test]
+fn an_answer_that_a_node_does_not_read_holds_no_memory_beyond_the_deadline() {
+    let deployment = deployment();
+    let length = ServerBehaviour::RespondsAtLength(LONG_ANSWER_BYTES);
+    deployment.servers[0].set_behaviour(length);
+    let mut slow = FakePeer::connect(deployment.node_address(0, 6));
+    slow.time_left = Duration::from_secs(3);
+    assert!(slow.send_call(1, "id-long", "orders"));
+    eventually("the answer is given up", || {
+        deployment.node_log(0).contains("event=answer-given-up")
+    });
+    let mut received = 0;
+    while let Some(message) = slow.next() {
+        if let NodeMessage::Response { body, .. } | NodeMessage::Data { body, .. } = message {
+            received += body.len();
+        }
+    }
+    assert!(received < LONG_ANSWER_BYTES, "{received} bytes received");
+}
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::timeout;
 
 use crate::local_server::UNAVAILABLE_RETRY_AFTER;
 use crate::memory_budget::BodyBuffer;
@@ -32,6 +33,10 @@
 /// Number of listed calls from which on the ended ones are removed before the next starts.
 const CLEANUP_CALLS: usize = 256;
 
+/// Time beyond the deadline of a call after which its answer is given up, in milliseconds. A node
+/// that reads has cancelled the call before.
+const ANSWER_GRACE_MS: u64 = 500;
+
 /// Accepts links from other nodes on `listener` and serves their calls, until links close.
 ///
 /// From then on connects are refused, so that other nodes know that their calls have not run.
@@ -186,6 +191,7 @@
             self.refuse(id, RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
             return;
         }
+        let answer_until = now + head.time_left + Duration::from_millis(ANSWER_GRACE_MS);
         let deadline = self.state.stop.limit_deadline(now + head.time_left);
         head.time_left = deadline.saturating_duration_since(now);
         if self.running.len() >= CLEANUP_CALLS {
@@ -203,7 +209,13 @@
                 () = state.stop.ending() => stopping_outcome(progress.may_have_run()),
             };
             let load = state.server.load();
-            send_outcome(&sender, id, outcome, load).await;
+            let limit = answer_until.saturating_duration_since(state.now());
+            let sending = send_outcome(&sender, id, outcome, load);
+            if timeout(limit, sending).await.is_err() {
+                // Part of the answer was sent, so the other node has to learn that the rest is not.
+                tracing::warn!(event = "answer-given-up", id, reason = "not read");
+                sender.close();
+            }
             call.finish();
         });
         self.running.insert(id, call.abort_handle());
