Remember servers that left before a restarted node knew them

A restarted node acknowledged the leave of a server that it did not know and forgot it: a late `ready` announcement put the server back in use, and requests reached it though its leave had been acknowledged. And a first announcement `draining` began the drain time anew.

A server that is first announced as draining gets no call.

--- a/crates/proxy/src/announce.rs
+++ b/crates/proxy/src/announce.rs
@@ -126,7 +126,9 @@
     state: &ProxyState<C, A>,
     server: &ServerName,
 ) -> (StatusCode, Vec<u8>) {
-    let known = state.server.begin_drain(server, state.now());
+    let known = state
+        .server
+        .begin_drain(server, state.now(), state.clock.wall());
     info!(event = "server-leaves", server = %server, known);
     if known {
         state.publish_record();
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -1,6 +1,7 @@
 //! The local backend server, on the same instance as this node: its announcement, its slots,
 //! and the calls to it.
 
+mod departed_servers;
 mod exchange;
 mod slots;
 
@@ -13,6 +14,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use admit::SlotLimiter;
 use bytes::Bytes;
@@ -33,6 +35,7 @@
 use tokio::time::timeout;
 
 use crate::connection_pool::ConnectionPool;
+use crate::local_server::departed_servers::DepartedServers;
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
 use crate::local_server::slots::SlotResult;
 use crate::open_call::CallProgress;
@@ -48,11 +51,20 @@
 /// Retry-after delay when the backend server cannot run the call.
 pub(crate) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// When the backend server began to drain.
+#[derive(Clone, Copy, Debug)]
+enum DrainStart {
+    At(Instant),
+    /// Before this node knew of it, perhaps long ago, so that its drain time counts as over.
+    BeforeThisNode,
+}
+
 #[derive(Debug, Default)]
 struct LocalServerState {
     announcement: Option<ServerAnnouncement>,
     warm_up_until: Option<Instant>,
-    draining_since: Option<Instant>,
+    draining: Option<DrainStart>,
+    departed: DepartedServers,
     limiter: SlotLimiter,
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
     /// Running calls, by deadline and a unique number.
@@ -111,15 +123,22 @@
         if known.is_some_and(|known| !new.supersedes(known)) {
             return AnnouncementEffect::Unchanged;
         }
+        let is_first = known.is_none();
         let is_new_start = known.is_none_or(|known| {
             known.server != new.server || known.started_at_ms != new.started_at_ms
         });
         if is_new_start {
             self.pool.clear();
-            state.draining_since = None;
+            let left_at = state.departed.left_at(&new.server, new.started_at_ms);
+            state.draining = left_at.map(DrainStart::At);
         }
-        if new.phase == ServerPhase::Draining && state.draining_since.is_none() {
-            state.draining_since = Some(now);
+        if new.phase == ServerPhase::Draining && state.draining.is_none() {
+            let start = if is_first {
+                DrainStart::BeforeThisNode
+            } else {
+                DrainStart::At(now)
+            };
+            state.draining = Some(start);
         }
         let is_changed = is_different(state.announcement.as_ref(), &new);
         state.warm_up_until = (!new.warm_up_left.is_zero()).then(|| now + new.warm_up_left);
@@ -136,14 +155,18 @@
     }
 
     /// Starts to drain `server` if it is the current backend server; returns whether it is.
-    pub(crate) fn begin_drain(&self, server: &ServerName, now: Instant) -> bool {
+    ///
+    /// Otherwise it is remembered, since an announcement that it sent before may arrive later.
+    pub(crate) fn begin_drain(&self, server: &ServerName, now: Instant, wall: SystemTime) -> bool {
         let mut state = lock(&self.state);
         let is_known = state
             .announcement
             .as_ref()
             .is_some_and(|known| known.server == *server);
-        if is_known && state.draining_since.is_none() {
-            state.draining_since = Some(now);
+        if !is_known {
+            state.departed.insert(server, now, wall);
+        } else if state.draining.is_none() {
+            state.draining = Some(DrainStart::At(now));
         }
         is_known
     }
@@ -160,7 +183,7 @@
             service: self.service.clone(),
             server: announcement.map(|known| known.server.clone()),
             slots: announcement.map_or(0, |known| known.slots),
-            accepts_calls: announcement.is_some() && state.draining_since.is_none(),
+            accepts_calls: announcement.is_some() && state.draining.is_none(),
             warm_up_left: state
                 .warm_up_until
                 .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
@@ -281,10 +304,12 @@
             return Err(RefusalReason::NoServer);
         }
         let drain = proxy.settings.bounds.drain_time.mul_f64(DRAIN_FRACTION);
-        if state
-            .draining_since
-            .is_some_and(|since| now >= since + drain)
-        {
+        let is_drained = match state.draining {
+            None => false,
+            Some(DrainStart::At(since)) => now >= since + drain,
+            Some(DrainStart::BeforeThisNode) => true,
+        };
+        if is_drained {
             return Err(RefusalReason::Draining);
         }
         Ok(announcement)
