--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::timeout;
 
 use crate::local_server::UNAVAILABLE_RETRY_AFTER;
 use crate::memory_budget::BodyBuffer;
@@ -32,13 +33,23 @@
 /// Number of listed calls from which on the ended ones are removed before the next starts.
 const CLEANUP_CALLS: usize = 256;
 
-/// Accepts links from other nodes on `listener` and serves their calls; never returns.
+/// Time beyond the deadline of a call after which its answer is given up, in milliseconds. A node
+/// that reads has cancelled the call before.
+const ANSWER_GRACE_MS: u64 = 500;
+
+/// Accepts links from other nodes on `listener` and serves their calls, until links close.
+///
+/// From then on connects are refused, so that other nodes know that their calls have not run.
 pub(crate) async fn serve<C: Clock, A: ProtocolAdapter>(
     state: ProxyState<C, A>,
     listener: TcpListener,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.stop.links_closing() => return,
+        };
+        match accepted {
             Ok((stream, peer)) => {
                 let link = serve_link(state.clone(), stream, peer);
                 state.stop.links.spawn(link);
@@ -78,13 +89,27 @@
 
 impl<C: Clock, A: ProtocolAdapter> PeerSession<C, A> {
     async fn run(mut self, mut receiver: LinkReceiver<NodeMessage>) {
-        let state = self.state.clone();
-        let is_closing = tokio::select! {
+        let (state, sender) = (self.state.clone(), self.sender.clone());
+        let stop = &state.stop;
+        let unflushed = stop.unflushed_links.token();
+        // Calls that arrive while any node reads its answers slowly are still refused.
+        let flush = async move {
+            stop.links_closing().await;
+            sender.flushed().await;
+            drop(unflushed);
+            stop.links_flushed().await;
+            sender.flushed().await;
+        };
+        let is_open = tokio::select! {
             () = self.receive(&mut receiver) => false,
-            () = state.stop.links_closing() => true,
+            () = stop.finishing() => true,
         };
-        if is_closing {
-            self.sender.flushed().await;
+        if is_open {
+            self.refuse_incomplete();
+            tokio::select! {
+                () = self.receive(&mut receiver) => {}
+                () = flush => {}
+            }
         }
         for call in self.running.into_values() {
             call.abort();
@@ -107,6 +132,8 @@
             } => {
                 if last {
                     self.start_call(id, *head, body);
+                } else if !self.state.stop.takes_calls(self.state.now()) {
+                    self.refuse(id, RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
                 } else {
                     let buffer = self.state.request_memory.buffer(MAX_BODY_BYTES);
                     self.incomplete.insert(id, (*head, buffer));
@@ -141,6 +168,13 @@
         }
     }
 
+    /// Refuses the calls whose body is under way, since none of them will start any more.
+    fn refuse_incomplete(&mut self) {
+        for (id, _) in std::mem::take(&mut self.incomplete) {
+            self.refuse(id, RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
+        }
+    }
+
     /// Refuses a call that was not started.
     fn refuse(&self, id: u64, cause: RefusalReason, retry_after: Duration) {
         self.sender.send(&NodeMessage::Refused {
@@ -157,6 +191,7 @@
             self.refuse(id, RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
             return;
         }
+        let answer_until = now + head.time_left + Duration::from_millis(ANSWER_GRACE_MS);
         let deadline = self.state.stop.limit_deadline(now + head.time_left);
         head.time_left = deadline.saturating_duration_since(now);
         if self.running.len() >= CLEANUP_CALLS {
@@ -174,7 +209,13 @@
                 () = state.stop.ending() => stopping_outcome(progress.may_have_run()),
             };
             let load = state.server.load();
-            send_outcome(&sender, id, outcome, load).await;
+            let limit = answer_until.saturating_duration_since(state.now());
+            let sending = send_outcome(&sender, id, outcome, load);
+            if timeout(limit, sending).await.is_err() {
+                // Part of the answer was sent, so the other node has to learn that the rest is not.
+                tracing::warn!(event = "answer-given-up", id, reason = "not read");
+                sender.close();
+            }
             call.finish();
         });
         self.running.insert(id, call.abort_handle());
