--- a/crates/daemon/tests/control/main.rs
+++ b/crates/daemon/tests/control/main.rs
@@ -4,3 +4,4 @@
 #[path = "../fleet/http.rs"]
 mod http;
 mod losses;
+mod review;
--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -143,3 +143,12 @@
     members.push(member(at(2, 7), false, SHORT_SILENCE * 20));
     assert_eq!(next(&members), Some(MemberChange::Remove(at(2, 7))));
 }
+
+#[test]
+fn a_dead_learner_at_the_address_of_the_leader_is_removed_soon() {
+    let mut members = five_voters();
+    // Nobody hears itself.
+    members[0].silence = LONG_SILENCE;
+    members.push(member(at(1, 9), false, Duration::from_secs(2)));
+    assert_eq!(next(&members), Some(MemberChange::Remove(at(1, 9))));
+}
