Let a leader see that a learner at its own address has lost its disk

Callers saw a change of members wait up to 6 s: a dead learner at the address of the leader stayed. Nobody hears itself, so the silence of the leader grew and the leader did not count as the member that runs at its address.

--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -62,7 +62,7 @@
     #[must_use]
     pub fn next_step(&self, own: InstanceId, members: &[MemberView]) -> Option<MemberChange> {
         let remove = |member: &MemberView| MemberChange::Remove(member.instance);
-        if let Some(learner) = lost_learner(members) {
+        if let Some(learner) = lost_learner(own, members) {
             return Some(remove(learner));
         }
         let voters = members.iter().filter(|member| member.voter).count();
@@ -105,7 +105,9 @@
 
 /// Returns a learner that has been silent for too long, or whose address came back with another
 /// disk since.
-fn lost_learner(members: &[MemberView]) -> Option<&MemberView> {
+///
+/// The leader, which gets no messages from itself, runs.
+fn lost_learner(own: InstanceId, members: &[MemberView]) -> Option<&MemberView> {
     let remove_after = Duration::from_millis(REMOVE_LEARNER_AFTER_MS);
     let superseded_after = Duration::from_millis(SUPERSEDED_AFTER_MS);
     let is_superseded = |learner: &MemberView| {
@@ -113,7 +115,7 @@
             member.instance != learner.instance && shares_address(member, learner)
         });
         learner.silence >= superseded_after
-            && successors.any(|member| member.silence < superseded_after)
+            && successors.any(|member| member.instance == own || member.silence < superseded_after)
     };
     members
         .iter()
