Do not take an identity or a log that cannot be looked up for absent

A folder whose identity, or an instance whose log, could not be looked up because of an error of the disk was treated as one without it: `exists` returns false on an error. `try_exists` passes the error on, and the start is tried again.

No red test: a trial with an identity that is a link to itself failed to open before the change as well, at a later step.

--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -175,7 +175,9 @@
     state.peer_links.set_own(plan.instance);
     let joins = plan.initial_members.is_empty();
     // An existing log contains the members; after all instances stopped, no other could name them.
-    let initial_members = if joins && (must_query || !directory.log_path().exists()) {
+    let log_path = directory.log_path();
+    let has_log = log_path.try_exists().context("looking for the log")?;
+    let initial_members = if joins && (must_query || !has_log) {
         let Some(members) = find_group(state).await else {
             return Ok(ReplicaExit::Stopped);
         };
--- a/crates/replica/src/storage/identity.rs
+++ b/crates/replica/src/storage/identity.rs
@@ -85,7 +85,7 @@
     /// Reads the identity of a folder; `None` when it has none.
     pub(super) fn load(folder: &Path) -> Result<Option<Self>, StorageError> {
         let path = Self::path(folder);
-        if !path.exists() {
+        if !path.try_exists().map_err(StorageError::io(&path))? {
             return Ok(None);
         }
         let content = fs::read(&path).map_err(StorageError::io(&path))?;
