Acknowledge no change beside a voter that may be gone while its replacement is due

Operators could read an acknowledged change never again: a voter that was gone for good counted as one that holds the change until it was replaced, and each new leader waited 3 s anew for it. A change acknowledged in between, 4 s after the start of its successor, and then two lost disks left no quorum for ever.

While a replacement is due (a learner is a member, or there are more voters than the target), a voter that the leader has not heard since it took office, or for 0.5 s, now counts as lost in GroupStrength, so nothing is acknowledged beside it until it is replaced. Without a replacement it stays one of the tolerated losses, and changes go on. The leader notes whether it heard a member at all, and replaces the only voter that it has not heard 2 s after its election.

The tests of strength and repair give the views that the functions now take; what they assert is unchanged. The model in group/tests/losses.rs does not cover this: there, a loss still counts as healed when the repair is done.

--- a/crates/daemon/tests/control/control_group.rs
+++ b/crates/daemon/tests/control/control_group.rs
@@ -205,6 +205,14 @@
     }
 }
 
+/// Returns a configuration with a version that replaces the one with the version `base`.
+pub(crate) fn document(version: u64, base: u64) -> String {
+    include_str!("../fleet/config.json")
+        .replace("VERSION", &version.to_string())
+        .replace("BASE", &base.to_string())
+        .replace("KEY", "key-1")
+}
+
 /// Sends a configuration to each address once; returns whether one acknowledged it.
 pub(crate) fn offer(operators: &[SocketAddr], document: &str) -> bool {
     operators.iter().any(|&to| {
--- a/crates/daemon/tests/control/review.rs
+++ b/crates/daemon/tests/control/gone_voter.rs
@@ -5,17 +5,11 @@
 use std::time::Instant;
 
 use crate::control_group::ControlGroup;
+use crate::control_group::document;
 
 /// Time after its start from which on a successor no longer counts as lost.
 const CATCH_UP: Duration = Duration::from_secs(4);
 
-fn document(version: u64, base: u64) -> String {
-    include_str!("../fleet/config.json")
-        .replace("VERSION", &version.to_string())
-        .replace("BASE", &base.to_string())
-        .replace("KEY", "key-1")
-}
-
 fn start_all_but_the_gone(group: &mut ControlGroup) {
     for number in [0, 1, 2, 3, 5] {
         group.start_instance(number, false);
--- a/crates/daemon/tests/control/losses.rs
+++ b/crates/daemon/tests/control/losses.rs
@@ -4,19 +4,13 @@
 use std::thread;
 
 use crate::control_group::ControlGroup;
+use crate::control_group::document;
 use crate::control_group::eventually;
 use crate::control_group::offer;
 
 /// Instances of a group that tolerates the loss of two disks.
 const SIZE: u8 = 5;
 
-fn document(version: u64, base: u64) -> String {
-    include_str!("../fleet/config.json")
-        .replace("VERSION", &version.to_string())
-        .replace("BASE", &base.to_string())
-        .replace("KEY", "key-1")
-}
-
 /// Kills all instances, loses the disks of two and starts all again.
 fn lose_two_disks(group: &mut ControlGroup, wiped: [u8; 2]) {
     group.kill_all();
--- a/crates/daemon/tests/control/main.rs
+++ b/crates/daemon/tests/control/main.rs
@@ -1,7 +1,7 @@
 //! Changes and disks of a control group of real processes, on loopback addresses.
 
 mod control_group;
+mod gone_voter;
 #[path = "../fleet/http.rs"]
 mod http;
 mod losses;
-mod review;
--- a/crates/group/src/peer_links.rs
+++ b/crates/group/src/peer_links.rs
@@ -15,9 +15,11 @@
 use link::LinkHealth;
 use link::LinkSender;
 use model::ids::InstanceId;
+use quorum::GroupMember;
 use replica::PeerLink;
 
 use crate::identity::instance_ip;
+use crate::repair::MemberView;
 
 /// Timeout for connecting to another instance, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 500;
@@ -41,8 +43,15 @@
 struct PeerLinksState {
     own: InstanceId,
     peers: HashMap<InstanceId, PeerState>,
-    /// Time of the last message from each member.
-    last_heard: HashMap<InstanceId, Instant>,
+    /// Since when each member has been silent.
+    silent_since: HashMap<InstanceId, SilenceStart>,
+}
+
+/// The last message from a member, or the start of the wait for the first one.
+#[derive(Clone, Copy, Debug)]
+struct SilenceStart {
+    at: Instant,
+    heard: bool,
 }
 
 /// Connections to the other control instances, opened on the first message to each.
@@ -75,23 +84,36 @@
     /// Records that a message came from a member.
     pub(crate) fn record_heard(&self, instance: InstanceId) {
         let now = self.clock.now();
-        self.lock().last_heard.insert(instance, now);
+        let start = SilenceStart {
+            at: now,
+            heard: true,
+        };
+        self.lock().silent_since.insert(instance, start);
     }
 
-    /// Returns the time since the last message from a member; for one not heard yet, the time
-    /// since the first call of this function.
-    pub(crate) fn silence(&self, instance: InstanceId) -> Duration {
+    /// Returns what is known of a member; the silence of one not heard yet is the time since the
+    /// first call of this function.
+    pub(crate) fn view(&self, member: &GroupMember) -> MemberView {
         let now = self.clock.now();
         let mut state = self.lock();
-        let heard_at = *state.last_heard.entry(instance).or_insert(now);
-        now.saturating_duration_since(heard_at)
+        let unheard = SilenceStart {
+            at: now,
+            heard: false,
+        };
+        let start = *state.silent_since.entry(member.instance).or_insert(unheard);
+        MemberView {
+            instance: member.instance,
+            voter: member.voter,
+            silence: now.saturating_duration_since(start.at),
+            heard: start.heard,
+        }
     }
 
     /// Restarts the measurement of silence for all members.
     ///
     /// A new leader must do so, since as a follower it got no regular messages from the others.
     pub(crate) fn reset_silence(&self) {
-        self.lock().last_heard.clear();
+        self.lock().silent_since.clear();
     }
 
     /// Probes silent connections and closes those that stay silent; must be called about every
--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -9,6 +9,12 @@
 
 /// Silence of a voter after which a waiting learner replaces it, in milliseconds.
 const REPLACE_AFTER_MS: u64 = 3_000;
+/// Time after which a waiting learner replaces a voter that the leader has not heard at all, in
+/// milliseconds; an election has taken some of the time that its successor has.
+const REPLACE_UNHEARD_AFTER_MS: u64 = 2_000;
+/// Silence from which on a voter may be one that is gone, in milliseconds; longer than a few
+/// heartbeats.
+const MISSING_AFTER_MS: u64 = 500;
 /// Silence of a learner after which it is removed, in milliseconds.
 const REMOVE_LEARNER_AFTER_MS: u64 = 6_000;
 /// Difference in silence from which on one of two members at an address is the one that runs, in
@@ -25,8 +31,20 @@
     pub instance: InstanceId,
     /// Whether the member votes; otherwise it is a learner.
     pub voter: bool,
-    /// Time since the last message from the member.
+    /// Time since the last message from the member, or since the leader took office.
     pub silence: Duration,
+    /// Whether a message from the member came since the leader took office.
+    pub heard: bool,
+}
+
+impl MemberView {
+    /// Returns whether the member may be gone for good, for all that an instance knows.
+    ///
+    /// Nobody hears itself: an instance never counts itself as missing.
+    pub(crate) fn is_missing(&self, own: InstanceId) -> bool {
+        let missing_after = Duration::from_millis(MISSING_AFTER_MS);
+        self.instance != own && (!self.heard || self.silence >= missing_after)
+    }
 }
 
 /// Policy for replacing lost members of the group.
@@ -58,6 +76,15 @@
         }
     }
 
+    /// Returns whether a member that takes the place of a lost voter is waiting or has just come.
+    ///
+    /// The lost voter may then be one whose loss was long ago, so that as many others may be lost
+    /// as the deployment tolerates.
+    pub(crate) fn awaits_replacement(self, members: &[MemberView]) -> bool {
+        let voters = members.iter().filter(|member| member.voter).count();
+        voters > self.target_voters || members.iter().any(|member| !member.voter)
+    }
+
     /// Returns the next membership change, if any; `own` is the identity of the leader.
     #[must_use]
     pub fn next_step(&self, own: InstanceId, members: &[MemberView]) -> Option<MemberChange> {
@@ -91,8 +118,14 @@
         if let Some(wiped) = wiped {
             return Some(remove(wiped));
         }
+        let unheard = others().filter(|voter| !voter.heard).count();
+        let is_silent = |voter: &&MemberView| {
+            let is_only_unheard = !voter.heard && unheard == 1;
+            let unheard_after = Duration::from_millis(REPLACE_UNHEARD_AFTER_MS);
+            voter.silence >= replace_after || is_only_unheard && voter.silence >= unheard_after
+        };
         let silent = others()
-            .filter(|voter| voter.silence >= replace_after)
+            .filter(is_silent)
             .max_by_key(|voter| voter.silence)?;
         if voters > self.target_voters {
             return Some(remove(silent));
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -29,7 +29,6 @@
 use tracing::warn;
 
 use crate::operators;
-use crate::repair::MemberView;
 use crate::session;
 use crate::start::DataDirectory;
 use crate::start::StartPlan;
@@ -385,14 +384,7 @@
     if status.role != MemberRole::Leader {
         return;
     }
-    let members = status.membership.members().iter();
-    let views: Vec<MemberView> = members
-        .map(|member| MemberView {
-            instance: member.instance,
-            voter: member.voter,
-            silence: state.peer_links.silence(member.instance),
-        })
-        .collect();
+    let views = state.member_views(&status);
     let Some(step) = state.repair_policy().next_step(status.instance, &views) else {
         return;
     };
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -29,11 +29,13 @@
 use replica::ReplicatedState;
 use settings::GroupSettings;
 use tokio::sync::watch;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::peer_links::PeerLinks;
 use crate::registry::NodeRegistry;
+use crate::repair::MemberView;
 use crate::repair::RepairPolicy;
 use crate::strength::GroupStrength;
 
@@ -46,6 +48,8 @@
 ///
 /// An operator gives up after a second, and a request waits up to twice.
 const STRENGTH_TIMEOUT_MS: u64 = 400;
+/// Interval between two looks at the members during that wait, in milliseconds.
+const STRENGTH_POLL_MS: u64 = 20;
 
 /// Time for which an entry admission plan is reused, in milliseconds.
 const PLAN_REUSE_MS: u64 = 100;
@@ -201,24 +205,37 @@
     /// Only a committed membership counts, since one that is not may be replaced by the one
     /// before it.
     pub(crate) async fn await_strength(&self) -> bool {
-        let Some(replica) = self.replica() else {
-            return false;
+        let becomes_strong = async {
+            while !self.is_strong() {
+                sleep(Duration::from_millis(STRENGTH_POLL_MS)).await;
+            }
         };
-        let tolerated = self.settings.bounds.tolerated_losses;
-        let mut status = replica.watch();
-        let is_strong = status.wait_for(|status| {
-            status.is_membership_committed()
-                && GroupStrength::new(&status.membership).tolerates(tolerated)
-        });
         let time_limit = Duration::from_millis(STRENGTH_TIMEOUT_MS);
-        let waited = timeout(time_limit, is_strong).await;
-        waited.is_ok_and(|outcome| outcome.is_ok())
+        timeout(time_limit, becomes_strong).await.is_ok()
+    }
+
+    fn is_strong(&self) -> bool {
+        let tolerated = self.settings.bounds.tolerated_losses;
+        self.status().is_some_and(|status| {
+            status.is_membership_committed() && self.strength_of(&status).tolerates(tolerated)
+        })
+    }
+
+    fn strength_of(&self, status: &ReplicaStatus) -> GroupStrength {
+        let views = self.member_views(status);
+        let policy = self.repair_policy();
+        GroupStrength::new(&status.membership, status.instance, &views, &policy)
+    }
+
+    /// Returns the members as this instance observes them.
+    pub(crate) fn member_views(&self, status: &ReplicaStatus) -> Vec<MemberView> {
+        let members = status.membership.members().iter();
+        members.map(|member| self.peer_links.view(member)).collect()
     }
 
     /// Returns the strength of the group as this instance knows it; `None` before the start.
     pub(crate) fn strength(&self) -> Option<GroupStrength> {
-        self.status()
-            .map(|status| GroupStrength::new(&status.membership))
+        self.status().map(|status| self.strength_of(&status))
     }
 
     /// Waits until a quorum has confirmed the leader and all entries committed before are applied
--- a/crates/group/src/strength.rs
+++ b/crates/group/src/strength.rs
@@ -4,9 +4,12 @@
 use std::net::IpAddr;
 
 use derive_more::Display;
+use model::ids::InstanceId;
 use quorum::Membership;
 
 use crate::identity::instance_ip;
+use crate::repair::MemberView;
+use crate::repair::RepairPolicy;
 
 /// Voters of the group, and how many of them have lost their disk.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -14,19 +17,30 @@
 pub struct GroupStrength {
     /// Number of voters, the lost ones among them.
     pub voters: usize,
-    /// Voters whose address came back with another disk; they will never answer again.
+    /// Voters that will never answer again, or may not: their address came back with another disk,
+    /// or they are silent while a replacement waits.
     pub lost_voters: usize,
     /// Voters that must store an entry before it is committed.
     pub quorum_size: usize,
 }
 
 impl GroupStrength {
-    /// Counts the voters of a membership.
+    /// Counts the voters of a membership, as the member `own` observes them in `views`.
+    ///
+    /// A voter that is silent counts as lost only while a replacement waits: otherwise it is one
+    /// of the tolerated losses, and changes go on beside it.
     #[must_use]
-    pub fn new(membership: &Membership) -> Self {
+    pub fn new(
+        membership: &Membership,
+        own: InstanceId,
+        views: &[MemberView],
+        policy: &RepairPolicy,
+    ) -> Self {
+        let awaits_replacement = policy.awaits_replacement(views);
+        let is_missing = |member: &&MemberView| awaits_replacement && member.is_missing(own);
         Self {
             voters: membership.voters().count(),
-            lost_voters: lost_voters(membership),
+            lost_voters: lost_voters(views, is_missing),
             quorum_size: membership.quorum_size(),
         }
     }
@@ -41,18 +55,33 @@
     }
 }
 
-/// Counts the voters that cannot be running, since at most one member runs at an address.
+/// Counts the voters that are missing or cannot be running, since at most one member runs at an
+/// address.
 ///
 /// A learner at the address of a voter has joined after the voter's disk was lost.
-fn lost_voters(membership: &Membership) -> usize {
-    let mut members_at: BTreeMap<IpAddr, (usize, bool)> = BTreeMap::new();
-    for member in membership.members() {
-        let (voters, has_learner) = members_at.entry(instance_ip(member.instance)).or_default();
-        *voters += usize::from(member.voter);
-        *has_learner |= !member.voter;
+fn lost_voters(views: &[MemberView], is_missing: impl Fn(&&MemberView) -> bool) -> usize {
+    let mut voters_at: BTreeMap<IpAddr, AddressVoters> = BTreeMap::new();
+    for member in views {
+        let at = voters_at.entry(instance_ip(member.instance)).or_default();
+        at.has_learner |= !member.voter;
+        at.voters += usize::from(member.voter);
+        at.missing += usize::from(member.voter && is_missing(&member));
+    }
+    voters_at.values().map(AddressVoters::lost).sum()
+}
+
+/// Members at one address.
+#[derive(Clone, Copy, Debug, Default)]
+struct AddressVoters {
+    voters: usize,
+    missing: usize,
+    has_learner: bool,
+}
+
+impl AddressVoters {
+    /// Returns how many of the voters are lost, or may be.
+    fn lost(&self) -> usize {
+        let may_run = usize::from(!self.has_learner);
+        self.missing.max(self.voters.saturating_sub(may_run))
     }
-    let lost = members_at
-        .values()
-        .map(|&(voters, has_learner)| voters.saturating_sub(usize::from(!has_learner)));
-    lost.sum()
 }
--- a/crates/group/tests/losses.rs
+++ b/crates/group/tests/losses.rs
@@ -188,6 +188,7 @@
                 instance: member.instance,
                 voter: member.voter,
                 silence: self.silence(member.instance),
+                heard: true,
             })
             .collect();
         self.policy().next_step(leader, &views)
--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -16,6 +16,8 @@
 const RESTART_SILENCE: Duration = Duration::from_millis(500);
 /// Silence that leaves time for a replacement within the 4 s that a successor may take.
 const REPLACED_SILENCE: Duration = Duration::from_millis(3_200);
+/// Silence after an election that leaves time for a replacement within those 4 s.
+const UNHEARD_SILENCE: Duration = Duration::from_millis(2_100);
 const LONG_SILENCE: Duration = Duration::from_secs(10);
 
 fn at(last: u8, directory_id: u32) -> InstanceId {
@@ -27,6 +29,7 @@
         instance,
         voter,
         silence,
+        heard: true,
     }
 }
 
@@ -152,3 +155,29 @@
     members.push(member(at(1, 9), false, Duration::from_secs(2)));
     assert_eq!(next(&members), Some(MemberChange::Remove(at(1, 9))));
 }
+
+/// Returns five voters of which `unheard` were not heard since the leader took office, and a
+/// learner at a new address.
+fn after_an_election(unheard: &[usize], silence: Duration) -> Vec<MemberView> {
+    let mut members = five_voters();
+    members.push(member(at(9, 4), false, SHORT_SILENCE));
+    for &position in unheard {
+        members[position].heard = false;
+        members[position].silence = silence;
+    }
+    members
+}
+
+#[test]
+fn the_only_voter_that_a_new_leader_does_not_hear_is_replaced_before_the_successor_caught_up() {
+    let members = after_an_election(&[3], UNHEARD_SILENCE);
+    assert_eq!(next(&members), Some(MemberChange::Promote(at(9, 4))));
+    let members = after_an_election(&[3], RESTART_SILENCE);
+    assert_eq!(next(&members), None);
+}
+
+#[test]
+fn a_new_leader_that_does_not_hear_several_voters_waits_longer_for_them() {
+    let members = after_an_election(&[3, 4], UNHEARD_SILENCE);
+    assert_eq!(next(&members), None);
+}
--- a/crates/group/tests/strength.rs
+++ b/crates/group/tests/strength.rs
@@ -2,15 +2,21 @@
 
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use group::GroupStrength;
+use group::MemberView;
+use group::RepairPolicy;
 use group::instance_id;
 use model::ids::InstanceId;
 use quorum::MemberChange;
 use quorum::Membership;
 
+const SHORT_SILENCE: Duration = Duration::from_millis(80);
+const LONG_SILENCE: Duration = Duration::from_secs(10);
+
 fn at(last: u8, directory_id: u32) -> InstanceId {
     instance_id(IpAddr::V4(Ipv4Addr::new(10, 0, 0, last)), directory_id)
 }
@@ -34,8 +40,84 @@
         .unwrap()
 }
 
+/// Returns the views of a member that hears all others.
+fn all_heard(membership: &Membership) -> Vec<MemberView> {
+    let members = membership.members().iter();
+    members
+        .map(|member| MemberView {
+            instance: member.instance,
+            voter: member.voter,
+            silence: SHORT_SILENCE,
+            heard: true,
+        })
+        .collect()
+}
+
+fn strength(membership: &Membership, views: &[MemberView]) -> GroupStrength {
+    GroupStrength::new(membership, at(1, 0), views, &RepairPolicy::new(2))
+}
+
+fn tolerates(membership: &Membership, losses: usize) -> bool {
+    strength(membership, &all_heard(membership)).tolerates(losses)
+}
+
 fn tolerates_two(membership: &Membership) -> bool {
-    GroupStrength::new(membership).tolerates(2)
+    tolerates(membership, 2)
+}
+
+/// Returns whether two losses are tolerated beside a voter that was not heard for `silence`.
+fn tolerates_two_beside_silent(membership: &Membership, silence: Duration, heard: bool) -> bool {
+    let mut views = all_heard(membership);
+    views[4].silence = silence;
+    views[4].heard = heard;
+    strength(membership, &views).tolerates(2)
+}
+
+#[test]
+fn a_silent_voter_does_not_count_while_its_replacement_waits() {
+    let waiting = with_learner(&voters(5), at(9, 4));
+    assert!(!tolerates_two_beside_silent(&waiting, LONG_SILENCE, true));
+    let promoted = with_voter(&voters(5), at(9, 4));
+    assert!(!tolerates_two_beside_silent(&promoted, LONG_SILENCE, true));
+}
+
+#[test]
+fn a_voter_that_a_new_leader_has_not_heard_does_not_count_while_its_replacement_waits() {
+    let waiting = with_learner(&voters(5), at(9, 4));
+    assert!(!tolerates_two_beside_silent(
+        &waiting,
+        Duration::ZERO,
+        false
+    ));
+    let promoted = with_voter(&voters(5), at(9, 4));
+    assert!(!tolerates_two_beside_silent(
+        &promoted,
+        Duration::ZERO,
+        false
+    ));
+}
+
+#[test]
+fn a_silent_voter_without_a_replacement_is_one_of_the_tolerated_losses() {
+    assert!(tolerates_two_beside_silent(&voters(5), LONG_SILENCE, true));
+    assert!(tolerates_two_beside_silent(&voters(5), LONG_SILENCE, false));
+}
+
+#[test]
+fn a_silent_voter_whose_address_came_back_without_its_disk_counts_as_one_loss() {
+    let membership = with_learner(&voters(5), at(5, 7));
+    let mut views = all_heard(&membership);
+    views[4].silence = LONG_SILENCE;
+    assert_eq!(strength(&membership, &views).lost_voters, 1);
+}
+
+#[test]
+fn an_instance_never_counts_itself_as_silent() {
+    let membership = with_learner(&voters(5), at(9, 4));
+    let mut views = all_heard(&membership);
+    views[0].silence = LONG_SILENCE;
+    views[0].heard = false;
+    assert_eq!(strength(&membership, &views).lost_voters, 0);
 }
 
 #[test]
@@ -63,9 +145,9 @@
 
 #[test]
 fn one_or_no_tolerated_loss_needs_three_voters_or_one() {
-    assert!(GroupStrength::new(&voters(3)).tolerates(1));
-    assert!(!GroupStrength::new(&voters(2)).tolerates(1));
-    assert!(GroupStrength::new(&voters(1)).tolerates(0));
+    assert!(tolerates(&voters(3), 1));
+    assert!(!tolerates(&voters(2), 1));
+    assert!(tolerates(&voters(1), 0));
 }
 
 /// Returns all subsets of `instances`.
@@ -114,7 +196,7 @@
     arbtest(|choices| {
         let membership = some_membership(choices)?;
         let losses = choices.int_in_range(0..=3)?;
-        if !GroupStrength::new(&membership).tolerates(losses) {
+        if !tolerates(&membership, losses) {
             return Ok(());
         }
         let mut disks = running(&membership);
