Answer 504 to a change that is, or may be, in force

Operators got 503, which reads as refused, for a change that was committed but not acknowledged, and for one whose outcome was not known; nodes may have had both. Both answer 504 now, which promises nothing; an operator sends the change again.

The test covers the unknown outcome only; that of too few members at the acknowledgement goes through the same function and was not provoked.

--- a/crates/daemon/tests/control/control_group.rs
+++ b/crates/daemon/tests/control/control_group.rs
@@ -104,6 +104,17 @@
         self.instances.iter_mut().for_each(kill);
     }
 
+    /// Returns the instance that acknowledges `document`, which is in force, once more.
+    pub(crate) fn leader(&self, document: &str) -> u8 {
+        let mut leader = None;
+        eventually("a leader acknowledges a change again", || {
+            let mut numbers = self.numbers();
+            leader = numbers.find(|&number| offer(&[self.address(number, 0)], document));
+            leader.is_some()
+        });
+        leader.unwrap()
+    }
+
     /// Asks all instances to stop at once, and waits until they have.
     pub(crate) fn terminate_all(&mut self) {
         for child in self.instances.iter().flatten() {
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -179,7 +179,7 @@
                 self.unavailable(version, "unreadable entry")
             }
             Err(ProposeError::NotLeader { .. } | ProposeError::Unknown) => {
-                self.unavailable(version, "no outcome")
+                self.undecided(version, "no outcome")
             }
         }
     }
@@ -190,7 +190,7 @@
         if self.state.await_strength().await {
             self.respond_with_reason(StatusCode::OK, "accepted")
         } else {
-            self.unavailable(version, "too few members to acknowledge")
+            self.undecided(version, "too few members to acknowledge")
         }
     }
 
@@ -211,6 +211,14 @@
         self.respond_with_reason(StatusCode::SERVICE_UNAVAILABLE, reason)
     }
 
+    /// Answers a change that is in force or may still come into force, so that it does not read as
+    /// refused.
+    fn undecided(&self, version: u64, reason: &str) -> HttpResponse {
+        let group = self.describe_group();
+        info!(event = "config-undecided", version, reason, group);
+        self.respond_with_reason(StatusCode::GATEWAY_TIMEOUT, reason)
+    }
+
     /// Returns voters, lost voters and quorum size for the log.
     fn describe_group(&self) -> String {
         let strength = self.state.strength();
