Let a control instance that stops answer the requests that it has read

Operators saw connections cut: an instance that was asked to stop stopped its replica first, aborted its listeners and then dropped the runtime with whatever was being decided or written.

A stopping instance now accepts no more operators, closes idle connections, and answers the requests that it has read, for 1 s at most, while its replica still runs. Only then the replica stops, the leader handing over its leadership as before, and what is queued for nodes and other instances is written out, for 0.3 s at most.

The flush of the links has no test of its own.

--- a/crates/daemon/tests/control/control_group.rs
+++ b/crates/daemon/tests/control/control_group.rs
@@ -115,6 +115,20 @@
         leader.unwrap()
     }
 
+    /// Asks an instance to stop.
+    pub(crate) fn terminate(&self, number: u8) {
+        if let Some(child) = &self.instances[usize::from(number)] {
+            rustix::process::kill_process(Pid::from_child(child), Signal::TERM).unwrap();
+        }
+    }
+
+    /// Waits until an instance that was asked to stop has ended.
+    pub(crate) fn await_end(&mut self, number: u8) {
+        if let Some(mut child) = self.instances[usize::from(number)].take() {
+            child.wait().unwrap();
+        }
+    }
+
     /// Asks all instances to stop at once, and waits until they have.
     pub(crate) fn terminate_all(&mut self) {
         for child in self.instances.iter().flatten() {
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +30,10 @@
 use replica::ProposeError;
 use replica::ReplicatedState;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use tracing::info;
 
 use crate::identity::instance_ip;
@@ -38,36 +43,82 @@
 const DOCUMENT_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// Time within which an operator must have sent the request head, in milliseconds.
 const HEAD_TIMEOUT_MS: u64 = 5_000;
+/// Time that a stopping instance has to answer the requests that it has read, in milliseconds.
+const ANSWER_TIMEOUT_MS: u64 = 1_000;
 
 type HttpResponse = Response<Full<Bytes>>;
 
-/// Accepts and serves connections of operators.
+/// Accepts and serves connections of operators; once the instance is asked to stop, answers the
+/// requests that it has read, and returns.
 pub(crate) async fn serve<C: Clock, A: ProtocolAdapter>(
     state: GroupState<C>,
     adapter: A,
     listener: TcpListener,
 ) {
+    let connections = TaskTracker::new();
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let accepted = tokio::select! {
+            () = state.stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let handler = OperatorHandler {
+                    state: state.clone(),
+                    adapter: adapter.clone(),
+                };
+                connections.spawn(serve_connection(handler, stream));
+            }
             Err(error) => {
                 tracing::warn!(event = "accept-failed", listener = "operators", %error);
-                continue;
-            }
-        };
-        let (state, adapter) = (state.clone(), adapter.clone());
-        tokio::spawn(async move {
-            let handler = OperatorHandler { state, adapter };
-            let service = service_fn(|request| handler.handle(request));
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_millis(HEAD_TIMEOUT_MS))
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                tracing::debug!(event = "operator-link-ended", %error);
             }
-        });
+        }
+    }
+    drop(listener);
+    connections.close();
+    let answer_time = Duration::from_millis(ANSWER_TIMEOUT_MS);
+    if timeout(answer_time, connections.wait()).await.is_err() {
+        let open = connections.len();
+        tracing::warn!(event = "operators-not-answered", connections = open);
+    }
+}
+
+async fn serve_connection<C: Clock, A: ProtocolAdapter>(
+    handler: OperatorHandler<C, A>,
+    stream: TcpStream,
+) {
+    let stop = handler.state.stop.clone();
+    if !has_input(&stream, &stop).await {
+        return;
+    }
+    let service = service_fn(|request| handler.handle(request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(HEAD_TIMEOUT_MS))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = stop.cancelled() => {
+            // An idle connection closes at once, any other after the answer to its request.
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
+        tracing::debug!(event = "operator-link-ended", %error);
+    }
+}
+
+/// Returns whether something arrives on a new connection before the time is up or the instance
+/// stops.
+///
+/// The HTTP server would keep a connection that was never used until its first request.
+async fn has_input(stream: &TcpStream, stop: &CancellationToken) -> bool {
+    let head_timeout = Duration::from_millis(HEAD_TIMEOUT_MS);
+    tokio::select! {
+        ready = timeout(head_timeout, stream.readable()) => matches!(ready, Ok(Ok(()))),
+        () = stop.cancelled() => false,
     }
 }
 
--- a/crates/group/src/peer_links.rs
+++ b/crates/group/src/peer_links.rs
@@ -135,6 +135,21 @@
         }
     }
 
+    /// Waits until everything queued for other instances is written or its connection closed.
+    pub(crate) async fn flushed(&self) {
+        let open: Vec<LinkSender<ControlMessage>> = {
+            let state = self.lock();
+            let senders = state.peers.values().filter_map(|peer| match peer {
+                PeerState::Open(sender) => Some(sender.clone()),
+                PeerState::Connecting | PeerState::Failed(_) => None,
+            });
+            senders.collect()
+        };
+        for sender in open {
+            sender.flushed().await;
+        }
+    }
+
     fn connect(&self, to: InstanceId) {
         let links = self.clone();
         tokio::spawn(async move {
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -20,6 +20,7 @@
 use settings::GroupSettings;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -53,6 +54,8 @@
 const MEMBERS_QUERY_TIMEOUT_MS: u64 = 1_200;
 /// Timeout for replicating the list of nodes, in milliseconds.
 const PROPOSE_TIMEOUT_MS: u64 = 1_000;
+/// Time that a stopping instance has to write out what is queued on its links, in milliseconds.
+const FLUSH_TIMEOUT_MS: u64 = 300;
 /// Time without a leader after which an instance checks its membership, in milliseconds.
 const NO_LEADER_MS: u64 = 2_500;
 
@@ -89,13 +92,14 @@
     let state = GroupState::new(settings, seeds, clock, stop, process_metrics);
     info!(event = "process-started", process = %state.settings.process,
         data_centre = %state.settings.data_centre, first_start = state.settings.first_start);
+    let links = tokio::spawn(session::serve(state.clone(), links_listener));
     let tasks = [
-        tokio::spawn(session::serve(state.clone(), links_listener)),
-        tokio::spawn(operators::serve(state.clone(), adapter, operators_listener)),
+        tokio::spawn(serve_operators(state.clone(), adapter, operators_listener)),
         tokio::spawn(run_maintenance(state.clone())),
         tokio::spawn(metrics::serve(state.metrics.clone(), metrics_listener)),
     ];
     let result = run_replica(&state).await;
+    flush_links(&state, links).await;
     for task in tasks {
         task.abort();
     }
@@ -103,6 +107,29 @@
     result
 }
 
+/// Serves operators, then stops the replica, which the answers to their last requests need.
+async fn serve_operators<C: Clock, A: ProtocolAdapter>(
+    state: GroupState<C>,
+    adapter: A,
+    listener: TcpListener,
+) {
+    // The replica stops even if serving panics.
+    let _replica_stop = state.replica_stop.clone().drop_guard();
+    operators::serve(state, adapter, listener).await;
+}
+
+/// Writes out what is queued for nodes and other instances, and ends the sessions.
+async fn flush_links<C: Clock>(state: &GroupState<C>, links: JoinHandle<()>) {
+    state.links_stop.cancel();
+    let flush_time = Duration::from_millis(FLUSH_TIMEOUT_MS);
+    let flushed = async { tokio::join!(links, state.peer_links.flushed()) };
+    match timeout(flush_time, flushed).await {
+        Ok((Ok(()), ())) => {}
+        Ok((Err(error), ())) => warn!(event = "links-not-flushed", %error),
+        Err(_) => warn!(event = "links-not-flushed", error = "timeout"),
+    }
+}
+
 async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
     let bound = TcpListener::bind(address).await;
     bound.with_context(|| format!("binding {address}"))
@@ -138,7 +165,7 @@
             }
         }
         tokio::select! {
-            () = state.stop.cancelled() => return Ok(()),
+            () = state.replica_stop.cancelled() => return Ok(()),
             () = sleep(Duration::from_millis(RETRY_DELAY_MS)) => {}
         }
     }
@@ -223,7 +250,7 @@
     period.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            () = state.stop.cancelled() => return ReplicaExit::Stopped,
+            () = state.replica_stop.cancelled() => return ReplicaExit::Stopped,
             () = replica.stopped() => return replica_exit(&replica.status()),
             _ = period.tick() => {}
         }
@@ -290,7 +317,7 @@
             }
         }
         tokio::select! {
-            () = state.stop.cancelled() => return None,
+            () = state.replica_stop.cancelled() => return None,
             () = sleep(Duration::from_millis(RETRY_DELAY_MS)) => {}
         }
     }
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -18,20 +18,28 @@
 use replica::ReplicatedState;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio_util::task::TaskTracker;
 use tracing::info;
 
 use crate::state::GroupState;
 
-/// Accepts and serves connections.
+/// Accepts and serves connections until the links stop, and writes out what is queued on them.
 pub(crate) async fn serve<C: Clock>(state: GroupState<C>, listener: TcpListener) {
+    let links = TaskTracker::new();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            () = state.links_stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, peer)) => {
-                tokio::spawn(serve_link(state.clone(), stream, peer));
+                links.spawn(serve_link(state.clone(), stream, peer));
             }
             Err(error) => tracing::warn!(event = "accept-failed", listener = "links", %error),
         }
     }
+    links.close();
+    links.wait().await;
 }
 
 async fn serve_link<C: Clock>(state: GroupState<C>, stream: TcpStream, peer: SocketAddr) {
@@ -81,6 +89,10 @@
                     }
                     self.send_updates();
                 }
+                () = self.state.links_stop.cancelled() => {
+                    self.sender.flushed().await;
+                    break;
+                }
             }
         }
         if let Some(node) = self.node {
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -116,7 +116,12 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
     pub(crate) clock: C,
     pub(crate) peer_links: PeerLinks<C>,
+    /// Cancelled when the instance is asked to stop.
     pub(crate) stop: CancellationToken,
+    /// Cancelled when a stopping instance has answered its operators and needs its replica no more.
+    pub(crate) replica_stop: CancellationToken,
+    /// Cancelled when the replica of a stopping instance has stopped.
+    pub(crate) links_stop: CancellationToken,
     pub(crate) metrics: ProcessMetrics,
     replica: Arc<Mutex<Option<ReplicaHandle<ConfigStore>>>>,
     leader_state: Arc<Mutex<Option<LeaderState>>>,
@@ -131,6 +136,8 @@
             clock: self.clock.clone(),
             peer_links: self.peer_links.clone(),
             stop: self.stop.clone(),
+            replica_stop: self.replica_stop.clone(),
+            links_stop: self.links_stop.clone(),
             metrics: self.metrics.clone(),
             replica: Arc::clone(&self.replica),
             leader_state: Arc::clone(&self.leader_state),
@@ -154,6 +161,8 @@
             seeds,
             clock,
             stop,
+            replica_stop: CancellationToken::new(),
+            links_stop: CancellationToken::new(),
             metrics,
             replica: Arc::default(),
             leader_state: Arc::default(),
