Show that a cut off voter may be replaced in place of one that is gone

The leader cannot tell a voter that is gone from one that is cut off for 3 s. If it replaces the latter, no replacement waits until that one joins anew, the gone voter counts as a tolerated loss, and a change is acknowledged that two more lost disks hide.

--- a/crates/group/tests/losses.rs
+++ b/crates/group/tests/losses.rs
@@ -339,3 +339,20 @@
     })
     .budget_ms(2_000);
 }
+
+#[test]
+fn no_change_is_acknowledged_beside_a_gone_voter_after_a_cut_off_one_was_replaced_instead() {
+    let mut model = RepairModel::new(2);
+    let (gone, cut_off, successor) = (3, 4, 5);
+    model.machines[gone].running = false;
+    model.machines[gone].unhealed = 1;
+    model.machines[successor].running = true;
+    model.machines[successor].newcomer = true;
+    model.run_leader();
+    model.catch_up(successor);
+    model.machines[cut_off].cut_off = true;
+    model.run_leader();
+    model.run_leader();
+    model.mark_healed();
+    model.check_acknowledgement();
+}
