--- a/crates/daemon/tests/control/control_group.rs
+++ b/crates/daemon/tests/control/control_group.rs
@@ -104,6 +104,31 @@
         self.instances.iter_mut().for_each(kill);
     }
 
+    /// Returns the instance that acknowledges `document`, which is in force, once more.
+    pub(crate) fn leader(&self, document: &str) -> u8 {
+        let mut leader = None;
+        eventually("a leader acknowledges a change again", || {
+            let mut numbers = self.numbers();
+            leader = numbers.find(|&number| offer(&[self.address(number, 0)], document));
+            leader.is_some()
+        });
+        leader.unwrap()
+    }
+
+    /// Asks an instance to stop.
+    pub(crate) fn terminate(&self, number: u8) {
+        if let Some(child) = &self.instances[usize::from(number)] {
+            rustix::process::kill_process(Pid::from_child(child), Signal::TERM).unwrap();
+        }
+    }
+
+    /// Waits until an instance that was asked to stop has ended.
+    pub(crate) fn await_end(&mut self, number: u8) {
+        if let Some(mut child) = self.instances[usize::from(number)].take() {
+            child.wait().unwrap();
+        }
+    }
+
     /// Asks all instances to stop at once, and waits until they have.
     pub(crate) fn terminate_all(&mut self) {
         for child in self.instances.iter().flatten() {
@@ -205,6 +230,14 @@
     }
 }
 
+/// Returns a configuration with a version that replaces the one with the version `base`.
+pub(crate) fn document(version: u64, base: u64) -> String {
+    include_str!("../fleet/config.json")
+        .replace("VERSION", &version.to_string())
+        .replace("BASE", &base.to_string())
+        .replace("KEY", "key-1")
+}
+
 /// Sends a configuration to each address once; returns whether one acknowledged it.
 pub(crate) fn offer(operators: &[SocketAddr], document: &str) -> bool {
     operators.iter().any(|&to| {
