Let all process tests reserve their addresses and wait in one way

Three harnesses chose a random subnet and a port that was free a moment before, each with its own copy; tests that run side by side could take the same. The soak reserved both for as long as its deployment exists, below the ports that the system gives to outgoing connections. That reservation and the waiting loop now stand in tests/shared. No check has changed; the poll interval of one harness goes from 50 to 20 ms.

--- a/crates/daemon/tests/control/answers.rs
+++ b/crates/daemon/tests/control/answers.rs
@@ -7,8 +7,8 @@
 
 use crate::control_group::ControlGroup;
 use crate::control_group::document;
-use crate::control_group::eventually;
 use crate::http;
+use crate::wait::eventually;
 
 const SIZE: u8 = 5;
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/daemon/tests/control/control_group.rs
+++ b/crates/daemon/tests/control/control_group.rs
@@ -2,30 +2,21 @@
 
 use std::fs;
 use std::fs::OpenOptions;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 use std::thread;
-use std::time::Duration;
-use std::time::Instant;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
 use tempfile::TempDir;
 
+use crate::addresses::ReservedSubnet;
 use crate::http;
+use crate::wait::eventually;
 
-/// Timeout for any step, long enough for a slow machine.
-const STEP_TIMEOUT: Duration = Duration::from_mins(1);
-/// Interval between two polls of a condition.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Number of ports that a group uses, the same at each address.
-const PORT_COUNT: u16 = 8;
 /// Number of instances whose addresses the settings name.
 const SEED_COUNT: u8 = 3;
 /// Guarantees in the settings of all instances.
@@ -34,20 +25,16 @@
 /// Processes and data directories of a group; dropping it kills its processes.
 pub(crate) struct ControlGroup {
     directory: TempDir,
-    /// Second and third byte of all addresses, random so that tests do not share addresses.
-    subnet: (u8, u8),
-    first_port: u16,
+    subnet: ReservedSubnet,
     instances: Vec<Option<Child>>,
 }
 
 impl ControlGroup {
     /// Starts the instances below `started` of a group of `size` for the first time.
     pub(crate) fn start(size: u8, started: u8) -> Self {
-        let subnet = (rand::random::<u8>() | 1, rand::random());
         let mut group = Self {
             directory: TempDir::new().unwrap(),
-            subnet,
-            first_port: first_free_port(subnet),
+            subnet: ReservedSubnet::take(),
             instances: (0..size).map(|_| None).collect(),
         };
         for number in 0..started {
@@ -63,8 +50,8 @@
         let settings = format!(
             "role = \"group\"\nprocess = \"control-{number}\"\ndata-centre = \"a\"\nseeds = [{}]\nports = [{}, {}]\ndata = \"{}\"\nfirst-start = {first_start}\n[listen]\naddress = \"{}\"\noperators = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}",
             seeds.join(", "),
-            self.first_port + 5,
-            self.first_port + 6,
+            self.subnet.port(5),
+            self.subnet.port(6),
             self.data(number).display(),
             self.address(number, 0).ip(),
             self.address(number, 0),
@@ -177,9 +164,7 @@
 
     /// Returns an address of an instance; port offset 0 is the operator listener.
     pub(crate) fn address(&self, number: u8, port: u16) -> SocketAddr {
-        let (second, third) = self.subnet;
-        let ip = Ipv4Addr::new(127, second, third, 10 + number);
-        SocketAddr::new(IpAddr::V4(ip), self.first_port + port)
+        self.subnet.address(10 + number, port)
     }
 
     /// Returns the addresses at which the instances listen for operators.
@@ -260,24 +245,3 @@
         let _ = child.wait();
     }
 }
-
-/// Waits until a condition holds; the timeout is so long that only a stalled machine exceeds it.
-pub(crate) fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(start.elapsed() < STEP_TIMEOUT, "not in time: {what}");
-        thread::sleep(POLL_INTERVAL);
-    }
-}
-
-/// Returns the first port of the range that a group uses at its addresses.
-fn first_free_port(subnet: (u8, u8)) -> u16 {
-    let ip = Ipv4Addr::new(127, subnet.0, subnet.1, 1);
-    loop {
-        let listener = TcpListener::bind((ip, 0)).unwrap();
-        let first = listener.local_addr().unwrap().port();
-        if first < u16::MAX - PORT_COUNT {
-            return first;
-        }
-    }
-}
--- a/crates/daemon/tests/control/losses.rs
+++ b/crates/daemon/tests/control/losses.rs
@@ -5,8 +5,8 @@
 
 use crate::control_group::ControlGroup;
 use crate::control_group::document;
-use crate::control_group::eventually;
 use crate::control_group::offer;
+use crate::wait::eventually;
 
 /// Instances of a group that tolerates the loss of two disks.
 const SIZE: u8 = 5;
--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -1,43 +1,32 @@
 //! A deployment of control instances and nodes as processes, each with its own loopback address.
 
 use std::fs;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
-use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
 use tempfile::TempDir;
 
+use crate::addresses::ReservedSubnet;
 use crate::http;
 use crate::http::HttpResponse;
 use crate::server::FakeServer;
+use crate::wait::eventually;
 
-/// Timeout for any step, long enough for a slow machine.
-const STEP_TIMEOUT: Duration = Duration::from_mins(1);
-/// Interval between two polls of a condition.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Number of ports that a deployment uses, the same at each address.
-const PORT_COUNT: u16 = 8;
 /// Number of control instances, enough to tolerate the loss of two disks.
 const CONTROL_COUNT: u8 = 5;
 
 /// A running deployment; dropping it kills its processes.
 pub(crate) struct TestDeployment {
     directory: TempDir,
-    /// Second and third byte of all addresses, random so that tests do not share addresses.
-    subnet: (u8, u8),
-    first_port: u16,
+    subnet: ReservedSubnet,
     /// Time from SIGTERM to SIGKILL, in the settings of all processes.
     grace: Duration,
     control: Vec<Option<Child>>,
@@ -48,11 +37,9 @@
 impl TestDeployment {
     /// Starts the control instances, and a node with a fake server for each service.
     pub(crate) fn start(services: &[&str], grace: Duration) -> Self {
-        let subnet = (rand::random::<u8>() | 1, rand::random());
         let mut deployment = Self {
             directory: TempDir::new().unwrap(),
-            subnet,
-            first_port: first_free_port(subnet),
+            subnet: ReservedSubnet::take(),
             grace,
             control: (0..CONTROL_COUNT).map(|_| None).collect(),
             nodes: services.iter().map(|_| None).collect(),
@@ -115,8 +102,8 @@
         let settings = format!(
             "role = \"group\"\nprocess = \"control-{number}\"\ndata-centre = \"a\"\nseeds = [{}]\nports = [{}, {}]\ndata = \"{}\"\nfirst-start = {first_start}\n[listen]\naddress = \"{}\"\noperators = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}grace-s = {}\n",
             seeds.join(", "),
-            self.first_port + 5,
-            self.first_port + 6,
+            self.subnet.port(5),
+            self.subnet.port(6),
             self.data(number).display(),
             self.control_address(number, 0).ip(),
             self.control_address(number, 0),
@@ -135,8 +122,8 @@
             "role = \"proxy\"\nprocess = \"node-{number}\"\ndata-centre = \"a\"\nservice = \"{service}\"\nserver = \"{}\"\ncontrol = [{}]\nports = [{}, {}]\nmemory-mb = 160\n[listen]\naddress = \"{}\"\ncallers = \"{}\"\nservers = \"{}\"\nready = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}grace-s = {}\n",
             self.node_address(number, 4),
             seeds.join(", "),
-            self.first_port + 5,
-            self.first_port + 6,
+            self.subnet.port(5),
+            self.subnet.port(6),
             self.node_address(number, 0).ip(),
             self.node_address(number, 0),
             self.node_address(number, 2),
@@ -246,9 +233,7 @@
     }
 
     fn address(&self, last: u8, port: u16) -> SocketAddr {
-        let (second, third) = self.subnet;
-        let ip = Ipv4Addr::new(127, second, third, last);
-        SocketAddr::new(IpAddr::V4(ip), self.first_port + port)
+        self.subnet.address(last, port)
     }
 
     /// Sends a configuration to one instance after another until one gives a definite response.
@@ -319,24 +304,3 @@
         let _ = child.wait();
     }
 }
-
-/// Waits until a condition holds; the timeout is so long that only a stalled machine exceeds it.
-pub(crate) fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(start.elapsed() < STEP_TIMEOUT, "not in time: {what}");
-        thread::sleep(POLL_INTERVAL);
-    }
-}
-
-/// Returns the first port of the range that a test uses at its addresses.
-fn first_free_port(subnet: (u8, u8)) -> u16 {
-    let ip = Ipv4Addr::new(127, subnet.0, subnet.1, 1);
-    loop {
-        let listener = TcpListener::bind((ip, 0)).unwrap();
-        let first = listener.local_addr().unwrap().port();
-        if first < u16::MAX - PORT_COUNT {
-            return first;
-        }
-    }
-}
--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -5,8 +5,8 @@
 use rustix::process::Signal;
 
 use crate::deployment::TestDeployment;
-use crate::deployment::eventually;
 use crate::server::ServerBehaviour;
+use crate::wait::eventually;
 
 /// Service of each backend server: one for orders, two for stock.
 const SERVICES: [&str; 3] = ["orders", "stock", "stock"];
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -1,6 +1,8 @@
 //! End-to-end tests with daemon processes, started as the platform starts them, on loopback
 //! addresses.
 
+#[path = "../shared/addresses.rs"]
+mod addresses;
 mod deployment;
 mod http;
 mod journeys;
@@ -9,3 +11,5 @@
 mod review;
 mod server;
 mod stop;
+#[path = "../shared/wait.rs"]
+mod wait;
--- a/crates/daemon/tests/fleet/review.rs
+++ b/crates/daemon/tests/fleet/review.rs
@@ -6,12 +6,12 @@
 use rustix::process::Signal;
 
 use crate::deployment::TestDeployment;
-use crate::deployment::eventually;
 use crate::http;
 use crate::kept_connection;
 use crate::kept_connection::KeptConnection;
 use crate::peer::FakePeer;
 use crate::server::ServerBehaviour;
+use crate::wait::eventually;
 
 const SERVICES: [&str; 2] = ["orders", "stock"];
 const GRACE: Duration = Duration::from_secs(12);
--- a/crates/daemon/tests/fleet/stop.rs
+++ b/crates/daemon/tests/fleet/stop.rs
@@ -10,13 +10,13 @@
 use rustix::process::Signal;
 
 use crate::deployment::TestDeployment;
-use crate::deployment::eventually;
 use crate::http::HttpResponse;
 use crate::kept_connection;
 use crate::kept_connection::KeptConnection;
 use crate::peer::FakePeer;
 use crate::server::FakeServer;
 use crate::server::ServerBehaviour;
+use crate::wait::eventually;
 
 /// Service of each backend server.
 const SERVICES: [&str; 2] = ["orders", "stock"];
--- a/crates/daemon/tests/servers/cluster.rs
+++ b/crates/daemon/tests/servers/cluster.rs
@@ -1,29 +1,20 @@
 //! One control instance and a few nodes as processes, each node beside a server of the test.
 
 use std::fs;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 use std::thread;
-use std::time::Duration;
-use std::time::Instant;
 
 use tempfile::TempDir;
 
+use crate::addresses::ReservedSubnet;
 use crate::http;
 use crate::http::HttpResponse;
 use crate::raw_server::RawServer;
+use crate::wait::eventually;
 
-/// Timeout for any step, long enough for a slow machine.
-const STEP_TIMEOUT: Duration = Duration::from_mins(1);
-/// Interval between two polls of a condition.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Number of ports that a cluster uses, the same at each address.
-const PORT_COUNT: u16 = 8;
 /// Memory limit in the settings of a node, in MiB.
 pub(crate) const NODE_MEMORY_MIB: u64 = 160;
 /// Deadline of a request that is to be served, in milliseconds, long enough for a slow machine.
@@ -36,9 +27,7 @@
 /// A running cluster; dropping it kills its processes.
 pub(crate) struct TestCluster {
     directory: TempDir,
-    /// Second and third byte of all addresses, random so that tests do not share addresses.
-    subnet: (u8, u8),
-    first_port: u16,
+    subnet: ReservedSubnet,
     services: Vec<String>,
     children: Vec<(String, Child)>,
     pub(crate) servers: Vec<RawServer>,
@@ -55,11 +44,9 @@
 
     /// Starts a cluster whose nodes have different memory limits, in MiB.
     pub(crate) fn start_with_memory(services: &[&str], memory_mib: &[u64]) -> Self {
-        let subnet = (rand::random::<u8>() | 1, rand::random());
         let mut cluster = Self {
             directory: TempDir::new().unwrap(),
-            subnet,
-            first_port: first_free_port(subnet),
+            subnet: ReservedSubnet::take(),
             services: services.iter().map(|name| (*name).to_owned()).collect(),
             children: Vec::new(),
             servers: Vec::new(),
@@ -81,8 +68,8 @@
     fn start_control(&mut self) {
         let settings = format!(
             "role = \"group\"\nprocess = \"control\"\ndata-centre = \"a\"\nseeds = [\"{seed}\"]\nports = [{}, {}]\ndata = \"{}\"\nfirst-start = true\n[listen]\naddress = \"{}\"\noperators = \"{seed}\"\nmetrics = \"{}\"\n{BOUNDS}",
-            self.first_port + 5,
-            self.first_port + 6,
+            self.subnet.port(5),
+            self.subnet.port(6),
             self.directory.path().join("data").display(),
             self.control_address(0).ip(),
             self.control_address(1),
@@ -97,8 +84,8 @@
             self.services[usize::from(number)],
             self.node_address(number, 4),
             self.control_address(0),
-            self.first_port + 5,
-            self.first_port + 6,
+            self.subnet.port(5),
+            self.subnet.port(6),
             self.node_address(number, 0).ip(),
             self.node_address(number, 0),
             self.node_address(number, 2),
@@ -187,9 +174,7 @@
     }
 
     fn address(&self, last: u8, port: u16) -> SocketAddr {
-        let (second, third) = self.subnet;
-        let ip = Ipv4Addr::new(127, second, third, last);
-        SocketAddr::new(IpAddr::V4(ip), self.first_port + port)
+        self.subnet.address(last, port)
     }
 
     /// Sends a caller's request without a body to a node.
@@ -305,24 +290,3 @@
         r#"{{"service":"{service}","address":"{address}","zone":"a","version":"v1","slots":64,"phase":"ready","coldRemaining":0,"sequence":1,"born":{start}}}"#
     )
 }
-
-/// Waits until a condition holds; the timeout is so long that only a stalled machine exceeds it.
-pub(crate) fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(start.elapsed() < STEP_TIMEOUT, "not in time: {what}");
-        thread::sleep(POLL_INTERVAL);
-    }
-}
-
-/// Returns the first port of the range that a test uses at its addresses.
-fn first_free_port(subnet: (u8, u8)) -> u16 {
-    let ip = Ipv4Addr::new(127, subnet.0, subnet.1, 1);
-    loop {
-        let listener = TcpListener::bind((ip, 0)).unwrap();
-        let first = listener.local_addr().unwrap().port();
-        if first < u16::MAX - PORT_COUNT {
-            return first;
-        }
-    }
-}
--- a/crates/daemon/tests/servers/endless.rs
+++ b/crates/daemon/tests/servers/endless.rs
@@ -14,10 +14,10 @@
 
 use crate::cluster::NODE_MEMORY_MIB;
 use crate::cluster::TestCluster;
-use crate::cluster::eventually;
 use crate::http;
 use crate::raw_server::RawServer;
 use crate::raw_server::ReceivedRequest;
+use crate::wait::eventually;
 
 /// Requests under way at once.
 const CALLERS: usize = 12;
--- a/crates/daemon/tests/servers/main.rs
+++ b/crates/daemon/tests/servers/main.rs
@@ -1,8 +1,12 @@
 //! Tests of daemon processes beside faulty backend servers and odd input, on loopback addresses.
 
+#[path = "../shared/addresses.rs"]
+mod addresses;
 mod cluster;
 mod endless;
 mod http;
 mod odd_entries;
 mod raw_server;
 mod refusals;
+#[path = "../shared/wait.rs"]
+mod wait;
--- a/crates/daemon/tests/servers/odd_entries.rs
+++ b/crates/daemon/tests/servers/odd_entries.rs
@@ -7,8 +7,8 @@
 use crate::cluster::NODE_MEMORY_MIB;
 use crate::cluster::TestCluster;
 use crate::cluster::announcement;
-use crate::cluster::eventually;
 use crate::http;
+use crate::wait::eventually;
 
 /// The faulty entries arrive at the node of the first service.
 const SERVICES: [&str; 2] = ["orders", "stock"];
--- a/crates/daemon/tests/servers/refusals.rs
+++ b/crates/daemon/tests/servers/refusals.rs
@@ -5,9 +5,9 @@
 use std::net::TcpStream;
 
 use crate::cluster::TestCluster;
-use crate::cluster::eventually;
 use crate::raw_server::RawServer;
 use crate::raw_server::ReceivedRequest;
+use crate::wait::eventually;
 
 /// Both servers run the same service, so that a request could run a second time.
 const SERVICES: [&str; 2] = ["orders", "orders"];
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! A failure keeps the logs of its processes and says where. Only the schedule follows from the
 //! seed, so a seed that failed once may need some runs to fail again.
 
+#[path = "../shared/addresses.rs"]
 mod addresses;
 mod caller;
 mod checks;
