--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -57,22 +57,15 @@
 ) {
     let connections = TaskTracker::new();
     loop {
-        let accepted = tokio::select! {
+        let (stream, _) = tokio::select! {
             () = state.stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
+            accepted = link::accept(&listener, "operators") => accepted,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let handler = OperatorHandler {
-                    state: state.clone(),
-                    adapter: adapter.clone(),
-                };
-                connections.spawn(serve_connection(handler, stream));
-            }
-            Err(error) => {
-                tracing::warn!(event = "accept-failed", listener = "operators", %error);
-            }
-        }
+        let handler = OperatorHandler {
+            state: state.clone(),
+            adapter: adapter.clone(),
+        };
+        connections.spawn(serve_connection(handler, stream));
     }
     drop(listener);
     connections.close();
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -27,16 +27,11 @@
 pub(crate) async fn serve<C: Clock>(state: GroupState<C>, listener: TcpListener) {
     let links = TaskTracker::new();
     loop {
-        let accepted = tokio::select! {
+        let (stream, peer) = tokio::select! {
             () = state.links_stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
+            accepted = link::accept(&listener, "links") => accepted,
         };
-        match accepted {
-            Ok((stream, peer)) => {
-                links.spawn(serve_link(state.clone(), stream, peer));
-            }
-            Err(error) => tracing::warn!(event = "accept-failed", listener = "links", %error),
-        }
+        links.spawn(serve_link(state.clone(), stream, peer));
     }
     links.close();
     links.wait().await;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -3,6 +3,7 @@
 //! Messages that are queued together share one write. [`LinkSender::probe`] detects peers that
 //! stopped responding.
 
+mod accept;
 mod receiver;
 mod sender;
 
@@ -16,6 +17,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::LengthDelimitedCodec;
 
+pub use crate::accept::accept;
 pub use crate::receiver::LinkReceiver;
 pub use crate::sender::LinkHealth;
 pub use crate::sender::LinkSender;
--- a/crates/metrics/src/server.rs
+++ b/crates/metrics/src/server.rs
@@ -18,13 +18,7 @@
 /// Answers every request on `listener` with the metrics in text format; never returns.
 pub async fn serve(metrics: ProcessMetrics, listener: TcpListener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(event = "accept-failed", listener = "metrics", %error);
-                continue;
-            }
-        };
+        let (stream, _) = link::accept(&listener, "metrics").await;
         let metrics = metrics.clone();
         tokio::spawn(async move {
             let service =
--- a/crates/proxy/src/announce.rs
+++ b/crates/proxy/src/announce.rs
@@ -39,13 +39,7 @@
     listener: TcpListener,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!(event = "accept-failed", listener = "announcements", %error);
-                continue;
-            }
-        };
+        let (stream, _) = link::accept(&listener, "announcements").await;
         let state = state.clone();
         tokio::spawn(async move {
             let service = service_fn(|request| handle_request(&state, request));
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -32,7 +32,6 @@
 use model::ids::ServiceName;
 use tokio::net::TcpListener;
 use tokio::time::timeout;
-use tracing::warn;
 
 use crate::body::BodyError;
 use crate::body::read_body;
@@ -67,20 +66,12 @@
     listener: TcpListener,
 ) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, _) = tokio::select! {
+            accepted = link::accept(&listener, "callers") => accepted,
             () = state.stop.connections_closing() => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let connection = serve_connection(state.clone(), stream);
-                state.stop.connections.spawn(connection);
-            }
-            Err(error) => {
-                warn!(event = "accept-failed", listener = "callers", %error);
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        }
+        let connection = serve_connection(state.clone(), stream);
+        state.stop.connections.spawn(connection);
     }
 }
 
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -45,17 +45,12 @@
     listener: TcpListener,
 ) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, peer) = tokio::select! {
+            accepted = link::accept(&listener, "links") => accepted,
             () = state.stop.links_closing() => return,
         };
-        match accepted {
-            Ok((stream, peer)) => {
-                let link = serve_link(state.clone(), stream, peer);
-                state.stop.links.spawn(link);
-            }
-            Err(error) => tracing::warn!(event = "accept-failed", listener = "links", %error),
-        }
+        let link = serve_link(state.clone(), stream, peer);
+        state.stop.links.spawn(link);
     }
 }
 
