--- a/crates/daemon/tests/soak/checks.rs
+++ b/crates/daemon/tests/soak/checks.rs
@@ -17,7 +17,7 @@
 
 /// Time after which a request whose connection is open has been read.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
-/// Time after a disturbance in which a node is not in touch.
+/// Time after a disruption in which a node makes no promises.
 const CONTACT: Duration = Duration::from_secs(3);
 /// A request sent later than this after SIGTERM is either answered or not taken.
 const LATE_SEND: Duration = Duration::from_secs(3);
@@ -34,7 +34,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum CutKind {
     /// The node was killed or frozen.
-    Disturbed,
+    Disrupted,
     /// The request crossed the node's close, as its time shows, and nothing ran.
     Crossed,
     /// The node closed the connection in its stop with the request unread, and nothing ran.
@@ -127,8 +127,8 @@
     fn cut_kind(&self, request: &RequestRecord) -> CutKind {
         let slack = LOSS_SLACK + self.stall(request);
         let was_read = !self.runs(request).is_empty() || request.ended - request.sent > slack;
-        if self.is_disturbed(ProcessName::Node(request.node), request) {
-            CutKind::Disturbed
+        if self.is_disrupted(ProcessName::Node(request.node), request) {
+            CutKind::Disrupted
         } else if self.is_unread(request) {
             CutKind::Unread
         } else if !was_read {
@@ -157,23 +157,23 @@
                 && self.has_event(server, request, GRACE, &[ProcessEvent::Terminated]);
             matches!(run.end, Some((at, RunEnd::CutOff)) if at <= request.ended)
                 && !is_planned
-                && !self.is_disturbed(server, request)
+                && !self.is_disrupted(server, request)
         };
         self.stop_before(request).is_some()
             && request.ended - request.sent < NEAR_TIMEOUT
             && self.runs(request).iter().any(is_broken_off)
-            && !self.is_disturbed(ProcessName::Node(request.node), request)
+            && !self.is_disrupted(ProcessName::Node(request.node), request)
             && !self.is_excused(request)
     }
 
     /// Returns whether the process was killed or frozen shortly before or during the request.
-    fn is_disturbed(&self, process: ProcessName, request: &RequestRecord) -> bool {
-        let disturbances = [
+    fn is_disrupted(&self, process: ProcessName, request: &RequestRecord) -> bool {
+        let disruptions = [
             ProcessEvent::Killed,
             ProcessEvent::Frozen,
             ProcessEvent::Thawed,
         ];
-        self.has_event(process, request, CONTACT, &disturbances)
+        self.has_event(process, request, CONTACT, &disruptions)
     }
 
     /// Returns whether one of the events happened during the request or `before` it.
--- a/crates/daemon/tests/soak/deployment.rs
+++ b/crates/daemon/tests/soak/deployment.rs
@@ -126,11 +126,11 @@
     }
 
     /// Returns the number of control instances that are absent, stopping or frozen.
-    pub(crate) fn disturbed_control(&self) -> usize {
-        let is_disturbed = |process: &&SoakProcess| {
+    pub(crate) fn disrupted_control(&self) -> usize {
+        let is_disrupted = |process: &&SoakProcess| {
             process.child.is_none() || process.terminated.is_some() || process.is_frozen
         };
-        self.control.iter().filter(is_disturbed).count()
+        self.control.iter().filter(is_disrupted).count()
     }
 
     /// Starts a process that is not there.
--- a/crates/daemon/tests/soak/driver.rs
+++ b/crates/daemon/tests/soak/driver.rs
@@ -22,8 +22,8 @@
 const TICK: Duration = Duration::from_millis(5);
 /// Time after which a process that ended is started again, in milliseconds.
 const RESTART_MS: (u64, u64) = (100, 1_500);
-/// Control instances that are disturbed at a time; more may suspend the service.
-const DISTURBED_CONTROL_MAX: usize = 2;
+/// Control instances that are disrupted at a time; more may suspend the service.
+const DISRUPTED_CONTROL_MAX: usize = 2;
 
 /// Plays a schedule.
 #[derive(Debug)]
@@ -130,14 +130,14 @@
         }
     }
 
-    /// Returns the process if it is there and may be disturbed.
+    /// Returns the process if it is there and may be disrupted.
     fn find(&mut self, target: ActionTarget) -> Option<ProcessName> {
         let process = match target {
             ActionTarget::Process(process) => process,
             ActionTarget::Leader => ProcessName::Control(self.operator.leader()?),
         };
         let is_control = matches!(process, ProcessName::Control(_));
-        let enough = self.deployment.disturbed_control() >= DISTURBED_CONTROL_MAX;
+        let enough = self.deployment.disrupted_control() >= DISRUPTED_CONTROL_MAX;
         (self.deployment.exists(process) && !(is_control && enough)).then_some(process)
     }
 
--- a/crates/daemon/tests/soak/schedule.rs
+++ b/crates/daemon/tests/soak/schedule.rs
@@ -92,7 +92,7 @@
                 let (node, time) = (self.node(), self.random.millis(300, 3_000));
                 self.add(at, SoakAction::Freeze(node, time));
             }
-            8 | 9 => self.add_control_disturbance(at),
+            8 | 9 => self.add_control_disruption(at),
             10 | 11 => self.add_changes(at),
             12 => {
                 let server = self.random.number(NODE_COUNT);
@@ -135,7 +135,7 @@
         }
     }
 
-    fn add_control_disturbance(&mut self, at: Duration) {
+    fn add_control_disruption(&mut self, at: Duration) {
         let control = self.control();
         let action = match self.random.between(0, 4) {
             0 => SoakAction::Signal(control, ProcessEvent::Terminated),
