--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -4,4 +4,7 @@
 mod deployment;
 mod http;
 mod journeys;
+mod kept_connection;
+mod peer;
 mod server;
+mod stop;
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -149,7 +149,7 @@
                 None => self.unavailable(version, "no leader"),
             };
         }
-        if !self.state.tolerates_losses() {
+        if !self.state.await_strength().await {
             return self.unavailable(version, "too few members");
         }
         let base = change.config.base_version;
@@ -163,12 +163,10 @@
             Err(_) => "unknown",
         };
         self.state.metrics.count("config", detail);
-        info!(event = "config-decided", version, base, outcome = ?outcome);
+        let group = self.describe_group();
+        info!(event = "config-decided", version, base, outcome = ?outcome, group);
         match outcome {
-            Ok(ChangeOutcome::Accepted) => {
-                self.state.notify_sessions();
-                self.respond_with_reason(StatusCode::OK, "accepted")
-            }
+            Ok(ChangeOutcome::Accepted) => self.acknowledge(version).await,
             Ok(ChangeOutcome::Conflict { current }) => {
                 let reason = format!("version {current} is in force");
                 self.respond_with_reason(StatusCode::PRECONDITION_FAILED, &reason)
@@ -186,6 +184,16 @@
         }
     }
 
+    /// Acknowledges a change that is committed, unless the members have changed meanwhile.
+    async fn acknowledge(&self, version: u64) -> HttpResponse {
+        self.state.notify_sessions();
+        if self.state.await_strength().await {
+            self.respond_with_reason(StatusCode::OK, "accepted")
+        } else {
+            self.unavailable(version, "too few members to acknowledge")
+        }
+    }
+
     fn redirect(&self, version: u64, leader: IpAddr, path: &str) -> HttpResponse {
         let address = SocketAddr::new(leader, self.state.settings.operator_listener.port());
         info!(event = "config-redirected", version, leader = %address);
@@ -198,10 +206,17 @@
     }
 
     fn unavailable(&self, version: u64, reason: &str) -> HttpResponse {
-        info!(event = "config-not-taken", version, reason);
+        let group = self.describe_group();
+        info!(event = "config-not-taken", version, reason, group);
         self.respond_with_reason(StatusCode::SERVICE_UNAVAILABLE, reason)
     }
 
+    /// Returns voters, lost voters and quorum size for the log.
+    fn describe_group(&self) -> String {
+        let strength = self.state.strength();
+        strength.map_or_else(|| "unknown".to_owned(), |strength| strength.to_string())
+    }
+
     fn respond_with_reason(&self, status: StatusCode, reason: &str) -> HttpResponse {
         Self::respond(status, self.adapter.error_body(reason).into())
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,8 @@
 //! guarantees.
 
 mod announce;
+mod body;
+mod bounded_stream;
 mod connection_pool;
 mod control;
 mod forward;
@@ -13,21 +15,30 @@
 mod ingress;
 mod leased_config;
 mod local_server;
+mod memory_budget;
 mod node_table;
+mod open_call;
 mod peer_server;
 mod peers;
 mod quota;
 mod retry;
 mod run;
 mod state;
+mod stop_control;
+mod stop_schedule;
 mod token_wait_queue;
 mod work;
 
 pub use crate::leased_config::LeasedConfig;
+pub use crate::memory_budget::BodyBuffer;
+pub use crate::memory_budget::BodyTooLarge;
+pub use crate::memory_budget::MemoryBudget;
 pub use crate::retry::AttemptHistory;
 pub use crate::retry::AttemptOutcome;
 pub use crate::retry::RetryDecision;
 pub use crate::retry::decide_retry;
 pub use crate::run::run;
+pub use crate::stop_schedule::StopPhase;
+pub use crate::stop_schedule::StopSchedule;
 pub use crate::token_wait_queue::TokenGranted;
 pub use crate::token_wait_queue::TokenWaitQueue;
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -2,19 +2,24 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use clock::Clock;
 use fleet::CallHead;
+use fleet::FailureReason;
 use fleet::NodeMessage;
 use fleet::ProtocolAdapter;
+use fleet::RefusalReason;
 use link::LinkReceiver;
 use link::LinkSender;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::local_server::UNAVAILABLE_RETRY_AFTER;
+use crate::memory_budget::BodyBuffer;
+use crate::open_call::OpenCall;
 use crate::peers::BODY_CHUNK_BYTES;
 use crate::peers::send_chunk;
 use crate::retry::AttemptOutcome;
@@ -22,6 +27,8 @@
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Retry-after delay when a request body does not fit into the memory for bodies.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Number of listed calls from which on the ended ones are removed before the next starts.
 const CLEANUP_CALLS: usize = 256;
 
@@ -33,7 +40,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::spawn(serve_link(state.clone(), stream, peer));
+                let link = serve_link(state.clone(), stream, peer);
+                state.stop.links.spawn(link);
             }
             Err(error) => tracing::warn!(event = "accept-failed", listener = "links", %error),
         }
@@ -65,19 +73,30 @@
     sender: LinkSender<NodeMessage>,
     running: HashMap<u64, AbortHandle>,
     /// Calls whose body has not been received completely.
-    incomplete: HashMap<u64, (CallHead, BytesMut)>,
+    incomplete: HashMap<u64, (CallHead, BodyBuffer)>,
 }
 
 impl<C: Clock, A: ProtocolAdapter> PeerSession<C, A> {
     async fn run(mut self, mut receiver: LinkReceiver<NodeMessage>) {
-        while let Some(message) = receiver.next().await {
-            self.handle_message(message);
+        let state = self.state.clone();
+        let is_closing = tokio::select! {
+            () = self.receive(&mut receiver) => false,
+            () = state.stop.links_closing() => true,
+        };
+        if is_closing {
+            self.sender.flushed().await;
         }
         for call in self.running.into_values() {
             call.abort();
         }
     }
 
+    async fn receive(&mut self, receiver: &mut LinkReceiver<NodeMessage>) {
+        while let Some(message) = receiver.next().await {
+            self.handle_message(message);
+        }
+    }
+
     fn handle_message(&mut self, message: NodeMessage) {
         match message {
             NodeMessage::Call {
@@ -89,8 +108,9 @@
                 if last {
                     self.start_call(id, *head, body);
                 } else {
-                    let body = BytesMut::from(&body[..]);
-                    self.incomplete.insert(id, (*head, body));
+                    let buffer = self.state.request_memory.buffer(MAX_BODY_BYTES);
+                    self.incomplete.insert(id, (*head, buffer));
+                    self.append_body(id, &body, last);
                 }
             }
             NodeMessage::Data { id, body, last } => self.append_body(id, &body, last),
@@ -107,35 +127,73 @@
     }
 
     fn append_body(&mut self, id: u64, chunk: &[u8], last: bool) {
-        let Some((_, body)) = self.incomplete.get_mut(&id) else {
+        let Some((_, buffer)) = self.incomplete.get_mut(&id) else {
             return;
         };
-        if body.len() + chunk.len() > MAX_BODY_BYTES {
-            tracing::warn!(event = "body-too-large", id);
+        if let Err(error) = buffer.append(chunk) {
+            tracing::info!(event = "body-given-up", id, %error);
             self.incomplete.remove(&id);
+            self.refuse(id, RefusalReason::Overloaded, NO_MEMORY_RETRY_AFTER);
             return;
         }
-        body.extend_from_slice(chunk);
-        if last && let Some((head, body)) = self.incomplete.remove(&id) {
-            self.start_call(id, head, body.freeze());
+        if last && let Some((head, buffer)) = self.incomplete.remove(&id) {
+            self.start_call(id, head, buffer.freeze());
         }
     }
 
-    fn start_call(&mut self, id: u64, head: CallHead, body: Bytes) {
+    /// Refuses a call that was not started.
+    fn refuse(&self, id: u64, cause: RefusalReason, retry_after: Duration) {
+        self.sender.send(&NodeMessage::Refused {
+            id,
+            cause,
+            retry_after,
+            load: self.state.server.load(),
+        });
+    }
+
+    fn start_call(&mut self, id: u64, mut head: CallHead, body: Bytes) {
+        let now = self.state.now();
+        if !self.state.stop.takes_calls(now) {
+            self.refuse(id, RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
+            return;
+        }
+        let deadline = self.state.stop.limit_deadline(now + head.time_left);
+        head.time_left = deadline.saturating_duration_since(now);
         if self.running.len() >= CLEANUP_CALLS {
             self.running.retain(|_, call| !call.is_finished());
         }
         let (state, sender) = (self.state.clone(), self.sender.clone());
-        let call = tokio::spawn(async move {
-            let outcome = state.server.run_call(&state, &head, body).await;
+        let call = OpenCall::new(state.clone(), head.attempt.clone(), now);
+        call.set_route(&head.route);
+        let calls = self.state.stop.calls.clone();
+        let call = calls.spawn(async move {
+            let progress = call.progress();
+            let outcome = tokio::select! {
+                biased;
+                outcome = state.server.run_call(&state, &head, body, progress) => outcome,
+                () = state.stop.ending() => stopping_outcome(progress.may_have_run()),
+            };
             let load = state.server.load();
-            send_outcome(&sender, id, outcome, load);
+            send_outcome(&sender, id, outcome, load).await;
+            call.finish();
         });
         self.running.insert(id, call.abort_handle());
     }
 }
 
-fn send_outcome(
+/// Returns the outcome of a call that this node gives up since it stops.
+const fn stopping_outcome(may_have_run: bool) -> AttemptOutcome {
+    if may_have_run {
+        let cause = FailureReason::Timeout;
+        return AttemptOutcome::Failed { cause };
+    }
+    AttemptOutcome::Refused {
+        cause: RefusalReason::Draining,
+        retry_after: UNAVAILABLE_RETRY_AFTER,
+    }
+}
+
+async fn send_outcome(
     sender: &LinkSender<NodeMessage>,
     id: u64,
     outcome: AttemptOutcome,
@@ -152,7 +210,7 @@
                 load,
             });
             while sent && !body.is_empty() {
-                sent = send_chunk(sender, id, &mut body);
+                sent = sender.ready().await && send_chunk(sender, id, &mut body);
             }
         }
         AttemptOutcome::Refused { cause, retry_after } => {
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use fleet::CallHead;
 use fleet::FailureReason;
 use fleet::NodeMessage;
@@ -22,6 +21,11 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::local_server::MAX_RESPONSE_BYTES;
+use crate::memory_budget::BodyBuffer;
+use crate::memory_budget::BodyTooLarge;
+use crate::memory_budget::MemoryBudget;
+use crate::open_call::CallProgress;
 use crate::retry::AttemptOutcome;
 use crate::state::lock;
 
@@ -47,7 +51,7 @@
 struct PendingCall {
     outcome: oneshot::Sender<PeerOutcome>,
     /// Response whose body has not been received completely.
-    incomplete: Option<(ResponseHead, BytesMut, ServerLoad)>,
+    incomplete: Option<(ResponseHead, BodyBuffer, ServerLoad)>,
 }
 
 /// A link to another node, with the calls in flight on it.
@@ -55,6 +59,7 @@
 struct PeerLink {
     sender: LinkSender<NodeMessage>,
     pending: Arc<Mutex<HashMap<u64, PendingCall>>>,
+    answer_memory: MemoryBudget,
 }
 
 /// The current link to a node, and the lock that allows one task at a time to connect.
@@ -65,13 +70,22 @@
 }
 
 /// Links to other nodes, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PeerPool {
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     next_id: AtomicU64,
+    answer_memory: MemoryBudget,
 }
 
 impl PeerPool {
+    pub(crate) fn new(answer_memory: MemoryBudget) -> Self {
+        Self {
+            peers: Mutex::default(),
+            next_id: AtomicU64::new(0),
+            answer_memory,
+        }
+    }
+
     /// Sends a call to the node at `address` and waits for its outcome.
     ///
     /// When the returned future is dropped, the call is cancelled at the other node.
@@ -80,6 +94,7 @@
         address: SocketAddr,
         head: &CallHead,
         body: Bytes,
+        progress: &CallProgress,
     ) -> PeerOutcome {
         let Some(link) = self.link_to(address).await else {
             return (unreachable_outcome(), None);
@@ -92,15 +107,18 @@
         };
         lock(&link.pending).insert(id, call);
         let _guard = CancelOnDrop { link: &link, id };
-        if !send_call_messages(&link.sender, id, head, body) {
-            return (unreachable_outcome(), None);
-        }
+        progress.begin_send();
+        let exchange = async {
+            if send_call_messages(&link.sender, id, head, body).await {
+                let outcome = waiter.await;
+                outcome.unwrap_or_else(|_| (failed_outcome(FailureReason::LinkLost), None))
+            } else {
+                (unreachable_outcome(), None)
+            }
+        };
         let limit = head.time_left + Duration::from_millis(DEADLINE_GRACE_MS);
-        match timeout(limit, waiter).await {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) => (failed_outcome(FailureReason::LinkLost), None),
-            Err(_) => (failed_outcome(FailureReason::Timeout), None),
-        }
+        let outcome = timeout(limit, exchange).await;
+        outcome.unwrap_or_else(|_| (failed_outcome(FailureReason::Timeout), None))
     }
 
     /// Pings nodes that have calls in flight but sent nothing for a while; must be called about
@@ -155,6 +173,7 @@
                 let link = PeerLink {
                     sender,
                     pending: Arc::default(),
+                    answer_memory: self.answer_memory.clone(),
                 };
                 tokio::spawn(receive_messages(link.clone(), receiver));
                 tracing::info!(event = "node-connected", peer = %address);
@@ -213,11 +232,14 @@
                 last,
                 load,
             } => {
-                if last {
-                    let outcome = AttemptOutcome::Answered { head, body };
-                    self.complete(id, (outcome, Some(load)));
+                let mut buffer = self.answer_memory.buffer(MAX_RESPONSE_BYTES);
+                if let Err(error) = buffer.append(&body) {
+                    self.give_up(id, error);
+                } else if last {
+                    let body = buffer.freeze();
+                    self.complete(id, (AttemptOutcome::Answered { head, body }, Some(load)));
                 } else if let Some(call) = lock(&self.pending).get_mut(&id) {
-                    call.incomplete = Some((head, BytesMut::from(&body[..]), load));
+                    call.incomplete = Some((head, buffer, load));
                 }
             }
             NodeMessage::Data { id, body, last } => self.append_body(id, &body, last),
@@ -244,20 +266,32 @@
         let Some(call) = pending.get_mut(&id) else {
             return;
         };
-        if let Some((_, body, _)) = &mut call.incomplete {
-            body.extend_from_slice(chunk);
+        let Some((_, buffer, _)) = &mut call.incomplete else {
+            return;
+        };
+        if let Err(error) = buffer.append(chunk) {
+            drop(pending);
+            self.give_up(id, error);
+            return;
         }
         if !last {
             return;
         }
         let incomplete = call.incomplete.take();
         drop(pending);
-        if let Some((head, body, load)) = incomplete {
-            let body = body.freeze();
+        if let Some((head, buffer, load)) = incomplete {
+            let body = buffer.freeze();
             self.complete(id, (AttemptOutcome::Answered { head, body }, Some(load)));
         }
     }
 
+    /// Ends a call whose answer does not fit, here and at the other node.
+    fn give_up(&self, id: u64, error: BodyTooLarge) {
+        tracing::info!(event = "answer-given-up", id, %error);
+        self.complete(id, (failed_outcome(FailureReason::BadResponse), None));
+        self.sender.send(&NodeMessage::Cancel { id });
+    }
+
     fn complete(&self, id: u64, outcome: PeerOutcome) {
         if let Some(call) = lock(&self.pending).remove(&id) {
             // Sending fails when the waiting task was cancelled meanwhile.
@@ -266,7 +300,7 @@
     }
 }
 
-fn send_call_messages(
+async fn send_call_messages(
     sender: &LinkSender<NodeMessage>,
     id: u64,
     head: &CallHead,
@@ -280,7 +314,7 @@
         last: body.is_empty(),
     });
     while sent && !body.is_empty() {
-        sent = send_chunk(sender, id, &mut body);
+        sent = sender.ready().await && send_chunk(sender, id, &mut body);
     }
     sent
 }
