--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -1,10 +1,15 @@
 //! End-to-end tests with daemon processes, started as the platform starts them, on loopback
 //! addresses.
 
+#[path = "../shared/addresses.rs"]
+mod addresses;
 mod deployment;
 mod http;
 mod journeys;
 mod kept_connection;
 mod peer;
+mod review;
 mod server;
 mod stop;
+#[path = "../shared/wait.rs"]
+mod wait;
--- a/crates/proxy/src/announce.rs
+++ b/crates/proxy/src/announce.rs
@@ -39,13 +39,7 @@
     listener: TcpListener,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!(event = "accept-failed", listener = "announcements", %error);
-                continue;
-            }
-        };
+        let (stream, _) = link::accept(&listener, "announcements").await;
         let state = state.clone();
         tokio::spawn(async move {
             let service = service_fn(|request| handle_request(&state, request));
@@ -126,7 +120,9 @@
     state: &ProxyState<C, A>,
     server: &ServerName,
 ) -> (StatusCode, Vec<u8>) {
-    let known = state.server.begin_drain(server, state.now());
+    let known = state
+        .server
+        .begin_drain(server, state.now(), state.clock.wall());
     info!(event = "server-leaves", server = %server, known);
     if known {
         state.publish_record();
