Let a relay of datagrams outlive a target that is not there yet

The partition test of the control role failed once beside a build, with no leader elected in 60 s. Cause: the stand-in relay ended the way back from a target for good on the first ECONNREFUSED, which a datagram sent before the target has bound its port brings. Processes that start some hundred milliseconds apart, as beside load, then never hear each other. Class: an error of one datagram taken for the end of a connection; a fault of the test's network, not of the product.

Also mended, suspected before and not seen: relays bound ports of the group's address, among which others are reserved for processes; they use 127.0.0.1 now.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -1,6 +1,9 @@
 //! A relay for datagrams that can silently drop them, as a network partition does.
 
 use std::collections::HashMap;
+use std::io::Error;
+use std::io::ErrorKind;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::PoisonError;
@@ -13,6 +16,10 @@
 /// Largest datagram that is forwarded, in bytes.
 const DATAGRAM_BYTES: usize = 65_536;
 
+/// Address that the sockets of relays have; no process group listens there, so a relay never takes
+/// a port that is reserved for one of its processes.
+const RELAY_ADDRESS: Ipv4Addr = Ipv4Addr::LOCALHOST;
+
 /// Sockets connected to the target, one per sender.
 type SenderSockets = Arc<Mutex<HashMap<SocketAddr, Arc<UdpSocket>>>>;
 
@@ -41,13 +48,13 @@
 }
 
 impl DatagramRelay {
-    /// Starts a relay to `target`, on any free port of the target's address.
+    /// Starts a relay to `target`, on any free port of 127.0.0.1.
     ///
     /// # Errors
     ///
     /// Fails when no socket can be bound.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
-        let socket = Arc::new(UdpSocket::bind((target.ip(), 0)).await?);
+        let socket = Arc::new(UdpSocket::bind((RELAY_ADDRESS, 0)).await?);
         let address = socket.local_addr()?;
         let rules = Arc::<DropRules>::default();
         let task = tokio::spawn(forward(socket, target, Arc::clone(&rules)));
@@ -90,7 +97,15 @@
 async fn forward(socket: Arc<UdpSocket>, target: SocketAddr, rules: Arc<DropRules>) {
     let sockets = SenderSockets::default();
     let mut datagram = vec![0; DATAGRAM_BYTES];
-    while let Ok((length, sender)) = socket.recv_from(&mut datagram).await {
+    loop {
+        let (length, sender) = match socket.recv_from(&mut datagram).await {
+            Ok(received) => received,
+            Err(error) if is_passing(&error) => continue,
+            Err(error) => {
+                tracing::warn!(event = "relay-ended", %target, %error);
+                return;
+            }
+        };
         if rules.drops(sender) {
             continue;
         }
@@ -115,7 +130,7 @@
     if let Some(known) = sockets.get(&sender) {
         return Ok(Arc::clone(known));
     }
-    let upstream = Arc::new(UdpSocket::bind((target.ip(), 0)).await?);
+    let upstream = Arc::new(UdpSocket::bind((RELAY_ADDRESS, 0)).await?);
     upstream.connect(target).await?;
     sockets.insert(sender, Arc::clone(&upstream));
     let responses = Arc::clone(&upstream);
@@ -123,11 +138,27 @@
     let rules = Arc::clone(rules);
     tokio::spawn(async move {
         let mut datagram = vec![0; DATAGRAM_BYTES];
-        while let Ok(length) = responses.recv(&mut datagram).await {
-            if !rules.drops(sender) {
-                let _ = socket.send_to(&datagram[..length], sender).await;
+        loop {
+            match responses.recv(&mut datagram).await {
+                Ok(length) if !rules.drops(sender) => {
+                    let _ = socket.send_to(&datagram[..length], sender).await;
+                }
+                Ok(_) => {}
+                Err(error) if is_passing(&error) => {}
+                Err(error) => {
+                    tracing::warn!(event = "relay-ended", %target, %sender, %error);
+                    return;
+                }
             }
         }
     });
     Ok(upstream)
 }
+
+/// Returns whether an error tells of an earlier datagram only, which nobody listened for.
+fn is_passing(error: &Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+    )
+}
