Read requests ahead of the answers on a caller's connection

Callers that send requests before the answers to the ones before got them one after the other: the wait for the first came off the time of the second, and a caller that left while more of its requests waited was noticed only at the deadline (the server in the new test worked on for 60 s).

Cause: the HTTP library serves a connection in turn, and does not read beyond the request under way. Class: a limit of a library taken for one of the protocol. Now the node reads plain requests itself (httparse, the library's own parser) and lets those that may be repeated run beside each other, at most 8 a connection; any other waits for the answers before it. AnswerQueue decides, without I/O: answers in order, nothing begins behind an answer that closes, and whatever has begun is answered before the close, in a stop too. A request that is not plain (body under way or in chunks, options of the connection, anything unreadable) hands the connection to the library for good, as before.

Ruled out: several library connections over one socket (needs the same framing and a copy of every byte); read-ahead for chunked bodies (callers send ahead only what may be repeated).

A Date line is no longer added to answers that have none.

--- a/crates/daemon/tests/servers/main.rs
+++ b/crates/daemon/tests/servers/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../shared/addresses.rs"]
 mod addresses;
+mod ahead;
 mod cluster;
 mod endless;
 mod http;
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -1,11 +1,14 @@
 //! HTTP server for requests of callers, and for calls that the local backend server makes.
 
+mod answer_writer;
 mod connection;
 mod outcome;
+mod pipeline;
 mod refusal;
+mod request_parser;
 mod token;
 
-use std::convert::Infallible;
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -26,7 +29,7 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
-use hyper::body::Incoming;
+use hyper::body::Body;
 use model::context::CallRank;
 use model::entry::RequestKind;
 use model::ids::ServiceName;
@@ -37,7 +40,6 @@
 use crate::body::read_body;
 use crate::forward::forward;
 use crate::headers;
-use crate::ingress::connection::LastCall;
 use crate::ingress::connection::serve_connection;
 use crate::ingress::outcome::build_response;
 use crate::ingress::outcome::log_outcome;
@@ -75,43 +77,73 @@
     }
 }
 
-async fn handle_request<C: Clock, A: ProtocolAdapter>(
+/// A request that has been read, until it is answered.
+struct OpenRequest<C: Clock, A: ProtocolAdapter, B> {
+    request: Request<B>,
+    metadata: RequestMetadata,
+    call: Arc<OpenCall<C, A>>,
+    started: Instant,
+}
+
+fn open_request<C: Clock, A: ProtocolAdapter, B>(
     state: &ProxyState<C, A>,
-    last: &LastCall<C, A>,
-    request: Request<Incoming>,
-) -> Result<BufferedResponse, Infallible> {
+    request: Request<B>,
+) -> OpenRequest<C, A, B> {
     let started = state.now();
     let metadata = state.adapter.request_metadata(request.headers());
-    let attempt = metadata.attempt.clone();
-    let call = OpenCall::new(state.clone(), attempt.clone().unwrap_or_default(), started);
-    let call = Arc::new(call);
-    last.replace(&call);
+    let attempt = metadata.attempt.clone().unwrap_or_default();
+    let call = Arc::new(OpenCall::new(state.clone(), attempt, started));
+    OpenRequest {
+        request,
+        metadata,
+        call,
+        started,
+    }
+}
+
+async fn answer_request<C, A, B>(
+    state: &ProxyState<C, A>,
+    open: OpenRequest<C, A, B>,
+) -> BufferedResponse
+where
+    C: Clock,
+    A: ProtocolAdapter,
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
+    let attempt = open.metadata.attempt.clone();
+    let (call, started) = (Arc::clone(&open.call), open.started);
     let result = tokio::select! {
         biased;
-        result = check_and_forward(state, request, metadata, &call, started) => result,
+        result = check_and_forward(state, open) => result,
         () = state.stop.ending() => Err(Refusal::at_end(call.progress())),
     };
-    let mut response = match result {
+    let response = match result {
         Ok(response) => response,
         Err(refusal) => refusal.respond(state, attempt.as_deref(), started),
     };
     call.note_answer();
     if state.is_stopping() {
         state.metrics.count("stop", "answered");
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(response)
+    response
 }
 
 /// Checks a request, and forwards it to a backend server when it is admitted.
-async fn check_and_forward<C: Clock, A: ProtocolAdapter>(
+async fn check_and_forward<C, A, B>(
     state: &ProxyState<C, A>,
-    request: Request<Incoming>,
-    metadata: RequestMetadata,
-    call: &OpenCall<C, A>,
-    started: Instant,
-) -> Result<BufferedResponse, Refusal> {
+    open: OpenRequest<C, A, B>,
+) -> Result<BufferedResponse, Refusal>
+where
+    C: Clock,
+    A: ProtocolAdapter,
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
+    let OpenRequest {
+        request,
+        metadata,
+        call,
+        started,
+    } = open;
     if !state.stop.takes_calls(started) && !may_be_child(state, &metadata, started) {
         return Err(Refusal::stopping());
     }
@@ -135,11 +167,7 @@
         ));
     }
     check_head_size(&table, request.headers())?;
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or("/", |path| path.as_str())
-        .to_owned();
+    let path = request_path(&request).to_owned();
     let host = request_host(&request);
     let Some(route) = table.route(&host, &path) else {
         return Err(Refusal::new(StatusCode::NOT_FOUND, "no-route"));
@@ -276,7 +304,12 @@
     Ok(())
 }
 
-fn request_host(request: &Request<Incoming>) -> String {
+fn request_path<B>(request: &Request<B>) -> &str {
+    let path = request.uri().path_and_query();
+    path.map_or("/", |path| path.as_str())
+}
+
+fn request_host<B>(request: &Request<B>) -> String {
     let header = request.headers().get(header::HOST);
     let header = header.and_then(|value| value.to_str().ok());
     let host = header.or_else(|| request.uri().host());
@@ -330,12 +363,17 @@
 }
 
 /// Reads the body of a request within the memory for bodies and until `deadline`.
-async fn read_request_body<C: Clock, A: ProtocolAdapter>(
+async fn read_request_body<C, A, B>(
     state: &ProxyState<C, A>,
     table: &RouteTable,
-    body: Incoming,
+    body: B,
     deadline: Instant,
-) -> Result<Bytes, Refusal> {
+) -> Result<Bytes, Refusal>
+where
+    C: Clock,
+    A: ProtocolAdapter,
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
     let limit = table.config().limits.body_bytes.min(MAX_BODY_BYTES);
     let buffer = state.request_memory.buffer(limit as usize);
     let time_left = deadline.saturating_duration_since(state.now());
--- a/crates/proxy/src/ingress/connection.rs
+++ b/crates/proxy/src/ingress/connection.rs
@@ -1,26 +1,38 @@
 //! A connection of a caller or of the local backend server, until its last answer is written.
 
+use std::convert::Infallible;
+use std::io::Cursor;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
+use bytes::Bytes;
 use clock::Clock;
 use fleet::ProtocolAdapter;
+use http::HeaderValue;
+use http::Response;
+use http::header;
+use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::ingress::handle_request;
+use crate::ingress::answer_request;
+use crate::ingress::open_request;
+use crate::ingress::pipeline::HandedOver;
+use crate::ingress::pipeline::serve_pipelined;
+use crate::ingress::refusal::BufferedResponse;
 use crate::open_call::OpenCall;
 use crate::state::ProxyState;
 use crate::state::lock;
 
 /// Size of the buffer for request heads, in bytes; the configured limit is checked after reading.
-const MAX_HEAD_BUFFER_BYTES: usize = 64 * 1024;
+pub(super) const MAX_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 /// Timeout for request heads while there is no configuration, in seconds.
 const DEFAULT_HEAD_TIMEOUT_S: u64 = 10;
 
@@ -72,8 +84,28 @@
     if !has_input(&state, &stream, head_timeout).await {
         return;
     }
+    if let Some(rest) = serve_pipelined(&state, stream, head_timeout).await {
+        serve_in_turn(&state, rest, head_timeout).await;
+    }
+}
+
+/// Serves the rest of a connection one request after the other, in every form that HTTP allows.
+async fn serve_in_turn<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    rest: HandedOver,
+    head_timeout: Duration,
+) {
+    let input = Cursor::new(rest.input.freeze());
+    let stream = tokio::io::join(input.chain(rest.reader), rest.writer);
     let last = LastCall::new();
-    let service = service_fn(|request| handle_request(&state, &last, request));
+    let service = service_fn(|request| {
+        let open = open_request(state, request);
+        last.replace(&open.call);
+        async move {
+            let response = answer_request(state, open).await;
+            Ok::<_, Infallible>(with_framing(state, response))
+        }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
@@ -87,7 +119,7 @@
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 ended = connection.as_mut() => ended,
-                () = no_request_until_end(&state, &last) => Ok(()),
+                () = no_request_until_end(state, &last) => Ok(()),
             }
         }
     };
@@ -97,6 +129,18 @@
     }
 }
 
+/// Closes the connection behind the answer if the node stops.
+fn with_framing<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    mut response: BufferedResponse,
+) -> Response<Full<Bytes>> {
+    if state.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response.map(Full::new)
+}
+
 /// Returns whether something arrives on a new connection before the time is up or the node stops.
 ///
 /// Hyper, too, closes a connection by itself that is still untouched when a shutdown begins. Here
--- a/crates/proxy/src/ingress/outcome.rs
+++ b/crates/proxy/src/ingress/outcome.rs
@@ -9,7 +9,6 @@
 use fleet::RouteTable;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use tracing::info;
 
 use crate::forward::ForwardOutcome;
@@ -27,7 +26,7 @@
     let may_have_run = outcome.history.may_have_run;
     match outcome.last_attempt {
         AttemptOutcome::Answered { head, body } => {
-            let mut response = Response::new(Full::new(body));
+            let mut response = Response::new(body);
             let status = StatusCode::from_u16(head.status);
             *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
             *response.headers_mut() = headers::to_header_map(&head.headers);
--- a/crates/proxy/src/ingress/refusal.rs
+++ b/crates/proxy/src/ingress/refusal.rs
@@ -8,7 +8,6 @@
 use fleet::ProtocolAdapter;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use model::ids::TeamName;
 use tracing::info;
 
@@ -24,7 +23,7 @@
 const STOPPING_RETRY_AFTER_MS: u64 = 500;
 
 /// A response with its body in memory.
-pub(super) type BufferedResponse = Response<Full<Bytes>>;
+pub(super) type BufferedResponse = Response<Bytes>;
 
 /// A refusal by this node, with the inputs of the decision for the log.
 pub(super) struct Refusal {
@@ -99,7 +98,7 @@
             );
         }
         let body = state.adapter.error_body(self.reason);
-        let mut response = Response::new(Full::new(Bytes::from(body)));
+        let mut response = Response::new(Bytes::from(body));
         *response.status_mut() = self.status;
         let adapter = &state.adapter;
         adapter.set_local_response_headers(response.headers_mut(), attempt, self.retry_after);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! guarantees.
 
 mod announce;
+mod answer_queue;
 mod body;
 mod bounded_stream;
 mod connection_pool;
@@ -29,6 +30,9 @@
 mod token_wait_queue;
 mod work;
 
+pub use crate::answer_queue::AnswerQueue;
+pub use crate::answer_queue::ReadyAnswer;
+pub use crate::answer_queue::RequestTicket;
 pub use crate::leased_config::LeasedConfig;
 pub use crate::memory_budget::BodyBuffer;
 pub use crate::memory_budget::BodyTooLarge;
