Show that an answer that breaks off anywhere never looks whole

Reported by operators of similar systems: a server that stopped in the middle of an answer's head and closed, and clients that got a 200 with an empty or short body. Tried at every byte of an answer of known length and of one in chunks, on new and on kept connections, for requests that may be repeated and others: it does not happen here, and no caller is told that such a request has not run. The test passed on the code as it was.

--- a/crates/daemon/tests/servers/main.rs
+++ b/crates/daemon/tests/servers/main.rs
@@ -4,6 +4,7 @@
 mod addresses;
 mod ahead;
 mod cluster;
+mod cut_answers;
 mod endless;
 mod http;
 mod odd_entries;
