Send nodes how their list changed instead of the whole list

Each change of one node (start, announcement, stop, end) sent the whole list to all nodes: with 94 nodes some 0.6 MB a change, and a start of all nodes changes it some 200 times. The registry now knows in which version a record changed and which nodes left (the last 1,024), and a session sends the difference since what the node has; the whole list only to a node without one, from another leader, when the list becomes complete, or when too much was missed. Changes are idempotent: a node applies those that begin at or before its version and ignores the rest; its next report names what it has.

The registry also looks up a node by address instead of walking all nodes for each report, and asks for completeness without building the set of addresses.

Test: registry::changes_bring_every_earlier_copy_of_the_list_up_to_date (arbtest, copies of any age), seen failing with removals left out. All tests of group and daemon pass. Nodes and control instances of the version before do not read the new message.

--- a/crates/fleet/src/control_message.rs
+++ b/crates/fleet/src/control_message.rs
@@ -7,6 +7,7 @@
 use model::entry::WorkReport;
 use model::ids::ConfigVersion;
 use model::ids::InstanceId;
+use model::ids::NodeId;
 use model::ids::TeamName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -105,6 +106,17 @@
     Tokens(Vec<TeamTokens>),
     /// Fractions of the arriving requests that the node may admit.
     EntryShares(Vec<EntryShare>),
+    /// How the node list differs from one that the node has.
+    NodeChanges {
+        /// Version of the list that the changes begin with.
+        base_version: u64,
+        /// Version of the list after the changes.
+        list_version: u64,
+        /// Records that are new or have changed.
+        changed: Vec<NodeRecord>,
+        /// Nodes that have left.
+        removed: Vec<NodeId>,
+    },
 }
 
 /// Message between a node and a control instance, or between two control instances.
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub use crate::identity::instance_id;
 pub use crate::identity::instance_ip;
+pub use crate::registry::NodeChanges;
 pub use crate::registry::NodeRegistry;
 pub use crate::registry::ReportEffect;
 pub use crate::repair::MemberView;
--- a/crates/group/src/registry.rs
+++ b/crates/group/src/registry.rs
@@ -1,6 +1,8 @@
 //! Registry of the nodes that report to the leader.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,6 +15,9 @@
 /// A longer lease takes precedence, since the node may hold shares of rate limits until it expires.
 const REPORT_EXPIRY_MS: u64 = 5_000;
 
+/// Most removed nodes that are remembered; a node that missed more gets a whole list.
+const MAX_REMOVED_NODES: usize = 1_024;
+
 /// Effect of a report on the registry.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ReportEffect {
@@ -22,11 +27,29 @@
     pub replaced: Option<NodeId>,
 }
 
+/// How the node list differs from an earlier version.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct NodeChanges {
+    /// Records that are new or differ in more than load, ordered by node identifier.
+    pub changed: Vec<NodeRecord>,
+    /// Nodes that have left.
+    pub removed: Vec<NodeId>,
+}
+
 /// A node with its last report.
 #[derive(Clone, Debug)]
 struct RegistryEntry {
     record: NodeRecord,
     reported_at: Instant,
+    /// List version in which the record last changed.
+    changed_in: u64,
+}
+
+/// A node that left, and the list version in which it did.
+#[derive(Clone, Copy, Debug)]
+struct RemovedNode {
+    node: NodeId,
+    removed_in: u64,
 }
 
 /// The last report of each node.
@@ -38,7 +61,11 @@
     /// Time for which a partitioned node keeps using what an earlier leader assigned to it.
     lease: Duration,
     list_version: u64,
+    /// Oldest version since which all changes are known.
+    oldest_version: u64,
     nodes: HashMap<NodeId, RegistryEntry>,
+    by_address: HashMap<SocketAddr, NodeId>,
+    removed: VecDeque<RemovedNode>,
 }
 
 impl NodeRegistry {
@@ -47,33 +74,45 @@
     /// What an earlier leader assigned to a node stays valid for `lease` without a renewal.
     #[must_use]
     pub fn new(term: u64, lease: Duration, now: Instant) -> Self {
+        let list_version = (term << 24) + 1;
         Self {
             leader_since: now,
             lease,
-            list_version: (term << 24) + 1,
+            list_version,
+            oldest_version: list_version,
             nodes: HashMap::new(),
+            by_address: HashMap::new(),
+            removed: VecDeque::new(),
         }
     }
 
     /// Records a node's report.
     pub fn report(&mut self, record: NodeRecord, now: Instant) -> ReportEffect {
-        let previous = self
-            .nodes
-            .iter()
-            .find(|(node, entry)| **node != record.node && entry.record.address == record.address)
-            .map(|(node, _)| *node);
-        if let Some(previous) = previous {
-            self.nodes.remove(&previous);
-        }
-        let known = self.nodes.get(&record.node);
+        let node = record.node;
+        let at_address = self.by_address.insert(record.address, node);
+        let previous = at_address.filter(|previous| *previous != node);
+        let known = self.nodes.get(&node);
         let changed = previous.is_some()
             || known.is_none_or(|known| differs_beyond_load(&known.record, &record));
+        self.list_version += u64::from(changed);
+        let changed_in = match known {
+            Some(known) if !changed => known.changed_in,
+            _ => self.list_version,
+        };
+        if let Some(known) = known
+            && known.record.address != record.address
+        {
+            self.by_address.remove(&known.record.address);
+        }
         let entry = RegistryEntry {
             record,
             reported_at: now,
+            changed_in,
         };
-        self.nodes.insert(entry.record.node, entry);
-        self.list_version += u64::from(changed);
+        self.nodes.insert(node, entry);
+        if let Some(previous) = previous {
+            self.remove(previous);
+        }
         ReportEffect {
             changed,
             replaced: previous,
@@ -83,12 +122,57 @@
     /// Removes the nodes that have not reported for too long; returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
         let expiry = Duration::from_millis(REPORT_EXPIRY_MS).max(self.lease);
-        let count = self.nodes.len();
-        self.nodes
-            .retain(|_, entry| now.saturating_duration_since(entry.reported_at) < expiry);
-        let changed = self.nodes.len() < count;
-        self.list_version += u64::from(changed);
-        changed
+        let is_expired =
+            |entry: &RegistryEntry| now.saturating_duration_since(entry.reported_at) >= expiry;
+        let nodes = self.nodes.iter();
+        let expired: Vec<NodeId> = nodes
+            .filter(|(_, entry)| is_expired(entry))
+            .map(|(node, _)| *node)
+            .collect();
+        self.list_version += u64::from(!expired.is_empty());
+        for node in &expired {
+            self.remove(*node);
+        }
+        !expired.is_empty()
+    }
+
+    /// Removes a node in the current version of the list.
+    fn remove(&mut self, node: NodeId) {
+        let Some(entry) = self.nodes.remove(&node) else {
+            return;
+        };
+        let address = entry.record.address;
+        if self.by_address.get(&address) == Some(&node) {
+            self.by_address.remove(&address);
+        }
+        self.removed.push_back(RemovedNode {
+            node,
+            removed_in: self.list_version,
+        });
+        if self.removed.len() > MAX_REMOVED_NODES
+            && let Some(forgotten) = self.removed.pop_front()
+        {
+            self.oldest_version = forgotten.removed_in;
+        }
+    }
+
+    /// Returns what has changed since a version of the list; `None` if only the whole list tells,
+    /// as for the versions of an earlier leader.
+    #[must_use]
+    pub fn changes_since(&self, version: u64) -> Option<NodeChanges> {
+        if !(self.oldest_version..=self.list_version).contains(&version) {
+            return None;
+        }
+        let entries = self.nodes.values();
+        let changed = entries.filter(|entry| entry.changed_in > version);
+        let mut changed: Vec<NodeRecord> = changed.map(|entry| entry.record.clone()).collect();
+        changed.sort_by_key(|record| record.node);
+        let later = self.removed.iter().rev();
+        let removed = later.take_while(|removed| removed.removed_in > version);
+        Some(NodeChanges {
+            changed,
+            removed: removed.map(|removed| removed.node).collect(),
+        })
     }
 
     /// Returns the version of the node list, which increases with each change.
@@ -104,8 +188,8 @@
         if now.saturating_duration_since(self.leader_since) >= self.lease {
             return true;
         }
-        let reported = self.reported_addresses();
-        replicated.iter().all(|address| reported.contains(address))
+        let mut replicated = replicated.iter();
+        replicated.all(|address| self.by_address.contains_key(address))
     }
 
     /// Returns whether `replicated` contains a node, so that the next leader will wait for its
@@ -133,8 +217,7 @@
     }
 
     fn reported_addresses(&self) -> NodeAddresses {
-        let entries = self.nodes.values();
-        entries.map(|entry| entry.record.address).collect()
+        self.by_address.keys().copied().collect()
     }
 
     /// Returns the records of all nodes, ordered by node identifier.
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -21,6 +21,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::info;
 
+use crate::registry::NodeRegistry;
 use crate::state::GroupState;
 
 /// Accepts and serves connections until the links stop, and writes out what is queued on them.
@@ -271,19 +272,10 @@
         let node_addresses = self.state.node_addresses();
         let list = self.state.with_leader_state(|leader| {
             let complete = leader.registry.is_complete(&node_addresses, now);
-            // The version increases once more when the list becomes complete, so that all nodes
-            // learn which nodes have left.
-            let list_version = leader.registry.list_version() * 2 + u64::from(complete);
-            (list_version > sent || list_version >> 25 != sent >> 25).then(|| ControlReply::Nodes {
-                list_version,
-                records: leader.registry.records(),
-                complete,
-            })
+            node_list_reply(&leader.registry, complete, sent)
         });
-        if let Some(Some(list)) = list {
-            if let ControlReply::Nodes { list_version, .. } = &list {
-                self.sent_node_list_version = *list_version;
-            }
+        if let Some(Some((list_version, list))) = list {
+            self.sent_node_list_version = list_version;
             self.reply(list);
         }
     }
@@ -292,3 +284,35 @@
         self.sender.send(&ControlMessage::Reply(Box::new(reply)));
     }
 }
+
+/// Returns the node list, or how it differs from version `sent`, and its version; `None` if nothing
+/// has changed.
+fn node_list_reply(
+    registry: &NodeRegistry,
+    complete: bool,
+    sent: u64,
+) -> Option<(u64, ControlReply)> {
+    // The version increases once more when the list becomes complete, so that all nodes learn which
+    // nodes have left.
+    let list_version = registry.list_version() * 2 + u64::from(complete);
+    let is_of_this_leader = list_version >> 25 == sent >> 25;
+    if is_of_this_leader && list_version <= sent {
+        return None;
+    }
+    let was_complete = sent % 2 == 1;
+    let changes = registry.changes_since(sent / 2);
+    let reply = match changes.filter(|_| complete == was_complete) {
+        Some(changes) => ControlReply::NodeChanges {
+            base_version: sent,
+            list_version,
+            changed: changes.changed,
+            removed: changes.removed,
+        },
+        None => ControlReply::Nodes {
+            list_version,
+            records: registry.records(),
+            complete,
+        },
+    };
+    Some((list_version, reply))
+}
--- a/crates/group/tests/registry.rs
+++ b/crates/group/tests/registry.rs
@@ -1,14 +1,18 @@
 //! The leader's registry of nodes, and the replicated set of nodes that it waits for.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use arbtest::arbtest;
 use fleet::NodeAddresses;
 use fleet::NodeRecord;
+use group::NodeChanges;
 use group::NodeRegistry;
 use model::context::ServerLoad;
+use model::ids::NodeId;
 
 /// Time for which a partitioned node keeps using its shares of rate limits.
 const LEASE: Duration = Duration::from_secs(5);
@@ -124,3 +128,100 @@
         None
     );
 }
+
+/// A node's copy of the list, kept up to date by changes.
+#[derive(Clone, Debug, Default)]
+struct ListCopy {
+    version: u64,
+    records: BTreeMap<NodeId, NodeRecord>,
+}
+
+impl ListCopy {
+    fn update(&mut self, registry: &NodeRegistry) {
+        if let Some(NodeChanges { changed, removed }) = registry.changes_since(self.version) {
+            self.records.retain(|node, _| !removed.contains(node));
+            for record in changed {
+                self.records.insert(record.node, record);
+            }
+        } else {
+            let records = registry.records().into_iter();
+            self.records = records.map(|record| (record.node, record)).collect();
+        }
+        self.version = registry.list_version();
+    }
+
+    /// Fails if the copy differs from the list in more than load.
+    fn check(&self, registry: &NodeRegistry) {
+        let strip = |mut record: NodeRecord| {
+            record.load = ServerLoad::default();
+            record
+        };
+        let listed: Vec<NodeRecord> = registry.records().into_iter().map(strip).collect();
+        let copied: Vec<NodeRecord> = self.records.values().cloned().map(strip).collect();
+        assert_eq!(copied, listed);
+    }
+}
+
+#[test]
+fn changes_bring_every_earlier_copy_of_the_list_up_to_date() {
+    arbtest(|choices| {
+        let start = Instant::now();
+        let mut now = start;
+        let mut registry = NodeRegistry::new(3, LEASE, now);
+        let mut copies = vec![ListCopy::default(); 3];
+        while !choices.is_empty() {
+            match choices.int_in_range(0..=5)? {
+                0..=2 => {
+                    // Several nodes may have had one address, one after the other.
+                    let port = choices.int_in_range(1..=5)?;
+                    let run = choices.int_in_range(0..=2)?;
+                    let mut record = record(u64::from(port) * 10 + run, port);
+                    record.slots = choices.int_in_range(1..=2)?;
+                    record.load.in_flight = choices.int_in_range(0..=9)?;
+                    registry.report(record, now);
+                }
+                3 => {
+                    now += Duration::from_millis(choices.int_in_range(0..=4_000)?);
+                    registry.expire(now);
+                }
+                _ => {
+                    let position = choices.choose_index(copies.len())?;
+                    copies[position].update(&registry);
+                    copies[position].check(&registry);
+                }
+            }
+        }
+        Ok(())
+    })
+    .budget_ms(1_000);
+}
+
+#[test]
+fn versions_of_another_leader_have_no_changes() {
+    let now = Instant::now();
+    let mut earlier = NodeRegistry::new(4, LEASE, now);
+    let mut later = NodeRegistry::new(5, LEASE, now);
+    earlier.report(record(1, 1), now);
+    later.report(record(1, 1), now);
+    assert_eq!(later.changes_since(earlier.list_version()), None);
+    assert_eq!(earlier.changes_since(later.list_version()), None);
+    assert_eq!(earlier.changes_since(0), None);
+    let unchanged = later.changes_since(later.list_version());
+    assert_eq!(unchanged, Some(NodeChanges::default()));
+}
+
+#[test]
+fn a_copy_that_missed_more_removals_than_are_remembered_gets_the_whole_list() {
+    let now = Instant::now();
+    let mut registry = NodeRegistry::new(6, LEASE, now);
+    let mut copy = ListCopy::default();
+    registry.report(record(0, 1), now);
+    copy.update(&registry);
+    // Each run of the node replaces the one before.
+    for run in 1..=5_000 {
+        registry.report(record(run, 1), now);
+    }
+    assert_eq!(registry.changes_since(copy.version), None);
+    copy.update(&registry);
+    copy.check(&registry);
+}
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -9,9 +9,11 @@
 use clock::Clock;
 use fleet::ControlMessage;
 use fleet::ControlReply;
+use fleet::NodeRecord;
 use fleet::NodeReport;
 use fleet::ProtocolAdapter;
 use link::LinkSender;
+use model::ids::NodeId;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -228,6 +230,12 @@
                 drop(nodes);
                 info!(event = "members-listed", number, nodes = count, settled);
             }
+            ControlReply::NodeChanges {
+                base_version: base,
+                list_version: number,
+                changed,
+                removed,
+            } => self.apply_node_changes(base, number, changed, &removed),
             ControlReply::RateShares(shares) => {
                 tracing::debug!(event = "shares-given", shares = ?shares);
                 self.state.quota().apply_shares(&shares, now);
@@ -246,6 +254,32 @@
         true
     }
 
+    fn apply_node_changes(
+        &self,
+        base: u64,
+        number: u64,
+        changed: Vec<NodeRecord>,
+        removed: &[NodeId],
+    ) {
+        let now = self.state.now();
+        let own = self.state.node_record();
+        let (count_changed, count_removed) = (changed.len(), removed.len());
+        let mut nodes = self.state.nodes();
+        let applied = nodes.apply_changes(base, number, changed, removed, now);
+        nodes.upsert(own, now);
+        let count = nodes.node_count();
+        drop(nodes);
+        info!(
+            event = "members-changed",
+            number,
+            base,
+            applied,
+            changed = count_changed,
+            removed = count_removed,
+            nodes = count
+        );
+    }
+
     fn renew(&mut self, number: u64, version: u64, address: SocketAddr) {
         let position = self
             .pending_reports
--- a/crates/proxy/src/node_table.rs
+++ b/crates/proxy/src/node_table.rs
@@ -63,6 +63,39 @@
         for record in records {
             self.upsert(record, now);
         }
+        self.retain_members();
+    }
+
+    /// Applies how the node list differs from version `base`; returns whether it has been applied
+    /// or is known already.
+    ///
+    /// Changes that begin with a later version than the known one are of no use: the next report
+    /// names that one, and control begins from there.
+    pub(crate) fn apply_changes(
+        &mut self,
+        base: u64,
+        version: u64,
+        changed: Vec<NodeRecord>,
+        removed: &[NodeId],
+        now: Instant,
+    ) -> bool {
+        if version <= self.list_version {
+            return true;
+        }
+        if base > self.list_version {
+            return false;
+        }
+        self.list_version = version;
+        self.records.retain(|node, _| !removed.contains(node));
+        for record in changed {
+            self.upsert(record, now);
+        }
+        self.retain_members();
+        true
+    }
+
+    /// Takes nodes that are not known any more, or run another service, out of the load balancers.
+    fn retain_members(&mut self) {
         for (service, picker) in &mut self.pickers {
             let known = &self.records;
             picker.members_mut().retain(|member| {
