Leave teams without demand or share out of reports and grants

Every report named all teams and every reply granted all of them: with 90 teams some 2 KB an exchange, of which a node with 4 requests a second uses few, and the leader walked all nodes for each team of each report. Now a node reports the teams of which it has demand or a share, and the leader takes any other as none; a node without demand and share of a team is forgotten there. A grant that is on its way stays reserved while the node reports none: both new tests fail if a team that is left out frees its share at once.

--- a/crates/fleet/src/control_message.rs
+++ b/crates/fleet/src/control_message.rs
@@ -56,7 +56,7 @@
     pub applied_version: ConfigVersion,
     /// Version of the node list that the node has; 0 for none.
     pub node_list_version: u64,
-    /// Demand of each team at the node.
+    /// Demand of the teams at the node; any other team has no demand there and no share.
     pub teams: Vec<TeamDemand>,
     /// Requests that arrived and calls that were executed since the last report.
     pub work: WorkReport,
@@ -99,7 +99,8 @@
         /// Whether the leader has led long enough to know every node.
         complete: bool,
     },
-    /// Shares of the teams' rate limits; sent once the leader knows all nodes.
+    /// Shares of the teams' rate limits; sent once the leader knows all nodes. Of a team that is
+    /// missing, the node has none and gets none.
     RateShares(Vec<TeamShare>),
     /// Tokens lent in reply to [`ControlMessage::BorrowTokens`]; fewer than requested when a team
     /// is at its limit.
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -14,6 +14,7 @@
 use model::entry::ServerCapacity;
 use model::ids::ConfigVersion;
 use model::ids::NodeId;
+use model::ids::TeamName;
 use quorum::MemberRole;
 use replica::ReplicatedState;
 use tokio::net::TcpListener;
@@ -186,6 +187,8 @@
                     now,
                 );
             }
+            let reported: Vec<&TeamName> = report.teams.iter().map(|demand| &demand.team).collect();
+            leader.rate_allocator.report_rest(node, &reported, now);
             let record = &report.record;
             let place = ServerCapacity {
                 service: record.service.clone(),
--- a/crates/limit/src/rate_allocator.rs
+++ b/crates/limit/src/rate_allocator.rs
@@ -20,6 +20,8 @@
 const SHARES_FRACTION: f64 = 0.65;
 /// Smallest bucket capacity of a node, in tokens, at which a share of its own is useful.
 const NODE_CAPACITY_MIN: f64 = 1.5;
+/// Demand below which a node without a share is forgotten, in requests per second.
+const DEMAND_MIN_PER_S: f64 = 0.01;
 /// Fraction of the configured burst that the leader's pool may hold.
 const POOL_DEPTH_FRACTION: f64 = 0.8;
 
@@ -127,6 +129,22 @@
         share.reported_at = now;
     }
 
+    /// Records that a node reported on no other teams than `reported`: it has neither demand nor a
+    /// share of any other.
+    pub fn report_rest(&mut self, node: NodeId, reported: &[&TeamName], now: Instant) {
+        let known = self.teams.iter();
+        let silent: Vec<TeamName> = known
+            .filter(|(team, shares)| shares.nodes.contains_key(&node) && !reported.contains(team))
+            .map(|(team, _)| team.clone())
+            .collect();
+        for team in silent {
+            self.report(node, &team, 0, 0, now);
+            if let Some(shares) = self.teams.get_mut(&team) {
+                shares.forget_if_idle(node);
+            }
+        }
+    }
+
     /// Removes a node that has stopped, which frees its shares.
     pub fn remove_node(&mut self, node: NodeId, now: Instant) {
         for shares in self.teams.values_mut() {
@@ -135,18 +153,25 @@
         }
     }
 
-    /// Returns the shares that a node should apply from now on.
+    /// Returns the shares that a node should apply from now on; of any other team it has and gets
+    /// none.
     ///
     /// `may_raise` is false for a leader that does not know all nodes yet.
     pub fn grant(&mut self, node: NodeId, may_raise: bool, now: Instant) -> Vec<(TeamName, u64)> {
         let lease_length = self.lease_length;
         let mut granted = Vec::new();
         for (team, shares) in &mut self.teams {
+            if !shares.nodes.contains_key(&node) {
+                continue;
+            }
             shares.refill(now);
             shares
                 .nodes
                 .retain(|_, share| now.saturating_duration_since(share.reported_at) < lease_length);
-            if let Some(share_milli) = shares.grant(node, may_raise) {
+            let had_share = shares.has_share(node);
+            if let Some(share_milli) = shares.grant(node, may_raise)
+                && (share_milli > 0 || had_share)
+            {
                 granted.push((team.clone(), share_milli));
             }
         }
@@ -190,6 +215,25 @@
         Some(granted)
     }
 
+    /// Returns whether a node may apply a share.
+    fn has_share(&self, node: NodeId) -> bool {
+        let share = self.nodes.get(&node);
+        share.is_some_and(|share| share.reserved_milli > 0)
+    }
+
+    /// Forgets a node that has no share and hardly any demand.
+    fn forget_if_idle(&mut self, node: NodeId) {
+        let share = self.nodes.get(&node);
+        let is_idle = share.is_some_and(|share| {
+            share.reserved_milli == 0
+                && share.granted_milli == 0
+                && share.demand_per_s < DEMAND_MIN_PER_S
+        });
+        if is_idle {
+            self.nodes.remove(&node);
+        }
+    }
+
     /// Returns the share that a node should have if no other share were reserved.
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/limit/tests/rate_allocator.rs
+++ b/crates/limit/tests/rate_allocator.rs
@@ -328,3 +328,111 @@
     assert!(f64::from(retries) <= ratio * f64::from(requests) + slack);
     assert!(retries > 500);
 }
+
+/// A node that reports only the teams of which it has demand or a share.
+#[derive(Clone, Debug, Default)]
+struct SparseNode {
+    share_milli: u64,
+    /// Grants on their way, the oldest first.
+    in_flight: Vec<u64>,
+}
+
+impl SparseNode {
+    fn report(
+        &self,
+        allocator: &mut RateAllocator,
+        node: u64,
+        team: &TeamName,
+        demand: u32,
+        now: Instant,
+    ) {
+        let is_named = demand > 0 || self.share_milli > 0;
+        if is_named {
+            allocator.report(node, team, demand, self.share_milli, now);
+        }
+        let reported: &[&TeamName] = if is_named { &[team] } else { &[] };
+        allocator.report_rest(node, reported, now);
+    }
+
+    /// The largest share that the node applies now or once any of its grants arrives.
+    fn reserved_milli(&self) -> u64 {
+        let in_flight = self.in_flight.iter().copied();
+        in_flight.fold(self.share_milli, u64::max)
+    }
+}
+
+#[test]
+fn shares_never_exceed_the_rate_when_nodes_leave_out_what_they_do_not_have() {
+    arbtest::arbtest(|source| {
+        let start = Instant::now();
+        let (mut allocator, team) = allocator(start);
+        let mut nodes = vec![SparseNode::default(); source.int_in_range(1..=8)?];
+        let mut now = start;
+        while !source.is_empty() {
+            let position = source.choose_index(nodes.len())?;
+            let node = position as u64;
+            if source.ratio(1, 3)? {
+                // A grant arrives; none overtakes another on a link.
+                if !nodes[position].in_flight.is_empty() {
+                    nodes[position].share_milli = nodes[position].in_flight.remove(0);
+                }
+                continue;
+            }
+            now += Duration::from_millis(source.int_in_range(0..=100)?);
+            let demand = if source.ratio(1, 2)? {
+                0
+            } else {
+                source.int_in_range(0..=900)?
+            };
+            nodes[position].report(&mut allocator, node, &team, demand, now);
+            // A node that applies nothing late reports what it was granted last.
+            if nodes[position].in_flight.is_empty() {
+                let grants = allocator.grant(node, true, now);
+                nodes[position]
+                    .in_flight
+                    .extend(grants.iter().map(|(_, granted)| *granted));
+            }
+            let sum: u64 = nodes.iter().map(SparseNode::reserved_milli).sum();
+            assert!(sum <= limit_with_overage_milli(), "{sum}: {nodes:?}");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_grant_that_is_on_its_way_stays_reserved_while_the_node_reports_none() {
+    let start = Instant::now();
+    let (mut allocator, team) = allocator(start);
+    let (holder, other) = (1, 2);
+    allocator.report(holder, &team, 900, 0, start);
+    let granted: u64 = allocator
+        .grant(holder, true, start)
+        .iter()
+        .map(|(_, share)| share)
+        .sum();
+    assert!(granted > 0);
+    allocator.report_rest(holder, &[], start);
+    allocator.report(other, &team, 900, 0, start);
+    let second: u64 = allocator
+        .grant(other, true, start)
+        .iter()
+        .map(|(_, share)| share)
+        .sum();
+    assert!(
+        granted + second <= limit_with_overage_milli(),
+        "{granted} and {second}"
+    );
+}
+
+#[test]
+fn a_team_without_demand_at_a_node_costs_nothing_there_after_a_while() {
+    let start = Instant::now();
+    let (mut allocator, team) = allocator(start);
+    allocator.report(1, &team, 2, 0, start);
+    let mut now = start;
+    for _ in 0..60 {
+        now += PERIOD;
+        allocator.report_rest(1, &[], now);
+    }
+    assert_eq!(allocator.grant(1, true, now), []);
+}
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -92,7 +92,8 @@
         }
     }
 
-    /// Returns the demand of the teams since the last report.
+    /// Returns the demand of the teams since the last report; any other team has no demand here and
+    /// no share.
     pub(crate) fn sample_demand(&mut self, now: Instant) -> Vec<TeamDemand> {
         let teams = self.teams.iter_mut();
         teams
@@ -101,6 +102,7 @@
                 demand_per_s: quota.bucket.sample_demand_per_s(now),
                 share_milli: quota.bucket.share_milli(),
             })
+            .filter(|team| team.demand_per_s > 0 || team.share_milli > 0)
             .collect()
     }
 }
