Compare members of the own data centre first, however many there are elsewhere

Of many members the picker compared four in a row from a random start. With 42 servers in five data centres no near one was among them for four calls of ten, whatever room it had, so that most calls of a large deployment crossed data centres: paid for, and later. Now up to three near members are among five that are compared; the loads and penalties are the same, so calls still leave before the near ones are full. Services of up to four members were compared whole, and still are.

Test: calls_stay_in_the_data_centre_while_it_has_room_however_many_members_are_ elsewhere failed before (call 4 of 1,000 went elsewhere, with idle near members).

--- a/crates/route/src/least_loaded.rs
+++ b/crates/route/src/least_loaded.rs
@@ -5,9 +5,11 @@
 
 use model::context::ServerLoad;
 use model::ids::NodeId;
+use smallvec::SmallVec;
 
-/// Most members that are compared for one call.
-const CANDIDATES_MAX: usize = 4;
+/// Most members that are compared for one call, and most of them in this node's data centre.
+const CANDIDATES_MAX: usize = 5;
+const NEAR_CANDIDATES_MAX: usize = 3;
 /// Load added to members in other data centres, as a fraction of their slots.
 const DATA_CENTRE_PENALTY: f64 = 0.45;
 /// Load added to members on other instances, as a fraction of their slots.
@@ -123,7 +125,8 @@
 /// It is made for backend servers of unequal speed that are nearly full. The
 /// member with the smallest fraction of its slots in use gets the call, so fast
 /// ones get more calls. Of many members only a few random ones are compared, so
-/// that nodes with the same reports do not all pick the same one.
+/// that nodes with the same reports do not all pick the same one. Among them are
+/// always some of this node's data centre, however many there are elsewhere.
 #[derive(Clone, Debug, Default)]
 pub struct LeastLoadedPicker {
     members: Vec<PickerMember>,
@@ -214,18 +217,26 @@
         now: Instant,
         is_eligible: impl Fn(&PickerMember) -> bool,
     ) -> Option<usize> {
+        let is_candidate = |&position: &usize| {
+            let member = &self.members[position];
+            is_eligible(member) && !exclude.contains(&member.node)
+        };
+        let near = self.random_order(seed).filter(is_candidate);
+        let near = near.filter(|&position| self.members[position].same_data_centre);
+        let near: SmallVec<[usize; NEAR_CANDIDATES_MAX]> = near.take(NEAR_CANDIDATES_MAX).collect();
+        let far = self.random_order(seed).filter(is_candidate);
+        let far = far.filter(|&position| !self.members[position].same_data_centre);
+        let far = far.take(CANDIDATES_MAX - near.len());
+        near.iter().copied().chain(far).min_by(|&a, &b| {
+            let (a, b) = (&self.members[a], &self.members[b]);
+            a.load(now).total_cmp(&b.load(now))
+        })
+    }
+
+    /// Returns the positions of all members, from one that the random number `seed` chooses.
+    fn random_order(&self, seed: u64) -> impl Iterator<Item = usize> + '_ {
         let count = self.members.len();
         let start = usize::try_from(seed % count.max(1) as u64).unwrap_or(0);
-        let order = (0..count).map(|step| (start + step) % count);
-        order
-            .filter(|&position| {
-                let member = &self.members[position];
-                is_eligible(member) && !exclude.contains(&member.node)
-            })
-            .take(CANDIDATES_MAX)
-            .min_by(|&a, &b| {
-                let (a, b) = (&self.members[a], &self.members[b]);
-                a.load(now).total_cmp(&b.load(now))
-            })
+        (0..count).map(move |step| (start + step) % count)
     }
 }
