--- a/crates/route/tests/least_loaded.rs
+++ b/crates/route/tests/least_loaded.rs
@@ -118,13 +118,13 @@
 fn five_data_centres(now: Instant, in_each: u64) -> LeastLoadedPicker {
     let mut picker = picker(now, 5 * in_each);
     for (position, member) in picker.members_mut().iter_mut().enumerate() {
-        member.same_data_centre = position % 5 == 0;
+        member.same_data_centre = position.is_multiple_of(5);
     }
     picker
 }
 
 fn is_near(node: u64) -> bool {
-    (node - 1) % 5 == 0
+    (node - 1).is_multiple_of(5)
 }
 
 /// Traffic between data centres is paid for, and takes longer.
@@ -148,8 +148,8 @@
 fn calls_leave_a_data_centre_before_it_is_full() {
     let now = Instant::now();
     let mut picker = five_data_centres(now, 8);
-    let picked = (0..200_u64).map(|seed| picker.pick(&[], seed.wrapping_mul(7_919), now));
-    let near = picked.filter(|node| is_near(node.unwrap())).count();
+    let nodes = (0..200_u64).map(|seed| picker.pick(&[], seed.wrapping_mul(7_919), now));
+    let near = nodes.filter(|node| is_near(node.unwrap())).count();
     // The near members have 80 of 400 slots: more than their share of 200 calls, and no more than
     // fit.
     assert!((41..=80).contains(&near), "{near}");
