Show that paused processes act on nothing that ran out meanwhile

Reported by operators of similar systems: a process that had been paused for some seconds acted on a permission that had run out. A node that stood still for its whole lease, with requests of a withdrawn key waiting on a kept and on a new connection, runs none of them; a control instance that stood still, the leader among them, shows no configuration that was replaced meanwhile.

--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -162,8 +162,12 @@
 
     /// Sends a signal to a node that runs.
     pub(crate) fn signal_node(&self, number: u8, signal: Signal) {
-        let node = self.nodes[usize::from(number)].as_ref().unwrap();
-        rustix::process::kill_process(Pid::from_child(node), signal).unwrap();
+        send_signal(&self.nodes, number, signal);
+    }
+
+    /// Sends a signal to a control instance that runs.
+    pub(crate) fn signal_control(&self, number: u8, signal: Signal) {
+        send_signal(&self.control, number, signal);
     }
 
     /// Waits until a node ends by itself.
@@ -298,6 +302,11 @@
 /// Guarantees in the settings of all processes of a deployment, without the grace period.
 const BOUNDS: &str = "[bounds]\ntolerated-losses = 2\nlease-ms = 5000\ndrain-ms = 2000\ncontact-ms = 3000\nattempt-window-s = 10\nattempt-ratio = 0.2\nattempt-slack = 49\nquota-window-s = 5\nquota-overage = 0.1\nquota-slack = 20\n";
 
+fn send_signal(children: &[Option<Child>], number: u8, signal: Signal) {
+    let child = children[usize::from(number)].as_ref().unwrap();
+    rustix::process::kill_process(Pid::from_child(child), signal).unwrap();
+}
+
 fn kill(child: &mut Option<Child>) {
     if let Some(mut child) = child.take() {
         let _ = child.kill();
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod journeys;
 mod kept_connection;
+mod paused;
 mod peer;
 mod review;
 mod server;
