Leave the wait for a new connection's first bytes to its reading

The connection is read here now and has no other state until a request comes, so the separate wait before it does the same twice. Behaviour is unchanged: tests of fleet and servers pass.

--- a/crates/proxy/src/ingress/connection.rs
+++ b/crates/proxy/src/ingress/connection.rs
@@ -20,7 +20,6 @@
 use hyper_util::rt::TokioTimer;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 use crate::ingress::answer_request;
 use crate::ingress::open_request;
@@ -81,9 +80,6 @@
     let head_timeout = limits.map_or(Duration::from_secs(DEFAULT_HEAD_TIMEOUT_S), |limits| {
         limits.head_timeout.max(limits.idle_timeout)
     });
-    if !has_input(&state, &stream, head_timeout).await {
-        return;
-    }
     if let Some(rest) = serve_pipelined(&state, stream, head_timeout).await {
         serve_in_turn(&state, rest, head_timeout).await;
     }
@@ -141,21 +137,6 @@
     response.map(Full::new)
 }
 
-/// Returns whether something arrives on a new connection before the time is up or the node stops.
-///
-/// Hyper, too, closes a connection by itself that is still untouched when a shutdown begins. Here
-/// such a connection has no HTTP state until it is used.
-async fn has_input<C: Clock, A: ProtocolAdapter>(
-    state: &ProxyState<C, A>,
-    stream: &TcpStream,
-    limit: Duration,
-) -> bool {
-    tokio::select! {
-        ready = timeout(limit, stream.readable()) => matches!(ready, Ok(Ok(()))),
-        () = state.stop.connections_closing() => false,
-    }
-}
-
 /// Completes at the end of a stop if no head was read whole by then; never otherwise.
 async fn no_request_until_end<C: Clock, A: ProtocolAdapter>(
     state: &ProxyState<C, A>,
