--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -302,6 +302,14 @@
 /// Guarantees in the settings of all processes of a deployment, without the grace period.
 const BOUNDS: &str = "[bounds]\ntolerated-losses = 2\nlease-ms = 5000\ndrain-ms = 2000\ncontact-ms = 3000\nattempt-window-s = 10\nattempt-ratio = 0.2\nattempt-slack = 49\nquota-window-s = 5\nquota-overage = 0.1\nquota-slack = 20\n";
 
+/// Returns a configuration on top of version `base`, with one team that has this key.
+pub(crate) fn document(version: u64, base: u64, key: &str) -> String {
+    include_str!("config.json")
+        .replace("VERSION", &version.to_string())
+        .replace("BASE", &base.to_string())
+        .replace("KEY", key)
+}
+
 fn send_signal(children: &[Option<Child>], number: u8, signal: Signal) {
     let child = children[usize::from(number)].as_ref().unwrap();
     rustix::process::kill_process(Pid::from_child(child), signal).unwrap();
--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -5,6 +5,7 @@
 use rustix::process::Signal;
 
 use crate::deployment::TestDeployment;
+use crate::deployment::document;
 use crate::server::ServerBehaviour;
 use crate::wait::eventually;
 
@@ -14,13 +15,6 @@
 /// Time from SIGTERM to SIGKILL.
 const GRACE: Duration = Duration::from_secs(6);
 
-fn document(version: u64, base: u64, key: &str) -> String {
-    include_str!("config.json")
-        .replace("VERSION", &version.to_string())
-        .replace("BASE", &base.to_string())
-        .replace("KEY", key)
-}
-
 fn deployment() -> TestDeployment {
     let paths = [("/orders/", 1), ("/stock/", 2)];
     TestDeployment::start_serving(&SERVICES, GRACE, &document(3, 0, "key-1"), &paths)
--- a/crates/daemon/tests/fleet/paused.rs
+++ b/crates/daemon/tests/fleet/paused.rs
@@ -6,6 +6,7 @@
 use rustix::process::Signal;
 
 use crate::deployment::TestDeployment;
+use crate::deployment::document;
 use crate::kept_connection::KeptConnection;
 
 const SERVICES: [&str; 2] = ["orders", "stock"];
@@ -15,13 +16,6 @@
 const LEASE: Duration = Duration::from_secs(5);
 const CONTROL_COUNT: u8 = 5;
 
-fn document(version: u64, base: u64, key: &str) -> String {
-    include_str!("config.json")
-        .replace("VERSION", &version.to_string())
-        .replace("BASE", &base.to_string())
-        .replace("KEY", key)
-}
-
 fn deployment() -> TestDeployment {
     let paths = [("/orders/", 1), ("/stock/", 1)];
     TestDeployment::start_serving(&SERVICES, GRACE, &document(3, 0, "key-1"), &paths)
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -3,8 +3,10 @@
 mod answer_writer;
 mod connection;
 mod outcome;
+mod parent_call;
 mod pipeline;
 mod refusal;
+mod request_body;
 mod request_parser;
 mod token;
 
@@ -34,28 +36,24 @@
 use model::entry::RequestKind;
 use model::ids::ServiceName;
 use tokio::net::TcpListener;
-use tokio::time::timeout;
 
-use crate::body::BodyError;
-use crate::body::read_body;
 use crate::forward::forward;
 use crate::headers;
 use crate::ingress::connection::serve_connection;
 use crate::ingress::outcome::build_response;
 use crate::ingress::outcome::log_outcome;
+use crate::ingress::parent_call::check_stop;
+use crate::ingress::parent_call::find_parent_call;
+use crate::ingress::parent_call::may_be_child;
 use crate::ingress::refusal::BufferedResponse;
 use crate::ingress::refusal::Refusal;
+use crate::ingress::request_body::read_request_body;
 use crate::ingress::token::take_token;
-use crate::local_server::ParentCall;
-use crate::memory_budget::BodyTooLarge;
 use crate::open_call::OpenCall;
 use crate::state::ProxyState;
 
-/// Largest request body, in bytes; a configuration can only lower it.
-const MAX_BODY_BYTES: u32 = 64 * 1024 * 1024;
-/// Retry-after delays, in milliseconds.
+/// Retry-after delay while there is no configuration or no lease, in milliseconds.
 const NO_CONFIG_RETRY_AFTER_MS: u64 = 500;
-const NO_MEMORY_RETRY_AFTER_MS: u64 = 500;
 /// Importance of the most important requests, and of calls whose parent call is not known.
 const MAX_IMPORTANCE: u8 = 250;
 /// Difference in importance between adjacent route orders; the team order ranks within it.
@@ -218,49 +216,6 @@
     build_response(outcome)
 }
 
-/// Returns whether a request may be one of the local backend server for a call that it runs.
-fn may_be_child<C: Clock, A: ProtocolAdapter>(
-    state: &ProxyState<C, A>,
-    metadata: &RequestMetadata,
-    started: Instant,
-) -> bool {
-    let deadline = metadata.deadline.map(|left| started + left);
-    deadline.is_some_and(|deadline| state.server.find_parent(deadline).is_some())
-}
-
-/// Refuses a request that a stopping node does not take any more.
-///
-/// What the local backend server asks for a call that it runs is taken for longer, since the
-/// node has promised the answer to that call.
-fn check_stop<C: Clock, A: ProtocolAdapter>(
-    state: &ProxyState<C, A>,
-    parent: Option<&ParentCall>,
-    deadline: Instant,
-) -> Result<(), Refusal> {
-    let now = state.now();
-    let is_taken = match parent {
-        Some(_) => state.stop.takes_child(now, deadline),
-        None => state.stop.takes_calls(now),
-    };
-    is_taken.then_some(()).ok_or_else(Refusal::stopping)
-}
-
-/// Finds the running call on whose behalf the local backend server sent this request, and counts
-/// the request as made by it.
-fn find_parent_call<C: Clock, A: ProtocolAdapter>(
-    state: &ProxyState<C, A>,
-    route: &RouteEntry,
-    metadata: &RequestMetadata,
-    started: Instant,
-) -> Option<ParentCall> {
-    let deadline = metadata.deadline.map(|left| started + left);
-    let parent = deadline.and_then(|deadline| state.server.find_parent(deadline));
-    if let Some(parent) = &parent {
-        state.work().count_call(&parent.route, &route.name);
-    }
-    parent
-}
-
 /// Admits a caller's request by the leader's admission plan, or refuses it with a delay after
 /// which to retry.
 fn check_admission<C: Clock, A: ProtocolAdapter>(
@@ -361,37 +316,3 @@
     };
     CallRank::new(importance, 0, 0)
 }
-
-/// Reads the body of a request within the memory for bodies and until `deadline`.
-async fn read_request_body<C, A, B>(
-    state: &ProxyState<C, A>,
-    table: &RouteTable,
-    body: B,
-    deadline: Instant,
-) -> Result<Bytes, Refusal>
-where
-    C: Clock,
-    A: ProtocolAdapter,
-    B: Body<Data = Bytes, Error: Display> + Unpin,
-{
-    let limit = table.config().limits.body_bytes.min(MAX_BODY_BYTES);
-    let buffer = state.request_memory.buffer(limit as usize);
-    let time_left = deadline.saturating_duration_since(state.now());
-    match timeout(time_left, read_body(body, buffer, |_| ())).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLarge(BodyTooLarge::OverLimit))) => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(Refusal::new(status, "body-too-large"))
-        }
-        Ok(Err(BodyError::TooLarge(BodyTooLarge::NoMemory))) => {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            let delay = Duration::from_millis(NO_MEMORY_RETRY_AFTER_MS);
-            Err(Refusal::with_retry_after(status, "no-memory", delay))
-        }
-        Ok(Err(BodyError::Broken(error))) => {
-            tracing::debug!(event = "body-broken", %error);
-            Err(Refusal::new(StatusCode::BAD_REQUEST, "body-broken"))
-        }
-        Err(_) => Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "body-late")),
-    }
-}
