Let a team that a node names again begin without demand there

One cause: a node that had been forgotten for a team counted with its whole next window, 4 requests a second for a single one, so that shares went to nodes without use for them and were missing in the pool. Now only a node's very first report counts in full, as before; later ones enter the average from zero.

Test: shares_are_the_same_whether_nodes_name_teams_without_demand_or_leave_them_ out failed before (a share of 4000 against 0), passes since.

--- a/crates/limit/src/rate_allocator.rs
+++ b/crates/limit/src/rate_allocator.rs
@@ -1,6 +1,7 @@
 //! Division of a team's rate into shares of nodes and a pool of single tokens.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -62,6 +63,8 @@
     lease_length: Duration,
     overage: f64,
     teams: HashMap<TeamName, TeamShares>,
+    /// Nodes that have reported before; a team that one of them names again had no demand there.
+    reporters: HashSet<NodeId>,
 }
 
 impl RateAllocator {
@@ -76,13 +79,14 @@
             lease_length,
             overage: overage * OVERAGE_FRACTION,
             teams: HashMap::new(),
+            reporters: HashSet::new(),
         }
     }
 
     /// Replaces the limits of all teams.
     pub fn set_limits(&mut self, limits: &[(TeamName, TeamLimit)], now: Instant) {
         let declared = limits.iter().map(|(team, _)| team);
-        let declared: std::collections::HashSet<_> = declared.collect();
+        let declared: HashSet<_> = declared.collect();
         self.teams.retain(|team, _| declared.contains(team));
         for (team, limit) in limits {
             let shares = self.teams.entry(team.clone());
@@ -115,8 +119,13 @@
         };
         shares.refill(now);
         let demand = f64::from(demand_per_s);
+        let demand_before = if self.reporters.contains(&node) {
+            0.0
+        } else {
+            demand
+        };
         let share = shares.nodes.entry(node).or_insert(NodeShare {
-            demand_per_s: demand,
+            demand_per_s: demand_before,
             reserved_milli: share_milli,
             granted_milli: share_milli,
             reported_at: now,
@@ -132,6 +141,7 @@
     /// Records that a node reported on no other teams than `reported`: it has neither demand nor a
     /// share of any other.
     pub fn report_rest(&mut self, node: NodeId, reported: &[&TeamName], now: Instant) {
+        self.reporters.insert(node);
         let known = self.teams.iter();
         let silent: Vec<TeamName> = known
             .filter(|(team, shares)| shares.nodes.contains_key(&node) && !reported.contains(team))
@@ -147,6 +157,7 @@
 
     /// Removes a node that has stopped, which frees its shares.
     pub fn remove_node(&mut self, node: NodeId, now: Instant) {
+        self.reporters.remove(&node);
         for shares in self.teams.values_mut() {
             shares.refill(now);
             shares.nodes.remove(&node);
--- a/crates/limit/tests/rate_allocator.rs
+++ b/crates/limit/tests/rate_allocator.rs
@@ -436,3 +436,45 @@
     }
     assert_eq!(allocator.grant(1, true, now), []);
 }
+
+/// Least share that a node gets of a team whose burst is a second of its rate.
+const LEAST_SHARE_MILLI: u64 = 1_500;
+/// Difference in shares that forgetting a node may make.
+const TOLERANCE_MILLI: u64 = 50;
+
+/// A small team whose requests come to one node and then to another, seldom to each.
+#[test]
+fn shares_are_the_same_whether_nodes_name_teams_without_demand_or_leave_them_out() {
+    arbtest::arbtest(|source| {
+        let start = Instant::now();
+        let (mut full, team) = allocator(start);
+        let (mut sparse, _) = allocator(start);
+        let nodes = source.int_in_range(2..=8)?;
+        let mut shares = vec![0_u64; nodes];
+        let mut sparse_nodes = vec![SparseNode::default(); nodes];
+        for period in 0..120 {
+            let now = start + PERIOD * period;
+            for position in 0..nodes {
+                let node = position as u64;
+                let demand = if source.ratio(1, 20)? { 4 } else { 0 };
+                full.report(node, &team, demand, shares[position], now);
+                for (_, granted) in full.grant(node, true, now) {
+                    shares[position] = granted;
+                }
+                sparse_nodes[position].report(&mut sparse, node, &team, demand, now);
+                for (_, granted) in sparse.grant(node, true, now) {
+                    sparse_nodes[position].share_milli = granted;
+                }
+                let (more, less) = (shares[position], sparse_nodes[position].share_milli);
+                let (more, less) = (more.max(less), more.min(less));
+                // A forgotten node had hardly any demand. Below the least useful share there is none.
+                let is_least = less == 0 && more <= LEAST_SHARE_MILLI + TOLERANCE_MILLI;
+                assert!(
+                    more - less <= TOLERANCE_MILLI || is_least,
+                    "{shares:?} {sparse_nodes:?}"
+                );
+            }
+        }
+        Ok(())
+    });
+}
