Send what changed in the node list at most every 100 ms to a node

Changes in between now go out together, at the latest with the answer to the node's next report. Configurations still go out at once. Tests of group, fleet and control pass.

--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -1,6 +1,8 @@
 //! Incoming connections from nodes and other control instances.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use clock::Clock;
 use fleet::ConfigNotice;
@@ -25,6 +27,10 @@
 use crate::registry::NodeRegistry;
 use crate::state::GroupState;
 
+/// Shortest time between two messages about the node list to one node, in milliseconds; the changes
+/// in between go out together, at the latest with the answer to the node's next report.
+const LIST_INTERVAL_MS: u64 = 100;
+
 /// Accepts and serves connections until the links stop, and writes out what is queued on them.
 pub(crate) async fn serve<C: Clock>(state: GroupState<C>, listener: TcpListener) {
     let links = TaskTracker::new();
@@ -54,6 +60,7 @@
         node: None,
         sent_version: 0,
         sent_node_list_version: 0,
+        list_sent_at: None,
     };
     session.run(receiver).await;
 }
@@ -69,6 +76,8 @@
     sent_version: ConfigVersion,
     /// Version of the node list that was sent, or that the node has if that is lower.
     sent_node_list_version: u64,
+    /// When something about the node list was sent last.
+    list_sent_at: Option<Instant>,
 }
 
 impl<C: Clock> LinkSession<C> {
@@ -271,6 +280,10 @@
             self.reply(ControlReply::Config(Box::new(ConfigNotice { config })));
         }
         let now = self.state.clock.now();
+        let interval = Duration::from_millis(LIST_INTERVAL_MS);
+        if self.list_sent_at.is_some_and(|at| now < at + interval) {
+            return;
+        }
         let sent = self.sent_node_list_version;
         let node_addresses = self.state.node_addresses();
         let list = self.state.with_leader_state(|leader| {
@@ -279,6 +292,7 @@
         });
         if let Some(Some((list_version, list))) = list {
             self.sent_node_list_version = list_version;
+            self.list_sent_at = Some(now);
             self.reply(list);
         }
     }
