Count the time that a request has waited behind others as its caller's

A request that was read ahead and had to wait for the answers before it was given to its server with its whole deadline, as if it had just arrived. Its time now runs from when it was read. Test: a_server_is_not_given_the_time_that_a_ request_has_waited_behind_others failed before (59.998 s given after a wait of 0.6 s).

--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -1,11 +1,14 @@
 //! Behaviour of a whole deployment towards callers, backend servers and operators.
 
+use std::thread;
 use std::time::Duration;
 
 use rustix::process::Signal;
 
 use crate::deployment::TestDeployment;
 use crate::deployment::document;
+use crate::kept_connection;
+use crate::kept_connection::KeptConnection;
 use crate::server::ServerBehaviour;
 use crate::wait::eventually;
 
@@ -233,3 +236,35 @@
     }
     await_configuration(&deployment, &document);
 }
+
+/// Shortest time that the request before another one takes, in milliseconds.
+const HELD_MS: u64 = 600;
+/// Timeout of the routes, and time that the caller waits, in milliseconds.
+const LONG_TIMEOUT_MS: u64 = 60_000;
+
+#[test]
+fn a_server_is_not_given_the_time_that_a_request_has_waited_behind_others() {
+    let document = document(3, 0, "key-1").replace("\"timeout\":2000", "\"timeout\":60000");
+    let paths = [("/orders/", 1), ("/stock/", 2)];
+    let deployment = TestDeployment::start_serving(&SERVICES, GRACE, &document, &paths);
+    let [orders, stock, other_stock] = [0, 1, 2].map(|number| &deployment.servers[number]);
+    stock.set_behaviour(ServerBehaviour::Holds);
+    other_stock.set_behaviour(ServerBehaviour::Holds);
+    let mut connection = KeptConnection::open(deployment.node_address(1, 0));
+    let both = kept_connection::request_text("GET /stock/1", "id-held")
+        + &kept_connection::request_text("POST /orders/1", "id-behind");
+    connection.send_part(&both).unwrap();
+    eventually("the first request runs", || {
+        stock.has_run("id-held") || other_stock.has_run("id-held")
+    });
+    thread::sleep(Duration::from_millis(HELD_MS));
+    stock.set_behaviour(ServerBehaviour::Normal);
+    other_stock.set_behaviour(ServerBehaviour::Normal);
+    for id in ["id-held", "id-behind"] {
+        let response = connection.read_response().unwrap();
+        assert!(response.head.contains(id), "{response:?}");
+    }
+    let time_given = orders.time_given("id-behind").unwrap();
+    let limit = Duration::from_millis(LONG_TIMEOUT_MS - HELD_MS);
+    assert!(time_given <= limit, "{time_given:?}");
+}
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -83,11 +83,12 @@
     started: Instant,
 }
 
+/// Opens a request whose caller has waited since `started`.
 fn open_request<C: Clock, A: ProtocolAdapter, B>(
     state: &ProxyState<C, A>,
     request: Request<B>,
+    started: Instant,
 ) -> OpenRequest<C, A, B> {
-    let started = state.now();
     let metadata = state.adapter.request_metadata(request.headers());
     let attempt = metadata.attempt.clone().unwrap_or_default();
     let call = Arc::new(OpenCall::new(state.clone(), attempt, started));
--- a/crates/proxy/src/ingress/connection.rs
+++ b/crates/proxy/src/ingress/connection.rs
@@ -95,7 +95,7 @@
     let stream = tokio::io::join(input.chain(rest.reader), rest.writer);
     let last = LastCall::new();
     let service = service_fn(|request| {
-        let open = open_request(state, request);
+        let open = open_request(state, request, state.now());
         last.replace(&open.call);
         async move {
             let response = answer_request(state, open).await;
--- a/crates/proxy/src/ingress/pipeline.rs
+++ b/crates/proxy/src/ingress/pipeline.rs
@@ -47,6 +47,13 @@
 /// A request that has begun, and its place in the order of the answers.
 type BegunRequest<C, A> = (RequestTicket, OpenRequest<C, A, Full<Bytes>>);
 
+/// A request that has been read and may not begin yet.
+struct WaitingRequest {
+    request: Request<Full<Bytes>>,
+    /// When it was read: its caller's time runs from then on.
+    read_at: Instant,
+}
+
 /// A connection on which the HTTP library goes on.
 pub(super) struct HandedOver {
     /// What has arrived and is not read.
@@ -76,8 +83,7 @@
     /// The calls of the requests whose answers are not written, in order.
     calls: VecDeque<Arc<OpenCall<C, A>>>,
     output: AnswerWriter,
-    /// A request that has been read and may not begin yet.
-    waiting: Option<Request<Full<Bytes>>>,
+    waiting: Option<WaitingRequest>,
     /// Whether the next request is one for the HTTP library.
     must_hand_over: bool,
     /// Whether the connection closes once no request is under way.
@@ -184,14 +190,19 @@
     fn begin_next(&mut self) -> Option<BegunRequest<C, A>> {
         if self.waiting.is_none() && !self.must_hand_over && !self.queue.is_closing() {
             match take_request(&mut self.input) {
-                Ok(Some(request)) => self.waiting = Some(request.map(Full::new)),
+                Ok(Some(request)) => {
+                    self.waiting = Some(WaitingRequest {
+                        request: request.map(Full::new),
+                        read_at: self.state.now(),
+                    });
+                }
                 Ok(None) => self.must_hand_over = self.input.len() >= MAX_HEAD_BUFFER_BYTES,
                 Err(NotPlain) => self.must_hand_over = true,
             }
         }
-        let request = self.waiting.as_ref()?;
+        let waiting = self.waiting.as_ref()?;
         self.sends_ahead |= !self.queue.is_empty();
-        let is_repeatable = is_repeatable(self.state, request);
+        let is_repeatable = is_repeatable(self.state, &waiting.request);
         if !self.queue.may_begin(is_repeatable) {
             return None;
         }
@@ -199,7 +210,8 @@
         if self.closes_when_idle {
             self.queue.close();
         }
-        let request = open_request(self.state, self.waiting.take()?);
+        let WaitingRequest { request, read_at } = self.waiting.take()?;
+        let request = open_request(self.state, request, read_at);
         self.calls.push_back(Arc::clone(&request.call));
         Some((ticket, request))
     }
