--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -527,7 +527,10 @@
     """Plays a case and returns the exit status: 1 broken, 0 held, 2 could not run."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    if sys.argv[1:] not in (["on"], ["off"]):
+        print("usage: play.py on|off, with or without the disruption")
+        return 2
+    trouble = sys.argv[1] == "on"
     record.note("begin", trouble=trouble)
     try:
         broken = asyncio.run(asyncio.wait_for(play(record, trouble), PLAY_LIMIT_S))
