Record departed servers in the replicated log before acknowledging them

What callers saw: a server left with a 200, the node beside it was killed, and a heartbeat sent before the leave came late.

Cause: that a server had left was known to the process that heard it, and to no other. `DepartedServers` and `draining` live in the node's memory, and control keeps only the record of the last run. The new run had nothing to compare the late announcement with.

Ruled out: the order of announcements, and the node list.

Why this works: a departure is an entry of the log, and is acknowledged only once that is committed; a new run of a node uses no server before a confirmed leader has told it the departures beside its address. Without a quorum the answer is 503 and the server sends it again.

Also mended, of the same class: `draining` announcements; leaves of a server that the node did not know.

Test before the fix (`fleet::departures`): 4 of 5 failed, among them "herd: HttpResponse { status: 200, ... id-herd-0 ... }".

--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -149,6 +149,10 @@
     }
 
     /// Kills a control instance without a graceful stop.
+    pub(crate) fn kill_node(&mut self, number: u8) {
+        kill(&mut self.nodes[usize::from(number)]);
+    }
+
     pub(crate) fn kill_control(&mut self, number: u8) {
         kill(&mut self.control[usize::from(number)]);
     }
--- a/crates/daemon/tests/fleet/server.rs
+++ b/crates/daemon/tests/fleet/server.rs
@@ -108,9 +108,25 @@
         service: &str,
         phase: &str,
         sequence: u64,
+    ) -> u16 {
+        self.send_announcement(node, service, phase, (1, sequence))
+    }
+
+    /// Announces its `start`-th start, without a leave of the one before; returns the status of
+    /// the response.
+    pub(crate) fn announce_start(&self, node: SocketAddr, service: &str, start: u64) -> u16 {
+        self.send_announcement(node, service, "ready", (start, 1))
+    }
+
+    fn send_announcement(
+        &self,
+        node: SocketAddr,
+        service: &str,
+        phase: &str,
+        (start, sequence): (u64, u64),
     ) -> u16 {
         let body = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"a","version":"v1","slots":8,"phase":"{phase}","coldRemaining":0,"sequence":{sequence},"born":1}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"a","version":"v1","slots":8,"phase":"{phase}","coldRemaining":0,"sequence":{sequence},"born":{start}}}"#,
             self.address
         );
         let method_and_path = format!("PUT /v1/instances/{}", self.name);
--- a/crates/fleet/src/control_message.rs
+++ b/crates/fleet/src/control_message.rs
@@ -12,6 +12,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::DepartedServer;
+use crate::DepartureList;
+use crate::DepartureVersion;
 use crate::FleetConfig;
 use crate::NodeRecord;
 
@@ -56,6 +59,10 @@
     pub applied_version: ConfigVersion,
     /// Version of the node list that the node has; 0 for none.
     pub node_list_version: u64,
+    /// Version of the list of departed servers that the node has; `None` if it has none.
+    pub departure_version: Option<DepartureVersion>,
+    /// Servers that left beside the node and that control has not recorded yet.
+    pub departed: Vec<DepartedServer>,
     /// Demand of the teams at the node; any other team has no demand there and no share.
     pub teams: Vec<TeamDemand>,
     /// Requests that arrived and calls that were executed since the last report.
@@ -105,6 +112,8 @@
     /// Tokens lent in reply to [`ControlMessage::BorrowTokens`]; fewer than requested when a team
     /// is at its limit.
     Tokens(Vec<TeamTokens>),
+    /// Servers beside the node that have left, as a quorum has recorded them.
+    Departures(DepartureList),
     /// Fractions of the arriving requests that the node may admit.
     EntryShares(Vec<EntryShare>),
     /// How the node list differs from one that the node has.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 mod adapter;
 mod config;
 mod control_message;
+mod departure;
 mod node_message;
 mod record;
 mod store;
@@ -39,6 +40,10 @@
 pub use control_message::TeamDemand;
 pub use control_message::TeamShare;
 pub use control_message::TeamTokens;
+pub use departure::DepartedServer;
+pub use departure::DepartureList;
+pub use departure::DepartureTable;
+pub use departure::DepartureVersion;
 pub use node_message::CallHead;
 pub use node_message::FailureReason;
 pub use node_message::NodeMessage;
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -1,5 +1,5 @@
-//! The replicated state: the configuration in force, the digests of accepted changes, and the
-//! addresses of nodes.
+//! The replicated state: the configuration in force, the digests of accepted changes, the
+//! addresses of nodes, and the backend servers that left.
 
 use std::collections::BTreeSet;
 use std::collections::HashSet;
@@ -14,10 +14,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::DepartedServer;
+use crate::DepartureTable;
 use crate::FleetConfig;
 
 /// Version of the encoding of log entries and snapshots, stored as their first byte.
-const STORE_VERSION: u8 = 2;
+const STORE_VERSION: u8 = 3;
 /// Number of accepted changes that are remembered, so that a resent one is acknowledged again.
 const REMEMBERED_CHANGES_MAX: usize = 8_192;
 
@@ -51,6 +53,13 @@
     Change(ConfigChange),
     /// Replaces the set of node addresses.
     NodeAddresses(NodeAddresses),
+    /// Adds backend servers that left beside a node.
+    Departures {
+        /// Address of the node.
+        address: SocketAddr,
+        /// The servers.
+        servers: Vec<DepartedServer>,
+    },
 }
 
 impl StoreEntry {
@@ -86,8 +95,8 @@
         /// Version of the configuration in force.
         current: ConfigVersion,
     },
-    /// The entry was a set of node addresses and has been stored.
-    Listed,
+    /// The entry is no change of the configuration, and has been stored.
+    Stored,
     /// The entry could not be decoded.
     Unreadable,
 }
@@ -99,6 +108,7 @@
     accepted: HashSet<ChangeHash>,
     accepted_order: VecDeque<ChangeHash>,
     node_addresses: NodeAddresses,
+    departures: DepartureTable,
 }
 
 /// Content of a snapshot.
@@ -107,6 +117,7 @@
     current: Option<ConfigChange>,
     accepted_order: VecDeque<ChangeHash>,
     node_addresses: NodeAddresses,
+    departures: DepartureTable,
 }
 
 impl ConfigStore {
@@ -130,6 +141,12 @@
         &self.node_addresses
     }
 
+    /// Returns the backend servers that left.
+    #[must_use]
+    pub const fn departures(&self) -> &DepartureTable {
+        &self.departures
+    }
+
     /// Returns the outcome that applying a change now would have.
     #[must_use]
     pub fn evaluate(&self, change: &ConfigChange) -> ChangeOutcome {
@@ -168,12 +185,16 @@
 impl StateMachine for ConfigStore {
     type Output = ChangeOutcome;
 
-    fn apply(&mut self, _index: LogIndex, entry: &[u8]) -> ChangeOutcome {
+    fn apply(&mut self, index: LogIndex, entry: &[u8]) -> ChangeOutcome {
         match StoreEntry::decode(entry) {
             Some(StoreEntry::Change(change)) => self.apply_change(change),
             Some(StoreEntry::NodeAddresses(node_addresses)) => {
                 self.node_addresses = node_addresses;
-                ChangeOutcome::Listed
+                ChangeOutcome::Stored
+            }
+            Some(StoreEntry::Departures { address, servers }) => {
+                self.departures.insert(address, servers, index);
+                ChangeOutcome::Stored
             }
             None => ChangeOutcome::Unreadable,
         }
@@ -184,6 +205,7 @@
             current: self.current.clone(),
             accepted_order: self.accepted_order.clone(),
             node_addresses: self.node_addresses.clone(),
+            departures: self.departures.clone(),
         };
         postcard::to_extend(&snapshot, vec![STORE_VERSION]).unwrap_or_default()
     }
@@ -197,6 +219,7 @@
         self.accepted_order = snapshot.accepted_order;
         self.current = snapshot.current;
         self.node_addresses = snapshot.node_addresses;
+        self.departures = snapshot.departures;
         Ok(())
     }
 }
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -173,7 +173,7 @@
     let entry = StoreEntry::NodeAddresses(node_addresses.clone())
         .encode()
         .unwrap();
-    assert_eq!(store.apply(1, &entry), ChangeOutcome::Listed);
+    assert_eq!(store.apply(1, &entry), ChangeOutcome::Stored);
     assert_eq!(
         store.apply(2, &change(1, 0, "first")),
         ChangeOutcome::Accepted
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -3,6 +3,7 @@
 //! See `docs/PLATFORM.md` for how the group forms, replaces lost members and keeps acknowledged
 //! changes.
 
+mod departures;
 mod identity;
 mod operators;
 mod peer_links;
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -219,7 +219,7 @@
                 let reason = format!("the version must be above {current}");
                 self.respond_with_reason(StatusCode::BAD_REQUEST, &reason)
             }
-            Ok(ChangeOutcome::Unreadable | ChangeOutcome::Listed) => {
+            Ok(ChangeOutcome::Unreadable | ChangeOutcome::Stored) => {
                 self.unavailable(version, "unreadable entry")
             }
             Err(ProposeError::NotLeader { .. } | ProposeError::Unknown) => {
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -8,6 +8,7 @@
 use fleet::ConfigNotice;
 use fleet::ControlMessage;
 use fleet::ControlReply;
+use fleet::DepartureVersion;
 use fleet::NodeReport;
 use fleet::TeamShare;
 use fleet::TeamTokens;
@@ -24,6 +25,8 @@
 use tokio_util::task::TaskTracker;
 use tracing::info;
 
+use crate::departures;
+use crate::departures::DepartureRecorder;
 use crate::registry::NodeRegistry;
 use crate::state::GroupState;
 
@@ -61,10 +64,21 @@
         sent_version: 0,
         sent_node_list_version: 0,
         list_sent_at: None,
+        departure_recorder: DepartureRecorder::default(),
     };
     session.run(receiver).await;
 }
 
+/// What a report asks for beside its record.
+#[derive(Clone, Copy, Debug)]
+struct LeaseRequest {
+    report_number: u64,
+    /// Address of the node that reported.
+    address: SocketAddr,
+    /// Version of the departed servers beside it that it knows.
+    departure_version: Option<DepartureVersion>,
+}
+
 /// A connection, and what has been sent on it.
 struct LinkSession<C> {
     state: GroupState<C>,
@@ -78,6 +92,7 @@
     sent_node_list_version: u64,
     /// When something about the node list was sent last.
     list_sent_at: Option<Instant>,
+    departure_recorder: DepartureRecorder,
 }
 
 impl<C: Clock> LinkSession<C> {
@@ -146,7 +161,7 @@
         });
     }
 
-    fn handle_report(&mut self, report: NodeReport) {
+    fn handle_report(&mut self, mut report: NodeReport) {
         let node = report.record.node;
         let is_leader = self
             .state
@@ -169,12 +184,19 @@
         }
         self.sent_version = self.sent_version.min(report.applied_version);
         self.sent_node_list_version = self.sent_node_list_version.min(report.node_list_version);
-        let report_number = report.number;
+        let request = LeaseRequest {
+            report_number: report.number,
+            address: report.record.address,
+            departure_version: report.departure_version,
+        };
+        let departed = std::mem::take(&mut report.departed);
+        self.departure_recorder
+            .record(&self.state, &self.sender, request.address, departed);
         let changed = self.record_report(report);
         if changed {
             self.state.notify_sessions();
         }
-        self.renew_lease(report_number);
+        self.renew_lease(request);
     }
 
     /// Records the report in the leader's state; returns whether other nodes must be notified.
@@ -220,7 +242,7 @@
     }
 
     /// Sends the current shares, then renews the lease once a quorum has confirmed the leader.
-    fn renew_lease(&mut self, report_number: u64) {
+    fn renew_lease(&mut self, request: LeaseRequest) {
         self.send_updates();
         let now = self.state.clock.now();
         let node = self.node.unwrap_or_default();
@@ -243,6 +265,12 @@
             if !state.confirm_leader().await {
                 return;
             }
+            let LeaseRequest {
+                report_number,
+                address,
+                departure_version,
+            } = request;
+            departures::send_list(&state, &sender, address, departure_version);
             let reply = ControlReply::LeaseRenewed {
                 report_number,
                 version: state.version(),
--- a/crates/proxy/src/announce.rs
+++ b/crates/proxy/src/announce.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use clock::Clock;
 use fleet::ApiRequest;
+use fleet::DepartedServer;
 use fleet::ProtocolAdapter;
 use fleet::ServerName;
+use fleet::ServerPhase;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -64,7 +66,7 @@
         ApiRequest::Ready if state.is_ready() => (StatusCode::OK, Vec::new()),
         ApiRequest::Ready => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
         ApiRequest::Announce(server) => handle_announcement(state, server, request).await,
-        ApiRequest::Leave(server) => handle_leave(state, &server),
+        ApiRequest::Leave(server) => handle_leave(state, &server).await,
         ApiRequest::PutConfig | ApiRequest::GetConfig => {
             let reason = state.adapter.error_body("ask a control instance");
             (StatusCode::SERVICE_UNAVAILABLE, reason)
@@ -101,6 +103,10 @@
         }
     };
     let (phase, number) = (announcement.phase, announcement.sequence);
+    let departed = (phase == ServerPhase::Draining).then(|| DepartedServer {
+        server: server.clone(),
+        started_by_ms: announcement.started_at_ms,
+    });
     match state.server.apply_announcement(announcement, state.now()) {
         AnnouncementEffect::WrongService => {
             warn!(event = "announcement-refused", server = %server, reason = "other service");
@@ -113,19 +119,34 @@
         }
         AnnouncementEffect::Unchanged => {}
     }
-    (StatusCode::OK, state.adapter.announcement_response())
+    match departed {
+        Some(departed) => acknowledge_departure(state, &departed).await,
+        None => (StatusCode::OK, state.adapter.announcement_response()),
+    }
 }
 
-fn handle_leave<C: Clock, A: ProtocolAdapter>(
+async fn handle_leave<C: Clock, A: ProtocolAdapter>(
     state: &ProxyState<C, A>,
     server: &ServerName,
 ) -> (StatusCode, Vec<u8>) {
-    let known = state
-        .server
-        .begin_drain(server, state.now(), state.clock.wall());
-    info!(event = "server-leaves", server = %server, known);
-    if known {
-        state.publish_record();
+    let wall = state.clock.wall();
+    let departed = state.server.begin_drain(server, state.now(), wall);
+    info!(event = "server-leaves", server = %server, started_by_ms = departed.started_by_ms);
+    state.publish_record();
+    acknowledge_departure(state, &departed).await
+}
+
+/// Acknowledges a departure once control has recorded it, so that it binds the next run of this
+/// node too.
+async fn acknowledge_departure<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    departed: &DepartedServer,
+) -> (StatusCode, Vec<u8>) {
+    if state.server.await_recorded(departed).await {
+        return (StatusCode::OK, state.adapter.announcement_response());
     }
-    (StatusCode::OK, state.adapter.announcement_response())
+    warn!(event = "departure-not-recorded", server = %departed.server);
+    state.metrics.count("departure", "not-recorded");
+    let reason = state.adapter.error_body("control has not recorded it yet");
+    (StatusCode::SERVICE_UNAVAILABLE, reason)
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -166,11 +166,14 @@
         self.report_number += 1;
         let record = self.state.node_record();
         self.state.nodes().upsert(record.clone(), now);
+        let (departure_version, departed) = self.state.server.departures();
         let report = NodeReport {
             number: self.report_number,
             record,
             applied_version: self.state.config().version(),
             node_list_version: self.state.nodes().list_version,
+            departure_version,
+            departed,
             teams: self.state.quota().sample_demand(now),
             work: {
                 let offered = self.state.admission().take_offered();
@@ -249,6 +252,13 @@
                 drop(quota);
                 self.request_tokens();
             }
+            ControlReply::Departures(list) => {
+                let (version, servers) = (list.version, list.servers.len());
+                info!(event = "departures-known", version, servers);
+                if self.state.server.apply_departures(list) {
+                    self.state.publish_record();
+                }
+            }
             ControlReply::EntryShares(shares) => self.state.admission().apply_plan(&shares, now),
         }
         true
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -1,7 +1,7 @@
 //! The local backend server, on the same instance as this node: its announcement, its slots,
 //! and the calls to it.
 
-mod departed_servers;
+mod departures;
 mod exchange;
 mod slots;
 
@@ -15,11 +15,15 @@
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use admit::SlotLimiter;
 use bytes::Bytes;
 use clock::Clock;
 use fleet::CallHead;
+use fleet::DepartedServer;
+use fleet::DepartureList;
+use fleet::DepartureVersion;
 use fleet::FailureReason;
 use fleet::NodeRecord;
 use fleet::ProtocolAdapter;
@@ -32,10 +36,11 @@
 use model::ids::RouteName;
 use model::ids::ServiceName;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::connection_pool::ConnectionPool;
-use crate::local_server::departed_servers::DepartedServers;
+use crate::local_server::departures::LocalDepartures;
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
 use crate::local_server::slots::SlotResult;
 use crate::open_call::CallProgress;
@@ -48,6 +53,9 @@
 const DRAIN_FRACTION: f64 = 0.6;
 /// Largest difference between the deadlines of a call and of its parent call, in milliseconds.
 const PARENT_TOLERANCE_MS: u64 = 25;
+/// Time within which control must record a departure, in milliseconds; a server takes an answer
+/// for an acknowledgement for one second.
+const RECORD_TIMEOUT_MS: u64 = 800;
 /// Retry-after delay when the backend server cannot run the call.
 pub(crate) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -64,7 +72,7 @@
     announcement: Option<ServerAnnouncement>,
     warm_up_until: Option<Instant>,
     draining: Option<DrainStart>,
-    departed: DepartedServers,
+    departures: LocalDepartures,
     limiter: SlotLimiter,
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
     /// Running calls, by deadline and a unique number.
@@ -86,6 +94,8 @@
     state: Arc<Mutex<LocalServerState>>,
     pool: ConnectionPool,
     next_id: Arc<AtomicU64>,
+    /// Notified when control has recorded departures.
+    departures_recorded: watch::Sender<()>,
 }
 
 /// Effect of an announcement.
@@ -106,10 +116,13 @@
             state: Arc::default(),
             pool: ConnectionPool::default(),
             next_id: Arc::default(),
+            departures_recorded: watch::Sender::default(),
         }
     }
 
     /// Applies an announcement of the backend server.
+    ///
+    /// One of a process that has left names no server to use, however late it arrives.
     pub(crate) fn apply_announcement(
         &self,
         new: ServerAnnouncement,
@@ -119,6 +132,10 @@
             return AnnouncementEffect::WrongService;
         }
         let mut state = lock(&self.state);
+        let had_left = state.departures.covers(&new.server, new.started_at_ms);
+        if new.phase == ServerPhase::Draining {
+            state.departures.insert(departure(&new));
+        }
         let known = state.announcement.as_ref();
         if known.is_some_and(|known| !new.supersedes(known)) {
             return AnnouncementEffect::Unchanged;
@@ -128,17 +145,19 @@
             known.server != new.server || known.started_at_ms != new.started_at_ms
         });
         if is_new_start {
+            if had_left {
+                return AnnouncementEffect::Unchanged;
+            }
             self.pool.clear();
-            let left_at = state.departed.left_at(&new.server, new.started_at_ms);
-            state.draining = left_at.map(DrainStart::At);
+            state.draining = None;
         }
-        if new.phase == ServerPhase::Draining && state.draining.is_none() {
+        if new.phase == ServerPhase::Draining {
             let start = if is_first {
                 DrainStart::BeforeThisNode
             } else {
                 DrainStart::At(now)
             };
-            state.draining = Some(start);
+            state.draining.get_or_insert(start);
         }
         let is_changed = is_different(state.announcement.as_ref(), &new);
         state.warm_up_until = (!new.warm_up_left.is_zero()).then(|| now + new.warm_up_left);
@@ -154,21 +173,68 @@
         }
     }
 
-    /// Starts to drain `server` if it is the current backend server; returns whether it is.
+    /// Starts to drain `server`, which leaves, if it is the current backend server.
     ///
-    /// Otherwise it is remembered, since an announcement that it sent before may arrive later.
-    pub(crate) fn begin_drain(&self, server: &ServerName, now: Instant, wall: SystemTime) -> bool {
+    /// Returns the departure, which counts once control has recorded it: an announcement that the
+    /// server sent before may arrive later, at this run of the node or at the next.
+    pub(crate) fn begin_drain(
+        &self,
+        server: &ServerName,
+        now: Instant,
+        wall: SystemTime,
+    ) -> DepartedServer {
+        let mut state = lock(&self.state);
+        let known = state.announcement.as_ref();
+        let known = known.filter(|known| known.server == *server).map(departure);
+        if known.is_some() {
+            state.draining.get_or_insert(DrainStart::At(now));
+        }
+        let departed = known.unwrap_or_else(|| DepartedServer {
+            server: server.clone(),
+            started_by_ms: unix_millis(wall),
+        });
+        state.departures.insert(departed.clone());
+        departed
+    }
+
+    /// Applies the departures that control has recorded; returns whether this changes the record
+    /// that the node publishes.
+    pub(crate) fn apply_departures(&self, list: DepartureList) -> bool {
         let mut state = lock(&self.state);
-        let is_known = state
-            .announcement
-            .as_ref()
-            .is_some_and(|known| known.server == *server);
-        if !is_known {
-            state.departed.insert(server, now, wall);
-        } else if state.draining.is_none() {
-            state.draining = Some(DrainStart::At(now));
+        let had_accepted = state.accepts_calls();
+        state.departures.apply(list);
+        let announced = state.announcement.as_ref().map(departure);
+        let has_left = announced.is_some_and(|announced| {
+            let departures = &state.departures;
+            departures.is_recorded(&announced.server, announced.started_by_ms)
+        });
+        if has_left {
+            state.draining.get_or_insert(DrainStart::BeforeThisNode);
         }
-        is_known
+        let is_changed = had_accepted != state.accepts_calls();
+        drop(state);
+        self.departures_recorded.send_replace(());
+        is_changed
+    }
+
+    /// Waits until control has recorded a departure; returns whether it does so in time.
+    pub(crate) async fn await_recorded(&self, departed: &DepartedServer) -> bool {
+        let mut recorded = self.departures_recorded.subscribe();
+        let is_recorded = recorded.wait_for(|()| {
+            let departures = &lock(&self.state).departures;
+            departures.is_recorded(&departed.server, departed.started_by_ms)
+        });
+        let time_limit = Duration::from_millis(RECORD_TIMEOUT_MS);
+        timeout(time_limit, is_recorded)
+            .await
+            .is_ok_and(|outcome| outcome.is_ok())
+    }
+
+    /// Returns the version of the recorded departures that this run knows, and the departures that
+    /// control has yet to record.
+    pub(crate) fn departures(&self) -> (Option<DepartureVersion>, Vec<DepartedServer>) {
+        let departures = &lock(&self.state).departures;
+        (departures.version(), departures.unrecorded())
     }
 
     /// Returns the record of the backend server, in which the caller fills in node, address and
@@ -183,7 +249,7 @@
             service: self.service.clone(),
             server: announcement.map(|known| known.server.clone()),
             slots: announcement.map_or(0, |known| known.slots),
-            accepts_calls: announcement.is_some() && state.draining.is_none(),
+            accepts_calls: state.accepts_calls(),
             warm_up_left: state
                 .warm_up_until
                 .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
@@ -300,7 +366,7 @@
     ) -> Result<ServerAnnouncement, RefusalReason> {
         let state = lock(&self.state);
         let announcement = state.announcement.clone().ok_or(RefusalReason::NoServer)?;
-        if head.service != self.service {
+        if head.service != self.service || !state.departures.is_known() {
             return Err(RefusalReason::NoServer);
         }
         let drain = proxy.settings.bounds.drain_time.mul_f64(DRAIN_FRACTION);
@@ -316,6 +382,29 @@
     }
 }
 
+impl LocalServerState {
+    /// Returns whether new calls may be sent to the backend server.
+    ///
+    /// Until control has told which servers left, the one that is announced may have.
+    const fn accepts_calls(&self) -> bool {
+        self.announcement.is_some() && self.draining.is_none() && self.departures.is_known()
+    }
+}
+
+/// Returns the departure of the process that an announcement describes.
+fn departure(announcement: &ServerAnnouncement) -> DepartedServer {
+    DepartedServer {
+        server: announcement.server.clone(),
+        started_by_ms: announcement.started_at_ms,
+    }
+}
+
+/// Returns Unix milliseconds; 0 for a time before 1970, which makes every start a later one.
+fn unix_millis(wall: SystemTime) -> u64 {
+    let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn is_different(known: Option<&ServerAnnouncement>, new: &ServerAnnouncement) -> bool {
     known.is_none_or(|known| {
         known.server != new.server
