Require keys where teams are listed, even without an entry

Cause: the adapter decoded a missing and an empty list of teams to the same value, and `RouteTable::key_owner` took that value for "no key needed".

Ruled out: withdrawal of single keys.

Test before the fix: `fleet::journeys::withdrawing_the_last_team_closes_what_its_key_opened` failed after 61 s ("a request without a team's key is refused" never came).

--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -165,6 +165,30 @@
     );
 }
 
+/// Guards against a withdrawn last team that lets every request in (CONFIG, ROUTE).
+#[test]
+fn withdrawing_the_last_team_closes_what_its_key_opened() {
+    let mut deployment = deployment();
+    let mut second = document(9, 3, "key-1");
+    let teams = second.find("\"tenants\":[").unwrap() + "\"tenants\":[".len();
+    second.replace_range(teams.., "]}");
+    assert_eq!(deployment.put_config(&second).status, 200);
+    for (key, context) in [("key-1", "withdrawn"), ("other", "foreign"), ("", "empty")] {
+        eventually("a request without a team's key is refused", || {
+            deployment.call(1, "GET /stock/1", context, key).status == 401
+        });
+        let id = format!("id-after-{context}");
+        let response = deployment.call(1, "POST /orders/1", &id, key);
+        assert_eq!(response.status, 401, "{context}: {response:?}");
+        assert!(!deployment.servers[0].has_run(&id), "{context}");
+    }
+    deployment.kill_node(1);
+    deployment.start_node(1, "stock");
+    deployment.await_ready(1);
+    let response = deployment.call(1, "POST /orders/1", "id-restarted", "key-1");
+    assert_eq!(response.status, 401, "{response:?}");
+}
+
 #[test]
 fn sighup_does_not_end_a_process() {
     let mut deployment = deployment();
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -22,7 +22,9 @@
     pub services: Vec<ServiceEntry>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
-    /// Teams with their keys; if there are any, requests need a key.
+    /// Whether requests need the key of a team, even while there is no team.
+    pub requires_keys: bool,
+    /// Teams with their keys.
     pub teams: Vec<TeamEntry>,
 }
 
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -12,7 +12,7 @@
 /// Owner of the key that came with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum KeyOwner<'a> {
-    /// The configuration has no teams, so no key is needed.
+    /// The configuration requires no keys.
     NotNeeded,
     /// The team that holds the key.
     Team(&'a TeamEntry),
@@ -87,7 +87,7 @@
     /// Returns the owner of a key.
     #[must_use]
     pub fn key_owner(&self, key: Option<&str>) -> KeyOwner<'_> {
-        if self.config.teams.is_empty() {
+        if !self.config.requires_keys {
             return KeyOwner::NotNeeded;
         }
         let position = key.and_then(|key| self.by_key.get(key));
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -57,6 +57,7 @@
             head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        requires_keys: true,
         teams: vec![TeamEntry {
             name: Arc::from("north"),
             keys: vec!["key-1".to_owned(), "key-2".to_owned()],
@@ -182,3 +183,17 @@
     restored.restore(&store.snapshot()).unwrap();
     assert_eq!(*restored.node_addresses(), node_addresses);
 }
+
+/// Guards against a configuration without teams that lets every request in (CONFIG, ROUTE).
+#[test]
+fn without_teams_every_key_is_unknown_unless_no_keys_are_required() {
+    let mut closed = config(1, 0);
+    closed.teams.clear();
+    let mut open = closed.clone();
+    open.requires_keys = false;
+    let (closed, open) = (RouteTable::new(closed), RouteTable::new(open));
+    for key in [None, Some("key-1"), Some("")] {
+        assert_eq!(closed.key_owner(key), KeyOwner::Unknown, "{key:?}");
+        assert_eq!(open.key_owner(key), KeyOwner::NotNeeded, "{key:?}");
+    }
+}
--- a/crates/proxy/tests/retry_and_lease.rs
+++ b/crates/proxy/tests/retry_and_lease.rs
@@ -109,6 +109,7 @@
             head_timeout: REVOCATION_BOUND,
             idle_timeout: REVOCATION_BOUND,
         },
+        requires_keys: false,
         teams: Vec::new(),
     }
 }
