Take a rate below one request a second for a limit

Other rates were off by up to a half a request a second too.

Why this works: rates are decoded to thousandths, and one above 0 stays above it.

Test before the fix: `fleet::journeys::a_rate_below_one_request_a_second_is_a_limit` failed: "100 of 21.15" ran.

--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -2,6 +2,7 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rustix::process::Signal;
 
@@ -189,6 +190,33 @@
     assert_eq!(response.status, 401, "{response:?}");
 }
 
+/// Guards against a low rate that reads as no limit (QUOTA).
+#[test]
+fn a_rate_below_one_request_a_second_is_a_limit() {
+    // A limit that is lowered binds only after a while, so it is there from the start.
+    let document = document(3, 0, "key-1")
+        .replace("\"ratePerS\":500", "\"ratePerS\":0.4")
+        .replace("\"burst\":500", "\"burst\":1");
+    let deployment = TestDeployment::start_serving(&SERVICES, GRACE, &document, &[("/stock/", 1)]);
+    let begun = Instant::now();
+    let statuses: Vec<u16> = (0..100)
+        .map(|number| {
+            let id = format!("id-{number}");
+            deployment.call(1, "GET /stock/1", &id, "key-1").status
+        })
+        .collect();
+    let ran: u32 = statuses
+        .iter()
+        .map(|status| u32::from(*status == 200))
+        .sum();
+    // The bound of the settings: (rate x time + burst) x (1 + overage) + slack.
+    let allowed = 0.4f64.mul_add(begun.elapsed().as_secs_f64(), 1.0) * 1.1 + 20.0;
+    assert!(
+        f64::from(ran) <= allowed,
+        "{ran} of {allowed}: {statuses:?}"
+    );
+}
+
 #[test]
 fn sighup_does_not_end_a_process() {
     let mut deployment = deployment();
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -96,8 +96,8 @@
     /// Priority among teams; 0 is the most important and is refused last under overload.
     /// Takes precedence over the priority of the route.
     pub priority: u8,
-    /// Rate limit in requests per second over all nodes; 0 for no limit.
-    pub rate_per_s: u32,
+    /// Rate limit over all nodes, in thousandths of a request per second; 0 for no limit.
+    pub rate_milli: u64,
     /// Number of requests that may exceed the rate at once.
     pub burst: u32,
 }
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -62,7 +62,7 @@
             name: Arc::from("north"),
             keys: vec!["key-1".to_owned(), "key-2".to_owned()],
             priority: 0,
-            rate_per_s: 10,
+            rate_milli: 10_000,
             burst: 10,
         }],
     }
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -268,7 +268,7 @@
         let current = self.current();
         let teams = current.into_iter().flat_map(|change| change.config.teams);
         teams
-            .filter(|team| team.rate_per_s > 0)
+            .filter(|team| team.rate_milli > 0)
             .map(|team| (team.name.clone(), limit_of(&team)))
             .collect()
     }
@@ -353,7 +353,7 @@
 
 fn limit_of(team: &TeamEntry) -> TeamLimit {
     TeamLimit {
-        rate_milli: u64::from(team.rate_per_s) * MILLI,
+        rate_milli: team.rate_milli,
         burst_milli: u64::from(team.burst) * MILLI,
     }
 }
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -10,11 +10,15 @@
 use limit::TokenBucket;
 use model::ids::TeamName;
 
+/// Thousandths of a request in one request.
+const MILLI: f64 = 1000.0;
+
 /// A team's rate limit, and the token bucket for this node's share of it.
 #[derive(Clone, Debug)]
 struct TeamQuota {
     bucket: TokenBucket,
-    rate_per_s: u32,
+    /// In thousandths of a request per second.
+    rate_milli: u64,
     burst_s: f64,
 }
 
@@ -30,7 +34,7 @@
     /// Applies the configured limits. When a limit was lowered, this node's share shrinks in
     /// proportion at once, before the leader assigns a new one.
     pub(crate) fn apply_config(&mut self, config: &FleetConfig, now: Instant) {
-        let limited = |team: &&TeamEntry| team.rate_per_s > 0;
+        let limited = |team: &&TeamEntry| team.rate_milli > 0;
         let mut teams = HashMap::new();
         for team in config.teams.iter().filter(limited) {
             let known = self.teams.remove(&team.name);
@@ -107,21 +111,30 @@
     }
 }
 
+/// Returns the time in which a team's rate adds up to its burst, in seconds.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a rate that a float cannot hold exactly limits nothing"
+)]
+fn burst_seconds(team: &TeamEntry) -> f64 {
+    f64::from(team.burst) * MILLI / team.rate_milli.max(1) as f64
+}
+
 fn updated_quota(known: Option<TeamQuota>, team: &TeamEntry, now: Instant) -> TeamQuota {
-    let burst_s = f64::from(team.burst) / f64::from(team.rate_per_s.max(1));
+    let burst_s = burst_seconds(team);
     let Some(mut quota) = known else {
         return TeamQuota {
             bucket: TokenBucket::new(now),
-            rate_per_s: team.rate_per_s,
+            rate_milli: team.rate_milli,
             burst_s,
         };
     };
-    if team.rate_per_s < quota.rate_per_s {
-        let share = quota.bucket.share_milli() * u64::from(team.rate_per_s)
-            / u64::from(quota.rate_per_s.max(1));
+    if team.rate_milli < quota.rate_milli {
+        let lowered = quota.bucket.share_milli().saturating_mul(team.rate_milli);
+        let share = lowered / quota.rate_milli.max(1);
         quota.bucket.set_share(share, burst_s, now);
     }
-    quota.rate_per_s = team.rate_per_s;
+    quota.rate_milli = team.rate_milli;
     quota.burst_s = burst_s;
     quota
 }
