Refuse requests that crash backend servers, on the platform's path

Cause: roles `proxy` and `group` kept no record of what ran when a server crashed; the quarantine belonged to `node` and `control` alone.

Evidence: no line of the logs told a crash from a lost answer; `server-crashed`, `crash-recorded` and `quarantine-known` are new. Ruled out: retries of our own, since the request of the case may not be repeated.

Why this works: the node beside the server recognises a crash (no other call is answered or goes on, and a connect is refused), and what ran there goes into the replicated log. All nodes refuse what ran in three crashes, for an hour, or alone in two that lie apart, for a minute; a new run of a node knows the list before it uses its server. 4,096 suspects and 1,024 crashes are remembered. Weighed: the policy of the role `node`, which refuses every suspect of one crash; it turns away the repeats of all calls that a crash cut.

Tests before the fix: both of `fleet::crashes` failed ("not in time: the crash is noticed"). After: passed, with 41 of `fleet` and 48 of `servers`.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -5,6 +5,7 @@
 //! see `docs/ADMISSION.md`.
 
 mod adaptive_limiter;
+mod completed_calls;
 mod entry;
 mod quarantine;
 mod ranker;
@@ -22,6 +23,7 @@
 pub use adaptive_limiter::OfferOutcome;
 pub use adaptive_limiter::QueueAction;
 pub use adaptive_limiter::QueueActions;
+pub use completed_calls::CompletedCalls;
 pub use entry::EntryAdmission;
 pub use entry::EntryDecision;
 pub use entry::EntryPlanner;
--- a/crates/admit/src/quarantine.rs
+++ b/crates/admit/src/quarantine.rs
@@ -11,6 +11,7 @@
 use model::verdict::CallFailure;
 use model::verdict::FailureCause;
 
+use crate::CompletedCalls;
 use crate::suspect_registry::REFUSAL_MS;
 
 /// Time after the end of its refusal for which a suspect may run only as a probe, in seconds.
@@ -28,10 +29,6 @@
 const SUSPECTS_MAX: usize = 8192;
 /// Suspects evicted at once, oldest first, when there are too many.
 const EVICTED_AT_ONCE: usize = 1024;
-/// Slots of the direct-mapped cache of completed fingerprints; a power of two.
-const COMPLETED_SLOTS: usize = 4096;
-/// Time for which a fingerprint that completed is not suspected of a later crash, in seconds.
-const COMPLETED_S: u64 = 60;
 
 /// Decision of the crash quarantine on a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -53,13 +50,6 @@
     extension: Option<Duration>,
 }
 
-/// A fingerprint that completed.
-#[derive(Clone, Copy, Debug)]
-struct CompletedCall {
-    fingerprint: Fingerprint,
-    at: Instant,
-}
-
 /// Quarantine at the node of one backend server, for requests that may crash it.
 ///
 /// Quarantined requests are refused. Suspects of a single crash run one at a
@@ -73,7 +63,7 @@
     probe: Option<Fingerprint>,
     /// When control sent the last update.
     updated_at: Option<Instant>,
-    completed: Box<[Option<CompletedCall>]>,
+    completed: CompletedCalls,
 }
 
 impl<C: Clock> CrashQuarantine<C> {
@@ -86,7 +76,7 @@
             suspects: HashMap::new(),
             probe: None,
             updated_at: None,
-            completed: vec![None; COMPLETED_SLOTS].into_boxed_slice(),
+            completed: CompletedCalls::default(),
         }
     }
 
@@ -144,7 +134,7 @@
         if completed {
             self.suspects.remove(&fingerprint);
             let at = self.clock.now();
-            self.completed[cache_slot(fingerprint)] = Some(CompletedCall { fingerprint, at });
+            self.completed.insert(fingerprint, at);
         }
     }
 
@@ -157,7 +147,7 @@
         let now = self.clock.now();
         let suspects = in_flight.iter().copied();
         let suspects: Vec<Fingerprint> = suspects
-            .filter(|fingerprint| !self.completed_recently(*fingerprint, now))
+            .filter(|fingerprint| !self.completed.contains(*fingerprint, now))
             .collect();
         self.refuse_suspects(&suspects, now);
         suspects
@@ -171,7 +161,7 @@
         let now = self.clock.now();
         let suspects = suspects.iter().copied();
         let suspects: Vec<Fingerprint> = suspects
-            .filter(|fingerprint| !self.completed_recently(*fingerprint, now))
+            .filter(|fingerprint| !self.completed.contains(*fingerprint, now))
             .collect();
         self.refuse_suspects(&suspects, now);
     }
@@ -187,13 +177,6 @@
         }
     }
 
-    fn completed_recently(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        let call = self.completed[cache_slot(fingerprint)];
-        call.is_some_and(|call| {
-            call.fingerprint == fingerprint && now < call.at + Duration::from_secs(COMPLETED_S)
-        })
-    }
-
     /// Refuses a fingerprint until its notice ends.
     fn refuse(&mut self, notice: &QuarantineNotice, now: Instant) {
         if self.suspects.len() >= SUSPECTS_MAX && !self.suspects.contains_key(&notice.fingerprint) {
@@ -226,15 +209,6 @@
     }
 }
 
-fn cache_slot(fingerprint: Fingerprint) -> usize {
-    #[expect(
-        clippy::cast_possible_truncation,
-        reason = "only the low bits are kept"
-    )]
-    let slot = fingerprint as usize;
-    slot % COMPLETED_SLOTS
-}
-
 fn quarantined(retry_after: Duration) -> CallFailure {
     let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
     CallFailure::not_run(FailureCause::Quarantined).retry_after_ms(retry_after_ms)
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 #[path = "../shared/addresses.rs"]
 mod addresses;
+mod crashes;
 mod departures;
 mod deployment;
 mod http;
--- a/crates/daemon/tests/fleet/server.rs
+++ b/crates/daemon/tests/fleet/server.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -43,25 +44,61 @@
     /// Heads of the requests that were run, and when they arrived.
     executed: Arc<Mutex<Vec<(String, Instant)>>>,
     behaviour: Arc<(Mutex<ServerBehaviour>, Condvar)>,
+    /// Open connections while it runs; `None` after a crash.
+    connections: Arc<Mutex<Option<Vec<TcpStream>>>>,
 }
 
+/// Part of the path of a request that crashes a server once it begins to run it.
+pub(crate) const CRASHING_PATH: &str = "/crash-server";
+
 impl FakeServer {
     pub(crate) fn start(name: &str, address: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).unwrap();
         let server = Self {
             name: name.to_owned(),
             address,
             executed: Arc::default(),
             behaviour: Arc::new((Mutex::new(ServerBehaviour::Normal), Condvar::new())),
+            connections: Arc::default(),
         };
-        let serving = server.clone();
+        server.listen();
+        server
+    }
+
+    /// Accepts connections, also again after a crash.
+    pub(crate) fn listen(&self) {
+        let listener = TcpListener::bind(self.address).unwrap();
+        *self.connections.lock().unwrap() = Some(Vec::new());
+        let server = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let server = serving.clone();
-                thread::spawn(move || server.serve(stream));
+                let Some(connections) = &mut *server.connections.lock().unwrap() else {
+                    return;
+                };
+                let connection = stream.try_clone().unwrap();
+                connections.push(stream.try_clone().unwrap());
+                let server = server.clone();
+                thread::spawn(move || {
+                    server.serve(stream);
+                    // The copies keep it open otherwise; the other end may have closed it.
+                    let _ = connection.shutdown(Shutdown::Both);
+                });
             }
         });
-        server
+    }
+
+    /// Closes all connections and the listener, as a process that ends.
+    fn crash(&self) {
+        let connections = self.connections.lock().unwrap().take();
+        for connection in connections.into_iter().flatten() {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        // Wakes the listener, which then ends.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    /// Returns whether it has crashed and does not listen yet.
+    pub(crate) fn has_crashed(&self) -> bool {
+        self.connections.lock().unwrap().is_none()
     }
 
     /// Returns the heads of the requests that were run.
@@ -175,6 +212,10 @@
         }
         let arrival = (head.to_owned(), Instant::now());
         self.executed.lock().unwrap().push(arrival);
+        if head.contains(CRASHING_PATH) {
+            self.crash();
+            return false;
+        }
         if behaviour == ServerBehaviour::Holds {
             behaviour = self.await_release();
         }
--- a/crates/fleet/src/control_message.rs
+++ b/crates/fleet/src/control_message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use model::entry::EntryShare;
 use model::entry::WorkReport;
+use model::exchange::CrashReport;
 use model::ids::ConfigVersion;
 use model::ids::InstanceId;
 use model::ids::NodeId;
@@ -17,6 +18,8 @@
 use crate::DepartureVersion;
 use crate::FleetConfig;
 use crate::NodeRecord;
+use crate::QuarantineList;
+use crate::QuarantineVersion;
 
 /// Demand of one team at one node since the last report.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -63,6 +66,10 @@
     pub departure_version: Option<DepartureVersion>,
     /// Servers that left beside the node and that control has not recorded yet.
     pub departed: Vec<DepartedServer>,
+    /// Version of the quarantine that the node has; `None` if it has none.
+    pub quarantine_version: Option<QuarantineVersion>,
+    /// Crashes of the backend server that control has not recorded yet.
+    pub crashes: Vec<CrashReport>,
     /// Demand of the teams at the node; any other team has no demand there and no share.
     pub teams: Vec<TeamDemand>,
     /// Requests that arrived and calls that were executed since the last report.
@@ -114,6 +121,10 @@
     Tokens(Vec<TeamTokens>),
     /// Servers beside the node that have left, as a quorum has recorded them.
     Departures(DepartureList),
+    /// Requests to refuse since they crash backend servers.
+    Quarantine(QuarantineList),
+    /// Crashes of the node's backend server up to this number are recorded.
+    CrashesRecorded(u32),
     /// Fractions of the arriving requests that the node may admit.
     EntryShares(Vec<EntryShare>),
     /// How the node list differs from one that the node has.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod node_message;
 mod record;
 mod store;
+mod suspect;
 mod table;
 mod validate;
 
@@ -57,6 +58,10 @@
 pub use store::ConfigStore;
 pub use store::NodeAddresses;
 pub use store::StoreEntry;
+pub use suspect::QuarantineList;
+pub use suspect::QuarantineVersion;
+pub use suspect::QuarantinedRequest;
+pub use suspect::SuspectTable;
 pub use table::KeyOwner;
 pub use table::RouteTable;
 pub use validate::ConfigError;
--- a/crates/fleet/src/node_message.rs
+++ b/crates/fleet/src/node_message.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 use model::context::CallRank;
 use model::context::ServerLoad;
+use model::ids::Fingerprint;
 use model::ids::RouteName;
 use model::ids::ServiceName;
 use model::ids::TeamName;
@@ -14,6 +15,9 @@
 
 use crate::AttemptId;
 
+/// Most bytes of a body that count for a fingerprint.
+const FINGERPRINT_BODY_BYTES: usize = 64 * 1024;
+
 /// Metadata of one call, sent to the node that runs beside a backend server.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CallHead {
@@ -44,6 +48,32 @@
     pub caller_service: ServiceName,
 }
 
+impl CallHead {
+    /// Returns the fingerprint of a call, equal for every time that its caller sends the same
+    /// request: of method, host, path, team, and the length and beginning of the body.
+    #[must_use]
+    pub fn fingerprint(&self, body: &[u8]) -> Fingerprint {
+        let host = self.headers.iter().find(|(name, _)| name == "host");
+        let beginning = &body[..body.len().min(FINGERPRINT_BODY_BYTES)];
+        let parts = [
+            self.method.as_bytes(),
+            host.map_or(&[], |(_, host)| host),
+            self.path.as_bytes(),
+            self.team.as_deref().unwrap_or_default().as_bytes(),
+            &body.len().to_le_bytes(),
+            beginning,
+        ];
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&part.len().to_le_bytes());
+            hasher.update(part);
+        }
+        let mut truncated = [0; size_of::<Fingerprint>()];
+        hasher.finalize_xof().fill(&mut truncated);
+        Fingerprint::from_le_bytes(truncated)
+    }
+}
+
 /// Why a call was refused; it was not executed and will not be.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub enum RefusalReason {
@@ -65,6 +95,9 @@
     /// The connection to the backend server could not be opened.
     #[display("connect-failed")]
     ConnectFailed,
+    /// Backend servers that ran the same request crashed.
+    #[display("quarantined")]
+    Quarantined,
 }
 
 impl RefusalReason {
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -1,5 +1,5 @@
 //! The replicated state: the configuration in force, the digests of accepted changes, the
-//! addresses of nodes, and the backend servers that left.
+//! addresses of nodes, the backend servers that left, and the requests that crash them.
 
 use std::collections::BTreeSet;
 use std::collections::HashSet;
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use model::exchange::CrashReport;
 use model::ids::ChangeHash;
 use model::ids::ConfigVersion;
 use replica::LogIndex;
@@ -17,6 +18,7 @@
 use crate::DepartedServer;
 use crate::DepartureTable;
 use crate::FleetConfig;
+use crate::SuspectTable;
 
 /// Version of the encoding of log entries and snapshots, stored as their first byte.
 const STORE_VERSION: u8 = 3;
@@ -60,6 +62,13 @@
         /// The servers.
         servers: Vec<DepartedServer>,
     },
+    /// Adds a crash of a backend server.
+    Crash {
+        /// The crash, as the node beside the server reported it.
+        report: CrashReport,
+        /// When the leader heard of it, in Unix milliseconds.
+        at_ms: u64,
+    },
 }
 
 impl StoreEntry {
@@ -109,6 +118,7 @@
     accepted_order: VecDeque<ChangeHash>,
     node_addresses: NodeAddresses,
     departures: DepartureTable,
+    suspects: SuspectTable,
 }
 
 /// Content of a snapshot.
@@ -118,6 +128,7 @@
     accepted_order: VecDeque<ChangeHash>,
     node_addresses: NodeAddresses,
     departures: DepartureTable,
+    suspects: SuspectTable,
 }
 
 impl ConfigStore {
@@ -147,6 +158,12 @@
         &self.departures
     }
 
+    /// Returns the requests that ran when backend servers crashed.
+    #[must_use]
+    pub const fn suspects(&self) -> &SuspectTable {
+        &self.suspects
+    }
+
     /// Returns the outcome that applying a change now would have.
     #[must_use]
     pub fn evaluate(&self, change: &ConfigChange) -> ChangeOutcome {
@@ -196,6 +213,10 @@
                 self.departures.insert(address, servers, index);
                 ChangeOutcome::Stored
             }
+            Some(StoreEntry::Crash { report, at_ms }) => {
+                self.suspects.record(&report, at_ms, index);
+                ChangeOutcome::Stored
+            }
             None => ChangeOutcome::Unreadable,
         }
     }
@@ -206,6 +227,7 @@
             accepted_order: self.accepted_order.clone(),
             node_addresses: self.node_addresses.clone(),
             departures: self.departures.clone(),
+            suspects: self.suspects.clone(),
         };
         postcard::to_extend(&snapshot, vec![STORE_VERSION]).unwrap_or_default()
     }
@@ -220,6 +242,7 @@
         self.current = snapshot.current;
         self.node_addresses = snapshot.node_addresses;
         self.departures = snapshot.departures;
+        self.suspects = snapshot.suspects;
         Ok(())
     }
 }
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -3,10 +3,10 @@
 //! See `docs/PLATFORM.md` for how the group forms, replaces lost members and keeps acknowledged
 //! changes.
 
-mod departures;
 mod identity;
 mod operators;
 mod peer_links;
+mod recorder;
 mod registry;
 mod repair;
 mod run;
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -8,8 +8,8 @@
 use fleet::ConfigNotice;
 use fleet::ControlMessage;
 use fleet::ControlReply;
-use fleet::DepartureVersion;
 use fleet::NodeReport;
+use fleet::QuarantineVersion;
 use fleet::TeamShare;
 use fleet::TeamTokens;
 use link::LinkReceiver;
@@ -25,8 +25,10 @@
 use tokio_util::task::TaskTracker;
 use tracing::info;
 
-use crate::departures;
-use crate::departures::DepartureRecorder;
+use crate::recorder;
+use crate::recorder::KnownRecords;
+use crate::recorder::NodeRecorder;
+use crate::recorder::NodeRecords;
 use crate::registry::NodeRegistry;
 use crate::state::GroupState;
 
@@ -64,7 +66,8 @@
         sent_version: 0,
         sent_node_list_version: 0,
         list_sent_at: None,
-        departure_recorder: DepartureRecorder::default(),
+        recorder: NodeRecorder::default(),
+        quarantine_version: None,
     };
     session.run(receiver).await;
 }
@@ -75,8 +78,7 @@
     report_number: u64,
     /// Address of the node that reported.
     address: SocketAddr,
-    /// Version of the departed servers beside it that it knows.
-    departure_version: Option<DepartureVersion>,
+    known: KnownRecords,
 }
 
 /// A connection, and what has been sent on it.
@@ -92,7 +94,9 @@
     sent_node_list_version: u64,
     /// When something about the node list was sent last.
     list_sent_at: Option<Instant>,
-    departure_recorder: DepartureRecorder,
+    recorder: NodeRecorder,
+    /// Version of the quarantine that was sent, or that the node has.
+    quarantine_version: Option<QuarantineVersion>,
 }
 
 impl<C: Clock> LinkSession<C> {
@@ -187,11 +191,18 @@
         let request = LeaseRequest {
             report_number: report.number,
             address: report.record.address,
-            departure_version: report.departure_version,
+            known: KnownRecords {
+                departures: report.departure_version,
+                quarantine: report.quarantine_version,
+            },
         };
-        let departed = std::mem::take(&mut report.departed);
-        self.departure_recorder
-            .record(&self.state, &self.sender, request.address, departed);
+        self.quarantine_version = report.quarantine_version;
+        let records = NodeRecords {
+            address: request.address,
+            departed: std::mem::take(&mut report.departed),
+            crashes: std::mem::take(&mut report.crashes),
+        };
+        self.recorder.record(&self.state, &self.sender, records);
         let changed = self.record_report(report);
         if changed {
             self.state.notify_sessions();
@@ -268,9 +279,9 @@
             let LeaseRequest {
                 report_number,
                 address,
-                departure_version,
+                known,
             } = request;
-            departures::send_list(&state, &sender, address, departure_version);
+            recorder::send_records(&state, &sender, address, known);
             let reply = ControlReply::LeaseRenewed {
                 report_number,
                 version: state.version(),
@@ -307,6 +318,10 @@
             let config = change.config;
             self.reply(ControlReply::Config(Box::new(ConfigNotice { config })));
         }
+        if self.quarantine_version.is_some() {
+            self.quarantine_version =
+                recorder::send_quarantine(&self.state, &self.sender, self.quarantine_version);
+        }
         let now = self.state.clock.now();
         let interval = Duration::from_millis(LIST_INTERVAL_MS);
         if self.list_sent_at.is_some_and(|at| now < at + interval) {
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -167,6 +167,7 @@
         let record = self.state.node_record();
         self.state.nodes().upsert(record.clone(), now);
         let (departure_version, departed) = self.state.server.departures();
+        let (quarantine_version, crashes) = self.state.crashes().report();
         let report = NodeReport {
             number: self.report_number,
             record,
@@ -174,6 +175,8 @@
             node_list_version: self.state.nodes().list_version,
             departure_version,
             departed,
+            quarantine_version,
+            crashes,
             teams: self.state.quota().sample_demand(now),
             work: {
                 let offered = self.state.admission().take_offered();
@@ -259,6 +262,12 @@
                     self.state.publish_record();
                 }
             }
+            ControlReply::Quarantine(list) => {
+                let (version, requests) = (list.version, list.requests.len());
+                info!(event = "quarantine-known", version, requests);
+                self.state.crashes().apply(&list, now);
+            }
+            ControlReply::CrashesRecorded(number) => self.state.crashes().confirm(number),
             ControlReply::EntryShares(shares) => self.state.admission().apply_plan(&shares, now),
         }
         true
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -121,6 +121,10 @@
     if matches!(outcome.last_attempt, AttemptOutcome::Answered { .. }) {
         return false;
     }
+    // The nodes beside all other servers refuse it too.
+    if is_quarantined(&outcome.last_attempt) {
+        return false;
+    }
     let left = deadline.saturating_duration_since(state.now());
     if left < Duration::from_millis(MIN_RETRY_TIME_MS) {
         return false;
@@ -132,6 +136,16 @@
     }
 }
 
+const fn is_quarantined(outcome: &AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::Refused {
+            cause: RefusalReason::Quarantined,
+            ..
+        }
+    )
+}
+
 /// An attempt in flight, as the picker counts it; on drop without a result it counts as
 /// cancelled by the caller.
 struct PendingAttempt<'a, C: Clock, A: ProtocolAdapter> {
@@ -171,7 +185,7 @@
             RefusalReason::Draining | RefusalReason::NoServer | RefusalReason::ConnectFailed => {
                 SendResult::Unreachable
             }
-            RefusalReason::TooLate => SendResult::Cancelled,
+            RefusalReason::TooLate | RefusalReason::Quarantined => SendResult::Cancelled,
         },
         AttemptOutcome::Failed { cause } => match cause {
             FailureReason::Timeout => SendResult::Cancelled,
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -210,6 +210,7 @@
         caller_service: state.settings.service.clone(),
     };
     let attempt = head.attempt.clone();
+    check_quarantine(state, &head, &body)?;
     let deadline = state.stop.limit_deadline(deadline);
     let progress = call.progress();
     let outcome = forward(state, head, body, progress, route.max_attempts, deadline).await;
@@ -217,6 +218,25 @@
     build_response(outcome)
 }
 
+/// Refuses a request that crashes backend servers, here and not only beside each of them.
+fn check_quarantine<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    head: &CallHead,
+    body: &[u8],
+) -> Result<(), Refusal> {
+    let crashes = state.crashes();
+    if !crashes.is_active() {
+        return Ok(());
+    }
+    let Some(retry_after) = crashes.refusal(head.fingerprint(body), state.now()) else {
+        return Ok(());
+    };
+    Err(Refusal {
+        retry_after: Some(retry_after),
+        ..Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "quarantined")
+    })
+}
+
 /// Admits a caller's request by the leader's admission plan, or refuses it with a delay after
 /// which to retry.
 fn check_admission<C: Clock, A: ProtocolAdapter>(
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,8 @@
 mod bounded_stream;
 mod connection_pool;
 mod control;
+mod crash_probe;
+mod crash_tracker;
 mod forward;
 mod headers;
 mod ingress;
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -1,6 +1,7 @@
 //! The local backend server, on the same instance as this node: its announcement, its slots,
 //! and the calls to it.
 
+mod crash_watch;
 mod departures;
 mod exchange;
 mod slots;
@@ -33,6 +34,7 @@
 use fleet::ServerPhase;
 use model::context::CallRank;
 use model::context::ServerLoad;
+use model::ids::Fingerprint;
 use model::ids::RouteName;
 use model::ids::ServiceName;
 use tokio::sync::oneshot;
@@ -40,6 +42,9 @@
 use tokio::time::timeout;
 
 use crate::connection_pool::ConnectionPool;
+use crate::crash_probe::probe_after_lost_connection;
+pub(crate) use crate::local_server::crash_watch::CrashSign;
+use crate::local_server::crash_watch::CrashWatch;
 use crate::local_server::departures::LocalDepartures;
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
 use crate::local_server::slots::SlotResult;
@@ -59,6 +64,9 @@
 /// Retry-after delay when the backend server cannot run the call.
 pub(crate) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Deadline of a running call, and a unique number.
+type RunningKey = (Instant, u64);
+
 /// When the backend server began to drain.
 #[derive(Clone, Copy, Debug)]
 enum DrainStart {
@@ -75,8 +83,9 @@
     departures: LocalDepartures,
     limiter: SlotLimiter,
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
+    crash_watch: CrashWatch,
     /// Running calls, by deadline and a unique number.
-    running: BTreeMap<(Instant, u64), ParentCall>,
+    running: BTreeMap<RunningKey, ParentCall>,
 }
 
 /// What a call made by the backend server inherits from the call that it was running.
@@ -85,6 +94,7 @@
     pub(crate) route: RouteName,
     pub(crate) rank: CallRank,
     pub(crate) is_retry: bool,
+    fingerprint: Fingerprint,
 }
 
 /// Handle to the local backend server; clones share its state.
@@ -149,6 +159,7 @@
                 return AnnouncementEffect::Unchanged;
             }
             self.pool.clear();
+            state.crash_watch = CrashWatch::default();
             state.draining = None;
         }
         if new.phase == ServerPhase::Draining {
@@ -279,6 +290,13 @@
         let _open = proxy.stop.server_calls.token();
         let started = proxy.now();
         let deadline = started + head.time_left;
+        let fingerprint = head.fingerprint(&body);
+        if let Some(retry_after) = proxy.crashes().refusal(fingerprint, started) {
+            return AttemptOutcome::Refused {
+                cause: RefusalReason::Quarantined,
+                retry_after,
+            };
+        }
         let server = match self.available_server(proxy, head, started) {
             Ok(server) => server,
             Err(cause) => {
@@ -307,7 +325,7 @@
         }
         let sent = proxy.now();
         proxy.work().count_started(&head.route);
-        let _running = self.register_running(head, sent + left);
+        let running = self.register_running(head, fingerprint, sent + left);
         progress.begin_send();
         let exchange = self.send_call(proxy, head, body, &server, left);
         let outcome = timeout(left, exchange)
@@ -317,7 +335,14 @@
             });
         let service_time = proxy.now().saturating_duration_since(sent);
         let is_answered = matches!(outcome, AttemptOutcome::Answered { .. });
+        if is_connection_lost(&outcome) {
+            probe_after_lost_connection(proxy);
+        }
+        drop(running);
         if is_answered {
+            let now = proxy.now();
+            proxy.crashes().record_completed(fingerprint, now);
+            self.note_answer(sent, now);
             proxy.work().count_completed(&head.route, service_time);
             proxy.metrics.observe("server", service_time);
         }
@@ -333,7 +358,7 @@
         let state = lock(&self.state);
         let after = state.running.range((deadline, 0)..).next();
         let before = state.running.range(..(deadline, 0)).next_back();
-        let distance = |((at, _), _): &(&(Instant, u64), &ParentCall)| {
+        let distance = |((at, _), _): &(&RunningKey, &ParentCall)| {
             let late = at.saturating_duration_since(deadline);
             late.max(deadline.saturating_duration_since(*at))
         };
@@ -342,13 +367,19 @@
         (distance(&nearest) <= limit).then(|| nearest.1.clone())
     }
 
-    fn register_running(&self, head: &CallHead, deadline: Instant) -> RunningCall {
+    fn register_running(
+        &self,
+        head: &CallHead,
+        fingerprint: Fingerprint,
+        deadline: Instant,
+    ) -> RunningCall {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let key = (deadline, id);
         let parent = ParentCall {
             route: head.route.clone(),
             rank: head.rank,
             is_retry: head.repeated,
+            fingerprint,
         };
         lock(&self.state).running.insert(key, parent);
         RunningCall {
@@ -382,6 +413,15 @@
     }
 }
 
+const fn is_connection_lost(outcome: &AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::Failed {
+            cause: FailureReason::ConnectionLost
+        }
+    )
+}
+
 impl LocalServerState {
     /// Returns whether new calls may be sent to the backend server.
     ///
@@ -417,7 +457,7 @@
 /// Keeps a call listed as running until it is dropped.
 struct RunningCall {
     server: LocalServer,
-    key: (Instant, u64),
+    key: RunningKey,
 }
 
 impl Drop for RunningCall {
--- a/crates/proxy/src/local_server/exchange.rs
+++ b/crates/proxy/src/local_server/exchange.rs
@@ -20,9 +20,11 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use crate::body::BodyError;
 use crate::body::read_body;
 use crate::connection_pool::SendError;
 use crate::connection_pool::ServerConnection;
+use crate::crash_probe::probe_after_lost_connection;
 use crate::headers;
 use crate::local_server::LocalServer;
 use crate::local_server::UNAVAILABLE_RETRY_AFTER;
@@ -116,6 +118,9 @@
                 AttemptOutcome::Answered { head, body }
             }
             Err(error) => {
+                if matches!(error, BodyError::Broken(_)) {
+                    probe_after_lost_connection(proxy);
+                }
                 if proxy.may_log_request() {
                     tracing::info!(event = "answer-broken", request = %head.attempt, %error);
                 }
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -21,6 +21,7 @@
 use settings::ProxySettings;
 use tokio::sync::Notify;
 
+use crate::crash_tracker::CrashTracker;
 use crate::leased_config::LeasedConfig;
 use crate::local_server::LocalServer;
 use crate::memory_budget::MemoryBudget;
@@ -114,6 +115,7 @@
     token_queue: Mutex<TokenWaitQueue>,
     admission: Mutex<EntryAdmission>,
     work: Mutex<WorkCounter>,
+    crashes: Mutex<CrashTracker>,
     retry_budgets: Mutex<HashMap<ServiceName, ServiceRetryBudget>>,
     started: Instant,
     request_log_limiter: Mutex<RequestLogLimiter>,
@@ -145,6 +147,7 @@
             token_queue: Mutex::default(),
             admission: Mutex::default(),
             work: Mutex::default(),
+            crashes: Mutex::default(),
             retry_budgets: Mutex::default(),
             started: clock.now(),
             request_log_limiter: Mutex::default(),
@@ -182,6 +185,10 @@
         lock(&self.inner.admission)
     }
 
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashTracker> {
+        lock(&self.inner.crashes)
+    }
+
     pub(crate) fn work(&self) -> MutexGuard<'_, WorkCounter> {
         lock(&self.inner.work)
     }
