Start a control instance again while its disk is full

Cause here: the role `control` ended its process when a write found the disk full, and nothing of ours starts it again.

Why this works: `control::run` starts the instance again every 250 ms while the error goes back to a disk without room; other errors still end the process.

Test before the fix: `change::changes_are_accepted_while_and_after_disks_are_full_in_turn` (bench, process) failed: "Connection refused (os error 111); ... the control instance is stopping; ... no quorum answered in time". The disk is stood in for by the limit on file sizes.

--- a/crates/bench/src/group/process.rs
+++ b/crates/bench/src/group/process.rs
@@ -13,8 +13,11 @@
 use anyhow::Context;
 use anyhow::bail;
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use rustix::process::prlimit;
 
 use crate::group::program_folder;
 
@@ -43,7 +46,11 @@
     ) -> anyhow::Result<Self> {
         let file = OpenOptions::new().create(true).append(true).open(log)?;
         let path = program_folder()?.join(program);
-        let child = Command::new(&path)
+        // The shell becomes the process, which then gets an error for a write beyond the limit of
+        // `limit_files`, and no signal.
+        let child = Command::new("sh")
+            .args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""])
+            .arg(&path)
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(file.try_clone()?)
@@ -96,6 +103,22 @@
         self.signal(Signal::CONT)
     }
 
+    /// Lets no file of it grow beyond `length` bytes, its log included, as on a full disk; `None`
+    /// ends this.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it has ended.
+    pub fn limit_files(&self, length: Option<u64>) -> anyhow::Result<()> {
+        let limit = Rlimit {
+            current: length,
+            maximum: None,
+        };
+        let pid = Pid::from_child(&self.child);
+        prlimit(Some(pid), Resource::Fsize, limit)?;
+        Ok(())
+    }
+
     /// Kills it and waits for its exit; does nothing if it has ended.
     ///
     /// # Errors
--- a/crates/bench/tests/process/change.rs
+++ b/crates/bench/tests/process/change.rs
@@ -66,6 +66,36 @@
     }
 }
 
+/// Guards against changes that are refused long after full disks have room again (Acks, CONFIG).
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_are_accepted_while_and_after_disks_are_full_in_turn() {
+    let mut test = TestGroup::start(chain(1)).await;
+    let mut version = 1;
+    for position in 0..test.group.controls.len() {
+        test.group.controls[position]
+            .limit_files(Some(0))
+            .expect("a process");
+        for _ in 0..3 {
+            test.declaration.teams[0].rate += 1;
+            let declared = test.declaration.text(&test.group.files.owners);
+            demo::apply(&test.group, &declared).await.expect("in force");
+            version += 1;
+        }
+        test.group.controls[position]
+            .limit_files(None)
+            .expect("a process");
+    }
+    wait::until("all instances to agree", async || {
+        same_state(&test, version).await
+    })
+    .await
+    .expect("one state");
+    for control in &mut test.group.controls {
+        let ended = control.exit_status().expect("a process");
+        assert_eq!(ended, None, "{} has ended", control.name());
+    }
+}
+
 /// Checks that all control instances have this version and the same state digest.
 async fn same_state(test: &TestGroup, version: u64) -> anyhow::Result<()> {
     let mut statuses = Vec::new();
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -1,12 +1,18 @@
 //! Runs a control instance with given settings.
 
+use std::time::Duration;
+
 use anyhow::Context;
 use clock::Clock;
 use ledger::ControlState;
 use replica::ReplicaConfig;
+use replica::ReplicaError;
 use replica::ReplicaHandle;
+use replica::storage::StorageError;
 use settings::ControlSettings;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use tracing::warn;
 use wire::identity::TlsIdentity;
 use wire::peer::PeerMesh;
 use wire::quic::QuicEndpoint;
@@ -25,16 +31,53 @@
     replica_stop: CancellationToken,
 }
 
+/// Delay before the data folder is opened again after the disk was full, in milliseconds.
+const DISK_RETRY_MS: u64 = 250;
+
 /// Runs a control instance until `stop` is cancelled.
 ///
+/// A full disk ends the replica but not the process: it starts again until the disk has room.
+///
 /// # Errors
 ///
 /// Fails when an address, file or data folder of the settings cannot be used,
-/// or when the replica fails.
+/// or when the replica fails for another reason than a full disk.
 pub async fn run<C: Clock>(
     settings: ControlSettings,
     clock: C,
     stop: CancellationToken,
+) -> anyhow::Result<()> {
+    loop {
+        let outcome = run_once(&settings, clock.clone(), stop.child_token()).await;
+        let Err(error) = outcome else {
+            return Ok(());
+        };
+        if stop.is_cancelled() || !is_disk_full(&error) {
+            return Err(error);
+        }
+        warn!(event = "disk-full", error = %format!("{error:#}"));
+        tokio::select! {
+            () = sleep(Duration::from_millis(DISK_RETRY_MS)) => {}
+            () = stop.cancelled() => return Ok(()),
+        }
+    }
+}
+
+/// Returns whether an error goes back to a disk without room.
+#[must_use]
+pub fn is_disk_full(error: &anyhow::Error) -> bool {
+    error.chain().any(|cause| {
+        let storage = cause.downcast_ref::<StorageError>();
+        let replica = cause.downcast_ref::<ReplicaError>();
+        storage.is_some_and(StorageError::is_disk_full)
+            || replica.is_some_and(ReplicaError::is_disk_full)
+    })
+}
+
+async fn run_once<C: Clock>(
+    settings: &ControlSettings,
+    clock: C,
+    stop: CancellationToken,
 ) -> anyhow::Result<()> {
     let identity = TlsIdentity::load(&settings.tls)?;
     let roles = [PeerRole::Node, PeerRole::Control];
@@ -44,7 +87,7 @@
         &roles,
         QuicOptions::default(),
     )?;
-    let server = ControlServer::start(&settings, &identity, quic, clock, stop).await?;
+    let server = ControlServer::start(settings, &identity, quic, clock, stop).await?;
     server.serve().await
 }
 
--- a/crates/daemon/tests/control/control_group.rs
+++ b/crates/daemon/tests/control/control_group.rs
@@ -10,6 +10,8 @@
 use std::thread;
 
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use tempfile::TempDir;
 
@@ -64,7 +66,11 @@
             .create(true)
             .open(self.log_path(number))
             .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_ragwortplankd"))
+        // The shell becomes the instance, which then gets an error for a write beyond the limit of
+        // `fill_disk`, and no signal.
+        let child = Command::new("sh")
+            .args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""])
+            .arg(env!("CARGO_BIN_EXE_ragwortplankd"))
             .arg("--config")
             .arg(path)
             .stdout(log)
@@ -133,6 +139,26 @@
         fs::remove_dir_all(self.data(number)).unwrap();
     }
 
+    /// Lets no file of an instance grow beyond a length, its log included: on a full disk, what is
+    /// written last may be torn.
+    pub(crate) fn fill_disk(&self, number: u8, length: u64) {
+        self.limit_files(number, Some(length));
+    }
+
+    /// Ends [`Self::fill_disk`].
+    pub(crate) fn free_disk(&self, number: u8) {
+        self.limit_files(number, None);
+    }
+
+    fn limit_files(&self, number: u8, length: Option<u64>) {
+        let instance = self.instances[usize::from(number)].as_ref().unwrap();
+        let limit = Rlimit {
+            current: length,
+            maximum: None,
+        };
+        rustix::process::prlimit(Some(Pid::from_child(instance)), Resource::Fsize, limit).unwrap();
+    }
+
     pub(crate) fn numbers(&self) -> std::ops::Range<u8> {
         0..u8::try_from(self.instances.len()).unwrap()
     }
--- a/crates/daemon/tests/control/main.rs
+++ b/crates/daemon/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod addresses;
 mod answers;
 mod control_group;
+mod full_disks;
 mod gone_voter;
 #[path = "../fleet/http.rs"]
 mod http;
--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -148,11 +148,12 @@
             .unwrap()
     }
 
-    /// Kills a control instance without a graceful stop.
+    /// Kills a node without a graceful stop.
     pub(crate) fn kill_node(&mut self, number: u8) {
         kill(&mut self.nodes[usize::from(number)]);
     }
 
+    /// Kills a control instance without a graceful stop.
     pub(crate) fn kill_control(&mut self, number: u8) {
         kill(&mut self.control[usize::from(number)]);
     }
--- a/crates/replica/src/status.rs
+++ b/crates/replica/src/status.rs
@@ -42,6 +42,14 @@
     },
 }
 
+impl ReplicaError {
+    /// Returns whether the replica stopped since its disk had no room.
+    #[must_use]
+    pub fn is_disk_full(&self) -> bool {
+        matches!(self, Self::Storage(error) if error.is_disk_full())
+    }
+}
+
 impl From<FatalError> for ReplicaError {
     fn from(error: FatalError) -> Self {
         match error {
--- a/crates/replica/src/storage/error.rs
+++ b/crates/replica/src/storage/error.rs
@@ -1,6 +1,7 @@
 //! Why a data folder cannot be used.
 
 use std::io;
+use std::io::ErrorKind;
 use std::path::PathBuf;
 
 use derive_more::Display;
@@ -77,6 +78,17 @@
 }
 
 impl StorageError {
+    /// Returns whether the disk had no room, so that the same write may succeed later.
+    #[must_use]
+    pub fn is_disk_full(&self) -> bool {
+        let full = [
+            ErrorKind::StorageFull,
+            ErrorKind::QuotaExceeded,
+            ErrorKind::FileTooLarge,
+        ];
+        matches!(self, Self::Io { source, .. } if full.contains(&source.kind()))
+    }
+
     /// Adds the path to an error of the operating system.
     pub(crate) fn io(path: impl Into<PathBuf>) -> impl FnOnce(io::Error) -> Self {
         let path = path.into();
