--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -15,22 +15,16 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use admit::SlotLimiter;
 use bytes::Bytes;
 use clock::Clock;
 use fleet::CallHead;
-use fleet::DepartedServer;
-use fleet::DepartureList;
-use fleet::DepartureVersion;
 use fleet::FailureReason;
 use fleet::NodeRecord;
 use fleet::ProtocolAdapter;
 use fleet::RefusalReason;
 use fleet::ServerAnnouncement;
-use fleet::ServerName;
 use fleet::ServerPhase;
 use model::context::CallRank;
 use model::context::ServerLoad;
@@ -46,6 +40,7 @@
 pub(crate) use crate::local_server::crash_watch::CrashSign;
 use crate::local_server::crash_watch::CrashWatch;
 use crate::local_server::departures::LocalDepartures;
+use crate::local_server::departures::departure;
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
 use crate::local_server::slots::SlotResult;
 use crate::open_call::CallProgress;
@@ -58,9 +53,6 @@
 const DRAIN_FRACTION: f64 = 0.6;
 /// Largest difference between the deadlines of a call and of its parent call, in milliseconds.
 const PARENT_TOLERANCE_MS: u64 = 25;
-/// Time within which control must record a departure, in milliseconds; a server takes an answer
-/// for an acknowledgement for one second.
-const RECORD_TIMEOUT_MS: u64 = 800;
 /// Retry-after delay when the backend server cannot run the call.
 pub(crate) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -184,70 +176,6 @@
         }
     }
 
-    /// Starts to drain `server`, which leaves, if it is the current backend server.
-    ///
-    /// Returns the departure, which counts once control has recorded it: an announcement that the
-    /// server sent before may arrive later, at this run of the node or at the next.
-    pub(crate) fn begin_drain(
-        &self,
-        server: &ServerName,
-        now: Instant,
-        wall: SystemTime,
-    ) -> DepartedServer {
-        let mut state = lock(&self.state);
-        let known = state.announcement.as_ref();
-        let known = known.filter(|known| known.server == *server).map(departure);
-        if known.is_some() {
-            state.draining.get_or_insert(DrainStart::At(now));
-        }
-        let departed = known.unwrap_or_else(|| DepartedServer {
-            server: server.clone(),
-            started_by_ms: unix_millis(wall),
-        });
-        state.departures.insert(departed.clone());
-        departed
-    }
-
-    /// Applies the departures that control has recorded; returns whether this changes the record
-    /// that the node publishes.
-    pub(crate) fn apply_departures(&self, list: DepartureList) -> bool {
-        let mut state = lock(&self.state);
-        let had_accepted = state.accepts_calls();
-        state.departures.apply(list);
-        let announced = state.announcement.as_ref().map(departure);
-        let has_left = announced.is_some_and(|announced| {
-            let departures = &state.departures;
-            departures.is_recorded(&announced.server, announced.started_by_ms)
-        });
-        if has_left {
-            state.draining.get_or_insert(DrainStart::BeforeThisNode);
-        }
-        let is_changed = had_accepted != state.accepts_calls();
-        drop(state);
-        self.departures_recorded.send_replace(());
-        is_changed
-    }
-
-    /// Waits until control has recorded a departure; returns whether it does so in time.
-    pub(crate) async fn await_recorded(&self, departed: &DepartedServer) -> bool {
-        let mut recorded = self.departures_recorded.subscribe();
-        let is_recorded = recorded.wait_for(|()| {
-            let departures = &lock(&self.state).departures;
-            departures.is_recorded(&departed.server, departed.started_by_ms)
-        });
-        let time_limit = Duration::from_millis(RECORD_TIMEOUT_MS);
-        timeout(time_limit, is_recorded)
-            .await
-            .is_ok_and(|outcome| outcome.is_ok())
-    }
-
-    /// Returns the version of the recorded departures that this run knows, and the departures that
-    /// control has yet to record.
-    pub(crate) fn departures(&self) -> (Option<DepartureVersion>, Vec<DepartedServer>) {
-        let departures = &lock(&self.state).departures;
-        (departures.version(), departures.unrecorded())
-    }
-
     /// Returns the record of the backend server, in which the caller fills in node, address and
     /// data centre.
     pub(crate) fn record(&self, now: Instant) -> NodeRecord {
@@ -431,20 +359,6 @@
     }
 }
 
-/// Returns the departure of the process that an announcement describes.
-fn departure(announcement: &ServerAnnouncement) -> DepartedServer {
-    DepartedServer {
-        server: announcement.server.clone(),
-        started_by_ms: announcement.started_at_ms,
-    }
-}
-
-/// Returns Unix milliseconds; 0 for a time before 1970, which makes every start a later one.
-fn unix_millis(wall: SystemTime) -> u64 {
-    let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn is_different(known: Option<&ServerAnnouncement>, new: &ServerAnnouncement) -> bool {
     known.is_none_or(|known| {
         known.server != new.server
