Refuse withdrawn keys also where no keys are required any more

What callers saw: after a configuration without the list of teams had replaced one with it, requests with a withdrawn key, or with one that no configuration ever held, still ran.

Cause: RouteTable::key_owner took 'no keys required' for 'any key will do'.

Ruled out by reading and existing tests: a list of keys that is missing or null is refused (platform/tests/adapter), an empty one opens nothing; a node that stood still over the change (paused.rs), one that was killed over it; the key of a configuration that lost a race (412); role node, whose key table refuses every key without a declaration.

Why this works: a key that is sent must be one of a team's, whatever the configuration requires of requests without one.

--- a/crates/daemon/tests/fleet/journeys.rs
+++ b/crates/daemon/tests/fleet/journeys.rs
@@ -190,6 +190,25 @@
     assert_eq!(response.status, 401, "{response:?}");
 }
 
+/// Guards against a withdrawn key that runs because no team is listed any more (CONFIG, ROUTE).
+#[test]
+fn a_configuration_without_a_list_of_teams_runs_nothing_with_a_withdrawn_key() {
+    let deployment = deployment();
+    let mut second = document(9, 3, "key-1");
+    let teams = second.find(",\"tenants\":[").unwrap();
+    second.replace_range(teams.., "}");
+    assert_eq!(deployment.put_config(&second).status, 200);
+    for (key, context) in [("key-1", "withdrawn"), ("other", "foreign")] {
+        eventually("a request with a key of no team is refused", || {
+            deployment.call(1, "GET /stock/1", context, key).status == 401
+        });
+        let id = format!("id-after-{context}");
+        let response = deployment.call(1, "POST /orders/1", &id, key);
+        assert_eq!(response.status, 401, "{context}: {response:?}");
+        assert!(!deployment.servers[0].has_run(&id), "{context}");
+    }
+}
+
 /// Guards against a low rate that reads as no limit (QUOTA).
 #[test]
 fn a_rate_below_one_request_a_second_is_a_limit() {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -12,7 +12,7 @@
 /// Owner of the key that came with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum KeyOwner<'a> {
-    /// The configuration requires no keys.
+    /// No key was sent, and the configuration requires none.
     NotNeeded,
     /// The team that holds the key.
     Team(&'a TeamEntry),
@@ -85,9 +85,12 @@
     }
 
     /// Returns the owner of a key.
+    ///
+    /// A key that is sent must be known even where none is required: a configuration without teams
+    /// withdraws the keys of the one before it.
     #[must_use]
     pub fn key_owner(&self, key: Option<&str>) -> KeyOwner<'_> {
-        if !self.config.requires_keys {
+        if key.is_none() && !self.config.requires_keys {
             return KeyOwner::NotNeeded;
         }
         let position = key.and_then(|key| self.by_key.get(key));
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -184,16 +184,19 @@
     assert_eq!(*restored.node_addresses(), node_addresses);
 }
 
-/// Guards against a configuration without teams that lets every request in (CONFIG, ROUTE).
+/// Guards against a configuration without teams that lets every request in, or every key (CONFIG,
+/// ROUTE).
 #[test]
-fn without_teams_every_key_is_unknown_unless_no_keys_are_required() {
+fn without_teams_every_key_is_unknown_and_none_is_needed_only_where_none_is_required() {
     let mut closed = config(1, 0);
     closed.teams.clear();
     let mut open = closed.clone();
     open.requires_keys = false;
     let (closed, open) = (RouteTable::new(closed), RouteTable::new(open));
-    for key in [None, Some("key-1"), Some("")] {
+    for key in [Some("key-1"), Some("")] {
         assert_eq!(closed.key_owner(key), KeyOwner::Unknown, "{key:?}");
-        assert_eq!(open.key_owner(key), KeyOwner::NotNeeded, "{key:?}");
+        assert_eq!(open.key_owner(key), KeyOwner::Unknown, "{key:?}");
     }
+    assert_eq!(closed.key_owner(None), KeyOwner::Unknown);
+    assert_eq!(open.key_owner(None), KeyOwner::NotNeeded);
 }
