--- a/crates/admit/src/adaptive_limiter.rs
+++ b/crates/admit/src/adaptive_limiter.rs
@@ -173,6 +173,7 @@
             in_flight: self.in_flight(),
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             limit: self.limit.current(),
+            pace: None,
         }
     }
 
--- a/crates/admit/src/slot_limiter.rs
+++ b/crates/admit/src/slot_limiter.rs
@@ -178,6 +178,7 @@
             in_flight: self.running,
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             limit: self.slots,
+            pace: None,
         }
     }
 
--- a/crates/control/benches/exchange/nodes.rs
+++ b/crates/control/benches/exchange/nodes.rs
@@ -302,6 +302,7 @@
                 in_flight: 40,
                 queued: 3,
                 limit: 150,
+                pace: None,
             },
         },
         applied: 0,
--- a/crates/model/src/context.rs
+++ b/crates/model/src/context.rs
@@ -86,6 +86,37 @@
     pub threshold: CallRank,
 }
 
+/// How long work takes at a backend server at present, relative to its usual time.
+///
+/// Servers share their instances with other work, so the same call may take several times as
+/// long a moment later.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct ServerPace(u16);
+
+impl ServerPace {
+    /// Pace of a server at which work takes as long as usual.
+    pub const USUAL: Self = Self(100);
+    /// Largest accepted pace, in hundredths of the usual time; a larger one is no measurement.
+    pub const MAX_PERCENT: u16 = 10_000;
+
+    /// Creates a pace from the present duration of work in hundredths of the usual one.
+    ///
+    /// Returns `None` for 0 and for values above [`Self::MAX_PERCENT`], which describe no server.
+    #[must_use]
+    pub const fn from_percent(percent: u16) -> Option<Self> {
+        if percent == 0 || percent > Self::MAX_PERCENT {
+            return None;
+        }
+        Some(Self(percent))
+    }
+
+    /// Returns the duration of work relative to the usual one: 2.0 when it takes twice as long.
+    #[must_use]
+    pub fn slowdown(self) -> f64 {
+        f64::from(self.0) / f64::from(Self::USUAL.0)
+    }
+}
+
 /// Load of one backend server as measured by its node.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ServerLoad {
@@ -95,6 +126,8 @@
     pub queued: u32,
     /// Concurrency limit set by the node.
     pub limit: u32,
+    /// Pace that the backend server last reported; `None` if it reports none or not lately.
+    pub pace: Option<ServerPace>,
 }
 
 /// Feedback that a receiving node sends with each response.
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -77,7 +77,7 @@
                 .server
                 .run_call(state, &head, body.clone(), progress)
                 .await;
-            (attempt_outcome, Some(state.server.load()))
+            (attempt_outcome, Some(state.server.load(state.now())))
         } else {
             let address = chosen.address;
             state
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -4,6 +4,7 @@
 mod crash_watch;
 mod departures;
 mod exchange;
+mod pace;
 mod slots;
 
 use std::collections::BTreeMap;
@@ -42,6 +43,7 @@
 use crate::local_server::departures::LocalDepartures;
 use crate::local_server::departures::departure;
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
+use crate::local_server::pace::LastPace;
 use crate::local_server::slots::SlotResult;
 use crate::open_call::CallProgress;
 use crate::retry::AttemptOutcome;
@@ -76,6 +78,7 @@
     limiter: SlotLimiter,
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
     crash_watch: CrashWatch,
+    pace: LastPace,
     /// Running calls, by deadline and a unique number.
     running: BTreeMap<RunningKey, ParentCall>,
 }
@@ -152,6 +155,7 @@
             }
             self.pool.clear();
             state.crash_watch = CrashWatch::default();
+            state.pace = LastPace::default();
             state.draining = None;
         }
         if new.phase == ServerPhase::Draining {
@@ -192,12 +196,12 @@
             warm_up_left: state
                 .warm_up_until
                 .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
-            load: state.limiter.load(),
+            load: state.load(now),
         }
     }
 
-    pub(crate) fn load(&self) -> ServerLoad {
-        lock(&self.state).limiter.load()
+    pub(crate) fn load(&self, now: Instant) -> ServerLoad {
+        lock(&self.state).load(now)
     }
 
     /// Refuses calls that have waited too long, and closes idle connections.
@@ -351,6 +355,14 @@
 }
 
 impl LocalServerState {
+    /// Returns the load to report to other nodes.
+    fn load(&self, now: Instant) -> ServerLoad {
+        ServerLoad {
+            pace: self.pace.at(now),
+            ..self.limiter.load()
+        }
+    }
+
     /// Returns whether new calls may be sent to the backend server.
     ///
     /// Until control has told which servers left, the one that is announced may have.
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -176,7 +176,7 @@
             id,
             cause,
             retry_after,
-            load: self.state.server.load(),
+            load: self.state.server.load(self.state.now()),
         });
     }
 
@@ -203,7 +203,7 @@
                 outcome = state.server.run_call(&state, &head, body, progress) => outcome,
                 () = state.stop.ending() => stopping_outcome(progress.may_have_run()),
             };
-            let load = state.server.load();
+            let load = state.server.load(state.now());
             let limit = answer_until.saturating_duration_since(state.now());
             let sending = send_outcome(&sender, id, outcome, load);
             if timeout(limit, sending).await.is_err() {
--- a/crates/route/benches/pick.rs
+++ b/crates/route/benches/pick.rs
@@ -38,6 +38,7 @@
             in_flight: 10,
             queued: 0,
             limit: 100,
+            pace: None,
         };
         let latency = Duration::from_millis(5);
         let mut seed = 0;
--- a/crates/route/tests/least_loaded.rs
+++ b/crates/route/tests/least_loaded.rs
@@ -40,6 +40,7 @@
         in_flight: 10,
         queued: 5,
         limit: 10,
+        pace: None,
     };
     picker.record_result(node, SendResult::Answered, Some(load), now);
     for seed in 0..8 {
@@ -98,6 +99,7 @@
         in_flight,
         queued: 0,
         limit: 100,
+        pace: None,
     };
     let chosen = |near: u32, far: u32| {
         let mut picker = picker(now, 2);
--- a/crates/route/tests/two_choice.rs
+++ b/crates/route/tests/two_choice.rs
@@ -35,6 +35,7 @@
         in_flight,
         queued: 0,
         limit,
+        pace: None,
     }
 }
 
