Hold back the entry plan of a new leader until it rests on the reports

Cause: a new leader planned from the first report it received.

Change: PlanGate opens once 90% of the nodes that the log names have reported and every route that runs has a service time, or 1.5 s after the instance became the leader. Until then the leader sends no EntryShares. Log lines entry-plan-held and entry-plan-begun. If the log names no node, the gate waits the 1.5 s, since nothing shows that the reports are complete. The coverage is counted only until the gate opens.

Tests of admit (entry) and group pass.

Ruled out: taking the untimed routes from the offered kinds, since a kind that quotas refuse whole never runs and would hold back the plan for the full time.

--- a/crates/admit/src/entry.rs
+++ b/crates/admit/src/entry.rs
@@ -7,9 +7,13 @@
 
 mod admission;
 mod fanout;
+mod plan_gate;
 mod planner;
 
 pub use admission::EntryAdmission;
 pub use admission::EntryDecision;
 pub use admission::EntryRequest;
+pub use plan_gate::GateState;
+pub use plan_gate::PlanGate;
+pub use plan_gate::PlanInputs;
 pub use planner::EntryPlanner;
--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt::Write;
 use std::time::Duration;
 use std::time::Instant;
@@ -76,6 +77,8 @@
 pub struct EntryPlanner {
     nodes: HashMap<NodeId, NodeState>,
     routes: HashMap<RouteName, RouteProfile>,
+    /// Routes that the reports show to be running.
+    running_routes: HashSet<RouteName>,
     fanout: CallFanout,
     /// Factor by which the capacity of each service is corrected.
     corrections: HashMap<ServiceName, f64>,
@@ -104,6 +107,7 @@
             known.service = place.service.clone();
             known.service_time_s += SERVICE_TIME_WEIGHT * (service_time_s - known.service_time_s);
         }
+        self.note_running_routes(work);
         self.fanout.add_window(&work.runs, &work.calls);
         let busy_s: f64 = work
             .runs
@@ -136,6 +140,26 @@
         self.nodes.insert(node, state);
     }
 
+    /// Returns the number of routes that run but whose service time is not known.
+    #[must_use]
+    pub fn untimed_routes(&self) -> usize {
+        let running = self.running_routes.iter();
+        running
+            .filter(|route| !self.routes.contains_key(*route))
+            .count()
+    }
+
+    fn note_running_routes(&mut self, work: &WorkReport) {
+        let started = work.runs.iter().filter(|run| run.started > 0);
+        let started = started.map(|run| &run.route);
+        let called = work.calls.iter().map(|call| &call.route);
+        for route in started.chain(called) {
+            if !self.running_routes.contains(route) {
+                self.running_routes.insert(route.clone());
+            }
+        }
+    }
+
     /// Returns the fraction of each kind to admit from now on.
     pub fn plan(&mut self, now: Instant) -> Vec<EntryShare> {
         let stale = Duration::from_millis(REPORT_VALID_MS);
--- a/crates/group/src/registry.rs
+++ b/crates/group/src/registry.rs
@@ -192,6 +192,15 @@
         replicated.all(|address| self.by_address.contains_key(address))
     }
 
+    /// Returns how many nodes of `replicated` have reported.
+    #[must_use]
+    pub fn reported_count(&self, replicated: &NodeAddresses) -> usize {
+        let reported = replicated.iter();
+        reported
+            .filter(|address| self.by_address.contains_key(address))
+            .count()
+    }
+
     /// Returns whether `replicated` contains a node, so that the next leader will wait for its
     /// report.
     #[must_use]
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -261,10 +261,13 @@
         let granted = self.state.with_leader_state(|leader| {
             let knows_all = leader.knows_all(node, &node_addresses, now);
             let shares = leader.rate_allocator.grant(node, knows_all, now);
-            (knows_all, shares, leader.entry_plan(now))
+            let plan = leader.entry_plan(&node_addresses, now);
+            (knows_all, shares, plan)
         });
         if let Some((knows_all, shares, entry_shares)) = granted {
-            self.reply(ControlReply::EntryShares(entry_shares));
+            if let Some(entry_shares) = entry_shares {
+                self.reply(ControlReply::EntryShares(entry_shares));
+            }
             if knows_all {
                 let shares = shares.into_iter();
                 let shares = shares.map(|(team, share_milli)| TeamShare { team, share_milli });
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -9,6 +9,9 @@
 use std::time::Instant;
 
 use admit::EntryPlanner;
+use admit::GateState;
+use admit::PlanGate;
+use admit::PlanInputs;
 use clock::Clock;
 use fleet::ConfigChange;
 use fleet::ConfigStore;
@@ -65,6 +68,7 @@
     /// Version of the configuration from which the limits in `rate_allocator` come.
     pub(crate) limits_version: ConfigVersion,
     pub(crate) entry_planner: EntryPlanner,
+    pub(crate) plan_gate: PlanGate,
     /// The last entry admission plan, and when it was computed.
     pub(crate) entry_plan: Option<(Instant, Vec<EntryShare>)>,
     pub(crate) plan_logged_at: Option<Instant>,
@@ -83,9 +87,27 @@
             && self.registry.is_replicated(node, node_addresses)
     }
 
-    /// Returns the entry admission plan for the nodes; computes a new one if the last one is too
-    /// old.
-    pub(crate) fn entry_plan(&mut self, now: Instant) -> Vec<EntryShare> {
+    /// Returns the entry admission plan for the nodes, or `None` while it is held back.
+    pub(crate) fn entry_plan(
+        &mut self,
+        node_addresses: &NodeAddresses,
+        now: Instant,
+    ) -> Option<Vec<EntryShare>> {
+        if self.plan_gate.is_open() {
+            return Some(self.current_plan(now));
+        }
+        let inputs = PlanInputs {
+            known_nodes: node_addresses.len(),
+            reported_nodes: self.registry.reported_count(node_addresses),
+            untimed_routes: self.entry_planner.untimed_routes(),
+        };
+        let gate = self.plan_gate.update(inputs, now);
+        log_gate(gate, inputs);
+        gate.is_open().then(|| self.current_plan(now))
+    }
+
+    /// Returns the last plan; computes a new one if it is too old.
+    fn current_plan(&mut self, now: Instant) -> Vec<EntryShare> {
         let reuse_time = Duration::from_millis(PLAN_REUSE_MS);
         match &self.entry_plan {
             Some((computed_at, plan)) if now < *computed_at + reuse_time => plan.clone(),
@@ -109,6 +131,32 @@
     }
 }
 
+/// Logs when a new leader begins to hold back its entry admission plan, and when it issues the
+/// first one.
+fn log_gate(gate: GateState, inputs: PlanInputs) {
+    let PlanInputs {
+        known_nodes,
+        reported_nodes,
+        untimed_routes,
+    } = inputs;
+    match gate {
+        GateState::HoldBegins => tracing::info!(
+            event = "entry-plan-held",
+            known_nodes,
+            reported_nodes,
+            untimed_routes
+        ),
+        GateState::Opens { waited } => tracing::info!(
+            event = "entry-plan-begun",
+            known_nodes,
+            reported_nodes,
+            untimed_routes,
+            waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX)
+        ),
+        GateState::Held | GateState::Open => {}
+    }
+}
+
 /// State shared by the tasks of a control instance; clones refer to the same state.
 #[derive(Debug)]
 pub(crate) struct GroupState<C> {
@@ -311,6 +359,7 @@
                 ),
                 limits_version: 0,
                 entry_planner: EntryPlanner::default(),
+                plan_gate: PlanGate::new(now),
                 entry_plan: None,
                 plan_logged_at: None,
             });
--- a/crates/group/tests/registry.rs
+++ b/crates/group/tests/registry.rs
@@ -225,3 +225,15 @@
     copy.update(&registry);
     copy.check(&registry);
 }
+
+/// Guards against counting nodes that the log does not name, or naming nodes as reported that have
+/// not reported to this leader.
+#[test]
+fn only_named_nodes_that_reported_are_counted() {
+    let now = Instant::now();
+    let mut registry = NodeRegistry::new(1, LEASE, now);
+    registry.report(record(1, 1), now);
+    registry.report(record(9, 9), now);
+    let named: NodeAddresses = [1, 2, 3].map(|port| record(0, port).address).into();
+    assert_eq!(registry.reported_count(&named), 1);
+}
