Keep the last entry plan when no new one arrives, and relax it over 5 s

Cause: a node admitted everything 2.5 s after the last plan. When the leader changes in a burst, the next plan may come later than that, and the whole burst entered at once.

Change: after PLAN_VALID_MS each fraction rises linearly to full admission over 5 s. Retries are still admitted before new requests meanwhile. Metric entry-plan-old: 1 while a node goes on with an old plan.

Ruled out: keeping the plan without end, since a node whose leader is lost for good would refuse for an old burst; the lease ends service after 5 s only without contact to control.

--- a/crates/admit/src/entry/admission.rs
+++ b/crates/admit/src/entry/admission.rs
@@ -8,8 +8,14 @@
 use model::entry::OfferedRequests;
 use model::entry::RequestKind;
 
-/// Time after which a plan expires unless a newer one arrives, in milliseconds.
+/// Time for which a plan applies unchanged unless a newer one arrives, in milliseconds.
 const PLAN_VALID_MS: u64 = 2_500;
+/// Time after that over which the fractions of an old plan rise to full admission, in
+/// milliseconds.
+///
+/// Admitting everything at once failed requests for several seconds when the leader changed in a
+/// burst. The lease of 5 s ends service earlier at a node without contact to control.
+const PLAN_RELAX_MS: u64 = 5_000;
 /// Time to the deadline, relative to the longest seen for the kind, below which a request
 /// counts as a retry.
 const RETRY_BELOW: f64 = 0.97;
@@ -73,7 +79,8 @@
 ///
 /// Load pattern: refused callers retry within their deadline while new requests
 /// arrive. Retries are admitted first, so that a caller who was told to wait is not
-/// refused again in favour of a new one. Without a plan, everything is admitted.
+/// refused again in favour of a new one. Without a plan, everything is admitted; the last
+/// plan stays in force when the leader changes in a burst, and is relaxed when none follows.
 /// Retry delays are spread evenly, and short enough for a response in time.
 #[derive(Clone, Debug, Default)]
 pub struct EntryAdmission {
@@ -102,16 +109,14 @@
         random: (f64, f64),
         now: Instant,
     ) -> EntryDecision {
-        let has_plan = self
-            .plan_received
-            .is_some_and(|at| now < at + Duration::from_millis(PLAN_VALID_MS));
+        let relaxation = self.relaxation(now);
         let kind = self.kind(request.kind);
         kind.offered += 1;
         kind.time_left_max = kind.time_left_max.max(request.time_left);
         let is_retry = request.time_left < kind.time_left_max.mul_f64(RETRY_BELOW);
         let sample = f64::from(u8::from(is_retry));
         kind.retries += RETRY_WEIGHT * (sample - kind.retries);
-        if !has_plan || random.0 < kind.admission_probability(is_retry) {
+        if random.0 < kind.admission_probability(is_retry, relaxation) {
             return EntryDecision::Admit;
         }
         let delay = RETRY_DELAY_MIN + (RETRY_DELAY_MAX - RETRY_DELAY_MIN) * random.1;
@@ -120,6 +125,24 @@
         }
     }
 
+    /// Returns whether an old plan is in force because no newer one arrived in time.
+    #[must_use]
+    pub fn is_plan_old(&self, now: Instant) -> bool {
+        let relaxation = self.relaxation(now);
+        relaxation > 0.0 && relaxation < 1.0
+    }
+
+    /// Returns how far the plan is relaxed: 0 while it applies unchanged, 1 without a plan.
+    fn relaxation(&self, now: Instant) -> f64 {
+        let Some(received) = self.plan_received else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(received);
+        let overdue = age.saturating_sub(Duration::from_millis(PLAN_VALID_MS));
+        let relax_time = Duration::from_millis(PLAN_RELAX_MS);
+        overdue.div_duration_f64(relax_time).min(1.0)
+    }
+
     /// Returns the number of requests of each kind since the last call of this function.
     pub fn take_offered(&mut self) -> Vec<OfferedRequests> {
         let mut offered = Vec::new();
@@ -142,16 +165,20 @@
     /// Returns the probability of admission.
     ///
     /// Weighted by their shares, the probabilities of retries and of new requests add up to
-    /// the admitted fraction.
-    fn admission_probability(&self, is_retry: bool) -> f64 {
+    /// the admitted fraction of the plan, raised to full admission by `relaxation`.
+    fn admission_probability(&self, is_retry: bool, relaxation: f64) -> f64 {
+        if relaxation >= 1.0 {
+            return 1.0;
+        }
+        let admitted = self.admitted + (1.0 - self.admitted) * relaxation;
         let retries = self.retries.clamp(0.0, 1.0);
         if is_retry {
-            return if retries <= self.admitted {
+            return if retries <= admitted {
                 1.0
             } else {
-                self.admitted / retries
+                admitted / retries
             };
         }
-        ((self.admitted - retries) / (1.0 - retries).max(0.01)).clamp(0.0, 1.0)
+        ((admitted - retries) / (1.0 - retries).max(0.01)).clamp(0.0, 1.0)
     }
 }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -80,6 +80,8 @@
     loop {
         period.tick().await;
         state.server.tick(state.now());
+        let is_plan_old = state.admission().is_plan_old(state.now());
+        state.metrics.set("entry-plan-old", u64::from(is_plan_old));
         let unresponsive = state.peers.probe();
         if !unresponsive.is_empty() {
             state.nodes().mark_unresponsive(&unresponsive, state.now());
