Lower the planned room where backend servers refuse calls themselves

Cause: only calls that the node refuses counted. While the servers of a service refused calls, failed requests made fewer calls and held fewer slots, so the plan took the service for idle and raised its correction: more requests entered, and more work was done below requests that then failed.

Change: nodes report the started calls that the server itself refused (RouteExecutions::refused). Above 5% of the calls sent to a service, the planner estimates the share lost for good: with `a` sends per requested call, each refused with probability `q`, it is 1 - a(1 - q), between 0 and q. It deducts that share from the room after the minimum fractions of all kinds, sorts the kinds by route priority lowered by log2 of the probability that a request succeeds (product of (1 - lost)^calls), does not drive the service to the slot target, and keeps the learned calls per run. explain() names lost=. Kinds keep their order where nothing is lost.

Ruled out: strict route priority, where a kind of 8 calls that succeeds in 6 of 100 cases took the room of one that succeeds in 70; the deduction before the minimum fractions, which admits nothing when servers refuse every call, so that the end of the refusals is not noticed.

--- a/crates/admit/src/entry.rs
+++ b/crates/admit/src/entry.rs
@@ -6,9 +6,11 @@
 //! fraction of each kind of request is admitted, the most important kinds first.
 
 mod admission;
+mod demand;
 mod fanout;
 mod plan_gate;
 mod planner;
+mod refusals;
 
 pub use admission::EntryAdmission;
 pub use admission::EntryDecision;
--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -15,7 +15,11 @@
 use model::ids::RouteName;
 use model::ids::ServiceName;
 
+use crate::entry::demand::KindDemand;
+use crate::entry::demand::ServiceNeed;
+use crate::entry::demand::sort_by_value;
 use crate::entry::fanout::CallFanout;
+use crate::entry::refusals::ServerRefusals;
 
 /// Fraction of the slots that the plan fills.
 const TARGET_UTILISATION: f64 = 0.93;
@@ -42,9 +46,6 @@
 /// Thousandths of a whole.
 const MILLI: f64 = 1000.0;
 
-/// A kind of request with its rate, and the slot seconds that one request needs at each service.
-type KindDemand = (RequestKind, f64, Vec<(ServiceName, f64)>);
-
 /// Last report of one node.
 #[derive(Clone, Debug)]
 struct NodeState {
@@ -80,6 +81,9 @@
     /// Routes that the reports show to be running.
     running_routes: HashSet<RouteName>,
     fanout: CallFanout,
+    refusals: ServerRefusals,
+    /// Fractions of the last plan.
+    fractions: HashMap<RequestKind, f64>,
     /// Factor by which the capacity of each service is corrected.
     corrections: HashMap<ServiceName, f64>,
     /// Services whose capacity limited some kind in the last plan.
@@ -108,7 +112,10 @@
             known.service_time_s += SERVICE_TIME_WEIGHT * (service_time_s - known.service_time_s);
         }
         self.note_running_routes(work);
-        self.fanout.add_window(&work.runs, &work.calls);
+        self.note_refusals(&place.service, work);
+        let keep_settled = self.refusals.are_counted();
+        self.fanout
+            .add_window(&work.runs, &work.calls, keep_settled);
         let busy_s: f64 = work
             .runs
             .iter()
@@ -149,6 +156,27 @@
             .count()
     }
 
+    /// Counts the calls that callers asked for, and those that the node's server refused.
+    fn note_refusals(&mut self, service: &ServiceName, work: &WorkReport) {
+        for run in &work.runs {
+            let (sent, refused) = (f64::from(run.started), f64::from(run.refused));
+            self.refusals.add_sent(service, sent, refused);
+        }
+        for call in &work.calls {
+            if let Some(profile) = self.routes.get(&call.route) {
+                let requested = f64::from(call.count);
+                self.refusals.add_requested(&profile.service, requested);
+            }
+        }
+        for offered in &work.offered {
+            if let Some(profile) = self.routes.get(&offered.kind.route) {
+                let fraction = self.fractions.get(&offered.kind).copied().unwrap_or(1.0);
+                let requested = f64::from(offered.count) * fraction;
+                self.refusals.add_requested(&profile.service, requested);
+            }
+        }
+    }
+
     fn note_running_routes(&mut self, work: &WorkReport) {
         let started = work.runs.iter().filter(|run| run.started > 0);
         let started = started.map(|run| &run.route);
@@ -166,45 +194,64 @@
         self.nodes
             .retain(|_, state| now.saturating_duration_since(state.reported_at) < stale);
         let capacities = self.capacities();
-        self.update_corrections(&capacities, now);
-        let mut remaining: HashMap<ServiceName, f64> = capacities
-            .iter()
-            .map(|(service, capacity)| {
-                let correction = self.corrections.get(service).copied().unwrap_or(1.0);
-                (
-                    service.clone(),
-                    capacity.slots * TARGET_UTILISATION * correction,
-                )
-            })
-            .collect();
+        let elapsed = self
+            .planned_at
+            .replace(now)
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.refusals.decay(elapsed);
+        self.update_corrections(&capacities, elapsed);
+        let rooms = self.rooms(&capacities);
+        let mut remaining = rooms.clone();
         let kinds = self.kinds_by_priority();
         let mut fractions = vec![0.0; kinds.len()];
-        self.bottlenecks.clear();
         let minimum = min_fraction(&kinds, &remaining);
-        for target in [minimum, 1.0] {
-            for (position, (_, rate, needs)) in kinds.iter().enumerate() {
-                let wanted = target - fractions[position];
-                let (fraction, bottlenecks) = fitting_fraction(wanted, *rate, needs, &remaining);
-                fractions[position] += fraction;
-                if target >= 1.0 {
-                    self.bottlenecks.extend(bottlenecks);
-                }
-                for (service, need) in needs {
-                    if let Some(free) = remaining.get_mut(service) {
-                        *free -= need * rate * fraction;
-                    }
-                }
-            }
-        }
-        let shares = kinds.into_iter().zip(fractions);
+        admit_up_to(minimum, &kinds, &mut fractions, &mut remaining);
+        self.deduct_lost_rooms(&rooms, &mut remaining);
+        self.bottlenecks = admit_up_to(1.0, &kinds, &mut fractions, &mut remaining);
+        let kinds = kinds.into_iter().map(|demand| demand.kind);
+        let planned: Vec<(RequestKind, f64)> = kinds.zip(fractions).collect();
+        self.fractions = planned.iter().cloned().collect();
+        let shares = planned.into_iter();
         shares
-            .map(|((kind, _, _), fraction)| EntryShare {
+            .map(|(kind, fraction)| EntryShare {
                 kind,
                 admitted_milli: to_milli(fraction),
             })
             .collect()
     }
 
+    /// Returns the slots of each service that the plan may fill.
+    fn rooms(
+        &self,
+        capacities: &HashMap<ServiceName, ServiceCapacity>,
+    ) -> HashMap<ServiceName, f64> {
+        let capacities = capacities.iter();
+        capacities
+            .map(|(service, capacity)| {
+                let correction = self.corrections.get(service).copied().unwrap_or(1.0);
+                let room = capacity.slots * TARGET_UTILISATION * correction;
+                (service.clone(), room)
+            })
+            .collect()
+    }
+
+    /// Deducts the part of each room that is lost to calls which the servers refuse for good.
+    ///
+    /// The minimum fractions come before it, so that no kind starves and the end of the refusals
+    /// is noticed also when the servers refused every call.
+    fn deduct_lost_rooms(
+        &self,
+        rooms: &HashMap<ServiceName, f64>,
+        remaining: &mut HashMap<ServiceName, f64>,
+    ) {
+        for (service, room) in rooms {
+            let lost = room * self.refusals.lost_share(service);
+            if let Some(free) = remaining.get_mut(service) {
+                *free -= lost;
+            }
+        }
+    }
+
     /// Describes the inputs of the plan in one line: the capacity of each service, and the
     /// rate, admitted fraction (in thousandths) and slot seconds of each kind.
     #[must_use]
@@ -216,16 +263,24 @@
             let slots = capacity.slots;
             let _ = write!(
                 line,
-                "{service}:slots={slots:.0},used={used:.2},trim={trim:.2} "
+                "{service}:slots={slots:.0},used={used:.2},trim={trim:.2}"
             );
+            let lost = self.refusals.lost_share(&service);
+            if lost > 0.0 {
+                let _ = write!(line, ",lost={lost:.2}");
+            }
+            line.push(' ');
         }
-        for (kind, rate, needs) in self.kinds_by_priority() {
+        for KindDemand { kind, rate, needs } in self.kinds_by_priority() {
             let share = plan.iter().find(|share| share.kind == kind);
             let part = share.map_or(0, |share| share.admitted_milli);
             let (route, team) = (&kind.route, kind.team_priority);
             let _ = write!(line, "{route}/{team}:rate={rate:.0},part={part}");
-            for (service, need) in needs {
-                let _ = write!(line, ",{service}={need:.3}");
+            for ServiceNeed {
+                service, slot_s, ..
+            } in needs
+            {
+                let _ = write!(line, ",{service}={slot_s:.3}");
             }
             line.push(' ');
         }
@@ -247,16 +302,13 @@
     /// need not be exact.
     ///
     /// An integral controller drives bottlenecks to the target utilisation; the correction of
-    /// any other service returns slowly to 1.
+    /// any other service returns slowly to 1. So does that of a service whose servers refuse
+    /// calls: refused calls hold no slots, and filling those would undo the reduced room.
     fn update_corrections(
         &mut self,
         capacities: &HashMap<ServiceName, ServiceCapacity>,
-        now: Instant,
+        elapsed: Duration,
     ) {
-        let elapsed = self
-            .planned_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.planned_at = Some(now);
         let step = CORRECTION_PER_S * elapsed.as_secs_f64().min(1.0);
         for (service, capacity) in capacities {
             if capacity.slots <= 0.0 {
@@ -264,7 +316,9 @@
             }
             let utilisation = capacity.used_slots / capacity.slots;
             let correction = self.corrections.entry(service.clone()).or_insert(1.0);
-            if self.bottlenecks.contains(service) || utilisation > TARGET_UTILISATION {
+            let fills_slots =
+                self.bottlenecks.contains(service) && self.refusals.lost_share(service) <= 0.0;
+            if fills_slots || utilisation > TARGET_UTILISATION {
                 *correction = (*correction + step * (TARGET_UTILISATION - utilisation))
                     .clamp(CORRECTION_MIN, CORRECTION_MAX);
             } else {
@@ -273,8 +327,7 @@
         }
     }
 
-    /// Returns the kinds of requests with their rates and the slot seconds that one request
-    /// needs, the most important first and the cheapest first among equals.
+    /// Returns the kinds of requests with their rates and needs, in the order of admission.
     fn kinds_by_priority(&self) -> Vec<KindDemand> {
         let mut rates: BTreeMap<RequestKind, f64> = BTreeMap::new();
         for state in self.nodes.values() {
@@ -285,31 +338,25 @@
         let mut kinds: Vec<_> = rates
             .into_iter()
             .map(|(kind, rate)| {
-                let needs = self.slot_seconds(&kind.route);
-                (kind, rate, needs)
+                let needs = self.needs_of(&kind.route);
+                KindDemand { kind, rate, needs }
             })
             .collect();
-        let total =
-            |needs: &[(ServiceName, f64)]| -> f64 { needs.iter().map(|(_, need)| need).sum() };
-        kinds.sort_by(|(a, _, a_needs), (b, _, b_needs)| {
-            let order = |kind: &RequestKind| (kind.route_priority, kind.team_priority);
-            order(a)
-                .cmp(&order(b))
-                .then(total(a_needs).total_cmp(&total(b_needs)))
-        });
+        sort_by_value(&mut kinds, &self.refusals);
         kinds
     }
 
-    /// Returns the slot seconds that one request needs at each service.
-    fn slot_seconds(&self, route: &RouteName) -> Vec<(ServiceName, f64)> {
-        let mut needs: HashMap<ServiceName, f64> = HashMap::new();
+    /// Returns what one request on a route needs of each service.
+    fn needs_of(&self, route: &RouteName) -> Vec<ServiceNeed> {
+        let mut needs: HashMap<ServiceName, (f64, f64)> = HashMap::new();
         let mut level: HashMap<RouteName, f64> = HashMap::from([(route.clone(), 1.0)]);
         for _ in 0..DEPTH_MAX {
             let mut next_level: HashMap<RouteName, f64> = HashMap::new();
             for (route, count) in level {
                 if let Some(profile) = self.routes.get(&route) {
-                    *needs.entry(profile.service.clone()).or_default() +=
-                        count * profile.service_time_s;
+                    let (calls, slot_s) = needs.entry(profile.service.clone()).or_default();
+                    *calls += count;
+                    *slot_s += count * profile.service_time_s;
                 }
                 for (called, calls) in self.fanout.calls_per_run(&route) {
                     *next_level.entry(called.clone()).or_default() += count * calls;
@@ -320,7 +367,14 @@
             }
             level = next_level;
         }
-        needs.into_iter().collect()
+        let needs = needs.into_iter();
+        needs
+            .map(|(service, (calls, slot_s))| ServiceNeed {
+                service,
+                calls,
+                slot_s,
+            })
+            .collect()
     }
 }
 
@@ -340,9 +394,9 @@
 /// important kinds.
 fn min_fraction(kinds: &[KindDemand], remaining: &HashMap<ServiceName, f64>) -> f64 {
     let mut loads: HashMap<&ServiceName, f64> = HashMap::new();
-    for (_, rate, needs) in kinds {
-        for (service, need) in needs {
-            *loads.entry(service).or_default() += need * rate * MIN_FRACTION;
+    for demand in kinds {
+        for need in &demand.needs {
+            *loads.entry(&need.service).or_default() += need.slot_s * demand.rate * MIN_FRACTION;
         }
     }
     let fractions = loads.into_iter().filter_map(|(service, load)| {
@@ -352,24 +406,46 @@
     fractions.fold(MIN_FRACTION, f64::min)
 }
 
+/// Raises the fractions of the kinds in their order up to `target` where capacity remains, and
+/// returns the services that limited some kind.
+fn admit_up_to(
+    target: f64,
+    kinds: &[KindDemand],
+    fractions: &mut [f64],
+    remaining: &mut HashMap<ServiceName, f64>,
+) -> Vec<ServiceName> {
+    let mut limiting = Vec::new();
+    for (demand, admitted) in kinds.iter().zip(fractions) {
+        let wanted = target - *admitted;
+        let (fraction, bottlenecks) = fitting_fraction(wanted, demand, remaining);
+        *admitted += fraction;
+        limiting.extend(bottlenecks);
+        for need in &demand.needs {
+            if let Some(free) = remaining.get_mut(&need.service) {
+                *free -= need.slot_s * demand.rate * fraction;
+            }
+        }
+    }
+    limiting
+}
+
 /// Returns the fraction of a kind that fits into the remaining capacity, and the services that
 /// limit it.
 fn fitting_fraction(
     wanted: f64,
-    rate: f64,
-    needs: &[(ServiceName, f64)],
+    demand: &KindDemand,
     remaining: &HashMap<ServiceName, f64>,
 ) -> (f64, Vec<ServiceName>) {
     let mut fraction = wanted;
     let mut bottlenecks = Vec::new();
-    for (service, need) in needs {
-        let Some(capacity) = remaining.get(service) else {
+    for need in &demand.needs {
+        let Some(capacity) = remaining.get(&need.service) else {
             continue;
         };
-        let load = need * rate;
+        let load = need.slot_s * demand.rate;
         if load * wanted > *capacity && load > 0.0 {
             fraction = fraction.min(capacity.max(0.0) / load);
-            bottlenecks.push(service.clone());
+            bottlenecks.push(need.service.clone());
         }
     }
     (fraction, bottlenecks)
--- a/crates/admit/tests/entry.rs
+++ b/crates/admit/tests/entry.rs
@@ -132,6 +132,7 @@
     RouteExecutions {
         route: RouteName::from(route),
         started: runs,
+        refused: 0,
         count: runs,
         busy_ms: count(per_s * busy_s * 1000.0),
     }
--- a/crates/admit/tests/entry_leader_change.rs
+++ b/crates/admit/tests/entry_leader_change.rs
@@ -42,6 +42,7 @@
         runs: vec![RouteExecutions {
             route,
             started: BURST / 2,
+            refused: 0,
             count: completed,
             busy_ms: completed * 300,
         }],
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -33,6 +33,8 @@
     pub route: RouteName,
     /// Calls that started in the window.
     pub started: u32,
+    /// Started calls that the backend server itself refused.
+    pub refused: u32,
     /// Calls that completed in the window.
     pub count: u32,
     /// Total time that the completed calls spent in the backend server, in milliseconds.
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -271,6 +271,9 @@
             probe_after_lost_connection(proxy);
         }
         drop(running);
+        if is_refused_by_server(&outcome) {
+            proxy.work().count_server_refused(&head.route);
+        }
         if is_answered {
             let now = proxy.now();
             proxy.crashes().record_completed(fingerprint, now);
@@ -354,6 +357,16 @@
     )
 }
 
+const fn is_refused_by_server(outcome: &AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::Refused {
+            cause: RefusalReason::ServerRefused,
+            ..
+        }
+    )
+}
+
 impl LocalServerState {
     /// Returns the load to report to other nodes.
     fn load(&self, now: Instant) -> ServerLoad {
--- a/crates/proxy/src/work.rs
+++ b/crates/proxy/src/work.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct RunTotals {
     started: u32,
+    refused: u32,
     completed: u32,
     busy: Duration,
 }
@@ -39,6 +40,11 @@
         totals.busy += busy;
     }
 
+    /// Counts a call that the local backend server refused itself.
+    pub(crate) fn count_server_refused(&mut self, route: &RouteName) {
+        self.runs.entry(route.clone()).or_default().refused += 1;
+    }
+
     /// Counts a call on `route` that the backend server made while it ran one on `parent`.
     pub(crate) fn count_call(&mut self, parent: &RouteName, route: &RouteName) {
         let key = (parent.clone(), route.clone());
@@ -61,6 +67,7 @@
         let runs = self.runs.drain().map(|(route, totals)| RouteExecutions {
             route,
             started: totals.started,
+            refused: totals.refused,
             count: totals.completed,
             busy_ms: u32::try_from(totals.busy.as_millis()).unwrap_or(u32::MAX),
         });
