Correct a capacity only by the excess that the last plan leaves

Cause: the integral correction acted on utilisation that is half a second old. Until the reports showed the effect of a plan, each plan corrected the same excess again, while the service times that rise with load were still being learned; the plan then admitted far too little and had to come back.

Change: PlanHistory keeps the fractions of the last 3 s. The measured utilisation of a service is multiplied by the ratio of the load of the last plan to that of the plan in force when the reports were measured, with the same demand. The delay is measured: age of the reports plus one window. With stable fractions the ratio is 1, so the steady state is the former one.

Ruled out: a smaller gain, which takes longer to find the capacity. Not tried: completions per second at saturation as the capacity.

--- a/crates/admit/src/entry.rs
+++ b/crates/admit/src/entry.rs
@@ -9,6 +9,7 @@
 mod demand;
 mod fanout;
 mod plan_gate;
+mod plan_history;
 mod planner;
 mod refusals;
 
--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -19,6 +19,8 @@
 use crate::entry::demand::ServiceNeed;
 use crate::entry::demand::sort_by_value;
 use crate::entry::fanout::CallFanout;
+use crate::entry::plan_history::LoadRatios;
+use crate::entry::plan_history::PlanHistory;
 use crate::entry::refusals::ServerRefusals;
 
 /// Fraction of the slots that the plan fills.
@@ -55,6 +57,8 @@
     /// Utilisation that the calls of the last window asked for, relative to the slots;
     /// above 1 when some were refused.
     utilisation: f64,
+    /// Length of the window of the last report.
+    window: Duration,
     reported_at: Instant,
 }
 
@@ -82,8 +86,7 @@
     running_routes: HashSet<RouteName>,
     fanout: CallFanout,
     refusals: ServerRefusals,
-    /// Fractions of the last plan.
-    fractions: HashMap<RequestKind, f64>,
+    history: PlanHistory,
     /// Factor by which the capacity of each service is corrected.
     corrections: HashMap<ServiceName, f64>,
     /// Services whose capacity limited some kind in the last plan.
@@ -142,6 +145,7 @@
             place,
             offered,
             utilisation,
+            window: Duration::from_millis(u64::from(work.window_ms)),
             reported_at: now,
         };
         self.nodes.insert(node, state);
@@ -170,7 +174,7 @@
         }
         for offered in &work.offered {
             if let Some(profile) = self.routes.get(&offered.kind.route) {
-                let fraction = self.fractions.get(&offered.kind).copied().unwrap_or(1.0);
+                let fraction = self.history.latest_fraction(&offered.kind);
                 let requested = f64::from(offered.count) * fraction;
                 self.refusals.add_requested(&profile.service, requested);
             }
@@ -199,10 +203,13 @@
             .replace(now)
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.refusals.decay(elapsed);
-        self.update_corrections(&capacities, elapsed);
+        let kinds = self.kinds_by_priority();
+        let ratios = self
+            .history
+            .load_ratios(&kinds, self.effect_delay(now), now);
+        self.update_corrections(&capacities, &ratios, elapsed);
         let rooms = self.rooms(&capacities);
         let mut remaining = rooms.clone();
-        let kinds = self.kinds_by_priority();
         let mut fractions = vec![0.0; kinds.len()];
         let minimum = min_fraction(&kinds, &remaining);
         admit_up_to(minimum, &kinds, &mut fractions, &mut remaining);
@@ -210,7 +217,7 @@
         self.bottlenecks = admit_up_to(1.0, &kinds, &mut fractions, &mut remaining);
         let kinds = kinds.into_iter().map(|demand| demand.kind);
         let planned: Vec<(RequestKind, f64)> = kinds.zip(fractions).collect();
-        self.fractions = planned.iter().cloned().collect();
+        self.history.push(planned.iter().cloned().collect(), now);
         let shares = planned.into_iter();
         shares
             .map(|(kind, fraction)| EntryShare {
@@ -298,15 +305,31 @@
         capacities
     }
 
+    /// Returns the mean time between a plan and the middle of the windows that the reports cover.
+    ///
+    /// A node gets the plan with the answer to its report, on average half a window after it was
+    /// computed, and its last window lies half a window before its last report.
+    fn effect_delay(&self, now: Instant) -> Duration {
+        let delays = self
+            .nodes
+            .values()
+            .map(|state| now.saturating_duration_since(state.reported_at) + state.window);
+        let count = u32::try_from(self.nodes.len()).unwrap_or(u32::MAX).max(1);
+        delays.sum::<Duration>() / count
+    }
+
     /// Adjusts the capacity corrections, so that the estimates of fan-out and service time
     /// need not be exact.
     ///
+    /// The measured utilisation is scaled to the load of the last plan, whose effect the reports
+    /// do not show yet; otherwise the same excess would be corrected several times.
     /// An integral controller drives bottlenecks to the target utilisation; the correction of
     /// any other service returns slowly to 1. So does that of a service whose servers refuse
     /// calls: refused calls hold no slots, and filling those would undo the reduced room.
     fn update_corrections(
         &mut self,
         capacities: &HashMap<ServiceName, ServiceCapacity>,
+        ratios: &LoadRatios,
         elapsed: Duration,
     ) {
         let step = CORRECTION_PER_S * elapsed.as_secs_f64().min(1.0);
@@ -314,7 +337,8 @@
             if capacity.slots <= 0.0 {
                 continue;
             }
-            let utilisation = capacity.used_slots / capacity.slots;
+            let ratio = ratios.get(service).copied().unwrap_or(1.0);
+            let utilisation = capacity.used_slots / capacity.slots * ratio;
             let correction = self.corrections.entry(service.clone()).or_insert(1.0);
             let fills_slots =
                 self.bottlenecks.contains(service) && self.refusals.lost_share(service) <= 0.0;
