--- /dev/null
+++ b/crates/admit/tests/entry_load/main.rs
@@ -0,0 +1,6 @@
+//! Replays of load on the entry plan, on virtual time.
+
+mod leader_change;
+mod refusals;
+mod step;
+mod support;
--- a/crates/admit/tests/entry_step.rs
+++ b/crates/admit/tests/entry_load/step.rs
@@ -1,46 +1,34 @@
-//! Entry admission after a step of the load, over 3 unequal servers whose work takes longer under
-//! load.
+//! A step of the load at 3 unequal servers whose work takes longer under load.
 
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use admit::EntryPlanner;
-use model::entry::OfferedRequests;
-use model::entry::RequestKind;
-use model::entry::RouteExecutions;
-use model::entry::ServerCapacity;
 use model::entry::WorkReport;
-use model::ids::RouteName;
+
+use crate::support::WINDOW_MS;
+use crate::support::offer;
+use crate::support::place;
+use crate::support::run;
 
 const SLOTS: f64 = 105.0;
 const SPEEDS: [f64; 3] = [0.5, 1.0, 1.5];
-/// Service time of an idle server of usual speed, in seconds.
-const IDLE_S: f64 = 0.1;
-/// Largest ratio of the service time to that of an idle server.
-const STRETCH: f64 = 2.3;
-const TICK_MS: u32 = 100;
+/// Calls per second that the servers would complete if work took no longer under load.
+const IDLE_PER_S: f64 = 3_150.0;
+/// Increase of the service time at full utilisation, to 2.3 times that of idle servers.
+const STRETCH: f64 = 1.3;
 const TICK_S: f64 = 0.1;
-/// Ticks between two reports of a node, which take turns.
-const REPORT_TICKS: usize = 3;
 /// Utilisation that the plan aims at.
 const TARGET: f64 = 0.93;
 
 /// Calls per second that all servers complete at a utilisation.
 fn throughput(utilisation: f64) -> f64 {
-    let slots: f64 = SPEEDS.iter().map(|speed| SLOTS * speed).sum();
-    slots * utilisation / service_time_s(utilisation)
-}
-
-fn service_time_s(utilisation: f64) -> f64 {
-    IDLE_S * (1.0 + (STRETCH - 1.0) * utilisation)
+    IDLE_PER_S * utilisation / (1.0 + STRETCH * utilisation)
 }
 
 /// Returns the utilisation at which the servers complete `per_s` calls, 1 at the most.
 fn utilisation_at(per_s: f64) -> f64 {
-    let steps = (0..=1_000).map(|step| f64::from(step) / 1_000.0);
-    let mut enough = steps.skip_while(|step| throughput(*step) < per_s);
-    enough.next().unwrap_or(1.0)
+    (per_s / (IDLE_PER_S - STRETCH * per_s).max(per_s)).min(1.0)
 }
 
 /// Counts of one node since its last report.
@@ -53,40 +41,18 @@
 }
 
 impl Counts {
-    fn report(self, ticks: u32) -> WorkReport {
-        let route = RouteName::from("quote");
+    fn report(self) -> WorkReport {
+        let busy_ms = self.busy_s * 1000.0 / self.done.max(1.0);
         WorkReport {
-            window_ms: ticks * TICK_MS,
-            offered: vec![OfferedRequests {
-                kind: RequestKind {
-                    route_priority: 1,
-                    team_priority: 0,
-                    route: route.clone(),
-                },
-                count: whole(self.offered),
-            }],
-            runs: vec![RouteExecutions {
-                route,
-                started: whole(self.done),
-                refused: 0,
-                count: whole(self.done),
-                busy_ms: whole(self.busy_s * 1000.0),
-            }],
-            refused: whole(self.refused),
+            window_ms: WINDOW_MS,
+            offered: vec![offer("quote", 1, self.offered)],
+            runs: vec![run("quote", self.done, 0.0, busy_ms)],
+            refused: run("quote", self.refused, 0.0, 0.0).count,
             ..WorkReport::default()
         }
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "small counts"
-)]
-fn whole(count: f64) -> u32 {
-    count.round() as u32
-}
-
 /// Replays offered loads, one for each tick, relative to what the servers do at the target.
 ///
 /// Returns the admitted load in each tick, relative to the same.
@@ -108,14 +74,10 @@
             counts.busy_s += SLOTS * utilisation * TICK_S;
             counts.refused += (entered - done).max(0.0) * share;
         }
-        let now = start + Duration::from_millis(u64::from(TICK_MS)) * u32::try_from(tick).unwrap();
-        let node = tick % REPORT_TICKS;
-        let work = std::mem::take(&mut nodes[node].0).report(3);
-        let place = ServerCapacity {
-            service: Arc::from("quotes"),
-            slots: whole(SLOTS),
-        };
-        planner.add_report(node as u64, place, &work, now);
+        let now = start + Duration::from_millis(100 * tick as u64);
+        let node = tick % 3;
+        let work = std::mem::take(&mut nodes[node].0).report();
+        planner.add_report(node as u64, place("quotes", 105), &work, now);
         let plan = planner.plan(now);
         nodes[node].1 = f64::from(plan[0].admitted_milli) / 1000.0;
     }
