Bound the utilisation that the last plan is expected to cause

Cause: entry nodes and servers report up to a window apart. When the offered load falls, fractions may grow before the servers' reports show the fall; from a fraction of 0.15 the expected utilisation could reach 6 times the measured one and throw the correction to its minimum. Found by reading, not seen.

--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -338,7 +338,9 @@
                 continue;
             }
             let ratio = ratios.get(service).copied().unwrap_or(1.0);
-            let utilisation = capacity.used_slots / capacity.slots * ratio;
+            // The reports of entry nodes and of servers may be a window apart, which makes the
+            // ratio of a plan that grows fast too large.
+            let utilisation = (capacity.used_slots / capacity.slots * ratio).min(DEMAND_RATIO_MAX);
             let correction = self.corrections.entry(service.clone()).or_insert(1.0);
             let fills_slots =
                 self.bottlenecks.contains(service) && self.refusals.lost_share(service) <= 0.0;
