--- a/crates/admit/src/entry.rs
+++ b/crates/admit/src/entry.rs
@@ -6,10 +6,17 @@
 //! fraction of each kind of request is admitted, the most important kinds first.
 
 mod admission;
+mod demand;
 mod fanout;
+mod plan_gate;
+mod plan_history;
 mod planner;
+mod refusals;
 
 pub use admission::EntryAdmission;
 pub use admission::EntryDecision;
 pub use admission::EntryRequest;
+pub use plan_gate::GateState;
+pub use plan_gate::PlanGate;
+pub use plan_gate::PlanInputs;
 pub use planner::EntryPlanner;
