Lend tokens before a new leader knows all nodes

What callers saw: when the leading control instance froze in a burst, requests of teams within their limit were refused with 503 until every node had reported to the next leader. With 72 teams over 59 nodes most teams have no share of their own at a node (less than 1.5 tokens), so nearly every request needs a token from the leader.

Cause: a leader lent nothing before it knew all nodes, since a node that it had not heard of may use a share of the rate.

A shortage in this time does not mean that a team is at its limit: its requests wait on, and end with 503 and not 429. Tokens are asked for again after 30 ms then, not at once, so that waiting requests cause no storm.

Evidence: the new tests of the allocator and of the queue; for any demand, shares in force and tokens lent without knowledge of the nodes stay within rate and overage together. Ruled out: lending from the reserve for slack (20 tokens over 59 nodes are less than one each), deputies that lend (a second session for each node).

--- a/crates/fleet/src/control_message.rs
+++ b/crates/fleet/src/control_message.rs
@@ -51,6 +51,16 @@
     pub tokens: u32,
 }
 
+/// Tokens that the leader lends to a node.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct LentTokens {
+    /// The tokens of each requested team.
+    pub tokens: Vec<TeamTokens>,
+    /// Whether a team that got fewer than requested is at its limit; a leader that does not know
+    /// all nodes yet lends less than that.
+    pub up_to_limit: bool,
+}
+
 /// Periodic report of a node to the leader; the reply renews the node's lease.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeReport {
@@ -116,9 +126,8 @@
     /// Shares of the teams' rate limits; sent once the leader knows all nodes. Of a team that is
     /// missing, the node has none and gets none.
     RateShares(Vec<TeamShare>),
-    /// Tokens lent in reply to [`ControlMessage::BorrowTokens`]; fewer than requested when a team
-    /// is at its limit.
-    Tokens(Vec<TeamTokens>),
+    /// Tokens lent in reply to [`ControlMessage::BorrowTokens`].
+    Tokens(LentTokens),
     /// Servers beside the node that have left, as a quorum has recorded them.
     Departures(DepartureList),
     /// Requests to refuse since they crash backend servers.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -37,6 +37,7 @@
 pub use control_message::ConfigNotice;
 pub use control_message::ControlMessage;
 pub use control_message::ControlReply;
+pub use control_message::LentTokens;
 pub use control_message::NodeReport;
 pub use control_message::TeamDemand;
 pub use control_message::TeamShare;
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -216,8 +216,7 @@
         let version = self.state.version();
         let changed = self.state.with_leader_state(|leader| {
             if leader.limits_version != version {
-                leader.rate_allocator.set_limits(&self.state.limits(), now);
-                leader.limits_version = version;
+                leader.set_limits(&self.state.limits(), version, now);
             }
             let node = report.record.node;
             for demand in &report.teams {
@@ -260,6 +259,7 @@
         let node_addresses = self.state.node_addresses();
         let granted = self.state.with_leader_state(|leader| {
             let knows_all = leader.knows_all(node, &node_addresses, now);
+            leader.note_completeness(&node_addresses, now);
             let shares = leader.rate_allocator.grant(node, knows_all, now);
             (knows_all, shares, leader.entry_plan(now))
         });
@@ -294,15 +294,12 @@
     /// Lends tokens once a quorum has confirmed the leader, so that no two leaders lend at the
     /// same time.
     fn lend_tokens(&self, requested: Vec<TeamTokens>) {
-        let Some(node) = self.node else {
-            return;
-        };
         let (state, sender) = (self.state.clone(), self.sender.clone());
         tokio::spawn(async move {
             if !state.confirm_leader().await {
                 return;
             }
-            if let Some(lent) = state.lend_tokens(node, requested) {
+            if let Some(lent) = state.lend_tokens(requested) {
                 sender.send(&ControlMessage::Reply(Box::new(ControlReply::Tokens(lent))));
             }
         });
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -12,6 +12,7 @@
 use clock::Clock;
 use fleet::ConfigChange;
 use fleet::ConfigStore;
+use fleet::LentTokens;
 use fleet::NodeAddresses;
 use fleet::TeamEntry;
 use fleet::TeamTokens;
@@ -83,6 +84,28 @@
             && self.registry.is_replicated(node, node_addresses)
     }
 
+    /// Applies the limits of the teams from a version of the configuration.
+    pub(crate) fn set_limits(
+        &mut self,
+        limits: &[(TeamName, TeamLimit)],
+        version: ConfigVersion,
+        now: Instant,
+    ) {
+        self.rate_allocator.set_limits(limits, now);
+        self.limits_version = version;
+    }
+
+    /// Tells the allocator whether all nodes that may hold shares have reported; returns it.
+    pub(crate) fn note_completeness(
+        &mut self,
+        node_addresses: &NodeAddresses,
+        now: Instant,
+    ) -> bool {
+        let is_complete = self.registry.is_complete(node_addresses, now);
+        self.rate_allocator.set_knows_all_nodes(is_complete, now);
+        is_complete
+    }
+
     /// Returns the entry admission plan for the nodes; computes a new one if the last one is too
     /// old.
     pub(crate) fn entry_plan(&mut self, now: Instant) -> Vec<EntryShare> {
@@ -318,27 +341,29 @@
         leader_state.as_mut().map(work)
     }
 
-    /// Lends tokens to a node; returns `None` if this instance is not the leader or does not know
-    /// all nodes yet.
-    pub(crate) fn lend_tokens(
-        &self,
-        node: NodeId,
-        requested: Vec<TeamTokens>,
-    ) -> Option<Vec<TeamTokens>> {
+    /// Lends tokens to a node; returns `None` if this instance is not the leader.
+    ///
+    /// Until all nodes are known, only what no unknown node can hold as a share is lent.
+    pub(crate) fn lend_tokens(&self, requested: Vec<TeamTokens>) -> Option<LentTokens> {
         let now = self.clock.now();
         let node_addresses = self.node_addresses();
-        let lent = self.with_leader_state(|leader| {
-            leader.knows_all(node, &node_addresses, now).then(|| {
-                let lent = requested.into_iter().map(|request| TeamTokens {
-                    tokens: leader
-                        .rate_allocator
-                        .lend_tokens(&request.team, request.tokens, now),
-                    team: request.team,
-                });
-                lent.collect()
-            })
-        });
-        lent.flatten()
+        let version = self.version();
+        self.with_leader_state(|leader| {
+            if leader.limits_version != version {
+                leader.set_limits(&self.limits(), version, now);
+            }
+            let up_to_limit = leader.note_completeness(&node_addresses, now);
+            let lent = requested.into_iter().map(|request| TeamTokens {
+                tokens: leader
+                    .rate_allocator
+                    .lend_tokens(&request.team, request.tokens, now),
+                team: request.team,
+            });
+            LentTokens {
+                tokens: lent.collect(),
+                up_to_limit,
+            }
+        })
     }
 
     /// Notifies the sessions of nodes that there are updates to send.
--- a/crates/limit/src/rate_allocator.rs
+++ b/crates/limit/src/rate_allocator.rs
@@ -58,6 +58,9 @@
 /// tokens from the pool. A share is raised only by rate that no other node may
 /// still use, so shares and pool together never exceed the rate. The share of
 /// a node that no longer reports stays reserved until its lease has expired.
+///
+/// All shares of a team together stay within [`SHARES_FRACTION`] of its rate, so
+/// a new leader can lend from the rest before it knows who holds which share.
 #[derive(Clone, Debug)]
 pub struct RateAllocator {
     lease_length: Duration,
@@ -65,6 +68,8 @@
     teams: HashMap<TeamName, TeamShares>,
     /// Nodes that have reported before; a team that one of them names again had no demand there.
     reporters: HashSet<NodeId>,
+    /// Whether all nodes that may hold shares have reported.
+    knows_all_nodes: bool,
 }
 
 impl RateAllocator {
@@ -80,6 +85,23 @@
             overage: overage * OVERAGE_FRACTION,
             teams: HashMap::new(),
             reporters: HashSet::new(),
+            knows_all_nodes: true,
+        }
+    }
+
+    /// Sets whether all nodes that may hold shares have reported. Until then the pool gets only the
+    /// part of the rate that is never granted as shares.
+    pub fn set_knows_all_nodes(&mut self, knows_all_nodes: bool, now: Instant) {
+        if self.knows_all_nodes == knows_all_nodes {
+            return;
+        }
+        self.refill_all(now);
+        self.knows_all_nodes = knows_all_nodes;
+    }
+
+    fn refill_all(&mut self, now: Instant) {
+        for shares in self.teams.values_mut() {
+            shares.refill(self.knows_all_nodes, now);
         }
     }
 
@@ -91,18 +113,19 @@
         for (team, limit) in limits {
             let shares = self.teams.entry(team.clone());
             let shares = shares.or_insert_with(|| TeamShares::new(now));
-            shares.refill(now);
+            shares.refill(self.knows_all_nodes, now);
             shares.rate_milli = with_overage(limit.rate_milli, self.overage);
             shares.depth_s = limit.burst_milli as f64 / limit.rate_milli.max(1) as f64;
         }
     }
 
     /// Lends up to `wanted` tokens of a team's pool to a node; returns how many.
-    ///
-    /// Must not be called by a leader that does not know all nodes yet.
     pub fn lend_tokens(&mut self, team: &TeamName, wanted: u32, now: Instant) -> u32 {
-        let shares = self.teams.get_mut(team);
-        shares.map_or(0, |shares| shares.lend_tokens(wanted, now))
+        let Some(shares) = self.teams.get_mut(team) else {
+            return 0;
+        };
+        shares.refill(self.knows_all_nodes, now);
+        shares.lend_tokens(wanted)
     }
 
     /// Records a node's report on one team: requests per second, and the share it applies.
@@ -117,7 +140,7 @@
         let Some(shares) = self.teams.get_mut(team) else {
             return;
         };
-        shares.refill(now);
+        shares.refill(self.knows_all_nodes, now);
         let demand = f64::from(demand_per_s);
         let demand_before = if self.reporters.contains(&node) {
             0.0
@@ -158,8 +181,8 @@
     /// Removes a node that has stopped, which frees its shares.
     pub fn remove_node(&mut self, node: NodeId, now: Instant) {
         self.reporters.remove(&node);
+        self.refill_all(now);
         for shares in self.teams.values_mut() {
-            shares.refill(now);
             shares.nodes.remove(&node);
         }
     }
@@ -175,7 +198,7 @@
             if !shares.nodes.contains_key(&node) {
                 continue;
             }
-            shares.refill(now);
+            shares.refill(self.knows_all_nodes, now);
             shares
                 .nodes
                 .retain(|_, share| now.saturating_duration_since(share.reported_at) < lease_length);
@@ -212,7 +235,9 @@
 
     fn grant(&mut self, node: NodeId, may_raise: bool) -> Option<u64> {
         let target = self.target_milli(node)?;
-        let free = self.rate_milli.saturating_sub(self.reserved_milli());
+        let free = self
+            .shares_max_milli()
+            .saturating_sub(self.reserved_milli());
         let share = self.nodes.get_mut(&node)?;
         let granted = if target <= share.reserved_milli {
             target
@@ -263,6 +288,16 @@
         Some((share_per_s * MILLI_PER_REQUEST as f64) as u64)
     }
 
+    /// Returns the part of the rate that may be granted as shares.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part of the rate, which is not negative"
+    )]
+    fn shares_max_milli(&self) -> u64 {
+        (self.rate_milli as f64 * SHARES_FRACTION) as u64
+    }
+
     /// Returns the sum of the shares that nodes may apply.
     fn reserved_milli(&self) -> u64 {
         self.nodes.values().map(|share| share.reserved_milli).sum()
@@ -273,8 +308,7 @@
         clippy::cast_sign_loss,
         reason = "tokens are few and not negative"
     )]
-    fn lend_tokens(&mut self, wanted: u32, now: Instant) -> u32 {
-        self.refill(now);
+    fn lend_tokens(&mut self, wanted: u32) -> u32 {
         let lent = wanted.min(self.pool_tokens as u32);
         self.pool_tokens -= f64::from(lent);
         lent
@@ -282,9 +316,15 @@
 
     /// Adds to the pool the rate that no share used since the previous call.
     ///
-    /// Must be called before any of the shares or the rate changes.
-    fn refill(&mut self, now: Instant) {
-        let free_milli = self.rate_milli.saturating_sub(self.reserved_milli());
+    /// Must be called before any of the shares or the rate changes. Unless all nodes are known,
+    /// the unknown ones may use whatever may be granted as shares.
+    fn refill(&mut self, knows_all_nodes: bool, now: Instant) {
+        let used_milli = if knows_all_nodes {
+            self.reserved_milli()
+        } else {
+            self.reserved_milli().max(self.shares_max_milli())
+        };
+        let free_milli = self.rate_milli.saturating_sub(used_milli);
         let rate_per_s = free_milli as f64 / MILLI_PER_REQUEST as f64;
         let elapsed_s = now
             .saturating_duration_since(self.pool_updated)
--- a/crates/limit/tests/rate_allocator.rs
+++ b/crates/limit/tests/rate_allocator.rs
@@ -478,3 +478,46 @@
         Ok(())
     });
 }
+
+/// Shares held by nodes that a new leader has not heard of, and what it lends meanwhile.
+///
+/// Guards against refusals for as long as one of many nodes has not reported to a new leader, and
+/// against a leader that lends what such a node may use.
+#[test]
+fn a_leader_that_does_not_know_all_nodes_lends_only_what_is_never_granted_as_shares() {
+    let start = Instant::now();
+    arbtest::arbtest(|source| {
+        let demands: Vec<Vec<u32>> = (0..12)
+            .map(|_| (0..6).map(|_| source.int_in_range(0..=400)).collect())
+            .collect::<Result<_, _>>()?;
+        let shares = run_periods(&demands, |_, _| {});
+        let held: u64 = shares.values().sum();
+        let (mut leader, team) = allocator(start);
+        leader.set_knows_all_nodes(false, start);
+        let lent = lent_in(&mut leader, &team, start, Duration::from_secs(5));
+        let limit = limit_with_overage_milli();
+        assert!(held + lent * 1000 / 5 <= limit, "{held} and {lent}");
+        assert!(lent * 1000 / 5 >= limit * 3 / 10, "{lent}");
+        Ok(())
+    });
+}
+
+#[test]
+fn a_leader_lends_the_whole_rate_once_it_knows_that_no_node_holds_a_share() {
+    let start = Instant::now();
+    let (mut leader, team) = allocator(start);
+    leader.set_knows_all_nodes(false, start);
+    lent_in(&mut leader, &team, start, Duration::from_secs(1));
+    let known = start + Duration::from_secs(1);
+    leader.set_knows_all_nodes(true, known);
+    let lent = lent_in(&mut leader, &team, known, Duration::from_secs(1));
+    assert!(lent + 1 >= u64::from(RATE_PER_S) * 109 / 100, "{lent}");
+}
+
+/// Returns how many tokens an allocator lends at most from `from` on.
+fn lent_in(allocator: &mut RateAllocator, team: &TeamName, from: Instant, length: Duration) -> u64 {
+    let steps = (1..=100).map(|step| from + length / 100 * step);
+    steps
+        .map(|now| u64::from(allocator.lend_tokens(team, 1000, now)))
+        .sum()
+}
--- a/crates/proxy/src/token_wait_queue.rs
+++ b/crates/proxy/src/token_wait_queue.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fleet::LentTokens;
 use fleet::TeamTokens;
 use model::ids::TeamName;
 use tokio::sync::oneshot;
@@ -13,6 +14,9 @@
 const EXHAUSTED_MS: u64 = 100;
 /// Time after which an unanswered token request is sent again, in milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 300;
+/// Time after which tokens are requested again from a leader that lent fewer although the team may
+/// be within its limit, in milliseconds.
+const PARTIAL_RETRY_MS: u64 = 30;
 
 /// Whether a waiting request was granted a token.
 pub type TokenGranted = bool;
@@ -45,7 +49,8 @@
 #[derive(Debug, Default)]
 pub struct TokenWaitQueue {
     teams: HashMap<TeamName, TeamQueue>,
-    requested_at: Option<Instant>,
+    /// Time until which no further tokens are requested.
+    requested_until: Option<Instant>,
 }
 
 impl TokenWaitQueue {
@@ -73,8 +78,7 @@
         extra: impl Fn(&TeamName) -> u32,
         now: Instant,
     ) -> Option<Vec<TeamTokens>> {
-        let limit = Duration::from_millis(REQUEST_TIMEOUT_MS);
-        if self.requested_at.is_some_and(|at| now < at + limit) {
+        if self.requested_until.is_some_and(|until| now < until) {
             return None;
         }
         let mut requested = Vec::new();
@@ -92,20 +96,25 @@
         if requested.is_empty() {
             return None;
         }
-        self.requested_at = Some(now);
+        self.requested_until = Some(now + Duration::from_millis(REQUEST_TIMEOUT_MS));
         Some(requested)
     }
 
     /// Distributes the borrowed tokens to waiting requests; returns those that none waits for.
     ///
-    /// A team that got fewer tokens than requested has used up its rate, so its other requests
-    /// are refused.
-    pub fn distribute(&mut self, borrowed: Vec<TeamTokens>, now: Instant) -> Vec<TeamTokens> {
-        self.requested_at = None;
+    /// If they were lent up to the limit, a team that got fewer tokens than requested has used up
+    /// its rate, so its other requests are refused. Otherwise these go on waiting.
+    pub fn distribute(&mut self, borrowed: LentTokens, now: Instant) -> Vec<TeamTokens> {
+        let LentTokens {
+            tokens,
+            up_to_limit,
+        } = borrowed;
+        self.requested_until =
+            (!up_to_limit).then(|| now + Duration::from_millis(PARTIAL_RETRY_MS));
         let mut unused = Vec::new();
-        for mut borrowed in borrowed {
+        for mut borrowed in tokens {
             let queue = self.teams.entry(borrowed.team.clone()).or_default();
-            let is_exhausted = borrowed.tokens < queue.requested;
+            let is_exhausted = up_to_limit && borrowed.tokens < queue.requested;
             while borrowed.tokens > 0
                 && let Some(waiter) = queue.waiters.pop_front()
             {
@@ -124,6 +133,6 @@
 
     /// Forgets the token request in flight, since its connection was lost.
     pub fn forget_request(&mut self) {
-        self.requested_at = None;
+        self.requested_until = None;
     }
 }
--- a/crates/proxy/tests/token_wait_queue.rs
+++ b/crates/proxy/tests/token_wait_queue.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fleet::LentTokens;
 use fleet::TeamTokens;
 use model::ids::TeamName;
 use proxy::TokenWaitQueue;
@@ -14,6 +15,13 @@
     }]
 }
 
+fn lent(team: &TeamName, number: u32) -> LentTokens {
+    LentTokens {
+        tokens: tokens(team, number),
+        up_to_limit: true,
+    }
+}
+
 #[test]
 fn one_token_request_covers_all_waiting_requests() {
     let now = Instant::now();
@@ -24,7 +32,7 @@
     assert_eq!(queue.next_request(|_| 2, now), Some(tokens(&team, 5)));
     let mut late = queue.enqueue(&team, now).unwrap();
     assert_eq!(queue.next_request(|_| 2, now), None);
-    assert_eq!(queue.distribute(tokens(&team, 5), now), tokens(&team, 1));
+    assert_eq!(queue.distribute(lent(&team, 5), now), tokens(&team, 1));
     waiters.push(late);
     for waiter in &mut waiters {
         assert_eq!(waiter.try_recv(), Ok(true));
@@ -43,7 +51,7 @@
     let mut first = queue.enqueue(&team, now).unwrap();
     let mut second = queue.enqueue(&team, now).unwrap();
     queue.next_request(|_| 0, now).unwrap();
-    assert!(queue.distribute(tokens(&team, 1), now).is_empty());
+    assert!(queue.distribute(lent(&team, 1), now).is_empty());
     assert_eq!(first.try_recv(), Ok(true));
     assert_eq!(second.try_recv(), Ok(false));
     assert!(queue.enqueue(&team, now).is_none());
@@ -62,7 +70,7 @@
     let mut second = queue.enqueue(&team, now).unwrap();
     queue.next_request(|_| 0, now).unwrap();
     drop(first);
-    queue.distribute(tokens(&team, 1), now);
+    queue.distribute(lent(&team, 1), now);
     assert_eq!(second.try_recv(), Ok(true));
 }
 
@@ -83,3 +91,26 @@
     queue.forget_request();
     assert!(queue.next_request(|_| 0, now).is_some());
 }
+
+/// Guards against a team within its limit that is told it is over it while a new leader does not
+/// know all nodes yet.
+#[test]
+fn requests_go_on_waiting_while_the_leader_lends_less_than_the_limit() {
+    let now = Instant::now();
+    let team = TeamName::from("north");
+    let mut queue = TokenWaitQueue::default();
+    let mut first = queue.enqueue(&team, now).unwrap();
+    let mut second = queue.enqueue(&team, now).unwrap();
+    queue.next_request(|_| 0, now).unwrap();
+    let partial = LentTokens {
+        up_to_limit: false,
+        ..lent(&team, 1)
+    };
+    assert!(queue.distribute(partial, now).is_empty());
+    assert_eq!(first.try_recv(), Ok(true));
+    assert!(second.try_recv().is_err());
+    assert!(queue.enqueue(&team, now).is_some());
+    assert_eq!(queue.next_request(|_| 0, now), None);
+    let later = now + Duration::from_millis(50);
+    assert_eq!(queue.next_request(|_| 0, later), Some(tokens(&team, 1)));
+}
