Decode the limit of cold servers and the remaining cold time

Cause: services may state how many requests per second a cold server tolerates (coldPerS) and for how long it is cold after a start (coldStart), and the health path states the remaining time; both were ignored.

Change: ServiceEntry::cold, with a rate in thousandths so that the configuration stays comparable; 0, null or a missing rate mean no limit.

Ruled out: no limit where coldStart is missing, since the server states its remaining time itself and a rate alone is a limit.

--- a/crates/fleet/src/adapter.rs
+++ b/crates/fleet/src/adapter.rs
@@ -53,6 +53,8 @@
     pub server: Option<ServerName>,
     /// Load that the backend server reports.
     pub load: Option<ServerLoad>,
+    /// Time for which the backend server remains cold; only on answers to health checks.
+    pub cold_left: Option<Duration>,
 }
 
 /// Request to the management API of a node or control instance.
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -71,6 +71,17 @@
     pub health_path: String,
     /// Maximum number of connections that one backend server accepts from all callers together.
     pub max_connections: u32,
+    /// What its backend servers tolerate while they are cold; `None` for any rate.
+    pub cold: Option<ColdLimit>,
+}
+
+/// Rate of requests that a backend server tolerates while it is cold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ColdLimit {
+    /// Requests per second at one backend server over all nodes, in thousandths.
+    pub rate_milli: u64,
+    /// Time for which a backend server is cold after its start; zero if it is not stated.
+    pub duration: Duration,
 }
 
 /// Limits on the size of callers' requests and on the time that callers may take.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub use adapter::RequestMetadata;
 pub use adapter::ResponseMetadata;
 pub use config::CallerLimits;
+pub use config::ColdLimit;
 pub use config::FleetConfig;
 pub use config::RouteEntry;
 pub use config::ServiceEntry;
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -50,6 +50,7 @@
             name: Arc::from("orders"),
             health_path: "/health".to_owned(),
             max_connections: 10,
+            cold: None,
         }],
         limits: CallerLimits {
             head_bytes: 16_384,
