Read the platform's bounds on the rate of cold servers

Cause: how far coldPerS may be exceeded (coldOverage, coldSlack) is a bound of the deployment, which platforms may leave out.

Change: optional bounds.cold-overage and bounds.cold-slack; without them 1.0 and 0, so that nothing beyond coldPerS is planned.

Ruled out: 1.5 and 8 as defaults, which would exceed what a platform without these bounds tolerates.

--- a/crates/group/tests/start.rs
+++ b/crates/group/tests/start.rs
@@ -43,6 +43,8 @@
             quota_window: Duration::from_secs(5),
             quota_overage_ratio: 0.1,
             quota_slack_requests: 20.0,
+            cold_overage_factor: 1.5,
+            cold_slack_requests: 8.0,
         },
     }
 }
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -82,6 +82,8 @@
     pub(crate) quota_window_s: f64,
     pub(crate) quota_overage: f64,
     pub(crate) quota_slack: f64,
+    pub(crate) cold_overage: Option<f64>,
+    pub(crate) cold_slack: Option<f64>,
 }
 
 /// Settings file of a node.
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -18,6 +18,12 @@
 
 /// Simultaneous losses that a group of at most seven instances can tolerate.
 const TOLERATED_LOSSES: RangeInclusive<usize> = 0..=3;
+/// Factor on the rate of cold backend servers where the platform states none.
+const COLD_OVERAGE_DEFAULT: f64 = 1.0;
+/// Additional requests to cold backend servers where the platform states none.
+const COLD_SLACK_DEFAULT: f64 = 0.0;
+/// Largest such factor and number; larger ones limit nothing.
+const COLD_BOUND_MAX: f64 = 1e6;
 /// Bytes in a mebibyte.
 const MEBIBYTE: u64 = 1024 * 1024;
 
@@ -46,6 +52,10 @@
     pub quota_overage_ratio: f64,
     /// Additional requests by which a team may exceed its rate limit.
     pub quota_slack_requests: f64,
+    /// Factor by which the requests to a cold backend server may exceed its rate.
+    pub cold_overage_factor: f64,
+    /// Additional requests that a cold backend server may receive in any one second.
+    pub cold_slack_requests: f64,
 }
 
 /// Settings of a node in a deployment without TLS among its processes.
@@ -194,6 +204,7 @@
             }
             Err(self.invalid_value(key, value, "0 or more"))
         };
+        let (cold_overage_factor, cold_slack_requests) = self.cold_bounds(file)?;
         Ok(DeploymentBounds {
             tolerated_losses: file.tolerated_losses,
             revocation_time: Duration::from_millis(file.lease_ms),
@@ -206,6 +217,22 @@
             quota_window: positive_seconds("bounds.quota-window-s", file.quota_window_s)?,
             quota_overage_ratio: non_negative("bounds.quota-overage", file.quota_overage)?,
             quota_slack_requests: non_negative("bounds.quota-slack", file.quota_slack)?,
+            cold_overage_factor,
+            cold_slack_requests,
         })
     }
+
+    /// Returns the factor and the additional requests that apply to cold backend servers.
+    fn cold_bounds(&self, file: &BoundsTable) -> Result<(f64, f64), SettingsError> {
+        let overage = file.cold_overage.unwrap_or(COLD_OVERAGE_DEFAULT);
+        let slack = file.cold_slack.unwrap_or(COLD_SLACK_DEFAULT);
+        if !(overage > 0.0 && overage <= COLD_BOUND_MAX) {
+            let key = "bounds.cold-overage";
+            return Err(self.invalid_value(key, overage, "above 0, at most 1000000"));
+        }
+        if !(0.0..=COLD_BOUND_MAX).contains(&slack) {
+            return Err(self.invalid_value("bounds.cold-slack", slack, "0 to 1000000"));
+        }
+        Ok((overage, slack))
+    }
 }
--- a/crates/settings/tests/fixtures.rs
+++ b/crates/settings/tests/fixtures.rs
@@ -39,6 +39,23 @@
     }
 }
 
+/// Guards against bounds on cold servers that are not applied, and against an assumed excess where
+/// the platform allows none.
+#[test]
+fn bounds_on_cold_servers_are_optional() {
+    let mut values = Vec::new();
+    for path in fixtures("valid") {
+        let bounds = match CheckedSettings::load(&path).expect("valid") {
+            CheckedSettings::Proxy(settings) => settings.bounds,
+            CheckedSettings::Group(settings) => settings.bounds,
+            CheckedSettings::Node(_) | CheckedSettings::Control(_) => continue,
+        };
+        values.push((bounds.cold_overage_factor, bounds.cold_slack_requests));
+    }
+    values.sort_by(|left, right| left.0.total_cmp(&right.0));
+    assert_eq!(format!("{values:?}"), "[(1.0, 0.0), (1.5, 8.0)]");
+}
+
 #[test]
 fn a_missing_settings_file_is_named_in_the_error() {
     let error = CheckedSettings::load(Path::new("missing.toml")).expect_err("there is no file");
