Pace the calls to a backend server that is cold

Cause: a server that runs hundreds of calls per second may become cold at any moment and crashes at a few tens per second.

Change: ColdPacer records the last requests, while the server is warm too, and allows floor(rate) in any second and a burst of half of the slack. SlotLimiter starts calls only as it allows, and offers the slots that the rate can use. Without a limit nothing changes.

Ruled out: a token bucket, which allows rate and burst within one second; a window alone, which sends two windows within a second of arrivals; an estimate of the wait from the mean rate, which let calls wait in vain for the last burst.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -5,6 +5,7 @@
 //! see `docs/ADMISSION.md`.
 
 mod adaptive_limiter;
+mod cold_pacer;
 mod completed_calls;
 mod entry;
 mod quarantine;
@@ -23,6 +24,8 @@
 pub use adaptive_limiter::OfferOutcome;
 pub use adaptive_limiter::QueueAction;
 pub use adaptive_limiter::QueueActions;
+pub use cold_pacer::ColdPacer;
+pub use cold_pacer::PaceLimit;
 pub use completed_calls::CompletedCalls;
 pub use entry::EntryAdmission;
 pub use entry::EntryDecision;
--- a/crates/admit/src/slot_limiter.rs
+++ b/crates/admit/src/slot_limiter.rs
@@ -7,6 +7,9 @@
 use model::context::CallRank;
 use model::context::ServerLoad;
 
+use crate::ColdPacer;
+use crate::PaceLimit;
+
 /// Slots assumed before the backend server announces its own.
 const SLOTS_DEFAULT: u32 = 32;
 /// Fraction of the time to its deadline that a call may wait.
@@ -65,6 +68,9 @@
 /// The rest wait here in a priority queue, for a limited part of the time to their
 /// deadline. A call that would start too late is refused at once, early enough for
 /// the caller to try elsewhere.
+///
+/// A backend server that is cold gets its calls from a [`ColdPacer`] besides: a
+/// call that exceeds the pace waits or is refused as if no slot were free.
 #[derive(Clone, Debug)]
 pub struct SlotLimiter {
     slots: u32,
@@ -72,6 +78,8 @@
     queue: BTreeMap<QueueKey, QueuedCall>,
     arrivals: u64,
     service_s: f64,
+    /// Only for a backend server whose service limits the rate while it is cold.
+    pacer: Option<ColdPacer>,
 }
 
 impl Default for SlotLimiter {
@@ -82,6 +90,7 @@
             queue: BTreeMap::new(),
             arrivals: 0,
             service_s: 0.0,
+            pacer: None,
         }
     }
 }
@@ -92,6 +101,71 @@
         self.slots = slots.max(1);
     }
 
+    /// Sets the rate that the backend server tolerates while it is cold; `None` for any rate.
+    ///
+    /// When there was no limit before, any number of calls may have been sent up to `now`.
+    pub fn set_pace_limit(&mut self, limit: Option<PaceLimit>, now: Instant) {
+        match (limit, &mut self.pacer) {
+            (Some(limit), Some(pacer)) => pacer.set_limit(limit),
+            (limit, pacer) => *pacer = limit.map(|limit| ColdPacer::new(limit, now)),
+        }
+    }
+
+    /// Sets the time until which the backend server is cold; of no effect without a limit.
+    pub const fn set_cold_until(&mut self, cold_until: Option<Instant>) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.set_cold_until(cold_until);
+        }
+    }
+
+    /// Returns whether the backend server is cold and its rate therefore limited.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.pacer.as_ref().is_some_and(|pacer| pacer.is_cold(now))
+    }
+
+    /// Returns the slots that the calls of a cold backend server use at the rate that it
+    /// tolerates, at least one; all slots while its rate is not limited.
+    #[must_use]
+    pub fn usable_slots(&self, now: Instant) -> u32 {
+        let pacer = self.pacer.as_ref().filter(|pacer| pacer.is_cold(now));
+        let Some(pacer) = pacer else {
+            return self.slots;
+        };
+        let used = pacer.limit().rate_per_s() * self.service_s;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a cast of a float saturates"
+        )]
+        let used = used as u32;
+        used.clamp(1, self.slots)
+    }
+
+    /// Returns whether calls wait although a slot is free, since the backend server is cold.
+    #[must_use]
+    pub fn is_paced(&self, now: Instant) -> bool {
+        self.running < self.slots && self.next_start(now) > now
+    }
+
+    /// Returns when the next queued call may start, if only the pace holds it back.
+    #[must_use]
+    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
+        let is_held_back = !self.queue.is_empty() && self.is_paced(now);
+        is_held_back.then(|| self.next_start(now))
+    }
+
+    /// Returns whether a health check may be sent now without delaying a call, and if so counts
+    /// it as sent. It uses no slot of the limiter.
+    pub fn try_check(&mut self, now: Instant) -> bool {
+        let is_free = self.running < self.slots && self.queue.is_empty();
+        if !is_free || self.next_start(now) > now {
+            return false;
+        }
+        self.record_start(now);
+        true
+    }
+
     /// Runs, queues or refuses a call with `time_left` until its deadline.
     pub fn offer(
         &mut self,
@@ -100,8 +174,10 @@
         time_left: Duration,
         now: Instant,
     ) -> SlotDecision {
-        if self.running < self.slots && self.queue.is_empty() {
+        let is_free = self.running < self.slots && self.queue.is_empty();
+        if is_free && self.next_start(now) <= now {
             self.running += 1;
+            self.record_start(now);
             return SlotDecision::Run;
         }
         let key = QueueKey {
@@ -112,9 +188,9 @@
             .mul_f64(WAIT_FRACTION)
             .min(Duration::from_millis(WAIT_MAX_MS));
         let ahead = self.queue.range(..key).count();
-        let wait = self.expected_wait(ahead + 1);
+        let wait = self.expected_wait(ahead + 1, now);
         if wait > max_wait {
-            let retry_after = self.retry_after();
+            let retry_after = self.retry_after(now);
             return SlotDecision::Refuse { retry_after };
         }
         self.arrivals += 1;
@@ -146,15 +222,16 @@
     /// Starts queued calls while slots are free, and refuses those that waited too long.
     pub fn process_queue(&mut self, now: Instant) -> DequeuedCalls {
         let mut dequeued = DequeuedCalls::default();
-        while self.running < self.slots {
+        while self.running < self.slots && self.next_start(now) <= now {
             let Some((_, call)) = self.queue.pop_first() else {
                 break;
             };
             if now >= call.wait_until {
-                dequeued.refused.push((call.id, self.retry_after()));
+                dequeued.refused.push((call.id, self.retry_after(now)));
                 continue;
             }
             self.running += 1;
+            self.record_start(now);
             dequeued.started.push(call.id);
         }
         let expired: Vec<QueueKey> = self
@@ -165,7 +242,7 @@
             .collect();
         for key in expired {
             if let Some(call) = self.queue.remove(&key) {
-                dequeued.refused.push((call.id, self.retry_after()));
+                dequeued.refused.push((call.id, self.retry_after(now)));
             }
         }
         dequeued
@@ -182,14 +259,28 @@
         }
     }
 
+    /// Returns when the pace allows the next call.
+    fn next_start(&self, now: Instant) -> Instant {
+        self.pacer.as_ref().map_or(now, |pacer| pacer.next_at(now))
+    }
+
+    fn record_start(&mut self, now: Instant) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.record(now);
+        }
+    }
+
     /// Returns the expected wait of the call at a position of the queue, counted from 1.
-    fn expected_wait(&self, position: usize) -> Duration {
+    fn expected_wait(&self, position: usize, now: Instant) -> Duration {
         let per_slot_s = self.service_s / f64::from(self.slots);
-        Duration::from_secs_f64(per_slot_s * position as f64)
+        let for_slot = Duration::from_secs_f64(per_slot_s * position as f64);
+        let pacer = self.pacer.as_ref();
+        let for_pace = pacer.map(|pacer| pacer.expected_delay(position - 1, now));
+        for_slot.max(for_pace.unwrap_or_default())
     }
 
-    fn retry_after(&self) -> Duration {
-        self.expected_wait(self.queue.len() + 1).clamp(
+    fn retry_after(&self, now: Instant) -> Duration {
+        self.expected_wait(self.queue.len() + 1, now).clamp(
             Duration::from_millis(RETRY_MIN_MS),
             Duration::from_millis(RETRY_MAX_MS),
         )
