Let pickers use the limit that a load reports

Cause: a cold server has a short queue and few running calls, so relative to the slots of its last record it seemed the least loaded until a new record arrived.

Change: for 1 s after a load, a member counts with its reported limit if that is lower than its slots. The limit of a server that is not cold equals its slots.

Ruled out: waiting for the record, which takes a report period or more.

--- a/crates/route/src/least_loaded.rs
+++ b/crates/route/src/least_loaded.rs
@@ -18,6 +18,9 @@
 const CONGESTION_THRESHOLD: f64 = 0.85;
 /// Penalty for load above [`CONGESTION_THRESHOLD`], as a multiple of the excess.
 const CONGESTION_SLOPE: f64 = 4.0;
+/// Time for which a reported limit below the slots of the record counts, in milliseconds. A cold
+/// server reports one before the record that shows it arrives.
+const REPORTED_LIMIT_VALID_MS: u64 = 1_000;
 /// Time after which a load report has lost half of its weight, in milliseconds.
 const REPORT_HALF_LIFE_MS: f64 = 150.0;
 /// Consecutive failures after which a member is skipped.
@@ -65,6 +68,8 @@
     pub warm_up_until: Instant,
     own_in_flight: u32,
     reported_calls: f64,
+    /// Limit in the last load report; 0 if it had none.
+    reported_limit: u32,
     reported_at: Instant,
     consecutive_failures: u32,
     skipped_until: Instant,
@@ -84,6 +89,7 @@
             warm_up_until: now,
             own_in_flight: 0,
             reported_calls: 0.0,
+            reported_limit: 0,
             reported_at: now,
             consecutive_failures: 0,
             skipped_until: now,
@@ -91,6 +97,17 @@
         }
     }
 
+    /// Returns the slots, or the reported limit if it is lower.
+    fn usable_slots(&self, now: Instant) -> u32 {
+        let valid = Duration::from_millis(REPORTED_LIMIT_VALID_MS);
+        let is_recent = now.saturating_duration_since(self.reported_at) < valid;
+        if is_recent && self.reported_limit > 0 {
+            self.slots.min(self.reported_limit)
+        } else {
+            self.slots
+        }
+    }
+
     /// Returns the load as a fraction of the slots, with penalties for distance and congestion.
     ///
     /// Calls of this node count in full; reported ones decay with the age of the
@@ -114,7 +131,7 @@
             (false, true) => INSTANCE_PENALTY,
             (false, false) => DATA_CENTRE_PENALTY,
         };
-        let load = calls * warm_up_factor / f64::from(self.slots.max(1));
+        let load = calls * warm_up_factor / f64::from(self.usable_slots(now).max(1));
         let congestion_penalty = CONGESTION_SLOPE * (load - CONGESTION_THRESHOLD).max(0.0);
         load + congestion_penalty + distance_penalty
     }
@@ -191,6 +208,7 @@
         member.own_in_flight = member.own_in_flight.saturating_sub(1);
         if let Some(load) = load {
             member.reported_calls = f64::from(load.in_flight) + f64::from(load.queued);
+            member.reported_limit = load.limit;
             member.reported_at = now;
         }
         match result {
--- a/crates/route/tests/least_loaded.rs
+++ b/crates/route/tests/least_loaded.rs
@@ -48,6 +48,26 @@
     }
 }
 
+/// Guards against calls that pile up at a cold server, whose queue is short, until the record that
+/// shows its room arrives; and against a limit that stays when it is warm.
+#[test]
+fn a_cold_member_gets_no_more_calls_than_its_reported_limit_allows() {
+    let now = Instant::now();
+    let mut picker = picker(now, 2);
+    picker.pick(&[2], 0, now);
+    let load = ServerLoad {
+        in_flight: 1,
+        queued: 0,
+        limit: 1,
+        pace: None,
+    };
+    picker.record_result(1, SendResult::Answered, Some(load), now);
+    let chosen: Vec<_> = (0..9).map(|seed| picker.pick(&[], seed, now)).collect();
+    assert_eq!(chosen, [Some(2); 9]);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(picker.pick(&[], 0, later), Some(1));
+}
+
 #[test]
 fn a_failing_member_is_skipped_for_a_while_unless_it_is_the_last() {
     let now = Instant::now();
