Send cold backend servers no more than their rate

Cause: the node sent a cold server as many calls as it has slots, and learned from announcements only, every 1.5 s, that it is cold.

Change: the node applies announcements and answers of the health path, whichever is later, to the pacer; publishes the few slots that a cold server can use; takes it for cold after a crash or a refused connection until it states otherwise; and starts waiting calls when the window allows. It checks the health of a warm server every 500 ms, only with a free slot and an empty queue, and only if the service has a limit.

Ruled out: waking calls at the maintenance tick, which adds up to 50 ms to each burst; a check that holds a slot, which delays calls when the path does not respond.

--- a/crates/daemon/tests/servers/main.rs
+++ b/crates/daemon/tests/servers/main.rs
@@ -4,6 +4,7 @@
 mod addresses;
 mod ahead;
 mod cluster;
+mod cold;
 mod cut_answers;
 mod endless;
 mod http;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -315,6 +315,18 @@
         }
     }
 
+    /// Applies what the configuration states about cold backend servers of this node's service.
+    fn apply_cold_limit(&self, config: &fleet::FleetConfig, now: Instant) {
+        let settings = &self.state.settings;
+        let mut services = config.services.iter();
+        let service = services.find(|entry| entry.name == settings.service);
+        let limit = service.and_then(|entry| entry.cold);
+        let server = &self.state.server;
+        if server.set_cold_limit(limit, &settings.bounds, now) {
+            self.state.publish_record();
+        }
+    }
+
     fn apply(&self, config: fleet::FleetConfig) {
         let version = config.version;
         let now = self.state.now();
@@ -322,6 +334,7 @@
         let earlier = self.state.config().version();
         if self.state.config().apply(config) {
             self.state.quota().apply_config(&limits, now);
+            self.apply_cold_limit(&limits, now);
             self.state.metrics.set("config-version", version);
             info!(
                 event = "config-applied",
--- a/crates/proxy/src/crash_probe.rs
+++ b/crates/proxy/src/crash_probe.rs
@@ -69,6 +69,7 @@
         .record_crash(state.node, service, running, now);
     warn!(event = "server-crashed", %service, suspects);
     state.metrics.count("server", "crashed");
+    state.server.assume_cold(state);
     state.report_now.notify_one();
 }
 
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -1,9 +1,11 @@
 //! The local backend server, on the same instance as this node: its announcement, its slots,
 //! and the calls to it.
 
+mod cold;
 mod crash_watch;
 mod departures;
 mod exchange;
+mod health_check;
 mod pace;
 mod slots;
 
@@ -32,12 +34,14 @@
 use model::ids::Fingerprint;
 use model::ids::RouteName;
 use model::ids::ServiceName;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::connection_pool::ConnectionPool;
 use crate::crash_probe::probe_after_lost_connection;
+use crate::local_server::cold::ColdState;
 pub(crate) use crate::local_server::crash_watch::CrashSign;
 use crate::local_server::crash_watch::CrashWatch;
 use crate::local_server::departures::LocalDepartures;
@@ -79,6 +83,7 @@
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
     crash_watch: CrashWatch,
     pace: LastPace,
+    cold: ColdState,
     /// Running calls, by deadline and a unique number.
     running: BTreeMap<RunningKey, ParentCall>,
 }
@@ -101,6 +106,8 @@
     next_id: Arc<AtomicU64>,
     /// Notified when control has recorded departures.
     departures_recorded: watch::Sender<()>,
+    /// Notified when a call waits that only the pace of a cold server holds back.
+    call_paced: Arc<Notify>,
 }
 
 /// Effect of an announcement.
@@ -122,6 +129,7 @@
             pool: ConnectionPool::default(),
             next_id: Arc::default(),
             departures_recorded: watch::Sender::default(),
+            call_paced: Arc::default(),
         }
     }
 
@@ -166,13 +174,15 @@
             };
             state.draining.get_or_insert(start);
         }
-        let is_changed = is_different(state.announcement.as_ref(), &new);
-        state.warm_up_until = (!new.warm_up_left.is_zero()).then(|| now + new.warm_up_left);
+        let slots_before = state.published_slots();
+        let is_different = is_different(state.announcement.as_ref(), &new);
+        let warm_up_left = new.warm_up_left;
         state.limiter.set_slots(new.slots);
         state.announcement = Some(new);
-        let changes = state.limiter.process_queue(now);
+        state.apply_cold_left(warm_up_left, "announcement", now);
+        let is_changed = is_different || state.published_slots() != slots_before;
         drop(state);
-        self.notify_waiters(changes);
+        self.process_queue(now);
         if is_changed {
             AnnouncementEffect::Changed
         } else {
@@ -191,11 +201,9 @@
             data_centre: Arc::from(""),
             service: self.service.clone(),
             server: announcement.map(|known| known.server.clone()),
-            slots: announcement.map_or(0, |known| known.slots),
+            slots: state.published_slots(),
             accepts_calls: state.accepts_calls(),
-            warm_up_left: state
-                .warm_up_until
-                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+            warm_up_left: state.published_warm_up(now),
             load: state.load(now),
         }
     }
@@ -204,11 +212,13 @@
         lock(&self.state).load(now)
     }
 
-    /// Refuses calls that have waited too long, and closes idle connections.
-    pub(crate) fn tick(&self, now: Instant) {
-        let changes = lock(&self.state).limiter.process_queue(now);
-        self.notify_waiters(changes);
+    /// Refuses calls that have waited too long, and closes idle connections; returns whether the
+    /// record that the node publishes changed, because the backend server is warm by now.
+    pub(crate) fn tick(&self, now: Instant) -> bool {
+        let is_changed = self.end_cold_period(now);
+        self.process_queue(now);
         self.pool.close_expired();
+        is_changed
     }
 
     /// Runs a call on the local backend server as soon as a slot is free.
@@ -238,7 +248,7 @@
                 };
             }
         };
-        let permit = match self.acquire_slot(head, started).await {
+        let permit = match self.acquire_slot(head, &proxy.metrics, started).await {
             Ok(permit) => permit,
             Err(retry_after) => {
                 proxy.work().count_refused();
@@ -270,6 +280,9 @@
         if is_connection_lost(&outcome) {
             probe_after_lost_connection(proxy);
         }
+        if is_connect_failed(&outcome) {
+            self.assume_cold(proxy);
+        }
         drop(running);
         if is_answered {
             let now = proxy.now();
@@ -354,12 +367,27 @@
     )
 }
 
+const fn is_connect_failed(outcome: &AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::Refused {
+            cause: RefusalReason::ConnectFailed,
+            ..
+        }
+    )
+}
+
 impl LocalServerState {
     /// Returns the load to report to other nodes.
     fn load(&self, now: Instant) -> ServerLoad {
+        let load = self.limiter.load();
         ServerLoad {
+            limit: self
+                .cold
+                .slots
+                .map_or(load.limit, |slots| slots.min(load.limit)),
             pace: self.pace.at(now),
-            ..self.limiter.load()
+            ..load
         }
     }
 
--- a/crates/proxy/src/local_server/slots.rs
+++ b/crates/proxy/src/local_server/slots.rs
@@ -6,36 +6,99 @@
 
 use admit::DequeuedCalls;
 use admit::SlotDecision;
+use clock::Clock;
 use fleet::CallHead;
+use metrics::ProcessMetrics;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::local_server::LocalServer;
 use crate::local_server::UNAVAILABLE_RETRY_AFTER;
 use crate::state::lock;
 
+/// Kind of the metrics on calls that the pace of a cold backend server held back.
+const COLD_PACE: &str = "cold-pace";
+
 /// A slot, or the delay after which one may be free.
 pub(super) type SlotResult = Result<SlotPermit, Duration>;
 
 impl LocalServer {
     /// Waits for a slot; fails with the delay after which one may be free.
-    pub(super) async fn acquire_slot(&self, head: &CallHead, now: Instant) -> SlotResult {
+    pub(super) async fn acquire_slot(
+        &self,
+        head: &CallHead,
+        metrics: &ProcessMetrics,
+        now: Instant,
+    ) -> SlotResult {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let waiter = {
+        let (waiter, is_paced) = {
             let mut state = lock(&self.state);
-            match state.limiter.offer(id, head.rank, head.time_left, now) {
+            let decision = state.limiter.offer(id, head.rank, head.time_left, now);
+            let is_paced = state.limiter.is_paced(now);
+            match decision {
                 SlotDecision::Run => return Ok(self.new_permit()),
-                SlotDecision::Refuse { retry_after } => return Err(retry_after),
+                SlotDecision::Refuse { retry_after } => {
+                    if is_paced {
+                        metrics.count(COLD_PACE, "refused");
+                    }
+                    return Err(retry_after);
+                }
                 SlotDecision::Wait => {
                     let (sender, waiter) = oneshot::channel();
                     state.waiting.insert(id, sender);
-                    waiter
+                    (waiter, is_paced)
                 }
             }
         };
+        if is_paced {
+            metrics.count(COLD_PACE, "delayed");
+            self.call_paced.notify_one();
+        }
         let queued = QueuedCall { server: self, id };
         let outcome = waiter.await;
         drop(queued);
-        outcome.unwrap_or(Err(UNAVAILABLE_RETRY_AFTER))
+        let outcome = outcome.unwrap_or(Err(UNAVAILABLE_RETRY_AFTER));
+        if is_paced && outcome.is_err() {
+            metrics.count(COLD_PACE, "refused");
+        }
+        outcome
+    }
+
+    /// Starts calls when the pace of a cold backend server allows the next one; never returns.
+    ///
+    /// The periodic maintenance would start them up to 50 ms later, which costs rate.
+    pub(crate) async fn start_paced_calls<C: Clock>(&self, clock: &C) {
+        loop {
+            let now = clock.now();
+            let next = lock(&self.state).limiter.next_wake(now);
+            let paced = self.call_paced.notified();
+            match next {
+                // Another call may wait by then, or the pace may have changed.
+                Some(at) => {
+                    let _ = timeout(at.saturating_duration_since(now), paced).await;
+                }
+                None => paced.await,
+            }
+            // No notification here: it would end the next wait at once.
+            self.start_queued(clock.now());
+        }
+    }
+
+    /// Starts the queued calls that may run, and refuses those that waited too long.
+    pub(super) fn process_queue(&self, now: Instant) {
+        if self.start_queued(now) {
+            self.call_paced.notify_one();
+        }
+    }
+
+    /// Starts and refuses queued calls; returns whether the pace alone holds back the next one.
+    fn start_queued(&self, now: Instant) -> bool {
+        let mut state = lock(&self.state);
+        let changes = state.limiter.process_queue(now);
+        let is_paced = state.limiter.next_wake(now).is_some();
+        drop(state);
+        self.notify_waiters(changes);
+        is_paced
     }
 
     fn new_permit(&self) -> SlotPermit {
@@ -96,8 +159,14 @@
         if !std::mem::replace(&mut self.is_held, false) {
             return;
         }
-        let changes = lock(&self.server.state).limiter.finish(service_time, now);
+        let mut state = lock(&self.server.state);
+        let changes = state.limiter.finish(service_time, now);
+        let is_paced = state.limiter.next_wake(now).is_some();
+        drop(state);
         self.server.notify_waiters(changes);
+        if is_paced {
+            self.server.call_paced.notify_one();
+        }
     }
 }
 
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -61,6 +61,7 @@
     tokio::spawn(announce::serve(state.clone(), readiness_listener));
     tokio::spawn(control::run(state.clone(), seeds));
     tokio::spawn(maintain(state.clone()));
+    tokio::spawn(start_paced_calls(state.clone()));
     tokio::spawn(ingress::serve(state.clone(), caller_listener));
     stop.cancelled().await;
     let schedule = state.begin_stop();
@@ -79,7 +80,7 @@
     period.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         period.tick().await;
-        state.server.tick(state.now());
+        maintain_server(&state);
         let unresponsive = state.peers.probe();
         if !unresponsive.is_empty() {
             state.nodes().mark_unresponsive(&unresponsive, state.now());
@@ -87,6 +88,22 @@
     }
 }
 
+/// Maintains what is known of the backend server, and publishes it.
+fn maintain_server<C: Clock, A: ProtocolAdapter>(state: &ProxyState<C, A>) {
+    let now = state.now();
+    if state.server.tick(now) {
+        state.publish_record();
+    }
+    state.server.check_health(state);
+    if let Some(seconds) = state.server.cold_seconds(now) {
+        state.metrics.set("server-cold-seconds", seconds);
+    }
+}
+
+async fn start_paced_calls<C: Clock, A: ProtocolAdapter>(state: ProxyState<C, A>) {
+    state.server.start_paced_calls(&state.clock).await;
+}
+
 /// Leads the node through the phases of its stop, until nothing is open or the time is up.
 async fn drain<C: Clock, A: ProtocolAdapter>(state: &ProxyState<C, A>, schedule: StopSchedule) {
     let mut announced = None;
