Read the costs of traffic between data centres from the settings

Cause: the plan of traffic between data centres needs to know what it costs callers and operators when a call leaves its data centre.

Change: an optional table [traffic] of the role group, with leave-cost-ms (15) and network-delay-ms (10), each 60000 at most. Without the table nothing changes. A node measures no network delay, so that it is a setting.

--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -56,6 +56,24 @@
     pub(crate) first_start: bool,
     pub(crate) listen: GroupListen,
     pub(crate) bounds: BoundsTable,
+    pub(crate) traffic: Option<TrafficTable>,
+}
+
+/// What it costs when a call leaves its data centre.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub(crate) struct TrafficTable {
+    pub(crate) leave_cost_ms: u64,
+    pub(crate) network_delay_ms: u64,
+}
+
+impl Default for TrafficTable {
+    fn default() -> Self {
+        Self {
+            leave_cost_ms: 15,
+            network_delay_ms: 10,
+        }
+    }
 }
 
 /// Listen addresses of such a control instance.
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -15,9 +15,12 @@
 use crate::file::BoundsTable;
 use crate::file::GroupFile;
 use crate::file::ProxyFile;
+use crate::file::TrafficTable;
 
 /// Simultaneous losses that a group of at most seven instances can tolerate.
 const TOLERATED_LOSSES: RangeInclusive<usize> = 0..=3;
+/// Largest cost or delay of traffic between data centres, in milliseconds.
+const TRAFFIC_COST_MAX_MS: u64 = 60_000;
 /// Bytes in a mebibyte.
 const MEBIBYTE: u64 = 1024 * 1024;
 
@@ -105,6 +108,33 @@
     pub first_start: bool,
     /// Guarantees of the deployment.
     pub bounds: DeploymentBounds,
+    /// Costs of traffic between data centres; if present, that traffic is planned whatever the
+    /// routes are.
+    pub traffic: Option<TrafficSettings>,
+}
+
+/// What it costs when a call leaves its data centre, as response time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TrafficSettings {
+    /// Response time that operators give up to keep a call within its data centre.
+    pub leave_cost: Duration,
+    /// Network delay between data centres, there and back.
+    pub network_delay: Duration,
+}
+
+impl Default for TrafficSettings {
+    fn default() -> Self {
+        Self::new(&TrafficTable::default())
+    }
+}
+
+impl TrafficSettings {
+    const fn new(file: &TrafficTable) -> Self {
+        Self {
+            leave_cost: Duration::from_millis(file.leave_cost_ms),
+            network_delay: Duration::from_millis(file.network_delay_ms),
+        }
+    }
 }
 
 impl SettingsValidator<'_> {
@@ -145,9 +175,29 @@
             data_directory: file.data,
             first_start: file.first_start,
             bounds: self.bounds(&file.bounds)?,
+            traffic: self.traffic(file.traffic.as_ref())?,
         })
     }
 
+    fn traffic(
+        &self,
+        file: Option<&TrafficTable>,
+    ) -> Result<Option<TrafficSettings>, SettingsError> {
+        let Some(file) = file else {
+            return Ok(None);
+        };
+        let costs = [
+            ("traffic.leave-cost-ms", file.leave_cost_ms),
+            ("traffic.network-delay-ms", file.network_delay_ms),
+        ];
+        for (key, cost_ms) in costs {
+            if cost_ms > TRAFFIC_COST_MAX_MS {
+                return Err(self.invalid_value(key, cost_ms, "60000 at most"));
+            }
+        }
+        Ok(Some(TrafficSettings::new(file)))
+    }
+
     fn addresses(
         &self,
         key: &str,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,6 +13,7 @@
 pub use fleet::DeploymentBounds;
 pub use fleet::GroupSettings;
 pub use fleet::ProxySettings;
+pub use fleet::TrafficSettings;
 pub use node::ControlAddress;
 pub use node::LimitSettings;
 pub use node::NodeSettings;
