Keep in the configuration which routes have large bodies

Cause: traffic between data centres is planned only where a configuration has such routes, and the decoded configuration did not tell.

Stored configurations have a field more, so the store has format 4; earlier ones are not read.

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -39,6 +39,9 @@
     pub prefix: String,
     /// Whether a request may be executed more than once.
     pub idempotent: bool,
+    /// Whether request or response bodies are large, so that traffic between data centres is
+    /// planned.
+    pub large_bodies: bool,
     /// Longest time within which a caller must get a response.
     pub timeout: Duration,
     /// Response time up to which a response has its full value to the caller.
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -21,7 +21,7 @@
 use crate::SuspectTable;
 
 /// Version of the encoding of log entries and snapshots, stored as their first byte.
-const STORE_VERSION: u8 = 3;
+const STORE_VERSION: u8 = 4;
 /// Number of accepted changes that are remembered, so that a resent one is acknowledged again.
 const REMEMBERED_CHANGES_MAX: usize = 8_192;
 
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -25,6 +25,7 @@
         host: "shop.example".to_owned(),
         prefix: prefix.to_owned(),
         idempotent: true,
+        large_bodies: false,
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_secs(1),
         priority: 0,
