Plan how much traffic leaves a data centre

Change: route::TrafficPlanner computes shares by service, origin and destination from the reports; route::TrafficPlan draws the data centre of a call and fades while control is silent; LeastLoadedPicker::pick_within picks in that data centre if a healthy member has a free slot. LeastLoadedPicker::pick is unchanged.

--- a/crates/admit/tests/entry.rs
+++ b/crates/admit/tests/entry.rs
@@ -105,6 +105,7 @@
                     .collect(),
                 runs,
                 calls,
+                sent: Vec::new(),
                 refused: 0,
             };
             let place = ServerCapacity {
@@ -231,6 +232,7 @@
             }],
             runs: vec![run("quote", 200.0, 0.25)],
             calls: Vec::new(),
+            sent: Vec::new(),
             refused,
         };
         let place = ServerCapacity {
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -50,6 +50,15 @@
     pub count: u32,
 }
 
+/// Calls that a node sent to servers of one service in the window, in any data centre.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SentCalls {
+    /// The service that was called.
+    pub service: ServiceName,
+    /// Number of calls; one that was retried counts once.
+    pub count: u32,
+}
+
 /// Work observed by one node in one time window.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WorkReport {
@@ -61,6 +70,8 @@
     pub runs: Vec<RouteExecutions>,
     /// Calls that the backend server sent to other services.
     pub calls: Vec<RouteCalls>,
+    /// Calls that the node sent, by service; empty while no traffic plan is in force.
+    pub sent: Vec<SentCalls>,
     /// Calls refused at this node because their queueing time would have been too long.
     pub refused: u32,
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod ids;
 pub mod keys;
 pub mod lookup;
+pub mod traffic;
 pub mod verdict;
--- a/crates/proxy/src/work.rs
+++ b/crates/proxy/src/work.rs
@@ -7,8 +7,10 @@
 use model::entry::OfferedRequests;
 use model::entry::RouteCalls;
 use model::entry::RouteExecutions;
+use model::entry::SentCalls;
 use model::entry::WorkReport;
 use model::ids::RouteName;
+use model::ids::ServiceName;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct RunTotals {
@@ -22,6 +24,7 @@
 pub(crate) struct WorkCounter {
     runs: HashMap<RouteName, RunTotals>,
     calls: HashMap<(RouteName, RouteName), u32>,
+    sent: HashMap<ServiceName, u32>,
     refused: u32,
     since: Option<Instant>,
 }
@@ -45,6 +48,11 @@
         *self.calls.entry(key).or_default() += 1;
     }
 
+    /// Counts a call that this node sends to a server of `service`.
+    pub(crate) fn count_sent(&mut self, service: &ServiceName) {
+        *self.sent.entry(service.clone()).or_default() += 1;
+    }
+
     /// Counts a call that was refused here because no slot became free in time.
     pub(crate) fn count_refused(&mut self) {
         self.refused += 1;
@@ -72,11 +80,14 @@
                 route,
                 count,
             });
+        let sent = self.sent.drain();
+        let sent = sent.map(|(service, count)| SentCalls { service, count });
         WorkReport {
             window_ms: u32::try_from(window.as_millis()).unwrap_or(u32::MAX).max(1),
             offered,
             runs: runs.collect(),
             calls: calls.collect(),
+            sent: sent.collect(),
             refused: std::mem::take(&mut self.refused),
         }
     }
--- a/crates/route/src/least_loaded.rs
+++ b/crates/route/src/least_loaded.rs
@@ -4,10 +4,12 @@
 use std::time::Instant;
 
 use model::context::ServerLoad;
+use model::ids::DataCentreName;
 use model::ids::NodeId;
 use smallvec::SmallVec;
 
-/// Most members that are compared for one call, and most of them in this node's data centre.
+/// Most members that are compared for one call, and most of them in one data centre that is
+/// preferred: this node's, or the one that the traffic plan chose.
 const CANDIDATES_MAX: usize = 5;
 const NEAR_CANDIDATES_MAX: usize = 3;
 /// Load added to members in other data centres, as a fraction of their slots.
@@ -53,6 +55,8 @@
 pub struct PickerMember {
     /// The node beside the backend server.
     pub node: NodeId,
+    /// Data centre of the member; empty until it is known.
+    pub data_centre: DataCentreName,
     /// Whether the member is in this node's data centre.
     pub same_data_centre: bool,
     /// Whether the member is on this node's instance.
@@ -77,6 +81,7 @@
     pub fn new(node: NodeId, now: Instant) -> Self {
         Self {
             node,
+            data_centre: DataCentreName::from(""),
             same_data_centre: false,
             same_instance: false,
             slots: 1,
@@ -98,6 +103,18 @@
     /// waiting at a near member that is full costs more than the longer network
     /// path to one with free slots.
     fn load(&self, now: Instant) -> f64 {
+        let distance_penalty = match (self.same_instance, self.same_data_centre) {
+            (true, _) => 0.0,
+            (false, true) => INSTANCE_PENALTY,
+            (false, false) => DATA_CENTRE_PENALTY,
+        };
+        let load = self.slot_load(now);
+        let congestion_penalty = CONGESTION_SLOPE * (load - CONGESTION_THRESHOLD).max(0.0);
+        load + congestion_penalty + distance_penalty
+    }
+
+    /// Returns the load with one more call as a fraction of the slots.
+    fn slot_load(&self, now: Instant) -> f64 {
         let age_ms = now
             .saturating_duration_since(self.reported_at)
             .as_secs_f64()
@@ -109,14 +126,16 @@
         } else {
             1.0
         };
-        let distance_penalty = match (self.same_instance, self.same_data_centre) {
-            (true, _) => 0.0,
-            (false, true) => INSTANCE_PENALTY,
-            (false, false) => DATA_CENTRE_PENALTY,
-        };
-        let load = calls * warm_up_factor / f64::from(self.slots.max(1));
-        let congestion_penalty = CONGESTION_SLOPE * (load - CONGESTION_THRESHOLD).max(0.0);
-        load + congestion_penalty + distance_penalty
+        calls * warm_up_factor / f64::from(self.slots.max(1))
+    }
+
+    /// Returns whether one more call gets a slot without waiting.
+    fn has_free_slot(&self, now: Instant) -> bool {
+        self.slot_load(now) <= 1.0
+    }
+
+    fn is_healthy(&self, now: Instant) -> bool {
+        self.accepts_calls && now >= self.skipped_until && now >= self.busy_until
     }
 }
 
@@ -146,11 +165,8 @@
 
     /// Picks a member that is not in `exclude`; `seed` is a random number.
     pub fn pick(&mut self, exclude: &[NodeId], seed: u64, now: Instant) -> Option<NodeId> {
-        let healthy = |member: &PickerMember| {
-            member.accepts_calls && now >= member.skipped_until && now >= member.busy_until
-        };
         let chosen = self
-            .pick_least_loaded(exclude, seed, now, healthy)
+            .pick_least_loaded(exclude, seed, now, |member| member.is_healthy(now))
             .or_else(|| {
                 self.pick_least_loaded(exclude, seed, now, |member| {
                     member.accepts_calls && now >= member.skipped_until
@@ -164,6 +180,33 @@
         Some(member.node)
     }
 
+    /// Picks a member in the data centre that the traffic plan chose, the least loaded of a few.
+    ///
+    /// Returns `None` if no member there is healthy and has a free slot; the caller then uses
+    /// [`Self::pick`], since no call may fail or wait to save traffic.
+    pub fn pick_within(
+        &mut self,
+        data_centre: &str,
+        exclude: &[NodeId],
+        seed: u64,
+        now: Instant,
+    ) -> Option<NodeId> {
+        let candidates = self.random_order(seed).filter(|&position| {
+            let member = &self.members[position];
+            &*member.data_centre == data_centre
+                && member.is_healthy(now)
+                && member.has_free_slot(now)
+                && !exclude.contains(&member.node)
+        });
+        let chosen = candidates.take(NEAR_CANDIDATES_MAX).min_by(|&a, &b| {
+            let (a, b) = (&self.members[a], &self.members[b]);
+            a.load(now).total_cmp(&b.load(now))
+        })?;
+        let member = &mut self.members[chosen];
+        member.own_in_flight += 1;
+        Some(member.node)
+    }
+
     /// Skips a member for a short time because it does not answer, though no call is known to
     /// have failed.
     ///
--- /dev/null
+++ b/crates/route/src/traffic/target.rs
@@ -0,0 +1,113 @@
+//! Computes how many calls of one service should leave each data centre, from its load alone.
+
+use std::collections::BTreeMap;
+
+use model::ids::DataCentreName;
+
+use super::estimate::RouteWork;
+use super::estimate::SiteLoads;
+
+/// Utilisation of its own slots from which a data centre sends calls to others, and up to which it
+/// takes calls of others. A level that rises with the demand of all moved more calls without fewer
+/// refusals.
+const TARGET_UTILISATION: f64 = 0.85;
+/// Utilisation from which a data centre takes no more calls than it is planned to get already.
+const FULL_UTILISATION: f64 = 1.0;
+
+/// Shares of the calls of one service by origin and destination, as fractions.
+pub(super) type ShareTable = BTreeMap<(DataCentreName, DataCentreName), f64>;
+
+/// Capacity and demand of one service in one data centre, in calls per second.
+#[derive(Clone, Debug)]
+struct SiteRoom {
+    name: DataCentreName,
+    capacity: f64,
+    demand: f64,
+    /// Calls that should leave.
+    excess: f64,
+    /// Calls of others that can be taken.
+    free: f64,
+}
+
+/// Returns the shares that would serve the present demand, for one service; `None` while no service
+/// time is known.
+///
+/// `answer_shares` are the fractions that leave because servers elsewhere answer sooner;
+/// `arriving` are the planned calls per second that each data centre gets from others now.
+pub(super) fn target_shares(
+    sites: &SiteLoads,
+    answer_shares: &BTreeMap<DataCentreName, f64>,
+    arriving: &BTreeMap<DataCentreName, f64>,
+) -> Option<ShareTable> {
+    let mut rooms = site_rooms(sites)?;
+    for room in &mut rooms {
+        let answer_share = answer_shares.get(&room.name).copied().unwrap_or(0.0);
+        let stays = TARGET_UTILISATION * room.capacity;
+        room.excess = (room.demand - stays).max(answer_share * room.demand);
+        if room.excess <= 0.0 {
+            room.free = stays - room.demand;
+            let site = &sites[&room.name];
+            if site.busy_slots >= FULL_UTILISATION * site.slots {
+                // What was estimated to be free is in use, by calls outside the plan.
+                let arriving = arriving.get(&room.name).copied().unwrap_or(0.0);
+                room.free = room.free.min(arriving);
+            }
+        }
+    }
+    Some(distribute(&rooms))
+}
+
+/// Returns capacities and demands; `None` while no service time is known.
+fn site_rooms(sites: &SiteLoads) -> Option<Vec<SiteRoom>> {
+    let mut all = RouteWork::default();
+    for site in sites.values() {
+        let work = site.work();
+        all.busy_s += work.busy_s;
+        all.count += work.count;
+    }
+    let usual_s = all.mean_s().filter(|&mean_s| mean_s > 0.0)?;
+    let rooms = sites.iter().map(|(name, site)| {
+        let known_s = site.work().mean_s().filter(|&mean_s| mean_s > 0.0);
+        SiteRoom {
+            name: name.clone(),
+            capacity: site.slots / known_s.unwrap_or(usual_s),
+            demand: site.sent_per_s,
+            excess: 0.0,
+            free: 0.0,
+        }
+    });
+    Some(rooms.collect())
+}
+
+/// Distributes what leaves in proportion to what is free.
+fn distribute(rooms: &[SiteRoom]) -> ShareTable {
+    let has_servers = |room: &&SiteRoom| room.capacity > 0.0;
+    let free: f64 = rooms.iter().map(|room| room.free).sum();
+    let capacity: f64 = rooms.iter().map(|room| room.capacity).sum();
+    let homeless = rooms.iter().filter(|room| !has_servers(room));
+    let homeless: f64 = homeless.map(|room| room.demand).sum();
+    let excess = rooms.iter().filter(has_servers);
+    let excess: f64 = excess.map(|room| room.excess).sum();
+    let fitting = ((free - homeless).max(0.0) / excess.max(f64::MIN_POSITIVE)).min(1.0);
+    let mut shares = ShareTable::new();
+    for origin in rooms.iter().filter(|room| room.demand > 0.0) {
+        let leaving = if has_servers(&origin) {
+            origin.excess * fitting / origin.demand
+        } else {
+            1.0
+        };
+        for destination in rooms.iter().filter(has_servers) {
+            let part = if free > 0.0 {
+                destination.free / free
+            } else {
+                destination.capacity / capacity
+            };
+            let share = leaving * part;
+            if share > 0.0 && origin.name != destination.name {
+                let key = (origin.name.clone(), destination.name.clone());
+                shares.insert(key, share);
+            }
+        }
+    }
+    shares
+}
