Send the plan of traffic between data centres to the nodes

Cause: the planner needs the reports of all nodes, and nodes need its shares.

Change: the leader keeps a planner where the settings have [traffic] or the configuration has a route with large bodies, and sends each node the shares of its data centre with the reply to its report. A new leader waits for the nodes in the log's list, 1.5 s at most. Nodes draw the data centre of each call and count calls sent. Metrics attempt-placed and traffic-share, log lines traffic-planned, traffic-plan-begun and traffic-plan-expired.

--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -14,5 +14,6 @@
 mod review;
 mod server;
 mod stop;
+mod traffic;
 #[path = "../shared/wait.rs"]
 mod wait;
--- a/crates/fleet/src/control_message.rs
+++ b/crates/fleet/src/control_message.rs
@@ -10,6 +10,7 @@
 use model::ids::InstanceId;
 use model::ids::NodeId;
 use model::ids::TeamName;
+use model::traffic::TrafficShare;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -127,6 +128,9 @@
     CrashesRecorded(u32),
     /// Fractions of the arriving requests that the node may admit.
     EntryShares(Vec<EntryShare>),
+    /// Shares of the calls of the node's data centre that go to others; what is missing stays there.
+    /// Sent only where traffic between data centres is planned.
+    TrafficShares(Vec<TrafficShare>),
     /// How the node list differs from one that the node has.
     NodeChanges {
         /// Version of the list that the changes begin with.
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -14,6 +14,7 @@
 mod start;
 mod state;
 mod strength;
+mod traffic;
 
 pub use crate::identity::instance_id;
 pub use crate::identity::instance_ip;
--- a/crates/group/src/registry.rs
+++ b/crates/group/src/registry.rs
@@ -185,7 +185,14 @@
     /// expired.
     #[must_use]
     pub fn is_complete(&self, replicated: &NodeAddresses, now: Instant) -> bool {
-        if now.saturating_duration_since(self.leader_since) >= self.lease {
+        self.has_waited_for(replicated, self.lease, now)
+    }
+
+    /// Returns whether every node of `replicated` has reported, or the leader has waited for
+    /// `wait`.
+    #[must_use]
+    pub fn has_waited_for(&self, replicated: &NodeAddresses, wait: Duration, now: Instant) -> bool {
+        if now.saturating_duration_since(self.leader_since) >= wait {
             return true;
         }
         let mut replicated = replicated.iter();
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -16,6 +16,7 @@
 use link::LinkSender;
 use model::entry::ServerCapacity;
 use model::ids::ConfigVersion;
+use model::ids::DataCentreName;
 use model::ids::NodeId;
 use model::ids::TeamName;
 use quorum::MemberRole;
@@ -73,9 +74,11 @@
 }
 
 /// What a report asks for beside its record.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct LeaseRequest {
     report_number: u64,
+    /// Data centre of the node that reported.
+    data_centre: DataCentreName,
     /// Address of the node that reported.
     address: SocketAddr,
     known: KnownRecords,
@@ -190,6 +193,7 @@
         self.sent_node_list_version = self.sent_node_list_version.min(report.node_list_version);
         let request = LeaseRequest {
             report_number: report.number,
+            data_centre: report.record.data_centre.clone(),
             address: report.record.address,
             known: KnownRecords {
                 departures: report.departure_version,
@@ -207,7 +211,7 @@
         if changed {
             self.state.notify_sessions();
         }
-        self.renew_lease(request);
+        self.renew_lease(&request);
     }
 
     /// Records the report in the leader's state; returns whether other nodes must be notified.
@@ -218,6 +222,9 @@
             if leader.limits_version != version {
                 leader.rate_allocator.set_limits(&self.state.limits(), now);
                 leader.limits_version = version;
+                let current = self.state.current();
+                let config = current.as_ref().map(|change| &change.config);
+                leader.traffic.configure(config);
             }
             let node = report.record.node;
             for demand in &report.teams {
@@ -243,6 +250,7 @@
             leader
                 .entry_planner
                 .add_report(node, place, &report.work, now);
+            leader.traffic.add_report(record, &report.work, now);
             let effect = leader.registry.report(report.record, now);
             if let Some(ended) = effect.replaced {
                 leader.rate_allocator.remove_node(ended, now);
@@ -253,7 +261,7 @@
     }
 
     /// Sends the current shares, then renews the lease once a quorum has confirmed the leader.
-    fn renew_lease(&mut self, request: LeaseRequest) {
+    fn renew_lease(&mut self, request: &LeaseRequest) {
         self.send_updates();
         let now = self.state.clock.now();
         let node = self.node.unwrap_or_default();
@@ -261,10 +269,19 @@
         let granted = self.state.with_leader_state(|leader| {
             let knows_all = leader.knows_all(node, &node_addresses, now);
             let shares = leader.rate_allocator.grant(node, knows_all, now);
-            (knows_all, shares, leader.entry_plan(now))
+            let traffic_shares = leader.traffic.shares_of(
+                &request.data_centre,
+                &leader.registry,
+                &node_addresses,
+                now,
+            );
+            (knows_all, shares, leader.entry_plan(now), traffic_shares)
         });
-        if let Some((knows_all, shares, entry_shares)) = granted {
+        if let Some((knows_all, shares, entry_shares, traffic_shares)) = granted {
             self.reply(ControlReply::EntryShares(entry_shares));
+            if let Some(shares) = traffic_shares {
+                self.reply(ControlReply::TrafficShares(shares));
+            }
             if knows_all {
                 let shares = shares.into_iter();
                 let shares = shares.map(|(team, share_milli)| TeamShare { team, share_milli });
@@ -272,15 +289,16 @@
             }
         }
         let (state, sender) = (self.state.clone(), self.sender.clone());
+        let LeaseRequest {
+            report_number,
+            address,
+            known,
+            ..
+        } = *request;
         tokio::spawn(async move {
             if !state.confirm_leader().await {
                 return;
             }
-            let LeaseRequest {
-                report_number,
-                address,
-                known,
-            } = request;
             recorder::send_records(&state, &sender, address, known);
             let reply = ControlReply::LeaseRenewed {
                 report_number,
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -38,6 +38,7 @@
 use crate::repair::MemberView;
 use crate::repair::RepairPolicy;
 use crate::strength::GroupStrength;
+use crate::traffic::TrafficState;
 
 /// Factor from requests to thousandths of a request.
 const MILLI: u64 = 1000;
@@ -68,6 +69,7 @@
     /// The last entry admission plan, and when it was computed.
     pub(crate) entry_plan: Option<(Instant, Vec<EntryShare>)>,
     pub(crate) plan_logged_at: Option<Instant>,
+    pub(crate) traffic: TrafficState,
 }
 
 impl LeaderState {
@@ -313,6 +315,7 @@
                 entry_planner: EntryPlanner::default(),
                 entry_plan: None,
                 plan_logged_at: None,
+                traffic: TrafficState::new(self.settings.traffic.clone(), self.metrics.clone()),
             });
         }
         leader_state.as_mut().map(work)
--- a/crates/group/tests/registry.rs
+++ b/crates/group/tests/registry.rs
@@ -225,3 +225,19 @@
     copy.update(&registry);
     copy.check(&registry);
 }
+
+/// Guards against a plan that a new leader makes from the reports of a few nodes, and against one
+/// that waits for a lost node until its lease ends.
+#[test]
+fn a_plan_waits_for_the_replicated_nodes_but_not_for_a_whole_lease() {
+    let start = Instant::now();
+    let mut registry = NodeRegistry::new(1, LEASE, start);
+    let replicated: NodeAddresses = [1, 2].map(|port| record(port.into(), port).address).into();
+    let wait = Duration::from_millis(1_500);
+    registry.report(record(1, 1), start);
+    assert!(!registry.has_waited_for(&replicated, wait, start));
+    assert!(registry.has_waited_for(&replicated, wait, start + wait));
+    assert!(!registry.is_complete(&replicated, start + wait));
+    registry.report(record(2, 2), start);
+    assert!(registry.has_waited_for(&replicated, wait, start));
+}
--- a/crates/group/tests/start.rs
+++ b/crates/group/tests/start.rs
@@ -44,6 +44,7 @@
             quota_overage_ratio: 0.1,
             quota_slack_requests: 20.0,
         },
+        traffic: None,
     }
 }
 
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -14,6 +14,7 @@
 use fleet::ProtocolAdapter;
 use link::LinkSender;
 use model::ids::NodeId;
+use model::traffic::TrafficShare;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -268,11 +269,18 @@
                 self.state.crashes().apply(&list, now);
             }
             ControlReply::CrashesRecorded(number) => self.state.crashes().confirm(number),
+            ControlReply::TrafficShares(shares) => self.apply_traffic_plan(shares),
             ControlReply::EntryShares(shares) => self.state.admission().apply_plan(&shares, now),
         }
         true
     }
 
+    fn apply_traffic_plan(&self, shares: Vec<TrafficShare>) {
+        tracing::debug!(event = "traffic-shares-given", shares = ?shares);
+        let now = self.state.now();
+        self.state.nodes().apply_traffic_plan(shares, now);
+    }
+
     fn apply_node_changes(
         &self,
         base: u64,
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -10,7 +10,9 @@
 use fleet::ProtocolAdapter;
 use fleet::RefusalReason;
 use model::context::ServerLoad;
+use model::ids::DataCentreName;
 use model::ids::NodeId;
+use model::ids::ServiceName;
 use route::SendResult;
 use smallvec::SmallVec;
 
@@ -58,13 +60,19 @@
         // A call made by a retried call counts as a retry too.
         state.spend_retry_budget(&head.service);
     }
+    let drawn = draw_data_centre(state, &head.service);
     loop {
         let now = state.now();
         head.time_left = deadline.saturating_duration_since(now);
-        let chosen = state.nodes().pick(&head.service, &tried, now);
+        let chosen = state
+            .nodes()
+            .pick(&head.service, drawn.as_ref(), &tried, now);
         let Some(chosen) = chosen else {
             return outcome;
         };
+        if let Some(relation) = chosen.relation {
+            state.metrics.count("attempt-placed", &relation.to_string());
+        }
         tried.push(chosen.node);
         let attempt = PendingAttempt {
             state,
@@ -98,6 +106,17 @@
     }
 }
 
+/// Draws the data centre of a call, and counts the call for the next plan; `None` where no plan of
+/// traffic between data centres is in force.
+fn draw_data_centre<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    service: &ServiceName,
+) -> Option<DataCentreName> {
+    let drawn = state.nodes().draw_data_centre(service, state.now())?;
+    state.work().count_sent(service);
+    Some(drawn)
+}
+
 fn count_attempt<C: Clock, A: ProtocolAdapter>(state: &ProxyState<C, A>, outcome: &AttemptOutcome) {
     let metrics = &state.metrics;
     match outcome {
--- a/crates/proxy/src/node_table.rs
+++ b/crates/proxy/src/node_table.rs
@@ -10,15 +10,34 @@
 use model::ids::DataCentreName;
 use model::ids::NodeId;
 use model::ids::ServiceName;
+use model::traffic::TrafficShare;
 use route::LeastLoadedPicker;
 use route::PickerMember;
 use route::SendResult;
+use route::TrafficPlan;
+use tracing::info;
 
 /// A node chosen for a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct ChosenNode {
     pub(crate) node: NodeId,
     pub(crate) address: SocketAddr,
+    /// How the choice relates to the traffic plan; `None` while no plan is in force.
+    pub(crate) relation: Option<PlaceRelation>,
+}
+
+/// Relation of the data centre of a call to the one that the traffic plan chose.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+pub(crate) enum PlaceRelation {
+    /// This node's data centre.
+    #[display("same")]
+    Same,
+    /// Another data centre, as the plan chose.
+    #[display("plan")]
+    Planned,
+    /// Another data centre, since the chosen one has no member with a free slot.
+    #[display("fallback")]
+    Fallback,
 }
 
 /// Records of the known nodes, and a load balancer for each service.
@@ -28,6 +47,8 @@
     data_centre: DataCentreName,
     records: HashMap<NodeId, NodeRecord>,
     pickers: HashMap<ServiceName, LeastLoadedPicker>,
+    /// The plan of traffic between data centres; `None` where control sends none.
+    traffic_plan: Option<TrafficPlan>,
     /// Version of the last node list received.
     pub(crate) list_version: u64,
 }
@@ -39,6 +60,7 @@
             data_centre,
             records: HashMap::new(),
             pickers: HashMap::new(),
+            traffic_plan: None,
             list_version: 0,
         }
     }
@@ -120,6 +142,7 @@
         let known = self.records.get(&record.node);
         let is_new_server = known.is_none_or(|known| known.server != record.server);
         let member = &mut members[position];
+        member.data_centre = record.data_centre.clone();
         member.same_data_centre = record.data_centre == self.data_centre;
         member.same_instance = record.node == self.own_node;
         member.slots = record.slots;
@@ -135,22 +158,62 @@
         self.records.len()
     }
 
-    /// Chooses a node whose backend server runs `service`.
+    /// Applies a new plan of traffic between data centres.
+    pub(crate) fn apply_traffic_plan(&mut self, shares: Vec<TrafficShare>, now: Instant) {
+        if self.traffic_plan.is_none() {
+            info!(event = "traffic-plan-begun", shares = shares.len());
+        }
+        self.traffic_plan = Some(TrafficPlan::new(shares, now));
+    }
+
+    /// Draws the data centre of a call; `None` where no plan is in force.
+    pub(crate) fn draw_data_centre(
+        &mut self,
+        service: &str,
+        now: Instant,
+    ) -> Option<DataCentreName> {
+        let plan = self.traffic_plan.as_ref()?;
+        if plan.weight(now) <= 0.0 {
+            self.traffic_plan = None;
+            info!(event = "traffic-plan-expired");
+            return None;
+        }
+        let drawn = plan.draw(service, rand::random(), now);
+        Some(drawn.unwrap_or(&self.data_centre).clone())
+    }
+
+    /// Chooses a node whose backend server runs `service`, if possible in the data centre that was
+    /// drawn for the call.
     pub(crate) fn pick(
         &mut self,
         service: &str,
+        drawn: Option<&DataCentreName>,
         exclude: &[NodeId],
         now: Instant,
     ) -> Option<ChosenNode> {
         let picker = self.pickers.get_mut(service)?;
-        let node = picker.pick(exclude, rand::random(), now)?;
+        let seed = rand::random();
+        let node = drawn
+            .and_then(|drawn| picker.pick_within(drawn, exclude, seed, now))
+            .or_else(|| picker.pick(exclude, seed, now))?;
         let record = self.records.get(&node)?;
         Some(ChosenNode {
             node,
             address: record.address,
+            relation: drawn.map(|drawn| self.relation(&record.data_centre, drawn)),
         })
     }
 
+    fn relation(&self, chosen: &DataCentreName, drawn: &DataCentreName) -> PlaceRelation {
+        if *chosen == self.data_centre {
+            PlaceRelation::Same
+        } else if chosen == drawn {
+            PlaceRelation::Planned
+        } else {
+            PlaceRelation::Fallback
+        }
+    }
+
     /// Avoids the nodes at these addresses for a while, since they do not respond.
     pub(crate) fn mark_unresponsive(&mut self, addresses: &[SocketAddr], now: Instant) {
         let records = self.records.values();
