Spread the calls of a data centre without servers over full ones

Cause: what such a data centre sends was divided in proportion to free capacity alone, so that the only one with a little room got all of it.

Change: what exceeds the free capacity is divided in proportion to all capacity.

--- a/crates/route/src/traffic/target.rs
+++ b/crates/route/src/traffic/target.rs
@@ -29,6 +29,12 @@
     free: f64,
 }
 
+impl SiteRoom {
+    fn has_servers(&self) -> bool {
+        self.capacity > 0.0
+    }
+}
+
 /// Returns the shares that would serve the present demand, for one service; `None` while no service
 /// time is known.
 ///
@@ -80,29 +86,26 @@
 }
 
 /// Distributes what leaves in proportion to what is free.
+///
+/// Calls of a data centre without servers come first, and what of them exceeds the free capacity is
+/// distributed in proportion to all capacity: they have to run somewhere.
 fn distribute(rooms: &[SiteRoom]) -> ShareTable {
-    let has_servers = |room: &&SiteRoom| room.capacity > 0.0;
-    let free: f64 = rooms.iter().map(|room| room.free).sum();
-    let capacity: f64 = rooms.iter().map(|room| room.capacity).sum();
-    let homeless = rooms.iter().filter(|room| !has_servers(room));
-    let homeless: f64 = homeless.map(|room| room.demand).sum();
-    let excess = rooms.iter().filter(has_servers);
-    let excess: f64 = excess.map(|room| room.excess).sum();
-    let fitting = ((free - homeless).max(0.0) / excess.max(f64::MIN_POSITIVE)).min(1.0);
+    let total = |amount: fn(&SiteRoom) -> f64| rooms.iter().map(amount).sum::<f64>();
+    let free = total(|room| room.free);
+    let capacity = total(|room| room.capacity);
+    let homeless = total(|room| if room.has_servers() { 0.0 } else { room.demand });
+    let excess = total(|room| if room.has_servers() { room.excess } else { 0.0 });
+    let fitting = fraction((free - homeless).max(0.0), excess);
+    let housed = fraction(free, homeless);
     let mut shares = ShareTable::new();
     for origin in rooms.iter().filter(|room| room.demand > 0.0) {
-        let leaving = if has_servers(&origin) {
-            origin.excess * fitting / origin.demand
-        } else {
-            1.0
-        };
-        for destination in rooms.iter().filter(has_servers) {
-            let part = if free > 0.0 {
-                destination.free / free
+        for destination in rooms.iter().filter(|room| room.has_servers()) {
+            let of_free = fraction(destination.free, free);
+            let share = if origin.has_servers() {
+                origin.excess * fitting / origin.demand * of_free
             } else {
-                destination.capacity / capacity
+                housed * of_free + (1.0 - housed) * destination.capacity / capacity
             };
-            let share = leaving * part;
             if share > 0.0 && origin.name != destination.name {
                 let key = (origin.name.clone(), destination.name.clone());
                 shares.insert(key, share);
@@ -111,3 +114,8 @@
     }
     shares
 }
+
+/// Returns which fraction of `whole` `part` is, at most 1.
+fn fraction(part: f64, whole: f64) -> f64 {
+    (part / whole.max(f64::MIN_POSITIVE)).min(1.0)
+}
--- a/crates/route/tests/traffic.rs
+++ b/crates/route/tests/traffic.rs
@@ -306,6 +306,19 @@
     assert_eq!(milli(&planner, "a", "c"), 1000);
 }
 
+/// Guards against all calls of a data centre without servers at the only one that has little room.
+#[test]
+fn calls_without_servers_are_spread_over_full_data_centres() {
+    let mut planner = planner(DELAY);
+    let now = Instant::now();
+    report(&mut planner, 0, 0, [90, 0, 0, 0], now);
+    report(&mut planner, 1, 50, steady(480, 100), now);
+    report(&mut planner, 2, 50, steady(410, 100), now);
+    planner.update(now);
+    let (to_b, to_c) = (milli(&planner, "a", "b"), milli(&planner, "a", "c"));
+    assert!(to_b > 400 && to_c > to_b, "{to_b} and {to_c}");
+}
+
 /// Guards against two data centres that exchange the same load while the demand moves from one to
 /// the other.
 #[test]
