Send calls for sooner answers only where these are given

Cause: what left for sooner answers was divided over all data centres with free capacity, also over those that answer hardly sooner than the own one.

Change: this part of the calls goes only to data centres whose gain covers the cost, after what leaves for lack of capacity.

--- a/crates/route/src/traffic/planner.rs
+++ b/crates/route/src/traffic/planner.rs
@@ -16,6 +16,7 @@
 use super::estimate::NodePlace;
 use super::estimate::SiteLoads;
 use super::estimate::site_loads;
+use super::target::AnswerShare;
 use super::target::ShareTable;
 use super::target::target_shares;
 
@@ -76,8 +77,8 @@
     is_started: bool,
     shares: ShareTable,
     logged: ShareTable,
-    /// Fractions that leave because servers elsewhere answer sooner.
-    answer_shares: BTreeMap<DataCentreName, f64>,
+    /// What leaves each data centre because servers elsewhere answer sooner.
+    answer_shares: BTreeMap<DataCentreName, AnswerShare>,
 }
 
 /// Plans, at the leader, how much traffic leaves each data centre.
@@ -218,13 +219,18 @@
         for (name, site) in sites {
             let others = sites.iter().filter(|(other, _)| *other != name);
             let others = others.filter(|(_, other)| other.slots > 0.0);
-            let slower_s = others.filter_map(|(_, other)| site.slower_than(other));
-            let gain_s = slower_s.fold(f64::NEG_INFINITY, f64::max) - leaving_s;
-            let share = self.answer_shares.entry(name.clone()).or_default();
-            if gain_s > ANSWER_HYSTERESIS_S {
-                *share = (*share + ANSWER_STEP).min(ANSWER_SHARE_MAX);
-            } else if gain_s < 0.0 {
-                *share = (*share - ANSWER_STEP).max(0.0);
+            let gains: Vec<_> = others
+                .filter_map(|(name, other)| Some((name, site.slower_than(other)? - leaving_s)))
+                .collect();
+            let best_s = gains.iter().map(|gain| gain.1);
+            let best_s = best_s.fold(f64::NEG_INFINITY, f64::max);
+            let answer = self.answer_shares.entry(name.clone()).or_default();
+            let worthwhile = gains.iter().filter(|gain| gain.1 >= 0.0);
+            answer.destinations = worthwhile.map(|gain| gain.0.clone()).collect();
+            if best_s > ANSWER_HYSTERESIS_S {
+                answer.fraction = (answer.fraction + ANSWER_STEP).min(ANSWER_SHARE_MAX);
+            } else if best_s < 0.0 {
+                answer.fraction = (answer.fraction - ANSWER_STEP).max(0.0);
             }
         }
     }
--- a/crates/route/src/traffic/target.rs
+++ b/crates/route/src/traffic/target.rs
@@ -1,6 +1,7 @@
 //! Computes how many calls of one service should leave each data centre, from its load alone.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use model::ids::DataCentreName;
 
@@ -17,14 +18,26 @@
 /// Shares of the calls of one service by origin and destination, as fractions.
 pub(super) type ShareTable = BTreeMap<(DataCentreName, DataCentreName), f64>;
 
+/// What leaves a data centre because servers elsewhere answer sooner.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AnswerShare {
+    /// Fraction of the calls.
+    pub(super) fraction: f64,
+    /// Data centres that answer sooner by more than it costs to leave.
+    pub(super) destinations: BTreeSet<DataCentreName>,
+}
+
 /// Capacity and demand of one service in one data centre, in calls per second.
 #[derive(Clone, Debug)]
 struct SiteRoom {
     name: DataCentreName,
     capacity: f64,
     demand: f64,
-    /// Calls that should leave.
+    /// Calls that should leave for lack of capacity.
     excess: f64,
+    /// Further calls that should leave for sooner answers, and where these are given.
+    impatient: f64,
+    sooner_at: BTreeSet<DataCentreName>,
     /// Calls of others that can be taken.
     free: f64,
 }
@@ -42,15 +55,18 @@
 /// `arriving` are the planned calls per second that each data centre gets from others now.
 pub(super) fn target_shares(
     sites: &SiteLoads,
-    answer_shares: &BTreeMap<DataCentreName, f64>,
+    answer_shares: &BTreeMap<DataCentreName, AnswerShare>,
     arriving: &BTreeMap<DataCentreName, f64>,
 ) -> Option<ShareTable> {
     let mut rooms = site_rooms(sites)?;
     for room in &mut rooms {
-        let answer_share = answer_shares.get(&room.name).copied().unwrap_or(0.0);
         let stays = TARGET_UTILISATION * room.capacity;
-        room.excess = (room.demand - stays).max(answer_share * room.demand);
-        if room.excess <= 0.0 {
+        room.excess = (room.demand - stays).max(0.0);
+        if let Some(answer) = answer_shares.get(&room.name) {
+            room.impatient = (answer.fraction * room.demand - room.excess).max(0.0);
+            room.sooner_at.clone_from(&answer.destinations);
+        }
+        if room.excess + room.impatient <= 0.0 {
             room.free = stays - room.demand;
             let site = &sites[&room.name];
             if site.busy_slots >= FULL_UTILISATION * site.slots {
@@ -79,6 +95,8 @@
             capacity: site.slots / known_s.unwrap_or(usual_s),
             demand: site.sent_per_s,
             excess: 0.0,
+            impatient: 0.0,
+            sooner_at: BTreeSet::new(),
             free: 0.0,
         }
     });
@@ -87,7 +105,7 @@
 
 /// Distributes what leaves in proportion to what is free.
 ///
-/// Calls of a data centre without servers come first, and what of them exceeds the free capacity is
+/// Calls of a data centre without servers come first, then those that lack capacity. What of them exceeds the free capacity is
 /// distributed in proportion to all capacity: they have to run somewhere.
 fn distribute(rooms: &[SiteRoom]) -> ShareTable {
     let total = |amount: fn(&SiteRoom) -> f64| rooms.iter().map(amount).sum::<f64>();
@@ -96,13 +114,23 @@
     let homeless = total(|room| if room.has_servers() { 0.0 } else { room.demand });
     let excess = total(|room| if room.has_servers() { room.excess } else { 0.0 });
     let fitting = fraction((free - homeless).max(0.0), excess);
+    let unused = 1.0 - fraction(homeless + excess, free);
+    let impatient = total(|room| room.impatient);
+    let fitting_impatient = fraction(free * unused, impatient);
     let housed = fraction(free, homeless);
     let mut shares = ShareTable::new();
     for origin in rooms.iter().filter(|room| room.demand > 0.0) {
+        let sooner = rooms.iter();
+        let sooner = sooner.filter(|room| origin.sooner_at.contains(&room.name));
+        let sooner_free: f64 = sooner.map(|room| room.free).sum();
+        let moving = (origin.impatient * fitting_impatient).min(sooner_free * unused);
         for destination in rooms.iter().filter(|room| room.has_servers()) {
             let of_free = fraction(destination.free, free);
             let share = if origin.has_servers() {
-                origin.excess * fitting / origin.demand * of_free
+                let is_sooner = origin.sooner_at.contains(&destination.name);
+                let of_sooner =
+                    f64::from(u8::from(is_sooner)) * fraction(destination.free, sooner_free);
+                (origin.excess * fitting * of_free + moving * of_sooner) / origin.demand
             } else {
                 housed * of_free + (1.0 - housed) * destination.capacity / capacity
             };
--- a/crates/route/tests/traffic.rs
+++ b/crates/route/tests/traffic.rs
@@ -357,13 +357,15 @@
         let start = Instant::now();
         for window in 0..20 {
             let now = start + WINDOW * window;
-            report(&mut planner, 0, 100, steady(100, slow_ms), now);
-            report(&mut planner, 1, 100, steady(100, 40), now);
+            for (site, mean_ms) in [slow_ms, 40, 60].into_iter().enumerate() {
+                report(&mut planner, site, 100, steady(100, mean_ms), now);
+            }
             planner.update(now);
         }
         let share = milli(&planner, "a", "b");
         assert_eq!(share > 200, leaves, "{slow_ms}: {share}");
         assert_eq!(share > 0, leaves, "{slow_ms}: {share}");
+        assert_eq!(milli(&planner, "a", "c"), 0, "{slow_ms}");
     }
 }
 
