--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -42,6 +42,7 @@
 use crate::repair::MemberView;
 use crate::repair::RepairPolicy;
 use crate::strength::GroupStrength;
+use crate::traffic::TrafficState;
 
 /// Factor from requests to thousandths of a request.
 const MILLI: u64 = 1000;
@@ -66,13 +67,14 @@
     pub(crate) term: u64,
     pub(crate) registry: NodeRegistry,
     pub(crate) rate_allocator: RateAllocator,
-    /// Version of the configuration from which the limits in `rate_allocator` come.
-    pub(crate) limits_version: ConfigVersion,
+    /// Version of the configuration applied here: the limits in `rate_allocator`, and `traffic`.
+    pub(crate) applied_version: ConfigVersion,
     pub(crate) entry_planner: EntryPlanner,
     pub(crate) plan_gate: PlanGate,
     /// The last entry admission plan, and when it was computed.
     pub(crate) entry_plan: Option<(Instant, Vec<EntryShare>)>,
     pub(crate) plan_logged_at: Option<Instant>,
+    pub(crate) traffic: TrafficState,
 }
 
 impl LeaderState {
@@ -88,15 +90,23 @@
             && self.registry.is_replicated(node, node_addresses)
     }
 
-    /// Applies the limits of the teams from a version of the configuration.
-    pub(crate) fn set_limits(
+    /// Applies the configuration in force: the limits of the teams, and whether traffic between
+    /// data centres is planned.
+    pub(crate) fn apply_config(
         &mut self,
-        limits: &[(TeamName, TeamLimit)],
+        change: Option<ConfigChange>,
         version: ConfigVersion,
         now: Instant,
     ) {
-        self.rate_allocator.set_limits(limits, now);
-        self.limits_version = version;
+        let config = change.map(|change| change.config);
+        self.traffic.configure(config.as_ref());
+        let teams = config.into_iter().flat_map(|config| config.teams);
+        let limited = teams.filter(|team| team.rate_milli > 0);
+        let limits: Vec<_> = limited
+            .map(|team| (team.name.clone(), limit_of(&team)))
+            .collect();
+        self.rate_allocator.set_limits(&limits, now);
+        self.applied_version = version;
     }
 
     /// Tells the allocator whether all nodes that may hold shares have reported; returns it.
@@ -334,16 +344,6 @@
         self.replica()?.read(|store| store.current().cloned())
     }
 
-    /// Returns the rate limits of the teams that have one, from the configuration applied here.
-    pub(crate) fn limits(&self) -> Vec<(TeamName, TeamLimit)> {
-        let current = self.current();
-        let teams = current.into_iter().flat_map(|change| change.config.teams);
-        teams
-            .filter(|team| team.rate_milli > 0)
-            .map(|team| (team.name.clone(), limit_of(&team)))
-            .collect()
-    }
-
     /// Returns the nodes that may hold shares of rate limits, from the state applied here.
     pub(crate) fn node_addresses(&self) -> NodeAddresses {
         let replica = self.replica();
@@ -380,11 +380,12 @@
                     self.settings.bounds.revocation_time,
                     self.settings.bounds.quota_overage_ratio,
                 ),
-                limits_version: 0,
+                applied_version: 0,
                 entry_planner: EntryPlanner::default(),
                 plan_gate: PlanGate::new(now),
                 entry_plan: None,
                 plan_logged_at: None,
+                traffic: TrafficState::new(self.settings.traffic.clone(), self.metrics.clone()),
             });
         }
         leader_state.as_mut().map(work)
@@ -398,8 +399,8 @@
         let node_addresses = self.node_addresses();
         let version = self.version();
         self.with_leader_state(|leader| {
-            if leader.limits_version != version {
-                leader.set_limits(&self.limits(), version, now);
+            if leader.applied_version != version {
+                leader.apply_config(self.current(), version, now);
             }
             let up_to_limit = leader.note_completeness(&node_addresses, now);
             let lent = requested.into_iter().map(|request| TeamTokens {
--- a/crates/group/tests/registry.rs
+++ b/crates/group/tests/registry.rs
@@ -237,3 +237,19 @@
     let named: NodeAddresses = [1, 2, 3].map(|port| record(0, port).address).into();
     assert_eq!(registry.reported_count(&named), 1);
 }
+
+/// Guards against a plan that a new leader makes from the reports of a few nodes, and against one
+/// that waits for a lost node until its lease ends.
+#[test]
+fn a_plan_waits_for_the_replicated_nodes_but_not_for_a_whole_lease() {
+    let start = Instant::now();
+    let mut registry = NodeRegistry::new(1, LEASE, start);
+    let replicated: NodeAddresses = [1, 2].map(|port| record(port.into(), port).address).into();
+    let wait = Duration::from_millis(1_500);
+    registry.report(record(1, 1), start);
+    assert!(!registry.has_waited_for(&replicated, wait, start));
+    assert!(registry.has_waited_for(&replicated, wait, start + wait));
+    assert!(!registry.is_complete(&replicated, start + wait));
+    registry.report(record(2, 2), start);
+    assert!(registry.has_waited_for(&replicated, wait, start));
+}
--- a/crates/group/tests/start.rs
+++ b/crates/group/tests/start.rs
@@ -46,6 +46,7 @@
             cold_overage_factor: 1.5,
             cold_slack_requests: 8.0,
         },
+        traffic: None,
     }
 }
 
