Read the names of the data centres in the settings of control instances

Cause: control learns of data centres only from nodes that report, so it could not tell whether a data centre without a running node exists.

Names follow the rule of the key data-centre.

Ruled out: a required key, which would refuse the settings of existing deployments.

--- a/crates/group/tests/start.rs
+++ b/crates/group/tests/start.rs
@@ -1,5 +1,6 @@
 //! The identity under which an instance starts, also after its disk was lost.
 
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -31,6 +32,7 @@
         link_port: 7000,
         data_directory: PathBuf::new(),
         first_start,
+        data_centres: BTreeSet::new(),
         bounds: DeploymentBounds {
             tolerated_losses: 2,
             revocation_time: Duration::from_secs(5),
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -54,6 +54,8 @@
     pub(crate) ports: Vec<u16>,
     pub(crate) data: PathBuf,
     pub(crate) first_start: bool,
+    #[serde(default)]
+    pub(crate) data_centres: Vec<String>,
     pub(crate) listen: GroupListen,
     pub(crate) bounds: BoundsTable,
 }
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Validated settings of a deployment without TLS among its processes.
 
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -103,6 +104,8 @@
     pub data_directory: PathBuf,
     /// Whether the whole deployment starts for the first time.
     pub first_start: bool,
+    /// Data centres of the deployment; empty if the platform does not name them.
+    pub data_centres: BTreeSet<DataCentreName>,
     /// Guarantees of the deployment.
     pub bounds: DeploymentBounds,
 }
@@ -144,10 +147,18 @@
             link_port,
             data_directory: file.data,
             first_start: file.first_start,
+            data_centres: self.data_centres(file.data_centres)?,
             bounds: self.bounds(&file.bounds)?,
         })
     }
 
+    fn data_centres(&self, names: Vec<String>) -> Result<BTreeSet<DataCentreName>, SettingsError> {
+        let names = names.into_iter();
+        names
+            .map(|name| self.name("data-centres", name).map(Arc::from))
+            .collect()
+    }
+
     fn addresses(
         &self,
         key: &str,
