Store evacuated data centres in the replicated state

Cause: an order to evacuate a data centre must survive everything that a configuration survives.

The format of the store is 4; stores of format 3 are not read.

Ruled out: a new version for an order that is sent again, which would send the list to all nodes for nothing.

--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -1,5 +1,6 @@
 //! The replicated state: the configuration in force, the digests of accepted changes, the
-//! addresses of nodes, the backend servers that left, and the requests that crash them.
+//! addresses of nodes, the backend servers that left, the requests that crash them, and the
+//! evacuated data centres.
 
 use std::collections::BTreeSet;
 use std::collections::HashSet;
@@ -10,6 +11,7 @@
 use model::exchange::CrashReport;
 use model::ids::ChangeHash;
 use model::ids::ConfigVersion;
+use model::ids::DataCentreName;
 use replica::LogIndex;
 use replica::StateMachine;
 use serde::Deserialize;
@@ -17,11 +19,12 @@
 
 use crate::DepartedServer;
 use crate::DepartureTable;
+use crate::EvacuationList;
 use crate::FleetConfig;
 use crate::SuspectTable;
 
 /// Version of the encoding of log entries and snapshots, stored as their first byte.
-const STORE_VERSION: u8 = 3;
+const STORE_VERSION: u8 = 4;
 /// Number of accepted changes that are remembered, so that a resent one is acknowledged again.
 const REMEMBERED_CHANGES_MAX: usize = 8_192;
 
@@ -69,6 +72,13 @@
         /// When the leader heard of it, in Unix milliseconds.
         at_ms: u64,
     },
+    /// Evacuates a data centre, or returns it to service.
+    Evacuation {
+        /// The data centre.
+        data_centre: DataCentreName,
+        /// Whether nothing may be sent to its backend servers from now on.
+        active: bool,
+    },
 }
 
 impl StoreEntry {
@@ -92,7 +102,7 @@
 /// Result of applying a log entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ChangeOutcome {
-    /// The change is in force, or was until a later one replaced it.
+    /// The change or order is in force, or was until a later one replaced it.
     Accepted,
     /// The change is based on another version than the one in force.
     Conflict {
@@ -104,7 +114,7 @@
         /// Version of the configuration in force.
         current: ConfigVersion,
     },
-    /// The entry is no change of the configuration, and has been stored.
+    /// The entry is none of an operator, and has been stored.
     Stored,
     /// The entry could not be decoded.
     Unreadable,
@@ -119,6 +129,7 @@
     node_addresses: NodeAddresses,
     departures: DepartureTable,
     suspects: SuspectTable,
+    evacuations: EvacuationList,
 }
 
 /// Content of a snapshot.
@@ -129,6 +140,7 @@
     node_addresses: NodeAddresses,
     departures: DepartureTable,
     suspects: SuspectTable,
+    evacuations: EvacuationList,
 }
 
 impl ConfigStore {
@@ -164,6 +176,12 @@
         &self.suspects
     }
 
+    /// Returns the evacuated data centres.
+    #[must_use]
+    pub const fn evacuations(&self) -> &EvacuationList {
+        &self.evacuations
+    }
+
     /// Returns the outcome that applying a change now would have.
     #[must_use]
     pub fn evaluate(&self, change: &ConfigChange) -> ChangeOutcome {
@@ -217,6 +235,13 @@
                 self.suspects.record(&report, at_ms, index);
                 ChangeOutcome::Stored
             }
+            Some(StoreEntry::Evacuation {
+                data_centre,
+                active,
+            }) => {
+                self.evacuations.apply(data_centre, active, index);
+                ChangeOutcome::Accepted
+            }
             None => ChangeOutcome::Unreadable,
         }
     }
@@ -228,6 +253,7 @@
             node_addresses: self.node_addresses.clone(),
             departures: self.departures.clone(),
             suspects: self.suspects.clone(),
+            evacuations: self.evacuations.clone(),
         };
         postcard::to_extend(&snapshot, vec![STORE_VERSION]).unwrap_or_default()
     }
@@ -243,6 +269,7 @@
         self.node_addresses = snapshot.node_addresses;
         self.departures = snapshot.departures;
         self.suspects = snapshot.suspects;
+        self.evacuations = snapshot.evacuations;
         Ok(())
     }
 }
