Send evacuated data centres to nodes, which select no server there

Cause: nothing tells nodes to which data centres they may send nothing.

Change: control sends the list when it changes, and before it renews the lease of a node that names another version in its report. Nodes select no member in an evacuated data centre, in whatever order lists, records and evacuations arrive. The entry plan counts such servers as 0 slots. Metric evacuated-data-centres, log line evacuations-known.

Ruled out: a flag in the nodes' records, which a node that is cut off would not set; accepting a list with a lower version, which a control instance that was cut off may send.

--- a/crates/fleet/src/control_message.rs
+++ b/crates/fleet/src/control_message.rs
@@ -16,6 +16,8 @@
 use crate::DepartedServer;
 use crate::DepartureList;
 use crate::DepartureVersion;
+use crate::EvacuationList;
+use crate::EvacuationVersion;
 use crate::FleetConfig;
 use crate::NodeRecord;
 use crate::QuarantineList;
@@ -66,6 +68,8 @@
     pub departure_version: Option<DepartureVersion>,
     /// Servers that left beside the node and that control has not recorded yet.
     pub departed: Vec<DepartedServer>,
+    /// Version of the list of evacuated data centres that the node has; `None` if it has none.
+    pub evacuation_version: Option<EvacuationVersion>,
     /// Version of the quarantine that the node has; `None` if it has none.
     pub quarantine_version: Option<QuarantineVersion>,
     /// Crashes of the backend server that control has not recorded yet.
@@ -121,6 +125,9 @@
     Tokens(Vec<TeamTokens>),
     /// Servers beside the node that have left, as a quorum has recorded them.
     Departures(DepartureList),
+    /// Data centres to whose backend servers nothing may be sent; sent as soon as they change, and
+    /// before the lease of a node is renewed that does not have them.
+    Evacuations(EvacuationList),
     /// Requests to refuse since they crash backend servers.
     Quarantine(QuarantineList),
     /// Crashes of the node's backend server up to this number are recorded.
--- a/crates/fleet/src/node_message.rs
+++ b/crates/fleet/src/node_message.rs
@@ -98,6 +98,9 @@
     /// Backend servers that ran the same request crashed.
     #[display("quarantined")]
     Quarantined,
+    /// The data centre of the backend server is evacuated.
+    #[display("evacuated")]
+    Evacuated,
 }
 
 impl RefusalReason {
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -3,6 +3,7 @@
 //! See `docs/PLATFORM.md` for how the group forms, replaces lost members and keeps acknowledged
 //! changes.
 
+mod capacity;
 mod identity;
 mod operators;
 mod peer_links;
@@ -15,6 +16,7 @@
 mod state;
 mod strength;
 
+pub use crate::capacity::server_capacity;
 pub use crate::identity::instance_id;
 pub use crate::identity::instance_ip;
 pub use crate::registry::NodeChanges;
--- a/crates/group/src/recorder.rs
+++ b/crates/group/src/recorder.rs
@@ -1,4 +1,5 @@
-//! Records what nodes report and what must outlive them: backend servers that left, and crashes.
+//! Records what nodes report and what must outlive them: backend servers that left, and crashes;
+//! sends nodes what is recorded.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use fleet::ControlReply;
 use fleet::DepartedServer;
 use fleet::DepartureVersion;
+use fleet::EvacuationVersion;
 use fleet::QuarantineVersion;
 use fleet::StoreEntry;
 use link::LinkSender;
@@ -37,6 +39,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct KnownRecords {
     pub(crate) departures: Option<DepartureVersion>,
+    pub(crate) evacuations: Option<EvacuationVersion>,
     pub(crate) quarantine: Option<QuarantineVersion>,
 }
 
@@ -106,18 +109,21 @@
     true
 }
 
-/// Sends a node what is recorded and it does not know.
+/// Sends a node what is recorded and it does not know; returns whether the recorded state could be
+/// read.
 ///
-/// The state applied here must be as new as when the node reported. The quarantine goes first,
-/// since a node uses its backend server once it knows the departures.
+/// The state applied here must be as new as when the node reported. The departures go last, since
+/// a node uses its backend server once it knows them.
 pub(crate) fn send_records<C: Clock>(
     state: &GroupState<C>,
     sender: &LinkSender<ControlMessage>,
     address: SocketAddr,
     known: KnownRecords,
-) {
+) -> bool {
     send_quarantine(state, sender, known.quarantine);
+    let evacuations = send_evacuations(state, sender, known.evacuations);
     send_departures(state, sender, address, known.departures);
+    evacuations.is_some()
 }
 
 /// Sends a node the requests to refuse, unless it has them in version `known`; returns the version
@@ -141,6 +147,26 @@
     Some(version)
 }
 
+/// Sends a node the evacuated data centres, unless it has them in version `known`; returns the
+/// version that it has then.
+pub(crate) fn send_evacuations<C: Clock>(
+    state: &GroupState<C>,
+    sender: &LinkSender<ControlMessage>,
+    known: Option<EvacuationVersion>,
+) -> Option<EvacuationVersion> {
+    let replica = state.replica()?;
+    let list = replica.read(|store| {
+        let evacuations = store.evacuations();
+        (known != Some(evacuations.version)).then(|| evacuations.clone())
+    });
+    let Some(list) = list else {
+        return known;
+    };
+    let version = list.version;
+    reply(sender, ControlReply::Evacuations(list));
+    Some(version)
+}
+
 fn send_departures<C: Clock>(
     state: &GroupState<C>,
     sender: &LinkSender<ControlMessage>,
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -244,7 +244,7 @@
     own: InstanceId,
 ) -> ReplicaExit {
     let mut status = replica.watch();
-    let mut last_seen = (MemberRole::Learner, 0, 0);
+    let mut last_seen = (MemberRole::Learner, 0, 0, 0);
     let mut leader_seen_at = state.clock.now();
     let mut period = interval(Duration::from_millis(MAINTENANCE_INTERVAL_MS));
     period.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -257,7 +257,9 @@
         let now = state.clock.now();
         let current = status.borrow_and_update().clone();
         let version = state.version();
-        if last_seen != (current.role, current.term, version) {
+        let evacuations = state.evacuations();
+        let seen = (current.role, current.term, version, evacuations.version);
+        if last_seen != seen {
             if last_seen.0 != current.role || last_seen.1 != current.term {
                 info!(event = "duty", duty = %current.role, term = current.term, leader = ?current.leader,
                     voters = current.membership.voters().count(), committed = current.commit_index);
@@ -265,9 +267,11 @@
                     state.peer_links.reset_silence();
                 }
             }
-            last_seen = (current.role, current.term, version);
+            last_seen = seen;
             state.metrics.count("duty", &current.role.to_string());
             state.metrics.set("config-version", version);
+            let evacuated = evacuations.data_centres.len() as u64;
+            state.metrics.set("evacuated-data-centres", evacuated);
             state.metrics.set("term", current.term);
             state.notify_sessions();
         }
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -8,13 +8,13 @@
 use fleet::ConfigNotice;
 use fleet::ControlMessage;
 use fleet::ControlReply;
+use fleet::EvacuationVersion;
 use fleet::NodeReport;
 use fleet::QuarantineVersion;
 use fleet::TeamShare;
 use fleet::TeamTokens;
 use link::LinkReceiver;
 use link::LinkSender;
-use model::entry::ServerCapacity;
 use model::ids::ConfigVersion;
 use model::ids::NodeId;
 use model::ids::TeamName;
@@ -25,6 +25,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::info;
 
+use crate::capacity::server_capacity;
 use crate::recorder;
 use crate::recorder::KnownRecords;
 use crate::recorder::NodeRecorder;
@@ -68,6 +69,7 @@
         list_sent_at: None,
         recorder: NodeRecorder::default(),
         quarantine_version: None,
+        evacuation_version: None,
     };
     session.run(receiver).await;
 }
@@ -97,6 +99,8 @@
     recorder: NodeRecorder,
     /// Version of the quarantine that was sent, or that the node has.
     quarantine_version: Option<QuarantineVersion>,
+    /// Version of the evacuated data centres that was sent, or that the node has.
+    evacuation_version: Option<EvacuationVersion>,
 }
 
 impl<C: Clock> LinkSession<C> {
@@ -193,10 +197,12 @@
             address: report.record.address,
             known: KnownRecords {
                 departures: report.departure_version,
+                evacuations: report.evacuation_version,
                 quarantine: report.quarantine_version,
             },
         };
         self.quarantine_version = report.quarantine_version;
+        self.evacuation_version = report.evacuation_version;
         let records = NodeRecords {
             address: request.address,
             departed: std::mem::take(&mut report.departed),
@@ -214,6 +220,7 @@
     fn record_report(&self, report: NodeReport) -> bool {
         let now = self.state.clock.now();
         let version = self.state.version();
+        let evacuations = self.state.evacuations();
         let changed = self.state.with_leader_state(|leader| {
             if leader.limits_version != version {
                 leader.rate_allocator.set_limits(&self.state.limits(), now);
@@ -231,15 +238,7 @@
             }
             let reported: Vec<&TeamName> = report.teams.iter().map(|demand| &demand.team).collect();
             leader.rate_allocator.report_rest(node, &reported, now);
-            let record = &report.record;
-            let place = ServerCapacity {
-                service: record.service.clone(),
-                slots: if record.accepts_calls {
-                    record.slots
-                } else {
-                    0
-                },
-            };
+            let place = server_capacity(&report.record, &evacuations);
             leader
                 .entry_planner
                 .add_report(node, place, &report.work, now);
@@ -281,7 +280,9 @@
                 address,
                 known,
             } = request;
-            recorder::send_records(&state, &sender, address, known);
+            if !recorder::send_records(&state, &sender, address, known) {
+                return;
+            }
             let reply = ControlReply::LeaseRenewed {
                 report_number,
                 version: state.version(),
@@ -322,6 +323,8 @@
             self.quarantine_version =
                 recorder::send_quarantine(&self.state, &self.sender, self.quarantine_version);
         }
+        self.evacuation_version =
+            recorder::send_evacuations(&self.state, &self.sender, self.evacuation_version);
         let now = self.state.clock.now();
         let interval = Duration::from_millis(LIST_INTERVAL_MS);
         if self.list_sent_at.is_some_and(|at| now < at + interval) {
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -12,6 +12,7 @@
 use clock::Clock;
 use fleet::ConfigChange;
 use fleet::ConfigStore;
+use fleet::EvacuationList;
 use fleet::NodeAddresses;
 use fleet::TeamEntry;
 use fleet::TeamTokens;
@@ -281,6 +282,14 @@
         })
     }
 
+    /// Returns the evacuated data centres, from the state applied here.
+    pub(crate) fn evacuations(&self) -> EvacuationList {
+        let replica = self.replica();
+        replica.map_or_else(EvacuationList::default, |replica| {
+            replica.read(|store| store.evacuations().clone())
+        })
+    }
+
     pub(crate) fn version(&self) -> ConfigVersion {
         self.replica()
             .map_or(0, |replica| replica.read(ConfigStore::version))
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -1,5 +1,5 @@
 //! Session with the control group: sends reports and token requests; receives configuration,
-//! nodes, quota shares and admission plans.
+//! nodes, evacuated data centres, quota shares and admission plans.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -165,16 +165,21 @@
         let now = self.state.now();
         self.report_number += 1;
         let record = self.state.node_record();
-        self.state.nodes().upsert(record.clone(), now);
+        let (node_list_version, evacuation_version) = {
+            let mut nodes = self.state.nodes();
+            nodes.upsert(record.clone(), now);
+            (nodes.list_version, nodes.evacuation_version())
+        };
         let (departure_version, departed) = self.state.server.departures();
         let (quarantine_version, crashes) = self.state.crashes().report();
         let report = NodeReport {
             number: self.report_number,
             record,
             applied_version: self.state.config().version(),
-            node_list_version: self.state.nodes().list_version,
+            node_list_version,
             departure_version,
             departed,
+            evacuation_version,
             quarantine_version,
             crashes,
             teams: self.state.quota().sample_demand(now),
@@ -262,6 +267,7 @@
                     self.state.publish_record();
                 }
             }
+            ControlReply::Evacuations(list) => self.state.apply_evacuations(list),
             ControlReply::Quarantine(list) => {
                 let (version, requests) = (list.version, list.requests.len());
                 info!(event = "quarantine-known", version, requests);
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -182,9 +182,10 @@
         AttemptOutcome::Answered { .. } => SendResult::Answered,
         AttemptOutcome::Refused { cause, .. } => match cause {
             RefusalReason::Overloaded | RefusalReason::ServerRefused => SendResult::Refused,
-            RefusalReason::Draining | RefusalReason::NoServer | RefusalReason::ConnectFailed => {
-                SendResult::Unreachable
-            }
+            RefusalReason::Draining
+            | RefusalReason::NoServer
+            | RefusalReason::ConnectFailed
+            | RefusalReason::Evacuated => SendResult::Unreachable,
             RefusalReason::TooLate | RefusalReason::Quarantined => SendResult::Cancelled,
         },
         AttemptOutcome::Failed { cause } => match cause {
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -3,6 +3,7 @@
 
 mod crash_watch;
 mod departures;
+mod evacuation;
 mod exchange;
 mod pace;
 mod slots;
@@ -42,6 +43,7 @@
 use crate::local_server::crash_watch::CrashWatch;
 use crate::local_server::departures::LocalDepartures;
 use crate::local_server::departures::departure;
+pub use crate::local_server::evacuation::LocalEvacuation;
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
 use crate::local_server::pace::LastPace;
 use crate::local_server::slots::SlotResult;
@@ -75,6 +77,7 @@
     warm_up_until: Option<Instant>,
     draining: Option<DrainStart>,
     departures: LocalDepartures,
+    evacuation: LocalEvacuation,
     limiter: SlotLimiter,
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
     crash_watch: CrashWatch,
@@ -248,6 +251,13 @@
                 };
             }
         };
+        // The call may have waited for longer than calls in flight are run.
+        if self.is_evacuated(proxy.now()) {
+            return AttemptOutcome::Refused {
+                cause: RefusalReason::Evacuated,
+                retry_after: UNAVAILABLE_RETRY_AFTER,
+            };
+        }
         let left = deadline.saturating_duration_since(proxy.now());
         if left.is_zero() {
             return AttemptOutcome::Refused {
@@ -329,9 +339,12 @@
     ) -> Result<ServerAnnouncement, RefusalReason> {
         let state = lock(&self.state);
         let announcement = state.announcement.clone().ok_or(RefusalReason::NoServer)?;
-        if head.service != self.service || !state.departures.is_known() {
+        if head.service != self.service || !state.is_informed() {
             return Err(RefusalReason::NoServer);
         }
+        if state.evacuation.refuses(now) {
+            return Err(RefusalReason::Evacuated);
+        }
         let drain = proxy.settings.bounds.drain_time.mul_f64(DRAIN_FRACTION);
         let is_drained = match state.draining {
             None => false,
@@ -365,9 +378,15 @@
 
     /// Returns whether new calls may be sent to the backend server.
     ///
-    /// Until control has told which servers left, the one that is announced may have.
+    /// An evacuation does not show here: every node knows the evacuated data centres itself.
     const fn accepts_calls(&self) -> bool {
-        self.announcement.is_some() && self.draining.is_none() && self.departures.is_known()
+        self.announcement.is_some() && self.draining.is_none() && self.is_informed()
+    }
+
+    /// Returns whether control has told this run of the node which servers left and which data
+    /// centres are evacuated; until then, the server that is announced may be out of use.
+    const fn is_informed(&self) -> bool {
+        self.departures.is_known() && self.evacuation.is_known()
     }
 }
 
--- a/crates/proxy/src/node_table.rs
+++ b/crates/proxy/src/node_table.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use fleet::EvacuationList;
+use fleet::EvacuationVersion;
 use fleet::NodeRecord;
 use model::context::ServerLoad;
 use model::ids::DataCentreName;
@@ -16,30 +18,37 @@
 
 /// A node chosen for a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct ChosenNode {
-    pub(crate) node: NodeId,
-    pub(crate) address: SocketAddr,
+pub struct ChosenNode {
+    /// The node.
+    pub node: NodeId,
+    /// Address at which other nodes reach it.
+    pub address: SocketAddr,
 }
 
 /// Records of the known nodes, and a load balancer for each service.
 #[derive(Debug)]
-pub(crate) struct NodeTable {
+pub struct NodeTable {
     own_node: NodeId,
     data_centre: DataCentreName,
     records: HashMap<NodeId, NodeRecord>,
     pickers: HashMap<ServiceName, LeastLoadedPicker>,
     /// Version of the last node list received.
     pub(crate) list_version: u64,
+    /// The evacuated data centres; `None` until control has told this run of the node.
+    evacuations: Option<EvacuationList>,
 }
 
 impl NodeTable {
-    pub(crate) fn new(own_node: NodeId, data_centre: DataCentreName) -> Self {
+    /// Creates the table of a node in a data centre, which knows no nodes.
+    #[must_use]
+    pub fn new(own_node: NodeId, data_centre: DataCentreName) -> Self {
         Self {
             own_node,
             data_centre,
             records: HashMap::new(),
             pickers: HashMap::new(),
             list_version: 0,
+            evacuations: None,
         }
     }
 
@@ -47,7 +56,7 @@
     ///
     /// Nodes missing from a `complete` list are removed. While the list is incomplete, a missing
     /// node stays unless another one has its address.
-    pub(crate) fn apply_list(
+    pub fn apply_list(
         &mut self,
         version: u64,
         records: Vec<NodeRecord>,
@@ -71,7 +80,7 @@
     ///
     /// Changes that begin with a later version than the known one are of no use: the next report
     /// names that one, and control begins from there.
-    pub(crate) fn apply_changes(
+    pub fn apply_changes(
         &mut self,
         base: u64,
         version: u64,
@@ -94,6 +103,32 @@
         true
     }
 
+    /// Applies the evacuated data centres if they are newer than the known ones; returns whether
+    /// they are.
+    ///
+    /// A control instance that was cut off may still send older ones.
+    pub fn apply_evacuations(&mut self, list: EvacuationList) -> bool {
+        if Some(list.version) <= self.evacuation_version() {
+            return false;
+        }
+        self.evacuations = Some(list);
+        for (service, picker) in &mut self.pickers {
+            for member in picker.members_mut() {
+                let record = self.records.get(&member.node);
+                member.accepts_calls = record.is_some_and(|record| {
+                    record.service == *service && may_be_picked(record, self.evacuations.as_ref())
+                });
+            }
+        }
+        true
+    }
+
+    /// Returns the version of the evacuated data centres; `None` if none are known.
+    #[must_use]
+    pub fn evacuation_version(&self) -> Option<EvacuationVersion> {
+        self.evacuations.as_ref().map(|list| list.version)
+    }
+
     /// Takes nodes that are not known any more, or run another service, out of the load balancers.
     fn retain_members(&mut self) {
         for (service, picker) in &mut self.pickers {
@@ -107,7 +142,7 @@
     }
 
     /// Adds or updates the record of one node.
-    pub(crate) fn upsert(&mut self, record: NodeRecord, now: Instant) {
+    pub fn upsert(&mut self, record: NodeRecord, now: Instant) {
         let picker = self.pickers.entry(record.service.clone()).or_default();
         let members = picker.members_mut();
         let position = members
@@ -123,7 +158,7 @@
         member.same_data_centre = record.data_centre == self.data_centre;
         member.same_instance = record.node == self.own_node;
         member.slots = record.slots;
-        member.accepts_calls = record.accepts_calls && record.server.is_some();
+        member.accepts_calls = may_be_picked(&record, self.evacuations.as_ref());
         if is_new_server {
             member.warm_up_until = now + record.warm_up_left;
         }
@@ -131,17 +166,13 @@
     }
 
     /// Returns the number of known nodes, this one included.
-    pub(crate) fn node_count(&self) -> usize {
+    #[must_use]
+    pub fn node_count(&self) -> usize {
         self.records.len()
     }
 
     /// Chooses a node whose backend server runs `service`.
-    pub(crate) fn pick(
-        &mut self,
-        service: &str,
-        exclude: &[NodeId],
-        now: Instant,
-    ) -> Option<ChosenNode> {
+    pub fn pick(&mut self, service: &str, exclude: &[NodeId], now: Instant) -> Option<ChosenNode> {
         let picker = self.pickers.get_mut(service)?;
         let node = picker.pick(exclude, rand::random(), now)?;
         let record = self.records.get(&node)?;
@@ -152,7 +183,7 @@
     }
 
     /// Avoids the nodes at these addresses for a while, since they do not respond.
-    pub(crate) fn mark_unresponsive(&mut self, addresses: &[SocketAddr], now: Instant) {
+    pub fn mark_unresponsive(&mut self, addresses: &[SocketAddr], now: Instant) {
         let records = self.records.values();
         for record in records.filter(|record| addresses.contains(&record.address)) {
             if let Some(picker) = self.pickers.get_mut(&record.service) {
@@ -162,7 +193,7 @@
     }
 
     /// Records how a call to a chosen node ended, and the load that its response reported.
-    pub(crate) fn record_result(
+    pub fn record_result(
         &mut self,
         service: &str,
         node: NodeId,
@@ -175,3 +206,9 @@
         }
     }
 }
+
+/// Returns whether calls may be sent to the backend server of a record.
+fn may_be_picked(record: &NodeRecord, evacuations: Option<&EvacuationList>) -> bool {
+    let is_evacuated = evacuations.is_some_and(|list| list.contains(&record.data_centre));
+    record.accepts_calls && record.server.is_some() && !is_evacuated
+}
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -11,6 +11,7 @@
 
 use admit::EntryAdmission;
 use clock::Clock;
+use fleet::EvacuationList;
 use fleet::NodeRecord;
 use fleet::ProtocolAdapter;
 use fleet::RouteTable;
@@ -20,6 +21,7 @@
 use model::ids::ServiceName;
 use settings::ProxySettings;
 use tokio::sync::Notify;
+use tracing::info;
 
 use crate::crash_tracker::CrashTracker;
 use crate::leased_config::LeasedConfig;
@@ -54,7 +56,7 @@
     fn allow(&mut self, second: u64) -> bool {
         if second != self.second {
             if self.suppressed > 0 {
-                tracing::info!(event = "lines-left-out", lines = self.suppressed);
+                info!(event = "lines-left-out", lines = self.suppressed);
             }
             *self = Self {
                 second,
@@ -237,6 +239,29 @@
         self.report_now.notify_one();
     }
 
+    /// Applies the evacuated data centres, unless the known ones are as new.
+    pub(crate) fn apply_evacuations(&self, list: EvacuationList) {
+        let now = self.now();
+        let version = list.version;
+        let count = list.data_centres.len() as u64;
+        let own = list.contains(&self.inner.settings.data_centre);
+        let names: Vec<&str> = list.data_centres.iter().map(|name| &**name).collect();
+        let names = names.join(",");
+        if !self.nodes().apply_evacuations(list) {
+            return;
+        }
+        info!(
+            event = "evacuations-known",
+            version,
+            data_centres = names,
+            own
+        );
+        self.inner.metrics.set("evacuated-data-centres", count);
+        if self.inner.server.apply_evacuation(own, now) {
+            self.publish_record();
+        }
+    }
+
     /// Credits the service's retry budget for a first attempt.
     pub(crate) fn credit_retry_budget(&self, service: &ServiceName) {
         self.with_retry_budget(service, |budget, _| budget.earn());
