Let operators evacuate a data centre and return it to service

Cause: there is no call for it.

Change: POST and DELETE /v1/evacuations/ZONE take the path of a configuration change (redirect, strength, commit, strength, acknowledgement), which moves from operators.rs to operators/order.rs; the log lines of configuration changes stay as they are. An unknown data centre gets 404, but 503 while a new leader waits for nodes that the log lists.

Ruled out: 400 for an unknown data centre, which would end the operator's call at once although a node there may be about to report.

--- a/crates/fleet/src/adapter.rs
+++ b/crates/fleet/src/adapter.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 use http::Method;
 use model::context::ServerLoad;
+use model::ids::DataCentreName;
 
 use crate::AttemptId;
 use crate::CallHead;
@@ -68,6 +69,10 @@
     PutConfig,
     /// An operator reads the configuration.
     GetConfig,
+    /// An operator orders that nothing more is sent to the backend servers of a data centre.
+    BeginEvacuation(DataCentreName),
+    /// An operator withdraws such an order.
+    EndEvacuation(DataCentreName),
     /// The method and path match no endpoint.
     Unknown,
 }
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -1,15 +1,16 @@
-//! HTTP listener on which operators submit and read the configuration.
+//! HTTP listener on which operators submit and read the configuration, and evacuate data centres.
+
+mod evacuation;
+mod order;
+mod subject;
 
 use std::convert::Infallible;
-use std::net::IpAddr;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
 use clock::Clock;
 use fleet::ApiRequest;
-use fleet::ChangeOutcome;
 use fleet::ConfigChange;
 use fleet::ProtocolAdapter;
 use fleet::StoreEntry;
@@ -26,9 +27,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use quorum::MemberRole;
-use replica::ProposeError;
-use replica::ReplicatedState;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -36,7 +34,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::info;
 
-use crate::identity::instance_ip;
+use crate::operators::subject::OrderSubject;
 use crate::state::GroupState;
 
 /// Largest accepted configuration document, in bytes.
@@ -127,6 +125,12 @@
         let response = match self.adapter.parse_api_request(request.method(), &path) {
             ApiRequest::GetConfig => self.get_config().await,
             ApiRequest::PutConfig => self.put_config(request, &path).await,
+            ApiRequest::BeginEvacuation(data_centre) => {
+                self.order_evacuation(data_centre, true, &path).await
+            }
+            ApiRequest::EndEvacuation(data_centre) => {
+                self.order_evacuation(data_centre, false, &path).await
+            }
             ApiRequest::Ready => self.respond_with_reason(StatusCode::OK, "running"),
             ApiRequest::Announce(_) | ApiRequest::Leave(_) => {
                 self.respond_with_reason(StatusCode::SERVICE_UNAVAILABLE, "announce at a node")
@@ -177,96 +181,12 @@
             info!(event = "config-refused", reason = "invalid", version = config.version, %fault);
             return self.respond_with_reason(StatusCode::BAD_REQUEST, &fault.to_string());
         }
-        self.propose(ConfigChange { config, document }, path).await
-    }
-
-    async fn propose(&self, change: ConfigChange, path: &str) -> HttpResponse {
-        let version = change.config.version;
-        let Some(replica) = self.state.replica() else {
-            return self.unavailable(version, "starting");
-        };
-        let status = replica.status();
-        if status.role != MemberRole::Leader {
-            let other_leader = status.leader.filter(|leader| *leader != status.instance);
-            return match other_leader {
-                Some(leader) => self.redirect(version, instance_ip(leader), path),
-                None => self.unavailable(version, "no leader"),
-            };
-        }
-        if !self.state.await_strength().await {
-            return self.unavailable(version, "too few members");
-        }
-        let base = change.config.base_version;
-        let Ok(entry) = StoreEntry::Change(change).encode() else {
-            return self.unavailable(version, "not encoded");
-        };
-        let outcome = replica.propose(entry).await;
-        let detail = match &outcome {
-            Ok(ChangeOutcome::Accepted) => "accepted",
-            Ok(_) => "refused",
-            Err(_) => "unknown",
+        let order = OrderSubject::Config {
+            version: config.version,
+            base: config.base_version,
         };
-        self.state.metrics.count("config", detail);
-        let group = self.describe_group();
-        info!(event = "config-decided", version, base, outcome = ?outcome, group);
-        match outcome {
-            Ok(ChangeOutcome::Accepted) => self.acknowledge(version).await,
-            Ok(ChangeOutcome::Conflict { current }) => {
-                let reason = format!("version {current} is in force");
-                self.respond_with_reason(StatusCode::PRECONDITION_FAILED, &reason)
-            }
-            Ok(ChangeOutcome::OldVersion { current }) => {
-                let reason = format!("the version must be above {current}");
-                self.respond_with_reason(StatusCode::BAD_REQUEST, &reason)
-            }
-            Ok(ChangeOutcome::Unreadable | ChangeOutcome::Stored) => {
-                self.unavailable(version, "unreadable entry")
-            }
-            Err(ProposeError::NotLeader { .. } | ProposeError::Unknown) => {
-                self.undecided(version, "no outcome")
-            }
-        }
-    }
-
-    /// Acknowledges a change that is committed, unless the members have changed meanwhile.
-    async fn acknowledge(&self, version: u64) -> HttpResponse {
-        self.state.notify_sessions();
-        if self.state.await_strength().await {
-            self.respond_with_reason(StatusCode::OK, "accepted")
-        } else {
-            self.undecided(version, "too few members to acknowledge")
-        }
-    }
-
-    fn redirect(&self, version: u64, leader: IpAddr, path: &str) -> HttpResponse {
-        let address = SocketAddr::new(leader, self.state.settings.operator_listener.port());
-        info!(event = "config-redirected", version, leader = %address);
-        let mut response =
-            self.respond_with_reason(StatusCode::TEMPORARY_REDIRECT, "another instance leads");
-        if let Ok(location) = HeaderValue::from_str(&format!("http://{address}{path}")) {
-            response.headers_mut().insert(header::LOCATION, location);
-        }
-        response
-    }
-
-    fn unavailable(&self, version: u64, reason: &str) -> HttpResponse {
-        let group = self.describe_group();
-        info!(event = "config-not-taken", version, reason, group);
-        self.respond_with_reason(StatusCode::SERVICE_UNAVAILABLE, reason)
-    }
-
-    /// Answers a change that is in force or may still come into force, so that it does not read as
-    /// refused.
-    fn undecided(&self, version: u64, reason: &str) -> HttpResponse {
-        let group = self.describe_group();
-        info!(event = "config-undecided", version, reason, group);
-        self.respond_with_reason(StatusCode::GATEWAY_TIMEOUT, reason)
-    }
-
-    /// Returns voters, lost voters and quorum size for the log.
-    fn describe_group(&self) -> String {
-        let strength = self.state.strength();
-        strength.map_or_else(|| "unknown".to_owned(), |strength| strength.to_string())
+        let change = ConfigChange { config, document };
+        self.propose(order, StoreEntry::Change(change), path).await
     }
 
     fn respond_with_reason(&self, status: StatusCode, reason: &str) -> HttpResponse {
--- a/crates/group/src/registry.rs
+++ b/crates/group/src/registry.rs
@@ -220,6 +220,13 @@
         self.by_address.keys().copied().collect()
     }
 
+    /// Returns whether a node of a data centre has reported.
+    #[must_use]
+    pub fn has_data_centre(&self, data_centre: &str) -> bool {
+        let mut entries = self.nodes.values();
+        entries.any(|entry| *entry.record.data_centre == *data_centre)
+    }
+
     /// Returns the records of all nodes, ordered by node identifier.
     #[must_use]
     pub fn records(&self) -> Vec<NodeRecord> {
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -110,6 +110,17 @@
     }
 }
 
+/// Whether the deployment has a data centre, as far as the leader can tell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum DataCentreStatus {
+    /// The settings, a node that reports or the evacuated data centres name it.
+    Known,
+    /// Nothing names it.
+    Unknown,
+    /// Nothing names it yet, but nodes are missing that may be in it.
+    Undetermined,
+}
+
 /// State shared by the tasks of a control instance; clones refer to the same state.
 #[derive(Debug)]
 pub(crate) struct GroupState<C> {
@@ -290,6 +301,28 @@
         })
     }
 
+    /// Returns whether the deployment has a data centre, as this instance knows it.
+    pub(crate) fn data_centre_status(&self, data_centre: &str) -> DataCentreStatus {
+        // A data centre that is evacuated can be returned to service although nothing is left in it.
+        if self.settings.data_centres.contains(data_centre)
+            || self.evacuations().contains(data_centre)
+        {
+            return DataCentreStatus::Known;
+        }
+        let now = self.clock.now();
+        let node_addresses = self.node_addresses();
+        let status = self.with_leader_state(|leader| {
+            if leader.registry.has_data_centre(data_centre) {
+                DataCentreStatus::Known
+            } else if leader.registry.is_complete(&node_addresses, now) {
+                DataCentreStatus::Unknown
+            } else {
+                DataCentreStatus::Undetermined
+            }
+        });
+        status.unwrap_or(DataCentreStatus::Undetermined)
+    }
+
     pub(crate) fn version(&self) -> ConfigVersion {
         self.replica()
             .map_or(0, |replica| replica.read(ConfigStore::version))
--- a/crates/proxy/src/announce.rs
+++ b/crates/proxy/src/announce.rs
@@ -67,7 +67,10 @@
         ApiRequest::Ready => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
         ApiRequest::Announce(server) => handle_announcement(state, server, request).await,
         ApiRequest::Leave(server) => handle_leave(state, &server).await,
-        ApiRequest::PutConfig | ApiRequest::GetConfig => {
+        ApiRequest::PutConfig
+        | ApiRequest::GetConfig
+        | ApiRequest::BeginEvacuation(_)
+        | ApiRequest::EndEvacuation(_) => {
             let reason = state.adapter.error_body("ask a control instance");
             (StatusCode::SERVICE_UNAVAILABLE, reason)
         }
