Test an evacuation with processes

Change: one test evacuates a data centre, sends the order twice, kills the leader, then all control instances with two disks lost and a node, looks for calls that reach the data centre, and withdraws the order. Test deployments may have nodes in several data centres.

An earlier form that asked for 200 at once after the loss of the leader failed with 503 (no-token): nodes have no tokens until they have reached the next leader, as before; the test now repeats such a call.

--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -23,10 +23,15 @@
 /// Number of control instances, enough to tolerate the loss of two disks.
 const CONTROL_COUNT: u8 = 5;
 
+/// Data centre of the control instances, and of the nodes that are started in no other.
+pub(crate) const DATA_CENTRE: &str = "a";
+
 /// A running deployment; dropping it kills its processes.
 pub(crate) struct TestDeployment {
     directory: TempDir,
     subnet: ReservedSubnet,
+    /// Data centre of each node.
+    data_centres: Vec<String>,
     /// Time from SIGTERM to SIGKILL, in the settings of all processes.
     grace: Duration,
     control: Vec<Option<Child>>,
@@ -37,9 +42,16 @@
 impl TestDeployment {
     /// Starts the control instances, and a node with a fake server for each service.
     pub(crate) fn start(services: &[&str], grace: Duration) -> Self {
+        let data_centres = vec![DATA_CENTRE; services.len()];
+        Self::start_in(services, &data_centres, grace)
+    }
+
+    /// Starts a deployment with each node in its own one of `data_centres`.
+    pub(crate) fn start_in(services: &[&str], data_centres: &[&str], grace: Duration) -> Self {
         let mut deployment = Self {
             directory: TempDir::new().unwrap(),
             subnet: ReservedSubnet::take(),
+            data_centres: data_centres.iter().map(|&name| name.to_owned()).collect(),
             grace,
             control: (0..CONTROL_COUNT).map(|_| None).collect(),
             nodes: services.iter().map(|_| None).collect(),
@@ -68,21 +80,26 @@
         paths: &[(&str, u32)],
     ) -> Self {
         let deployment = Self::start(services, grace);
-        let response = deployment.put_config(document);
+        deployment.await_serving(document, paths);
+        deployment
+    }
+
+    /// Sets the configuration, and waits until all nodes serve, as [`Self::start_serving`] does.
+    pub(crate) fn await_serving(&self, document: &str, paths: &[(&str, u32)]) {
+        let response = self.put_config(document);
         assert_eq!(response.status, 200, "{response:?}");
-        for (node, _) in (0..).zip(services) {
-            deployment.await_ready(node);
+        for (node, _) in (0..).zip(&self.nodes) {
+            self.await_ready(node);
         }
         for (path, servers) in paths {
             let mut served = 0;
             eventually("the nodes know each other's backend servers", || {
                 let id = format!("first-{path}-{served}");
-                let response = deployment.call(0, &format!("GET {path}first"), &id, "key-1");
+                let response = self.call(0, &format!("GET {path}first"), &id, "key-1");
                 served += u32::from(response.status == 200);
                 served >= *servers
             });
         }
-        deployment
     }
 
     /// Announces all fake servers until their nodes acknowledge it.
@@ -119,7 +136,8 @@
             .map(|seed| format!("\"{}\"", self.control_address(seed, 0)))
             .collect();
         let settings = format!(
-            "role = \"proxy\"\nprocess = \"node-{number}\"\ndata-centre = \"a\"\nservice = \"{service}\"\nserver = \"{}\"\ncontrol = [{}]\nports = [{}, {}]\nmemory-mb = 160\n[listen]\naddress = \"{}\"\ncallers = \"{}\"\nservers = \"{}\"\nready = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}grace-s = {}\n",
+            "role = \"proxy\"\nprocess = \"node-{number}\"\ndata-centre = \"{}\"\nservice = \"{service}\"\nserver = \"{}\"\ncontrol = [{}]\nports = [{}, {}]\nmemory-mb = 160\n[listen]\naddress = \"{}\"\ncallers = \"{}\"\nservers = \"{}\"\nready = \"{}\"\nmetrics = \"{}\"\n{BOUNDS}grace-s = {}\n",
+            self.data_centres[usize::from(number)],
             self.node_address(number, 4),
             seeds.join(", "),
             self.subnet.port(5),
@@ -249,13 +267,22 @@
     ///
     /// Server errors and redirects are not definite.
     pub(crate) fn put_config(&self, document: &str) -> HttpResponse {
+        self.order("PUT /v1/config", document).1
+    }
+
+    /// Sends an order of an operator to one instance after another until one gives a definite
+    /// response; returns that instance, which leads, and the response.
+    ///
+    /// Server errors and redirects are not definite.
+    pub(crate) fn order(&self, method_and_path: &str, body: &str) -> (u8, HttpResponse) {
         let mut definite = None;
-        eventually("a configuration gets a definite response", || {
+        eventually("an order gets a definite response", || {
             definite = (0..CONTROL_COUNT).find_map(|number| {
                 let to = self.control_address(number, 0);
-                let response = http::send(to, "PUT /v1/config", &[("Host", "control")], document);
+                let response = http::send(to, method_and_path, &[("Host", "control")], body);
                 let response = response.ok()?;
-                (response.status < 500 && response.status != 307).then_some(response)
+                let is_definite = response.status < 500 && response.status != 307;
+                is_definite.then_some((number, response))
             });
             definite.is_some()
         });
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod departures;
 mod deployment;
+mod evacuations;
 mod http;
 mod journeys;
 mod kept_connection;
