--- a/crates/group/src/traffic.rs
+++ b/crates/group/src/traffic.rs
@@ -68,15 +68,22 @@
     }
 
     /// Adds a node's report of its last window.
-    pub(crate) fn add_report(&mut self, record: &NodeRecord, work: &WorkReport, now: Instant) {
+    ///
+    /// `slots` is the room of its backend server: 0 if that may get no calls.
+    pub(crate) fn add_report(
+        &mut self,
+        record: &NodeRecord,
+        slots: u32,
+        work: &WorkReport,
+        now: Instant,
+    ) {
         let Some(active) = &mut self.active else {
             return;
         };
-        let accepts_calls = record.accepts_calls && record.server.is_some();
         let place = NodePlace {
             data_centre: record.data_centre.clone(),
             service: record.service.clone(),
-            slots: if accepts_calls { record.slots } else { 0 },
+            slots,
         };
         active.planner.add_report(record.node, place, work, now);
     }
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Validated settings of a deployment without TLS among its processes.
 
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -116,6 +117,8 @@
     pub data_directory: PathBuf,
     /// Whether the whole deployment starts for the first time.
     pub first_start: bool,
+    /// Data centres of the deployment; empty if the platform does not name them.
+    pub data_centres: BTreeSet<DataCentreName>,
     /// Guarantees of the deployment.
     pub bounds: DeploymentBounds,
     /// Costs of traffic between data centres; if present, that traffic is planned whatever the
@@ -184,6 +187,7 @@
             link_port,
             data_directory: file.data,
             first_start: file.first_start,
+            data_centres: self.data_centres(file.data_centres)?,
             bounds: self.bounds(&file.bounds)?,
             traffic: self.traffic(file.traffic.as_ref())?,
         })
@@ -208,6 +212,13 @@
         Ok(Some(TrafficSettings::new(file)))
     }
 
+    fn data_centres(&self, names: Vec<String>) -> Result<BTreeSet<DataCentreName>, SettingsError> {
+        let names = names.into_iter();
+        names
+            .map(|name| self.name("data-centres", name).map(Arc::from))
+            .collect()
+    }
+
     fn addresses(
         &self,
         key: &str,
