Collect all errors of a configuration

Cause: `fleet::validate` stops at the first error, and the rule on versions and the size limit of a document are private to the store and to the group, so that a check of a configuration could only repeat them.

Change: `fleet::collect_errors` returns every error in the order in which control meets them, and `validate` returns the first of these. `ChangeOutcome::from_versions` is the rule on versions that `ConfigStore::evaluate` applies; `DOCUMENT_BYTES_MAX` moves from the group to fleet. `ConfigChange` and `ChangeOutcome` move to a file of their own. Which configurations control refuses, and the error that it names, stay the same.

Ruled out: a second list of rules in the check, which could come to differ.

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -9,6 +9,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Largest document of a configuration that control reads, in bytes.
+pub const DOCUMENT_BYTES_MAX: usize = 8 * 1024 * 1024;
+
 /// A complete configuration; a newer one replaces it entirely.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct FleetConfig {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! See `docs/PLATFORM.md` for the architecture.
 
 mod adapter;
+mod change;
 mod config;
 mod control_message;
 mod departure;
@@ -28,8 +29,11 @@
 pub use adapter::ProtocolAdapter;
 pub use adapter::RequestMetadata;
 pub use adapter::ResponseMetadata;
+pub use change::ChangeOutcome;
+pub use change::ConfigChange;
 pub use config::CallerLimits;
 pub use config::ColdLimit;
+pub use config::DOCUMENT_BYTES_MAX;
 pub use config::FleetConfig;
 pub use config::RouteEntry;
 pub use config::ServiceEntry;
@@ -55,8 +59,6 @@
 pub use record::NodeRecord;
 pub use record::ServerAnnouncement;
 pub use record::ServerPhase;
-pub use store::ChangeOutcome;
-pub use store::ConfigChange;
 pub use store::ConfigStore;
 pub use store::NodeAddresses;
 pub use store::StoreEntry;
@@ -67,4 +69,5 @@
 pub use table::KeyOwner;
 pub use table::RouteTable;
 pub use validate::ConfigError;
+pub use validate::collect_errors;
 pub use validate::validate;
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -6,7 +6,6 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use model::exchange::CrashReport;
 use model::ids::ChangeHash;
 use model::ids::ConfigVersion;
@@ -15,9 +14,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ChangeOutcome;
+use crate::ConfigChange;
 use crate::DepartedServer;
 use crate::DepartureTable;
-use crate::FleetConfig;
 use crate::SuspectTable;
 
 /// Version of the encoding of log entries and snapshots, stored as their first byte.
@@ -25,23 +25,6 @@
 /// Number of accepted changes that are remembered, so that a resent one is acknowledged again.
 const REMEMBERED_CHANGES_MAX: usize = 8_192;
 
-/// A configuration change as stored in the log.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct ConfigChange {
-    /// The configuration, decoded.
-    pub config: FleetConfig,
-    /// The operator's document, kept to be returned byte for byte.
-    pub document: Bytes,
-}
-
-impl ConfigChange {
-    /// Returns the digest by which a resent change is recognised.
-    #[must_use]
-    pub fn digest(&self) -> ChangeHash {
-        *blake3::hash(&self.document).as_bytes()
-    }
-}
-
 /// Addresses of the nodes that may hold shares of the teams' rate limits.
 ///
 /// A new leader waits for a report from each of them, since a node that is partitioned
@@ -89,27 +72,6 @@
     }
 }
 
-/// Result of applying a log entry.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ChangeOutcome {
-    /// The change is in force, or was until a later one replaced it.
-    Accepted,
-    /// The change is based on another version than the one in force.
-    Conflict {
-        /// Version of the configuration in force.
-        current: ConfigVersion,
-    },
-    /// The version of the change is not above the one in force.
-    OldVersion {
-        /// Version of the configuration in force.
-        current: ConfigVersion,
-    },
-    /// The entry is no change of the configuration, and has been stored.
-    Stored,
-    /// The entry could not be decoded.
-    Unreadable,
-}
-
 /// State machine that the control instances replicate.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigStore {
@@ -167,15 +129,11 @@
     /// Returns the outcome that applying a change now would have.
     #[must_use]
     pub fn evaluate(&self, change: &ConfigChange) -> ChangeOutcome {
-        let current = self.version();
         if self.accepted.contains(&change.digest()) {
             ChangeOutcome::Accepted
-        } else if change.config.base_version != current {
-            ChangeOutcome::Conflict { current }
-        } else if change.config.version <= current {
-            ChangeOutcome::OldVersion { current }
         } else {
-            ChangeOutcome::Accepted
+            let config = &change.config;
+            ChangeOutcome::from_versions(config.version, config.base_version, self.version())
         }
     }
 
--- a/crates/fleet/src/validate.rs
+++ b/crates/fleet/src/validate.rs
@@ -8,6 +8,7 @@
 
 use crate::FleetConfig;
 use crate::RouteEntry;
+use crate::WeightedService;
 
 /// Longest allowed timeout of a route, in seconds.
 const TIMEOUT_MAX_S: u64 = 600;
@@ -65,53 +66,70 @@
 ///
 /// # Errors
 ///
-/// Returns the first problem found.
+/// Returns the first of the errors that [`collect_errors`] returns.
 pub fn validate(config: &FleetConfig) -> Result<(), ConfigError> {
+    collect_errors(config)
+        .into_iter()
+        .next()
+        .map_or(Ok(()), Err)
+}
+
+/// Returns all errors that depend on the configuration alone: those of the routes in their order,
+/// then those of the teams.
+#[must_use]
+pub fn collect_errors(config: &FleetConfig) -> Vec<ConfigError> {
     let services: HashSet<&str> = config.services.iter().map(|entry| &*entry.name).collect();
     let mut host_prefixes = HashSet::new();
+    let mut errors = Vec::new();
     for route in &config.routes {
-        validate_route(route, &services)?;
+        collect_route_errors(route, &services, &mut errors);
         if !host_prefixes.insert((route.host.as_str(), route.prefix.as_str())) {
             let route = route.name.to_string();
-            return Err(ConfigError::DuplicateRoute { route });
+            errors.push(ConfigError::DuplicateRoute { route });
         }
     }
-    validate_keys(config)
+    collect_key_errors(config, &mut errors);
+    errors
 }
 
-fn validate_route(entry: &RouteEntry, services: &HashSet<&str>) -> Result<(), ConfigError> {
-    let route = entry.name.to_string();
-    let unknown = entry
-        .services
-        .iter()
-        .find(|part| !services.contains(&*part.service));
-    if let Some(part) = unknown {
+fn collect_route_errors(
+    entry: &RouteEntry,
+    services: &HashSet<&str>,
+    errors: &mut Vec<ConfigError>,
+) {
+    let route = || entry.name.to_string();
+    let is_unknown = |part: &&WeightedService| !services.contains(&*part.service);
+    errors.extend(entry.services.iter().filter(is_unknown).map(|part| {
         let service = part.service.to_string();
-        return Err(ConfigError::UnknownService { route, service });
-    }
+        ConfigError::UnknownService {
+            route: route(),
+            service,
+        }
+    }));
     if entry.services.iter().all(|part| part.weight_milli == 0) {
-        return Err(ConfigError::ZeroWeight { route });
+        errors.push(ConfigError::ZeroWeight { route: route() });
     }
     if entry.timeout.is_zero() || entry.timeout > Duration::from_secs(TIMEOUT_MAX_S) {
-        return Err(ConfigError::TimeoutOutOfRange { route });
+        errors.push(ConfigError::TimeoutOutOfRange { route: route() });
     }
     if entry.max_attempts == 0 {
-        return Err(ConfigError::NoAttempts { route });
+        errors.push(ConfigError::NoAttempts { route: route() });
     }
     if !entry.prefix.starts_with('/') || !entry.prefix.ends_with('/') {
-        return Err(ConfigError::InvalidPrefix { route });
+        errors.push(ConfigError::InvalidPrefix { route: route() });
     }
-    Ok(())
 }
 
-fn validate_keys(config: &FleetConfig) -> Result<(), ConfigError> {
+fn collect_key_errors(config: &FleetConfig, errors: &mut Vec<ConfigError>) {
     let mut keys = HashSet::new();
     for team in &config.teams {
         let own: HashSet<&str> = team.keys.iter().map(String::as_str).collect();
-        if own.into_iter().any(|key| !keys.insert(key)) {
+        let distinct = own.len();
+        let before = keys.len();
+        keys.extend(own);
+        if keys.len() - before < distinct {
             let team = team.name.to_string();
-            return Err(ConfigError::DuplicateKey { team });
+            errors.push(ConfigError::DuplicateKey { team });
         }
     }
-    Ok(())
 }
--- a/crates/group/src/operators.rs
+++ b/crates/group/src/operators.rs
@@ -11,6 +11,7 @@
 use fleet::ApiRequest;
 use fleet::ChangeOutcome;
 use fleet::ConfigChange;
+use fleet::DOCUMENT_BYTES_MAX;
 use fleet::ProtocolAdapter;
 use fleet::StoreEntry;
 use http::HeaderValue;
@@ -39,8 +40,6 @@
 use crate::identity::instance_ip;
 use crate::state::GroupState;
 
-/// Largest accepted configuration document, in bytes.
-const DOCUMENT_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// Time within which an operator must have sent the request head, in milliseconds.
 const HEAD_TIMEOUT_MS: u64 = 5_000;
 /// Time that a stopping instance has to answer the requests that it has read, in milliseconds.
