Add the subcommand check-config

Cause: the check of a configuration has no command.

Change: `ragwortplank check-config FILE [--in-force FILE] [--format plain|json]` reads the files, prints the findings and differences and exits with 0, 1, 2, 64 or 66. Wrong command lines of other subcommands exit with 2, as before. A test sends documents to a real control group and compares its answers with the check.

Ruled out: exit code 1 when the file in force cannot be decoded, since control would not refuse the new one for it; it is 66.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -4,6 +4,7 @@
 mod read;
 mod since;
 
+use std::ffi::OsString;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -16,6 +17,9 @@
 use settings::TlsFiles;
 use wire::role::PeerRole;
 
+use crate::arguments::build::CHECK_CONFIG;
+use crate::exit::ExitKind;
+
 pub use build::command;
 pub use since::SinceTime;
 
@@ -56,6 +60,13 @@
         /// Declarations.
         files: Vec<PathBuf>,
     },
+    /// Check a configuration of the `group` role.
+    CheckConfig {
+        /// The configuration.
+        file: PathBuf,
+        /// The configuration in force.
+        in_force: Option<PathBuf>,
+    },
     /// Show what a declaration would change.
     Plan {
         /// The declaration.
@@ -222,7 +233,16 @@
     /// text and exits.
     #[must_use]
     pub fn parse() -> Self {
-        read::arguments(&command().get_matches())
+        let args: Vec<OsString> = std::env::args_os().collect();
+        match Self::parse_from(args.clone()) {
+            Ok(arguments) => arguments,
+            Err(error) if error.use_stderr() && names_check_config(&args) => {
+                // If standard error is closed, the error cannot be reported anywhere else.
+                let _ = error.print();
+                std::process::exit(ExitKind::CheckUsage.code().into())
+            }
+            Err(error) => error.exit(),
+        }
     }
 
     /// Parses the given arguments, of which the first is the program name.
@@ -233,9 +253,15 @@
     pub fn parse_from<I, W>(args: I) -> Result<Self, clap::Error>
     where
         I: IntoIterator<Item = W>,
-        W: Into<std::ffi::OsString> + Clone,
+        W: Into<OsString> + Clone,
     {
         let matches = command().try_get_matches_from(args)?;
         Ok(read::arguments(&matches))
     }
 }
+
+/// Returns whether the arguments, also if they are wrong, name the subcommand `check-config`.
+fn names_check_config(args: &[OsString]) -> bool {
+    let matches = command().ignore_errors(true).try_get_matches_from(args);
+    matches.is_ok_and(|matches| matches.subcommand_name() == Some(CHECK_CONFIG))
+}
--- a/crates/cli/src/arguments/build.rs
+++ b/crates/cli/src/arguments/build.rs
@@ -28,8 +28,12 @@
 use crate::arguments::build::shared::wait;
 use crate::certificate::AUTHORITY_VALIDITY_DAYS;
 use crate::certificate::CERTIFICATE_VALIDITY_DAYS;
+use crate::exit::CHECK_EXIT_STATUS_HELP;
 use crate::exit::EXIT_STATUS_HELP;
 
+/// Name of the subcommand that checks a configuration.
+pub(super) const CHECK_CONFIG: &str = "check-config";
+
 /// Returns the definition of the command line.
 #[must_use]
 pub fn command() -> Command {
@@ -55,13 +59,14 @@
 }
 
 /// Commands that work offline.
-fn file_commands() -> [Command; 5] {
+fn file_commands() -> [Command; 6] {
     [
         keygen(),
         cert(),
         Command::new("check")
             .about("Validate declarations and print how many items each declares")
             .arg(file_argument().num_args(1..)),
+        check_config(),
         sign(),
         Command::new("completions")
             .about("Print a shell completion script")
@@ -168,6 +173,24 @@
         )
 }
 
+fn check_config() -> Command {
+    Command::new(CHECK_CONFIG)
+        .about("Check a configuration of the `group` role before it is sent")
+        .after_help(CHECK_EXIT_STATUS_HELP)
+        .arg(file_argument().help("Configuration (JSON)"))
+        .arg(path(
+            "in-force",
+            "FILE",
+            "Configuration in force, to check the versions and show the differences",
+        ))
+        .arg(
+            Arg::new("format")
+                .long("format")
+                .value_parser(PossibleValuesParser::new(["plain", "json"]))
+                .help("Output format; takes precedence over --output"),
+        )
+}
+
 fn sign() -> Command {
     Command::new("sign")
         .about("Sign a change offline; `propose --signature` submits the signature")
--- a/crates/cli/src/arguments/read.rs
+++ b/crates/cli/src/arguments/read.rs
@@ -20,19 +20,27 @@
 use crate::arguments::SignArguments;
 use crate::arguments::SignSubject;
 use crate::arguments::TimelineArguments;
+use crate::arguments::build::CHECK_CONFIG;
 
 pub(super) fn arguments(matches: &ArgMatches) -> CliArguments {
-    let json = optional::<String>(matches, "output").is_some_and(|format| format == "json");
     CliArguments {
-        output: if json {
-            OutputFormat::Json
-        } else {
-            OutputFormat::Table
-        },
+        output: output_format(matches),
         command: cli_command(matches),
     }
 }
 
+/// Returns the format that `check-config --format` requests, otherwise that of `--output`.
+fn output_format(matches: &ArgMatches) -> OutputFormat {
+    let format: Option<String> = match subcommand(matches) {
+        (CHECK_CONFIG, matches) => optional(matches, "format"),
+        _ => None,
+    };
+    match format.or_else(|| optional(matches, "output")).as_deref() {
+        Some("json") => OutputFormat::Json,
+        _ => OutputFormat::Table,
+    }
+}
+
 fn cli_command(matches: &ArgMatches) -> CliCommand {
     match subcommand(matches) {
         ("keygen", matches) => keygen(matches),
@@ -40,6 +48,10 @@
         ("check", matches) => CliCommand::Check {
             files: values(matches, "file"),
         },
+        (CHECK_CONFIG, matches) => CliCommand::CheckConfig {
+            file: required(matches, "file"),
+            in_force: optional(matches, "in-force"),
+        },
         ("plan", matches) => CliCommand::Plan {
             file: required(matches, "file"),
             control: control(matches),
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,6 +1,7 @@
 //! Runs the commands; each returns a report and an exit kind.
 
 mod change;
+mod check_config;
 mod edit;
 mod local;
 mod process;
@@ -45,6 +46,10 @@
         CliCommand::CertAuthority(arguments) => printer.print(&local::cert_authority(&arguments)?),
         CliCommand::CertIssue(arguments) => printer.print(&local::cert_issue(arguments)?),
         CliCommand::Check { files } => printer.print(&local::check(&files)?),
+        CliCommand::CheckConfig { file, in_force } => {
+            let report = check_config::check_config(&file, in_force.as_deref())?;
+            printer.print_with_exit(&report, report.exit_kind())
+        }
         CliCommand::Sign(arguments) => printer.print(&local::sign(&arguments)?),
         CliCommand::Completions { shell } => {
             let mut command = arguments::command();
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -12,6 +12,11 @@
 3 another change was accepted first, 4 the other owner's signature is missing, \
 5 no address could be reached or no quorum answered, 6 accepted but not yet in force.";
 
+/// Description of the exit codes in `check-config --help`.
+pub const CHECK_EXIT_STATUS_HELP: &str = "\
+Exit status: 0 no findings, 1 errors, 2 warnings only, 64 the command line cannot be used, \
+66 a file cannot be read.";
+
 /// Outcome of a command, reported as its exit code.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExitKind {
@@ -29,20 +34,30 @@
     Unreachable,
     /// The change was accepted, but not in force everywhere within the given time.
     NotInForce,
+    /// `check-config` found errors.
+    CheckErrors,
+    /// `check-config` found warnings only.
+    CheckWarnings,
+    /// The command line of `check-config` cannot be used.
+    CheckUsage,
+    /// `check-config` cannot read a file.
+    CheckInput,
 }
 
 impl ExitKind {
-    /// Returns the exit code.
+    /// Returns the exit code; those of `check-config` are its own.
     #[must_use]
     pub const fn code(self) -> u8 {
         match self {
             Self::Done => 0,
-            Self::Failed => 1,
-            Self::Usage => 2,
+            Self::Failed | Self::CheckErrors => 1,
+            Self::Usage | Self::CheckWarnings => 2,
             Self::Conflict => 3,
             Self::Pending => 4,
             Self::Unreachable => 5,
             Self::NotInForce => 6,
+            Self::CheckUsage => 64,
+            Self::CheckInput => 66,
         }
     }
 }
@@ -64,6 +79,10 @@
     #[display("{_0:#}")]
     #[from(ignore)]
     Unreachable(#[error(not(source))] anyhow::Error),
+    /// `check-config` cannot read a file.
+    #[display("{_0:#}")]
+    #[from(ignore)]
+    CheckInput(#[error(not(source))] anyhow::Error),
     /// Any other failure.
     #[display("{_0:#}")]
     Failed(#[error(not(source))] anyhow::Error),
@@ -76,6 +95,7 @@
         match self {
             Self::Usage(_) => ExitKind::Usage,
             Self::Unreachable(_) => ExitKind::Unreachable,
+            Self::CheckInput(_) => ExitKind::CheckInput,
             Self::Failed(_) => ExitKind::Failed,
         }
     }
--- a/crates/cli/src/present.rs
+++ b/crates/cli/src/present.rs
@@ -1,6 +1,7 @@
 //! Formats reports as tables or JSON.
 
 mod change;
+mod config_check;
 mod process;
 mod simple;
 mod text_table;
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -1,6 +1,7 @@
 //! Reports of commands, as plain data.
 
 mod change;
+mod config_check;
 mod plan;
 mod status;
 
@@ -10,6 +11,9 @@
 pub use change::ChangeOutcome;
 pub use change::KeyOutcome;
 pub use change::SignatureFile;
+pub use config_check::ConfigCheckReport;
+pub use config_check::DifferenceRow;
+pub use config_check::FindingRow;
 pub use plan::PlanAction;
 pub use plan::PlanReport;
 pub use plan::PlanRow;
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod changes;
+mod config_check;
 mod fake_control;
 mod files;
 mod keys;
--- a/crates/daemon/tests/control/main.rs
+++ b/crates/daemon/tests/control/main.rs
@@ -3,6 +3,7 @@
 #[path = "../shared/addresses.rs"]
 mod addresses;
 mod answers;
+mod config_check;
 mod control_group;
 mod full_disks;
 mod gone_voter;
