--- a/crates/check/src/document.rs
+++ b/crates/check/src/document.rs
@@ -9,7 +9,7 @@
 use crate::ConfigDifference;
 use crate::FindingSeverity;
 use crate::check_config;
-use crate::check_content;
+use crate::check_resent;
 use crate::find_differences;
 use crate::message::without_values;
 
@@ -62,7 +62,6 @@
             return Ok(single_finding(CheckFinding::Undecodable { reason }));
         }
     };
-    // Control acknowledges the document in force again, whatever its versions.
     let is_resent = in_force == Some(document);
     Ok(check_decoded(&config, current.as_ref(), is_resent))
 }
@@ -73,7 +72,7 @@
     is_resent: bool,
 ) -> CheckOutcome {
     let findings = if is_resent {
-        check_content(config)
+        check_resent(config)
     } else {
         check_config(config, in_force)
     };
--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -23,21 +23,29 @@
 
 use fleet::FleetConfig;
 
-/// Returns the findings of a configuration: first what control refuses, then the warnings.
+/// Returns the findings of a configuration: first what control refuses, then the warnings. Control
+/// answers with the first error.
 ///
 /// Without the configuration in force, only versions that control refuses whichever is in force
 /// are found.
 #[must_use]
 pub fn check_config(config: &FleetConfig, in_force: Option<&FleetConfig>) -> Vec<CheckFinding> {
-    let mut findings = refusal::find_version_errors(config, in_force);
-    findings.extend(check_content(config));
+    let mut findings = refusal::find_config_errors(config);
+    findings.extend(refusal::find_version_errors(config, in_force));
+    findings.extend(find_warnings(config));
     findings
 }
 
-/// Returns the findings that do not depend on the versions.
-fn check_content(config: &FleetConfig) -> Vec<CheckFinding> {
+/// Returns the findings of the configuration in force when it is sent again: its versions are no
+/// errors, because control acknowledges it once more.
+fn check_resent(config: &FleetConfig) -> Vec<CheckFinding> {
     let mut findings = refusal::find_config_errors(config);
-    findings.extend(reachability::find_unreachable(config));
+    findings.extend(find_warnings(config));
+    findings
+}
+
+fn find_warnings(config: &FleetConfig) -> Vec<CheckFinding> {
+    let mut findings = reachability::find_unreachable(config);
     findings.extend(contradiction::find_contradictions(config));
     findings
 }
--- a/crates/check/src/refusal.rs
+++ b/crates/check/src/refusal.rs
@@ -11,7 +11,7 @@
     errors.map(CheckFinding::Invalid).collect()
 }
 
-/// Returns the errors in the version and the base version. Control answers with the first of them.
+/// Returns the errors in the version and the base version.
 pub(crate) fn find_version_errors(
     config: &FleetConfig,
     in_force: Option<&FleetConfig>,
--- a/crates/daemon/tests/control/config_check.rs
+++ b/crates/daemon/tests/control/config_check.rs
@@ -25,6 +25,7 @@
         next.replace("\"ratePerS\":500", "\"ratePerS\":-1"),
         next.replace("\"service\":\"stock\"", "\"service\":\"nowhere\""),
         next.replace("\"timeout\":2000", "\"timeout\":0"),
+        document(5, 2).replace("\"timeout\":2000", "\"timeout\":0"),
         next.replace("\"maxAttempts\":2", "\"maxAttempts\":0"),
         next.replace("/stock/", "/orders/"),
         next.replace("/stock/", "stock"),
