Show a change of large bodies in the check of a configuration

The field came with the traffic plan, after the check was written; the functions now name every field of an entry, so that the next one fails to compile until it is compared.

--- a/crates/check/src/difference/fields.rs
+++ b/crates/check/src/difference/fields.rs
@@ -54,33 +54,62 @@
     ]
 }
 
-pub(super) fn route_fields(route: &RouteEntry) -> [FieldValue; 9] {
+// The functions below name every field of an entry, so that a new field cannot be forgotten.
+
+pub(super) fn route_fields(route: &RouteEntry) -> [FieldValue; 10] {
+    let RouteEntry {
+        name: _,
+        host,
+        prefix,
+        idempotent,
+        large_bodies,
+        timeout,
+        target_latency,
+        priority,
+        max_attempts,
+        allow_anonymous,
+        services,
+    } = route;
     [
-        ("host", route.host.clone()),
-        ("prefix", route.prefix.clone()),
-        ("idempotent", route.idempotent.to_string()),
-        ("timeout", milliseconds(route.timeout)),
-        ("target-latency", milliseconds(route.target_latency)),
-        ("priority", route.priority.to_string()),
-        ("max-attempts", route.max_attempts.to_string()),
-        ("allow-anonymous", route.allow_anonymous.to_string()),
-        ("services", weights(&route.services)),
+        ("host", host.clone()),
+        ("prefix", prefix.clone()),
+        ("idempotent", idempotent.to_string()),
+        ("large-bodies", large_bodies.to_string()),
+        ("timeout", milliseconds(*timeout)),
+        ("target-latency", milliseconds(*target_latency)),
+        ("priority", priority.to_string()),
+        ("max-attempts", max_attempts.to_string()),
+        ("allow-anonymous", allow_anonymous.to_string()),
+        ("services", weights(services)),
     ]
 }
 
 pub(super) fn service_fields(service: &ServiceEntry) -> [FieldValue; 3] {
+    let ServiceEntry {
+        name: _,
+        health_path,
+        max_connections,
+        cold,
+    } = service;
     [
-        ("health-path", service.health_path.clone()),
-        ("max-connections", service.max_connections.to_string()),
-        ("cold-limit", cold_limit(service.cold)),
+        ("health-path", health_path.clone()),
+        ("max-connections", max_connections.to_string()),
+        ("cold-limit", cold_limit(*cold)),
     ]
 }
 
 pub(super) fn team_fields(team: &TeamEntry) -> [FieldValue; 3] {
+    let TeamEntry {
+        name: _,
+        keys: _,
+        priority,
+        rate_milli,
+        burst,
+    } = team;
     [
-        ("priority", team.priority.to_string()),
-        ("rate-per-s", from_milli(team.rate_milli)),
-        ("burst", team.burst.to_string()),
+        ("priority", priority.to_string()),
+        ("rate-per-s", from_milli(*rate_milli)),
+        ("burst", burst.to_string()),
     ]
 }
 
