--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -439,7 +439,7 @@
         let now = self.clock.now();
         let node_addresses = self.node_addresses();
         let version = self.version();
-        self.with_leader_state(|leader| {
+        let lent = self.with_leader_state(|leader| {
             if leader.applied_version != version {
                 leader.apply_config(self.current(), version, now);
             }
@@ -454,7 +454,14 @@
                 tokens: lent.collect(),
                 up_to_limit,
             }
-        })
+        })?;
+        let knowledge = if lent.up_to_limit {
+            "all-nodes"
+        } else {
+            "some-nodes"
+        };
+        self.metrics.count("tokens-lent", knowledge);
+        Some(lent)
     }
 
     /// Notifies the sessions of nodes that there are updates to send.
