Limit the size of the log entries that are kept in memory

Change: they are limited to 4 MiB as well.

Test: faults::entries_kept_before_a_snapshot_are_limited_in_size fails before, passes after.

--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -23,6 +23,9 @@
 /// Entries kept before a snapshot, so that a member that lags by less does not need the snapshot.
 const TRAILING_ENTRIES: u64 = 1_024;
 
+/// Maximum size of these entries, in bytes. Sending more takes longer than sending the snapshot.
+const TRAILING_BYTES: usize = 4 * 1024 * 1024;
+
 /// Maximum number of entries by which a learner may lag and still be promoted.
 const MAX_PROMOTION_LAG_ENTRIES: u64 = 64;
 
@@ -46,6 +49,8 @@
     pub max_unacked_entries: u64,
     /// Entries kept before a snapshot for members that lag.
     pub trailing_entries: u64,
+    /// Maximum size of the entries kept before a snapshot, in bytes.
+    pub trailing_bytes: usize,
     /// Maximum number of entries by which a learner may lag and still be promoted.
     pub max_promotion_lag_entries: u64,
 }
@@ -60,6 +65,7 @@
             max_message_bytes: MAX_MESSAGE_BYTES,
             max_unacked_entries: MAX_UNACKED_ENTRIES,
             trailing_entries: TRAILING_ENTRIES,
+            trailing_bytes: TRAILING_BYTES,
             max_promotion_lag_entries: MAX_PROMOTION_LAG_ENTRIES,
         }
     }
--- a/crates/quorum/src/core.rs
+++ b/crates/quorum/src/core.rs
@@ -40,6 +40,7 @@
 use crate::core::read_queue::ReadQueue;
 use crate::core::snapshots::IncomingSnapshot;
 use crate::entry_log::EntryLog;
+use crate::entry_log::TrailingLimit;
 
 pub use crate::core::status::MemberRole;
 pub use crate::core::status::RaftStatus;
@@ -278,7 +279,11 @@
         self.output
             .writes
             .push(DurableWrite::Compact(snapshot.clone()));
-        self.log.compact(snapshot, self.config.trailing_entries);
+        let trailing = TrailingLimit {
+            entries: self.config.trailing_entries,
+            bytes: self.config.trailing_bytes,
+        };
+        self.log.compact(snapshot, trailing);
     }
 
     fn check_own_folder(&mut self) {
--- a/crates/quorum/src/entry_log.rs
+++ b/crates/quorum/src/entry_log.rs
@@ -17,6 +17,13 @@
     membership: Membership,
 }
 
+/// How many entries before a snapshot are kept.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TrailingLimit {
+    pub(crate) entries: u64,
+    pub(crate) bytes: usize,
+}
+
 /// Entries after `base`, the snapshot that covers the dropped ones, and the memberships.
 #[derive(Clone, Debug)]
 pub(crate) struct EntryLog {
@@ -147,11 +154,11 @@
         &logged.membership
     }
 
-    /// Stores a snapshot of the applied state and drops the entries before it except the last
-    /// `trailing` ones.
-    pub(crate) fn compact(&mut self, snapshot: StateSnapshot, trailing: u64) {
+    /// Stores a snapshot of the applied state and drops the entries before it except the last ones
+    /// within the limit.
+    pub(crate) fn compact(&mut self, snapshot: StateSnapshot, trailing: TrailingLimit) {
         let snapshot_index = snapshot.last_included.index;
-        let base_index = snapshot_index.saturating_sub(trailing).max(self.base.index);
+        let base_index = self.trailing_base(snapshot_index, trailing);
         if let Some(term) = self.term_at(base_index) {
             let dropped = usize::try_from(base_index - self.base.index).unwrap_or(usize::MAX);
             self.entries.drain(..dropped.min(self.entries.len()));
@@ -164,6 +171,26 @@
         self.snapshot = Some(snapshot);
     }
 
+    /// Returns the index before the first entry to keep ahead of a snapshot.
+    fn trailing_base(&self, snapshot_index: LogIndex, trailing: TrailingLimit) -> LogIndex {
+        let earliest = snapshot_index.saturating_sub(trailing.entries);
+        let earliest = earliest.max(self.base.index);
+        let mut base_index = snapshot_index.max(self.base.index);
+        let mut bytes = 0;
+        while base_index > earliest {
+            bytes += self.entry_size(base_index);
+            if bytes > trailing.bytes {
+                break;
+            }
+            base_index -= 1;
+        }
+        base_index
+    }
+
+    fn entry_size(&self, index: LogIndex) -> usize {
+        self.entry(index).map_or(0, |entry| entry.payload.size())
+    }
+
     /// Replaces the whole log with a snapshot.
     pub(crate) fn reset_to_snapshot(&mut self, snapshot: StateSnapshot) {
         self.base = snapshot.last_included;
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use quorum::InstanceId;
 use quorum::MemberChange;
 use quorum::MemberRole;
@@ -187,3 +188,34 @@
         "only the first read has completed"
     );
 }
+
+/// Size of a large command, in bytes.
+const LARGE_COMMAND_BYTES: usize = 3 * 1024 * 1024;
+
+/// Proposes large commands at a member.
+fn propose_large(group: &mut SimGroup, id: InstanceId, count: usize) {
+    for _ in 0..count {
+        let command = Bytes::from(vec![0; LARGE_COMMAND_BYTES]);
+        let proposed = group.with_core(id, |core, now| core.propose(vec![command], now));
+        assert!(proposed.is_some_and(|position| position.is_ok()));
+    }
+}
+
+/// Guards against memory that grows with each large change until all members run out of it.
+#[test]
+fn entries_kept_before_a_snapshot_are_limited_in_size() {
+    let mut group = SimGroup::new(&[1], MAX_MESSAGE_BYTES, 17);
+    recover(&mut group);
+    propose_large(&mut group, 1, 4);
+    while !is_quiet(&group) {
+        group.sync(1, 1);
+    }
+    let applied = group.members[&1].state_machine.applied;
+    group.compact(1);
+    let is_held = |index| {
+        let core = group.members[&1].core.as_ref().expect("it runs");
+        core.term_at(index).is_some()
+    };
+    assert!(is_held(applied));
+    assert!(!is_held(applied - 2));
+}
