Compare answer times only of services that call no others

Cause: the service time of a service that calls others contains theirs. A slow server at the end of the call graph made every service above it in its data centre look slow, and calls left at each level.

Change: only services that call no others are compared, by the calls in the nodes' reports.

Test: calls_to_a_service_that_calls_others_do_not_leave_for_sooner_answers fails before, passes after. Ruled out: subtracting the time spent in calls, which nodes know only when the parent is found.

--- a/crates/route/src/traffic/estimate.rs
+++ b/crates/route/src/traffic/estimate.rs
@@ -87,6 +87,8 @@
     sent: HashMap<ServiceName, MeanRate>,
     busy: MeanRate,
     routes: HashMap<RouteName, RouteWork>,
+    /// Whether the server has called other services for the calls that it runs.
+    calls_others: bool,
 }
 
 impl NodeEstimate {
@@ -97,6 +99,7 @@
             sent: HashMap::new(),
             busy: MeanRate::default(),
             routes: HashMap::new(),
+            calls_others: false,
         }
     }
 
@@ -115,6 +118,7 @@
             let calls = work.sent.iter().find(|calls| calls.service == *service);
             rate.add(calls.map_or(0.0, |calls| f64::from(calls.count)), window_s);
         }
+        self.calls_others |= !work.calls.is_empty();
         self.add_runs(&work.runs, window_s);
         let busy_s: f64 = work.runs.iter().map(|run| run_work(run).busy_s).sum();
         self.busy.add(busy_s * demand_ratio(work), window_s);
@@ -144,6 +148,8 @@
     pub(super) sent_per_s: f64,
     /// Recent calls by route.
     pub(super) routes: BTreeMap<RouteName, RouteWork>,
+    /// Whether its servers call other services, so that their service times contain those of others.
+    pub(super) calls_others: bool,
 }
 
 impl SiteLoad {
@@ -190,6 +196,7 @@
         let site = sites.entry(place.data_centre.clone()).or_default();
         site.slots += f64::from(place.slots);
         site.busy_slots += node.busy.per_s();
+        site.calls_others |= node.calls_others;
         for (route, work) in &node.routes {
             site.routes.entry(route.clone()).or_default().add(*work);
         }
--- a/crates/route/src/traffic/planner.rs
+++ b/crates/route/src/traffic/planner.rs
@@ -214,7 +214,14 @@
     }
 
     /// Changes the fractions that leave for sooner answers by a step each.
+    ///
+    /// Only services that call no others are compared: a call to a slow service elsewhere makes the
+    /// caller's server look slow as well, and all services above it would leave for the same reason.
     fn update_answer_shares(&mut self, sites: &SiteLoads, costs: TrafficCosts) {
+        if sites.values().any(|site| site.calls_others) {
+            self.answer_shares.clear();
+            return;
+        }
         let leaving_s = (costs.leave_cost + costs.network_delay).as_secs_f64();
         for (name, site) in sites {
             let others = sites.iter().filter(|(other, _)| *other != name);
--- a/crates/route/tests/traffic.rs
+++ b/crates/route/tests/traffic.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use model::context::ServerLoad;
+use model::entry::RouteCalls;
 use model::entry::RouteExecutions;
 use model::entry::SentCalls;
 use model::entry::WorkReport;
@@ -39,8 +40,11 @@
 }
 
 fn report(planner: &mut TrafficPlanner, site: usize, slots: u32, counts: Counts, now: Instant) {
+    add_window(planner, site, slots, &window(counts), now);
+}
+
+fn window(counts: Counts) -> WorkReport {
     let [sent, count, busy_ms, refused] = counts;
-    let service: Arc<str> = Arc::from("store");
     let run = RouteExecutions {
         route: Arc::from("read"),
         started: count,
@@ -48,23 +52,33 @@
         busy_ms,
         refused: 0,
     };
-    let work = WorkReport {
+    WorkReport {
         window_ms: 300,
         sent: vec![SentCalls {
-            service: service.clone(),
+            service: Arc::from("store"),
             count: sent,
         }],
         runs: vec![run],
         refused,
         ..WorkReport::default()
-    };
+    }
+}
+
+fn add_window(
+    planner: &mut TrafficPlanner,
+    site: usize,
+    slots: u32,
+    work: &WorkReport,
+    now: Instant,
+) {
+    let service = Arc::from("store");
     let data_centre = Arc::from(NAMES[site]);
     let place = NodePlace {
         data_centre,
         service,
         slots,
     };
-    planner.add_report(site as u64, place, &work, now);
+    planner.add_report(site as u64, place, work, now);
 }
 
 fn planner(network_delay: Duration) -> TrafficPlanner {
@@ -370,6 +384,27 @@
     }
 }
 
+/// Guards against all calls of a service leaving because a service that it calls is slow.
+#[test]
+fn calls_to_a_service_that_calls_others_do_not_leave_for_sooner_answers() {
+    let mut planner = planner(DELAY);
+    let start = Instant::now();
+    for number in 0..20 {
+        let now = start + WINDOW * number;
+        for (site, mean_ms) in [200, 40, 60].into_iter().enumerate() {
+            let mut work = window(steady(100, mean_ms));
+            work.calls.push(RouteCalls {
+                parent: Arc::from("read"),
+                route: Arc::from("lookup"),
+                count: 30,
+            });
+            add_window(&mut planner, site, 100, &work, now);
+        }
+        planner.update(now);
+    }
+    assert_eq!(planner.shares().count(), 0);
+}
+
 /// Guards against load that is moved to and fro although no data centre has room.
 #[test]
 fn nothing_is_planned_while_all_are_overloaded() {
