Limit the size of the entries on their way to a member that lags

Cause: a leader sends up to 8,192 entries without an answer, whatever their size. With whole configurations in them, 24 MiB were queued at once, the link closed (link-overrun), and all of it was lost; the leader probed with one message and queued all again.

Change: at most 4 MiB of entries are on their way to a member; a single larger entry still goes.

Ruled out: a larger queue, which only moves the size at which it happens; keeping the wiped voter until its successor has caught up, which is no longer needed for it.

--- a/crates/quorum/src/config.rs
+++ b/crates/quorum/src/config.rs
@@ -20,6 +20,10 @@
 /// Maximum number of unacknowledged entries sent to a member.
 const MAX_UNACKED_ENTRIES: u64 = 8_192;
 
+/// Maximum size of the unacknowledged entries sent to a member, in bytes. A link that is full
+/// closes, and what is queued on it is lost.
+const MAX_UNACKED_BYTES: usize = 4 * 1024 * 1024;
+
 /// Entries kept before a snapshot, so that a member that lags by less does not need the snapshot.
 const TRAILING_ENTRIES: u64 = 1_024;
 
@@ -47,6 +51,9 @@
     pub max_message_bytes: usize,
     /// Maximum number of unacknowledged entries sent to a member.
     pub max_unacked_entries: u64,
+    /// Maximum size of the unacknowledged entries sent to a member, in bytes; a single larger entry
+    /// is sent all the same.
+    pub max_unacked_bytes: usize,
     /// Entries kept before a snapshot for members that lag.
     pub trailing_entries: u64,
     /// Maximum size of the entries kept before a snapshot, in bytes.
@@ -64,6 +71,7 @@
             read_timeout: Duration::from_millis(READ_TIMEOUT_MS),
             max_message_bytes: MAX_MESSAGE_BYTES,
             max_unacked_entries: MAX_UNACKED_ENTRIES,
+            max_unacked_bytes: MAX_UNACKED_BYTES,
             trailing_entries: TRAILING_ENTRIES,
             trailing_bytes: TRAILING_BYTES,
             max_promotion_lag_entries: MAX_PROMOTION_LAG_ENTRIES,
--- a/crates/quorum/src/core/leader.rs
+++ b/crates/quorum/src/core/leader.rs
@@ -122,16 +122,30 @@
         self.advance_commit(now);
     }
 
-    /// Sends entries until the maximum of unacknowledged entries is reached.
+    /// Sends entries until the maximum number or size of unacknowledged entries is reached.
     pub(super) fn send_entries(&mut self, to: InstanceId) {
         let last = self.log.last().index;
-        let window = self.config.max_unacked_entries;
+        let (window, window_bytes) = (
+            self.config.max_unacked_entries,
+            self.config.max_unacked_bytes,
+        );
+        // The size up to `measured` is summed up once; each entry sent is added to it.
+        let mut measured = None;
+        let mut unacked_bytes = 0;
         loop {
             let Some(peer) = self.leader_state().and_then(|state| state.peers.get(&to)) else {
                 return;
             };
-            let unacked = peer.next.saturating_sub(peer.matched + 1);
-            if peer.probing || peer.snapshot.is_some() || peer.next > last || unacked >= window {
+            let (matched, next) = (peer.matched, peer.next);
+            let unacked = next.saturating_sub(matched + 1);
+            if peer.probing || peer.snapshot.is_some() || next > last || unacked >= window {
+                return;
+            }
+            unacked_bytes += self
+                .log
+                .size_between(measured.unwrap_or(matched), next.saturating_sub(1));
+            measured = Some(next.saturating_sub(1));
+            if unacked_bytes >= window_bytes {
                 return;
             }
             self.send_append(to, true);
--- a/crates/quorum/src/entry_log.rs
+++ b/crates/quorum/src/entry_log.rs
@@ -191,6 +191,11 @@
         self.entry(index).map_or(0, |entry| entry.payload.size())
     }
 
+    /// Returns the size of the entries after `after`, up to and including `last`.
+    pub(crate) fn size_between(&self, after: LogIndex, last: LogIndex) -> usize {
+        (after + 1..=last).map(|index| self.entry_size(index)).sum()
+    }
+
     /// Replaces the whole log with a snapshot.
     pub(crate) fn reset_to_snapshot(&mut self, snapshot: StateSnapshot) {
         self.base = snapshot.last_included;
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -201,6 +201,34 @@
     }
 }
 
+/// Guards against a member that joins and never catches up: what is queued for it closed its link
+/// again and again, and was lost.
+#[test]
+fn large_entries_that_a_member_has_not_acknowledged_are_limited_in_size() {
+    let mut group = SimGroup::new(&[1, 2, 3], MAX_MESSAGE_BYTES, 13);
+    recover(&mut group);
+    let leader = group.leader().expect("a leader");
+    group.in_flight.clear();
+    propose_large(&mut group, leader, 12);
+    for id in group.ids() {
+        let sent = group.in_flight.iter().filter(|sent| sent.outgoing.to == id);
+        let bytes: usize = sent
+            .map(|sent| match &sent.outgoing.message.body {
+                MessageBody::Append { entries, .. } => {
+                    entries.iter().map(|entry| entry.payload.size()).sum()
+                }
+                _ => 0,
+            })
+            .sum();
+        assert!(bytes <= 2 * LARGE_COMMAND_BYTES, "{bytes} bytes for {id}");
+    }
+    recover(&mut group);
+    let last = group.members[&leader].state_machine.applied;
+    for member in group.members.values() {
+        assert_eq!(member.state_machine.applied, last);
+    }
+}
+
 /// Guards against memory that grows with each large change until all members run out of it.
 #[test]
 fn entries_kept_before_a_snapshot_are_limited_in_size() {
