--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -14,6 +14,7 @@
 use model::ids::NodeId;
 use model::ids::RouteName;
 use model::ids::ServiceName;
+use model::share::to_milli;
 
 use crate::entry::demand::KindDemand;
 use crate::entry::demand::ServiceNeed;
@@ -476,12 +477,3 @@
     }
     (fraction, bottlenecks)
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a fraction lies between 0 and 1"
-)]
-fn to_milli(fraction: f64) -> u16 {
-    (fraction.clamp(0.0, 1.0) * MILLI).round() as u16
-}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod ids;
 pub mod keys;
 pub mod lookup;
+pub mod share;
 pub mod traffic;
 pub mod verdict;
--- a/crates/route/src/traffic/planner.rs
+++ b/crates/route/src/traffic/planner.rs
@@ -10,6 +10,7 @@
 use model::ids::DataCentreName;
 use model::ids::NodeId;
 use model::ids::ServiceName;
+use model::share::to_milli;
 use model::traffic::TrafficShare;
 
 use super::estimate::NodeEstimate;
@@ -309,12 +310,3 @@
     line.truncate(line.trim_end().len());
     line
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a fraction lies between 0 and 1"
-)]
-fn to_milli(fraction: f64) -> u16 {
-    (fraction.clamp(0.0, 1.0) * MILLI).round() as u16
-}
--- a/crates/route/src/traffic/target.rs
+++ b/crates/route/src/traffic/target.rs
@@ -36,7 +36,7 @@
     /// Calls that should leave for lack of capacity.
     excess: f64,
     /// Further calls that should leave for sooner answers, and where these are given.
-    impatient: f64,
+    for_latency: f64,
     sooner_at: BTreeSet<DataCentreName>,
     /// Calls of others that can be taken.
     free: f64,
@@ -63,10 +63,10 @@
         let stays = TARGET_UTILISATION * room.capacity;
         room.excess = (room.demand - stays).max(0.0);
         if let Some(answer) = answer_shares.get(&room.name) {
-            room.impatient = (answer.fraction * room.demand - room.excess).max(0.0);
+            room.for_latency = (answer.fraction * room.demand - room.excess).max(0.0);
             room.sooner_at.clone_from(&answer.destinations);
         }
-        if room.excess + room.impatient <= 0.0 {
+        if room.excess + room.for_latency <= 0.0 {
             room.free = stays - room.demand;
             let site = &sites[&room.name];
             if site.busy_slots >= FULL_UTILISATION * site.slots {
@@ -95,7 +95,7 @@
             capacity: site.slots / known_s.unwrap_or(usual_s),
             demand: site.sent_per_s,
             excess: 0.0,
-            impatient: 0.0,
+            for_latency: 0.0,
             sooner_at: BTreeSet::new(),
             free: 0.0,
         }
@@ -105,25 +105,26 @@
 
 /// Distributes what leaves in proportion to what is free.
 ///
-/// Calls of a data centre without servers come first, then those that lack capacity. What of them exceeds the free capacity is
-/// distributed in proportion to all capacity: they have to run somewhere.
+/// Calls of a data centre without servers come first, then those that lack capacity. What of the
+/// first exceeds the free capacity is distributed in proportion to all capacity: it has to run
+/// somewhere.
 fn distribute(rooms: &[SiteRoom]) -> ShareTable {
     let total = |amount: fn(&SiteRoom) -> f64| rooms.iter().map(amount).sum::<f64>();
     let free = total(|room| room.free);
     let capacity = total(|room| room.capacity);
-    let homeless = total(|room| if room.has_servers() { 0.0 } else { room.demand });
+    let displaced = total(|room| if room.has_servers() { 0.0 } else { room.demand });
     let excess = total(|room| if room.has_servers() { room.excess } else { 0.0 });
-    let fitting = fraction((free - homeless).max(0.0), excess);
-    let unused = 1.0 - fraction(homeless + excess, free);
-    let impatient = total(|room| room.impatient);
-    let fitting_impatient = fraction(free * unused, impatient);
-    let housed = fraction(free, homeless);
+    let fitting = fraction((free - displaced).max(0.0), excess);
+    let unused = 1.0 - fraction(displaced + excess, free);
+    let for_latency = total(|room| room.for_latency);
+    let fitting_for_latency = fraction(free * unused, for_latency);
+    let fitting_displaced = fraction(free, displaced);
     let mut shares = ShareTable::new();
     for origin in rooms.iter().filter(|room| room.demand > 0.0) {
         let sooner = rooms.iter();
         let sooner = sooner.filter(|room| origin.sooner_at.contains(&room.name));
         let sooner_free: f64 = sooner.map(|room| room.free).sum();
-        let moving = (origin.impatient * fitting_impatient).min(sooner_free * unused);
+        let moving = (origin.for_latency * fitting_for_latency).min(sooner_free * unused);
         for destination in rooms.iter().filter(|room| room.has_servers()) {
             let of_free = fraction(destination.free, free);
             let share = if origin.has_servers() {
@@ -132,7 +133,8 @@
                     f64::from(u8::from(is_sooner)) * fraction(destination.free, sooner_free);
                 (origin.excess * fitting * of_free + moving * of_sooner) / origin.demand
             } else {
-                housed * of_free + (1.0 - housed) * destination.capacity / capacity
+                fitting_displaced * of_free
+                    + (1.0 - fitting_displaced) * destination.capacity / capacity
             };
             if share > 0.0 && origin.name != destination.name {
                 let key = (origin.name.clone(), destination.name.clone());
