Match an IPv6 literal in the host of a request without a port

Callers of a route whose host is an IPv6 literal got 404 unless their request named a port: `RouteTable::route` removed everything after the last colon, so `[::1]` became `[:`. The suffix is now taken for a port only if it does not end the brackets.

The new test failed before the change: `[::1]` matched no route, while `[::1]:8080` did.

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -70,7 +70,7 @@
     /// `host` may include a port, `path` a query string.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&RouteEntry> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = without_port(host);
         let path = path.split('?').next().unwrap_or(path);
         let positions = match self.by_host.get(name) {
             Some(positions) => positions,
@@ -108,3 +108,11 @@
             .find(|entry| &*entry.name == name)
     }
 }
+
+/// Returns the host without a port; the colons of an IPv6 literal are within brackets.
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if !port.ends_with(']') => name,
+        _ => host,
+    }
+}
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -88,6 +88,21 @@
     assert_eq!(name("other.example", "/a/"), None);
 }
 
+/// Guards against an IPv6 literal that is cut at its last colon and matches only with a port.
+#[test]
+fn a_route_of_an_ipv6_literal_matches_with_and_without_a_port() {
+    let mut config = config(1, 0);
+    for route in &mut config.routes {
+        route.host = "[::1]".to_owned();
+    }
+    let table = RouteTable::new(config);
+    for host in ["[::1]", "[::1]:8080"] {
+        let route = table.route(host, "/a/b").map(|route| &*route.name);
+        assert_eq!(route, Some("top"), "{host}");
+    }
+    assert!(table.route("[::2]", "/a/b").is_none());
+}
+
 #[test]
 fn a_key_identifies_its_team() {
     let table = RouteTable::new(config(1, 0));
