Request tokens again for as long as a request waits for one

Callers got 503 `no-token` after a wait of 100 ms although the leader had tokens to lend. A node sent a token request only when a request arrived or an answer with tokens came. After an answer of a leader that does not know all nodes yet, the next token request is due 30 ms later, but nothing sent it unless another request happened to arrive. The same held for a request that waited while the session with the leader was opened: the token request of the old session was forgotten, and none was sent on the new one.

The session now also wakes up when the next token request is due, as `TokenWaitQueue::next_request_delay` states; it is never due more often than before, so the number of messages stays bounded.

Evidence: reading of the session loop and of its log in failed process tests. The decision is new, so its test does not compile without it. The other cause of these refusals, a leader whose answer takes longer than the wait, remains, as the wait is bounded on purpose.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -134,6 +134,7 @@
         self.state.nodes().list_version = 0;
         self.state.token_queue().forget_request();
         loop {
+            let token_request_delay = self.token_request_delay();
             tokio::select! {
                 message = receiver.next() => match message {
                     Some(ControlMessage::Reply(reply)) => {
@@ -150,6 +151,8 @@
                 },
                 () = self.state.report_now.notified() => self.send_report(),
                 () = self.state.request_tokens_now.notified() => self.request_tokens(),
+                () = sleep(token_request_delay.unwrap_or_default()),
+                    if token_request_delay.is_some() => self.request_tokens(),
                 _ = period.tick() => self.send_report(),
             }
             let since_reply = self.state.now().saturating_duration_since(replied_at);
@@ -196,6 +199,11 @@
         self.sender.send(&ControlMessage::Report(Box::new(report)));
     }
 
+    fn token_request_delay(&self) -> Option<Duration> {
+        let now = self.state.now();
+        self.state.token_queue().next_request_delay(now)
+    }
+
     /// Requests tokens from the leader if requests wait for some.
     fn request_tokens(&self) {
         let now = self.state.now();
--- a/crates/proxy/src/token_wait_queue.rs
+++ b/crates/proxy/src/token_wait_queue.rs
@@ -100,6 +100,18 @@
         Some(requested)
     }
 
+    /// Returns the time until the next token request is due, or `None` while no request waits.
+    ///
+    /// Waiting requests may get no answer, or fewer tokens than they need from a leader that does
+    /// not know all nodes yet; no message would cause another token request then.
+    #[must_use]
+    pub fn next_request_delay(&self, now: Instant) -> Option<Duration> {
+        let mut waiters = self.teams.values().flat_map(|queue| &queue.waiters);
+        let is_awaited = waiters.any(|waiter| !waiter.is_closed());
+        let until = self.requested_until.unwrap_or(now);
+        is_awaited.then(|| until.saturating_duration_since(now))
+    }
+
     /// Distributes the borrowed tokens to waiting requests; returns those that none waits for.
     ///
     /// If they were lent up to the limit, a team that got fewer tokens than requested has used up
--- a/crates/proxy/tests/token_wait_queue.rs
+++ b/crates/proxy/tests/token_wait_queue.rs
@@ -114,3 +114,28 @@
     let later = now + Duration::from_millis(50);
     assert_eq!(queue.next_request(|_| 0, later), Some(tokens(&team, 1)));
 }
+
+/// Guards against a request that waits in vain since nothing but the arrival of another request
+/// causes the next token request.
+#[test]
+fn tokens_are_requested_again_for_as_long_as_a_request_waits() {
+    let now = Instant::now();
+    let team = TeamName::from("north");
+    let mut queue = TokenWaitQueue::default();
+    assert_eq!(queue.next_request_delay(now), None);
+    let waiter = queue.enqueue(&team, now).unwrap();
+    assert_eq!(queue.next_request_delay(now), Some(Duration::ZERO));
+    queue.next_request(|_| 0, now).unwrap();
+    let nothing = LentTokens {
+        up_to_limit: false,
+        ..lent(&team, 0)
+    };
+    queue.distribute(nothing, now);
+    let delay = queue.next_request_delay(now).unwrap();
+    assert!(delay < Duration::from_millis(100), "{delay:?}");
+    assert!(queue.next_request(|_| 0, now + delay).is_some());
+    queue.forget_request();
+    assert_eq!(queue.next_request_delay(now), Some(Duration::ZERO));
+    drop(waiter);
+    assert_eq!(queue.next_request_delay(now), None);
+}
