Report a shortage of tokens as the limit only when a pool has had time to fill

Callers of a team within its limit could get 429 `over-quota` after a change of the leader or when a team was added. The pool of a team begins empty, at the earliest with the first report to a new leader. Once all nodes had reported, which takes milliseconds with few nodes, each shortage counted as proof that the team had used up its rate; all waiting requests got 429, and so did those of the next 100 ms. A team with 5 requests per second has no token for at least 180 ms then, whatever it used.

A shortage now counts as proof only when the pool is old enough to have filled (the burst divided by the rate) or a lease has passed. Until then the requests wait on and end with 503 `no-token`, as while nodes are missing. No more tokens are lent than before.

Ruled out: to begin with a full pool, since an earlier leader may just have lent the burst.

--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -434,7 +434,8 @@
 
     /// Lends tokens to a node; returns `None` if this instance is not the leader.
     ///
-    /// Until all nodes are known, only what no unknown node can hold as a share is lent.
+    /// Until all nodes are known, only what no unknown node can hold as a share is lent. A shortage
+    /// of a pool that has had no time to fill is not reported as the team's limit.
     pub(crate) fn lend_tokens(&self, requested: Vec<TeamTokens>) -> Option<LentTokens> {
         let now = self.clock.now();
         let node_addresses = self.node_addresses();
@@ -443,12 +444,14 @@
             if leader.applied_version != version {
                 leader.apply_config(self.current(), version, now);
             }
-            let up_to_limit = leader.note_completeness(&node_addresses, now);
-            let lent = requested.into_iter().map(|request| TeamTokens {
-                tokens: leader
-                    .rate_allocator
-                    .lend_tokens(&request.team, request.tokens, now),
-                team: request.team,
+            let knows_all = leader.note_completeness(&node_addresses, now);
+            let allocator = &mut leader.rate_allocator;
+            let mut up_to_limit = knows_all;
+            let lent = requested.into_iter().map(|request| {
+                let TeamTokens { team, tokens } = request;
+                let lent = allocator.lend_tokens(&team, tokens, now);
+                up_to_limit &= lent == tokens || allocator.shows_use(&team, now);
+                TeamTokens { team, tokens: lent }
             });
             LentTokens {
                 tokens: lent.collect(),
--- a/crates/limit/src/rate_allocator.rs
+++ b/crates/limit/src/rate_allocator.rs
@@ -46,6 +46,8 @@
     nodes: HashMap<NodeId, NodeShare>,
     pool_tokens: f64,
     pool_updated: Instant,
+    /// When the pool began to fill; it was empty then.
+    pool_begun: Instant,
 }
 
 /// Splits the rates of teams among nodes by demand, and keeps a pool of tokens for the rest.
@@ -128,6 +130,16 @@
         shares.lend_tokens(wanted)
     }
 
+    /// Returns whether a shortage of a team's pool shows that the team has used up its rate.
+    ///
+    /// Each pool begins empty, since an earlier leader may have lent its tokens just before. So it
+    /// shows nothing before it has had the time to fill, or a lease has passed.
+    #[must_use]
+    pub fn shows_use(&self, team: &TeamName, now: Instant) -> bool {
+        let shares = self.teams.get(team);
+        shares.is_none_or(|shares| shares.has_had_time_to_fill(self.lease_length, now))
+    }
+
     /// Records a node's report on one team: requests per second, and the share it applies.
     pub fn report(
         &mut self,
@@ -230,6 +242,7 @@
             nodes: HashMap::new(),
             pool_tokens: 0.0,
             pool_updated: now,
+            pool_begun: now,
         }
     }
 
@@ -314,6 +327,11 @@
         lent
     }
 
+    fn has_had_time_to_fill(&self, time_max: Duration, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.pool_begun);
+        age >= time_max || age.as_secs_f64() >= self.depth_s
+    }
+
     /// Adds to the pool the rate that no share used since the previous call.
     ///
     /// Must be called before any of the shares or the rate changes. Unless all nodes are known,
--- a/crates/limit/tests/rate_allocator.rs
+++ b/crates/limit/tests/rate_allocator.rs
@@ -521,3 +521,33 @@
         .map(|now| u64::from(allocator.lend_tokens(team, 1000, now)))
         .sum()
 }
+
+/// Guards against a team within its limit that is told it is over it, since a new leader's pool
+/// begins empty and all nodes report to it before it has a token to lend.
+#[test]
+fn a_shortage_of_a_pool_that_had_no_time_to_fill_shows_no_use() {
+    let start = Instant::now();
+    let team = TeamName::from("team");
+    let low = TeamLimit {
+        rate_milli: 5_000,
+        burst_milli: 10_000,
+    };
+    let mut allocator = RateAllocator::new(LEASE, 0.1);
+    allocator.set_limits(&[(team.clone(), low)], start);
+    let all_reported = start + Duration::from_millis(100);
+    assert_eq!(allocator.lend_tokens(&team, 1, all_reported), 0);
+    assert!(!allocator.shows_use(&team, all_reported));
+    let fill_time = Duration::from_secs(2);
+    allocator.set_limits(&[(team.clone(), low)], start + fill_time);
+    assert!(allocator.shows_use(&team, start + fill_time));
+    let rare = TeamLimit {
+        rate_milli: 1,
+        burst_milli: 10_000,
+    };
+    let other = TeamName::from("other");
+    let limits = [(team, low), (other.clone(), rare)];
+    let later = start + fill_time;
+    allocator.set_limits(&limits, later);
+    assert!(!allocator.shows_use(&other, later + LEASE / 2));
+    assert!(allocator.shows_use(&other, later + LEASE));
+}
