Send requests of process tests again that no leader lent a token for in time

Process tests of `fleet` failed on a busy machine with 503 `no-token`. The logs of two such failures show the cause: in one the leader was in place and answered later than the 100 ms for which a node lets a request wait for a token (SIGHUP to all processes, load 48); in the other the node had lost contact with control a tenth of a second before. The product promises neither an answer within that time nor a leader at every moment. It promises that the refused request has not run and that it may be sent again after `Retry-After`.

--- a/crates/daemon/tests/fleet/kept_connection.rs
+++ b/crates/daemon/tests/fleet/kept_connection.rs
@@ -7,7 +7,9 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use crate::deployment::lacks_token;
 use crate::http::HttpResponse;
+use crate::wait::eventually;
 
 /// Timeout to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -39,6 +41,17 @@
         self.send_part(&request_text(method_and_path, id))
     }
 
+    /// Sends a request of a caller, again for as long as it is refused for lack of a token.
+    pub(crate) fn send_until_served(&mut self, method_and_path: &str, id: &str) {
+        eventually("a request gets a token", || {
+            self.send(method_and_path, id).unwrap();
+            let response = self.read_response().unwrap();
+            let is_served = response.status == 200;
+            assert!(is_served || lacks_token(&response), "{response:?}");
+            is_served
+        });
+    }
+
     /// Returns whether the other side has sent something, or closed the connection.
     pub(crate) fn has_input(&self) -> bool {
         self.stream.set_nonblocking(true).unwrap();
