--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,4 +33,5 @@
 mod state;
 mod tokens;
 
+pub use crash_probe::is_running;
 pub use run::run;
--- a/crates/node/tests/path/setup.rs
+++ b/crates/node/tests/path/setup.rs
@@ -68,7 +68,8 @@
         test
     }
 
-    async fn wait_ready(&mut self) {
+    /// Announces the backend server and waits until the node serves requests.
+    pub(crate) async fn wait_ready(&mut self) {
         while TcpStream::connect(self.settings.caller_listener)
             .await
             .is_err()
