Test the bound after the acknowledgement of an evacuation

The bound of 5 s and the acknowledgement within 1 s had no test. The new process test orders the evacuation of a data centre that serves calls, goes on sending calls until 20 were served that began after the bound, and requires that the last call that reached the data centre arrived before it; all times are of one monotonic clock. It does so again with the leader killed right after the acknowledgement, where the bound is longer by `maxSkew`.

A stalled machine can delay an answer, so the order is repeated, as an operator does, until one attempt is acknowledged within 1 s.

--- a/crates/daemon/tests/fleet/evacuations.rs
+++ b/crates/daemon/tests/fleet/evacuations.rs
@@ -1,10 +1,12 @@
 //! An evacuated data centre gets no calls, whatever is killed, until the order is withdrawn.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::deployment::DATA_CENTRE;
 use crate::deployment::TestDeployment;
 use crate::deployment::document;
+use crate::http;
 use crate::wait::eventually;
 
 /// Services of the nodes, and the data centre of each; only one node of "stock" is in the other.
@@ -13,6 +15,13 @@
 /// The node in the other data centre.
 const OTHER_NODE: u8 = 2;
 const GRACE: Duration = Duration::from_secs(6);
+/// Time after an acknowledgement in which calls may still reach the data centre, as in the bounds of
+/// a deployment; it is longer while control is unstable.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
+const MAX_SKEW: Duration = Duration::from_secs(5);
+/// Time for which an operator waits for an answer.
+const ORDER_WAIT: Duration = Duration::from_secs(1);
+const CONTROL_COUNT: u8 = 5;
 /// Calls to each node that look for one that reaches an evacuated data centre.
 const CALLS: usize = 20;
 
@@ -122,3 +131,58 @@
     }
     await_other_serves(&deployment);
 }
+
+/// Sends an order until an instance acknowledges it within the wait of an operator; returns that
+/// instance, and the time of the acknowledgement.
+fn acknowledge(deployment: &TestDeployment, order: &str) -> (u8, Instant) {
+    let mut acknowledged = None;
+    eventually("an order is acknowledged in time", || {
+        acknowledged = (0..CONTROL_COUNT).find_map(|number| {
+            let to = deployment.control_address(number, 0);
+            let sent = Instant::now();
+            let response = http::send(to, order, &[("Host", "control")], "").ok()?;
+            let is_in_time = sent.elapsed() <= ORDER_WAIT;
+            (response.status == 200 && is_in_time).then(|| (number, Instant::now()))
+        });
+        acknowledged.is_some()
+    });
+    acknowledged.unwrap()
+}
+
+/// Sends calls until some were served that began later than `time`.
+fn await_served_after(deployment: &TestDeployment, time: Instant, context: &str) {
+    let mut served = 0;
+    let mut sent = 0_u8;
+    eventually("calls are served after the bound", || {
+        let begun = Instant::now();
+        let id = format!("id-{context}-{sent}");
+        let response = deployment.call(sent % (OTHER_NODE + 1), "GET /stock/1", &id, "key-1");
+        sent = sent.wrapping_add(1);
+        served += usize::from(response.status == 200 && begun > time);
+        served >= CALLS
+    });
+}
+
+/// Guards against an order that is acknowledged late, and against calls that reach the data centre
+/// later than the bound after the acknowledgement, also when the leader is killed right after it.
+#[test]
+fn an_evacuation_is_in_force_within_the_bound_after_its_acknowledgement() {
+    let mut deployment = TestDeployment::start_in(&SERVICES, &DATA_CENTRES, GRACE);
+    let paths = [("/orders/", 1), ("/stock/", 2)];
+    deployment.await_serving(&document(3, 0, "key-1"), &paths);
+    for (context, bound) in [
+        ("stable", IN_FORCE_WITHIN),
+        ("killed", IN_FORCE_WITHIN + MAX_SKEW),
+    ] {
+        await_other_serves(&deployment);
+        let (leader, acknowledged) = acknowledge(&deployment, "POST /v1/evacuations/b");
+        if context == "killed" {
+            deployment.kill_control(leader);
+        }
+        await_served_after(&deployment, acknowledged + bound, context);
+        let server = &deployment.servers[usize::from(OTHER_NODE)];
+        let last = server.last_arrival().unwrap();
+        assert!(last <= acknowledged + bound, "{context}");
+        acknowledge(&deployment, "DELETE /v1/evacuations/b");
+    }
+}
--- a/crates/daemon/tests/fleet/server.rs
+++ b/crates/daemon/tests/fleet/server.rs
@@ -112,6 +112,12 @@
         self.arrival_of(id).is_some()
     }
 
+    /// Returns when the last request that was run arrived.
+    pub(crate) fn last_arrival(&self) -> Option<Instant> {
+        let executed = self.executed.lock().unwrap();
+        executed.last().map(|(_, arrived)| *arrived)
+    }
+
     /// Returns the time that the node gave this server for a request.
     pub(crate) fn time_given(&self, id: &str) -> Option<Duration> {
         let left = header(&self.arrival_of(id)?.0, "x-ragwortplank-deadline-ms")?;
