Test entry plan and token lending after the leader is killed

No process test covered the entry plan and token lending across leaders. The new one kills the leading control instance twice while a team sends at most half of its rate, with a rate so low that nearly each request borrows a token from the leader. It requires that the next leader issues an entry plan, that each node serves requests again, that no request is refused over a limit or by an entry plan meanwhile, and that each request ran once if it was served and never if it was refused.

--- a/crates/daemon/tests/fleet/deployment.rs
+++ b/crates/daemon/tests/fleet/deployment.rs
@@ -237,6 +237,11 @@
         fs::read_to_string(self.log_path(&format!("node-{number}"))).unwrap()
     }
 
+    /// Returns the log lines of a control instance.
+    pub(crate) fn control_log(&self, number: u8) -> String {
+        fs::read_to_string(self.log_path(&format!("control-{number}"))).unwrap()
+    }
+
     fn log_path(&self, process: &str) -> PathBuf {
         self.directory.path().join(format!("{process}.log"))
     }
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod journeys;
 mod kept_connection;
+mod leader_loss;
 mod paused;
 mod peer;
 mod review;
