Compute the demand ratio of a work report in one place

The entry plan and the traffic plan held the same function and the same bound. Both now call WorkReport::demand_ratio, so that a change applies to both. No behaviour changes; the tests of model, route and admit pass.

--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -40,8 +40,6 @@
 /// Smallest and largest capacity correction.
 const CORRECTION_MIN: f64 = 0.4;
 const CORRECTION_MAX: f64 = 1.5;
-/// Largest ratio of the demand at a service to what it ran, as estimated from refused calls.
-const DEMAND_RATIO_MAX: f64 = 2.5;
 /// Time for which a node's report is used, in milliseconds.
 const REPORT_VALID_MS: u64 = 1_500;
 /// Maximum depth to which the calls below a request are followed.
@@ -125,7 +123,7 @@
             .iter()
             .map(|run| f64::from(run.busy_ms) / MILLI)
             .sum();
-        let utilisation = busy_s / window_s / f64::from(place.slots.max(1)) * demand_ratio(work);
+        let utilisation = busy_s / window_s / f64::from(place.slots.max(1)) * work.demand_ratio();
         let mut offered = self
             .nodes
             .remove(&node)
@@ -341,7 +339,8 @@
             let ratio = ratios.get(service).copied().unwrap_or(1.0);
             // The reports of entry nodes and of servers may be a window apart, which makes the
             // ratio of a plan that grows fast too large.
-            let utilisation = (capacity.used_slots / capacity.slots * ratio).min(DEMAND_RATIO_MAX);
+            let utilisation =
+                (capacity.used_slots / capacity.slots * ratio).min(WorkReport::DEMAND_RATIO_MAX);
             let correction = self.corrections.entry(service.clone()).or_insert(1.0);
             let fills_slots =
                 self.bottlenecks.contains(service) && self.refusals.lost_share(service) <= 0.0;
@@ -405,16 +404,6 @@
     }
 }
 
-/// Returns the ratio of the calls that were asked for to the calls that ran.
-///
-/// The number of slots in use does not show it once all are in use: a full service looks the
-/// same under any load.
-fn demand_ratio(work: &WorkReport) -> f64 {
-    let started: u32 = work.runs.iter().map(|run| run.started).sum();
-    let refused_ratio = f64::from(work.refused) / f64::from(started.max(1));
-    (1.0 + refused_ratio).min(DEMAND_RATIO_MAX)
-}
-
 /// Returns the fraction of every kind that is admitted first.
 ///
 /// It is smaller when a service has lost most of its capacity, so that what is left goes to the
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -78,6 +78,23 @@
     pub refused: u32,
 }
 
+impl WorkReport {
+    /// Largest ratio of the demand at a server to what it ran, as estimated from refused calls.
+    pub const DEMAND_RATIO_MAX: f64 = 2.5;
+
+    /// Returns the ratio of the calls that were asked for to the calls that ran, at most
+    /// [`Self::DEMAND_RATIO_MAX`].
+    ///
+    /// The number of slots in use does not show it once all are in use: a full service looks the
+    /// same under any load.
+    #[must_use]
+    pub fn demand_ratio(&self) -> f64 {
+        let started: u32 = self.runs.iter().map(|run| run.started).sum();
+        let refused_ratio = f64::from(self.refused) / f64::from(started.max(1));
+        (1.0 + refused_ratio).min(Self::DEMAND_RATIO_MAX)
+    }
+}
+
 /// Capacity of the backend server that a report comes from.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerCapacity {
--- a/crates/route/src/traffic/estimate.rs
+++ b/crates/route/src/traffic/estimate.rs
@@ -22,8 +22,6 @@
 /// Shortest time over which a rate is computed, in seconds. The first report of a node covers
 /// almost no time.
 const OBSERVED_MIN_S: f64 = 0.3;
-/// Largest ratio of the demand at a server to what it ran, as estimated from refused calls.
-const DEMAND_RATIO_MAX: f64 = 2.5;
 /// Recent calls of a route from which its service times in two data centres are compared; fewer have
 /// a mean of chance.
 const COMPARED_CALLS_MIN: f64 = 20.0;
@@ -121,7 +119,7 @@
         self.calls_others |= !work.calls.is_empty();
         self.add_runs(&work.runs, window_s);
         let busy_s: f64 = work.runs.iter().map(|run| run_work(run).busy_s).sum();
-        self.busy.add(busy_s * demand_ratio(work), window_s);
+        self.busy.add(busy_s * work.demand_ratio(), window_s);
     }
 
     fn add_runs(&mut self, runs: &[RouteExecutions], window_s: f64) {
@@ -215,10 +213,3 @@
         count: f64::from(run.count),
     }
 }
-
-/// Returns the ratio of the calls that were asked for to the calls that ran.
-fn demand_ratio(work: &WorkReport) -> f64 {
-    let started: u32 = work.runs.iter().map(|run| run.started).sum();
-    let refused_ratio = f64::from(work.refused) / f64::from(started.max(1));
-    (1.0 + refused_ratio).min(DEMAND_RATIO_MAX)
-}
