Place calls by the expected completion at servers of different speed

The picker compared the fraction of the slots in use alone. At three servers of speed 0.5, 1.0 and 1.5 it sent a third of the calls to each, since 59 nodes that send a few calls a second see few load reports; at servers that are slow for 0.6 s at a time no node knew of it in time.

Now the picker multiplies the service time and the wait by the present speed of each server (route::ServerSpeed): its response times for a route relative to the mean of its peers, with a time constant of 6 s, and its pace relative to the pace that came with those responses. At the usual speed the comparison is the one of before. The node beside a server announces a change of the pace on the links to it (NodeMessage::Pace), at most every 20 ms, and repeats an unusual pace every 200 ms.

Ruled out in trials: the completion time without the load below full slots, since all nodes then choose the fastest server; the pace that comes with responses alone, which is out of date at senders with few calls; a dead zone around the usual speed, which lost half of the gain.

--- a/crates/fleet/src/node_message.rs
+++ b/crates/fleet/src/node_message.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 use model::context::CallRank;
 use model::context::ServerLoad;
+use model::context::ServerPace;
 use model::ids::Fingerprint;
 use model::ids::RouteName;
 use model::ids::ServiceName;
@@ -198,4 +199,10 @@
         /// Load of the backend server.
         load: ServerLoad,
     },
+    /// The pace of the backend server has changed, or still differs from the usual one. Belongs to no
+    /// call.
+    Pace {
+        /// The present pace.
+        pace: ServerPace,
+    },
 }
--- a/crates/model/src/context.rs
+++ b/crates/model/src/context.rs
@@ -110,6 +110,21 @@
         Some(Self(percent))
     }
 
+    /// Returns the speed of the server relative to its usual one, between 0.1 and 2.0.
+    ///
+    /// Servers are not trusted to report a plausible pace, and one that is far off must not decide
+    /// how much is sent to a server or admitted for it.
+    #[must_use]
+    pub fn speed(self) -> f64 {
+        (1.0 / self.slowdown()).clamp(0.1, 2.0)
+    }
+
+    /// Returns the duration of work in hundredths of the usual one.
+    #[must_use]
+    pub const fn percent(self) -> u16 {
+        self.0
+    }
+
     /// Returns the duration of work relative to the usual one: 2.0 when it takes twice as long.
     #[must_use]
     pub fn slowdown(self) -> f64 {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -27,6 +27,8 @@
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Least time before the deadline with which another attempt is made, in milliseconds.
 const MIN_RETRY_TIME_MS: u64 = 20;
+/// Smallest HTTP status of an error.
+const ERROR_STATUS_MIN: u16 = 400;
 
 /// Outcome of a call after its last attempt.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -78,6 +80,7 @@
             state,
             head: &head,
             node: chosen.node,
+            began: now,
             is_pending: true,
         };
         let (attempt_outcome, load) = if chosen.node == state.node {
@@ -171,12 +174,20 @@
     state: &'a ProxyState<C, A>,
     head: &'a CallHead,
     node: NodeId,
+    began: Instant,
     is_pending: bool,
 }
 
 impl<C: Clock, A: ProtocolAdapter> PendingAttempt<'_, C, A> {
     fn finish(mut self, outcome: &AttemptOutcome, load: Option<ServerLoad>) {
         self.is_pending = false;
+        if is_success(outcome) {
+            let (now, pace) = (self.state.now(), load.and_then(|load| load.pace));
+            let took = now.saturating_duration_since(self.began);
+            let call = (&self.head.service, &self.head.route);
+            let mut nodes = self.state.nodes();
+            nodes.record_response(call, self.node, took, pace, now);
+        }
         self.report(send_result(outcome), load);
     }
 
@@ -196,6 +207,11 @@
     }
 }
 
+/// Returns whether the response time says how fast the server works; errors often come at once.
+fn is_success(outcome: &AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::Answered { head, .. } if head.status < ERROR_STATUS_MIN)
+}
+
 const fn send_result(outcome: &AttemptOutcome) -> SendResult {
     match outcome {
         AttemptOutcome::Answered { .. } => SendResult::Answered,
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -32,6 +32,7 @@
 use fleet::ServerPhase;
 use model::context::CallRank;
 use model::context::ServerLoad;
+use model::context::ServerPace;
 use model::ids::Fingerprint;
 use model::ids::RouteName;
 use model::ids::ServiceName;
@@ -109,6 +110,8 @@
     next_id: Arc<AtomicU64>,
     /// Notified when control has recorded departures.
     departures_recorded: watch::Sender<()>,
+    /// The pace that other nodes are told; `None` until the server has reported one.
+    announced_pace: watch::Sender<Option<ServerPace>>,
     /// Notified when a call waits that only the pace of a cold server holds back.
     call_paced: Arc<Notify>,
 }
@@ -132,6 +135,7 @@
             pool: ConnectionPool::default(),
             next_id: Arc::default(),
             departures_recorded: watch::Sender::default(),
+            announced_pace: watch::Sender::default(),
             call_paced: Arc::default(),
         }
     }
--- a/crates/proxy/src/local_server/exchange.rs
+++ b/crates/proxy/src/local_server/exchange.rs
@@ -91,7 +91,7 @@
                 cause: FailureReason::BadResponse,
             };
         }
-        self.note_reported_load(metadata.load, proxy.now());
+        self.note_reported_load(metadata.load, &proxy.metrics, proxy.now());
         let buffer = proxy.answer_memory.buffer(MAX_RESPONSE_BYTES);
         let allowance = connection.allowance();
         let collected = read_body(body, buffer, |length| allowance.note_progress(length)).await;
--- a/crates/proxy/src/local_server/pace.rs
+++ b/crates/proxy/src/local_server/pace.rs
@@ -1,22 +1,30 @@
-//! The pace that the backend server reports with its answers.
+//! The pace that the backend server reports with its responses, and when other nodes are told.
 
+use std::convert::Infallible;
 use std::time::Duration;
 use std::time::Instant;
 
+use fleet::NodeMessage;
+use link::LinkSender;
+use metrics::ProcessMetrics;
 use model::context::ServerLoad;
 use model::context::ServerPace;
 
 use crate::local_server::LocalServer;
+use crate::pace_news::PaceNews;
 use crate::state::lock;
 
 /// Time for which a reported pace counts, in milliseconds. Other work on the instance begins and
 /// ends several times a second.
 const PACE_VALID_MS: u64 = 400;
+/// Kind of the metrics on the pace.
+const PACE: &str = "pace";
 
-/// The last reported pace, if any.
+/// The last reported pace, if any, and the last one that other nodes were told.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct LastPace {
     report: Option<(ServerPace, Instant)>,
+    news: PaceNews,
 }
 
 impl LastPace {
@@ -29,10 +37,44 @@
 }
 
 impl LocalServer {
-    /// Notes the load that the backend server reported with an answer.
-    pub(super) fn note_reported_load(&self, load: Option<ServerLoad>, now: Instant) {
-        if let Some(pace) = load.and_then(|load| load.pace) {
-            lock(&self.state).pace.report = Some((pace, now));
+    /// Notes the load that the backend server reported with an answer, and tells other nodes of a
+    /// pace that they should know.
+    pub(super) fn note_reported_load(
+        &self,
+        load: Option<ServerLoad>,
+        metrics: &ProcessMetrics,
+        now: Instant,
+    ) {
+        let Some(pace) = load.and_then(|load| load.pace) else {
+            return;
+        };
+        let mut state = lock(&self.state);
+        state.pace.report = Some((pace, now));
+        let decision = state.pace.news.decide(pace, now);
+        drop(state);
+        let Some(decision) = decision else {
+            return;
+        };
+        self.announced_pace.send_replace(Some(pace));
+        metrics.count(PACE, "announced");
+        metrics.set("server-pace-percent", u64::from(pace.percent()));
+        if decision.is_logged {
+            tracing::info!(event = "server-pace", percent = pace.percent());
+        }
+    }
+
+    /// Sends each announced pace on a link to another node; never returns.
+    pub(crate) async fn send_paces(&self, sender: LinkSender<NodeMessage>) -> Infallible {
+        let mut announced = self.announced_pace.subscribe();
+        loop {
+            // A node that does not read gets the latest pace only, once it reads again.
+            if announced.changed().await.is_err() || !sender.ready().await {
+                return std::future::pending().await;
+            }
+            let pace = *announced.borrow_and_update();
+            if let Some(pace) = pace {
+                sender.send(&NodeMessage::Pace { pace });
+            }
         }
     }
 }
--- a/crates/proxy/src/node_table.rs
+++ b/crates/proxy/src/node_table.rs
@@ -3,14 +3,17 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 use fleet::EvacuationList;
 use fleet::EvacuationVersion;
 use fleet::NodeRecord;
 use model::context::ServerLoad;
+use model::context::ServerPace;
 use model::ids::DataCentreName;
 use model::ids::NodeId;
+use model::ids::RouteName;
 use model::ids::ServiceName;
 use model::traffic::TrafficShare;
 use route::LeastLoadedPicker;
@@ -184,6 +187,7 @@
         member.accepts_calls = may_be_picked(&record, self.evacuations.as_ref());
         if is_new_server {
             member.warm_up_until = now + record.warm_up_left;
+            member.reset_speed();
         }
         self.records.insert(record.node, record);
     }
@@ -273,6 +277,36 @@
             picker.record_result(node, result, load, now);
         }
     }
+
+    /// Records how long a chosen node took for a complete response without an error, and the pace
+    /// that came with it.
+    pub fn record_response(
+        &mut self,
+        call: (&ServiceName, &RouteName),
+        node: NodeId,
+        took: Duration,
+        pace: Option<ServerPace>,
+        now: Instant,
+    ) {
+        let (service, route) = call;
+        if let Some(picker) = self.pickers.get_mut(service) {
+            picker.record_response(node, route, took, pace, now);
+        }
+    }
+
+    /// Records the pace of the backend server beside the node at an address; returns whether the
+    /// node is known.
+    pub fn record_pace(&mut self, address: SocketAddr, pace: ServerPace, now: Instant) -> bool {
+        let mut records = self.records.values();
+        let found = records.find(|record| record.address == address);
+        let Some(record) = found else {
+            return false;
+        };
+        if let Some(picker) = self.pickers.get_mut(&record.service) {
+            picker.record_pace(record.node, pace, now);
+        }
+        true
+    }
 }
 
 /// Returns whether calls may be sent to the backend server of a record.
--- a/crates/proxy/src/peer_server.rs
+++ b/crates/proxy/src/peer_server.rs
@@ -85,7 +85,7 @@
 impl<C: Clock, A: ProtocolAdapter> PeerSession<C, A> {
     async fn run(mut self, mut receiver: LinkReceiver<NodeMessage>) {
         let (state, sender) = (self.state.clone(), self.sender.clone());
-        let stop = &state.stop;
+        let (stop, pace_sender) = (&state.stop, self.sender.clone());
         let unflushed = stop.unflushed_links.token();
         // Calls that arrive while any node reads its answers slowly are still refused.
         let flush = async move {
@@ -98,6 +98,7 @@
         let is_open = tokio::select! {
             () = self.receive(&mut receiver) => false,
             () = stop.finishing() => true,
+            never = state.server.send_paces(pace_sender) => match never {},
         };
         if is_open {
             self.refuse_incomplete();
@@ -144,7 +145,8 @@
             }
             NodeMessage::Response { .. }
             | NodeMessage::Refused { .. }
-            | NodeMessage::Failed { .. } => tracing::warn!(event = "message-unexpected"),
+            | NodeMessage::Failed { .. }
+            | NodeMessage::Pace { .. } => tracing::warn!(event = "message-unexpected"),
         }
     }
 
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::memory_budget::BodyTooLarge;
 use crate::memory_budget::MemoryBudget;
 use crate::open_call::CallProgress;
+use crate::reported_paces::ReportedPaces;
 use crate::retry::AttemptOutcome;
 use crate::state::lock;
 
@@ -60,6 +61,8 @@
     sender: LinkSender<NodeMessage>,
     pending: Arc<Mutex<HashMap<u64, PendingCall>>>,
     answer_memory: MemoryBudget,
+    address: SocketAddr,
+    paces: ReportedPaces,
 }
 
 /// The current link to a node, and the lock that allows one task at a time to connect.
@@ -75,6 +78,8 @@
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     next_id: AtomicU64,
     answer_memory: MemoryBudget,
+    /// Paces that the other nodes sent.
+    pub(crate) paces: ReportedPaces,
 }
 
 impl PeerPool {
@@ -83,6 +88,7 @@
             peers: Mutex::default(),
             next_id: AtomicU64::new(0),
             answer_memory,
+            paces: ReportedPaces::default(),
         }
     }
 
@@ -174,6 +180,8 @@
                     sender,
                     pending: Arc::default(),
                     answer_memory: self.answer_memory.clone(),
+                    address,
+                    paces: self.paces.clone(),
                 };
                 tokio::spawn(receive_messages(link.clone(), receiver));
                 tracing::info!(event = "node-connected", peer = %address);
@@ -255,6 +263,7 @@
             NodeMessage::Failed { id, cause, load } => {
                 self.complete(id, (failed_outcome(cause), Some(load)));
             }
+            NodeMessage::Pace { pace } => self.paces.add(self.address, pace),
             NodeMessage::Call { .. } | NodeMessage::Cancel { .. } => {
                 tracing::warn!(event = "message-unexpected");
             }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -21,6 +21,7 @@
 use crate::control;
 use crate::ingress;
 use crate::peer_server;
+use crate::reported_paces::apply_paces;
 use crate::state::ProxyState;
 use crate::stop_schedule::StopPhase;
 use crate::stop_schedule::StopSchedule;
@@ -62,6 +63,7 @@
     tokio::spawn(control::run(state.clone(), seeds));
     tokio::spawn(maintain(state.clone()));
     tokio::spawn(start_paced_calls(state.clone()));
+    tokio::spawn(apply_paces(state.clone()));
     tokio::spawn(ingress::serve(state.clone(), caller_listener));
     stop.cancelled().await;
     let schedule = state.begin_stop();
--- a/crates/route/src/least_loaded.rs
+++ b/crates/route/src/least_loaded.rs
@@ -1,13 +1,18 @@
-//! Picks the member of a service with the smallest fraction of its slots in use.
+//! Picks the member of a service at which a call is expected to complete first.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use model::context::ServerLoad;
+use model::context::ServerPace;
 use model::ids::DataCentreName;
 use model::ids::NodeId;
+use model::ids::RouteName;
 use smallvec::SmallVec;
 
+use crate::server_speed::RouteTimes;
+use crate::server_speed::ServerSpeed;
+
 /// Most members that are compared for one call, and most of them in one data centre that is
 /// preferred: this node's, or the one that the traffic plan chose.
 const CANDIDATES_MAX: usize = 5;
@@ -78,6 +83,7 @@
     consecutive_failures: u32,
     skipped_until: Instant,
     busy_until: Instant,
+    speed: ServerSpeed,
 }
 
 impl PickerMember {
@@ -99,9 +105,15 @@
             consecutive_failures: 0,
             skipped_until: now,
             busy_until: now,
+            speed: ServerSpeed::default(),
         }
     }
 
+    /// Discards what is known of the speed, since another server took the place.
+    pub fn reset_speed(&mut self) {
+        self.speed = ServerSpeed::default();
+    }
+
     /// Returns the slots, or the reported limit if it is lower.
     fn usable_slots(&self, now: Instant) -> u32 {
         let valid = Duration::from_millis(REPORTED_LIMIT_VALID_MS);
@@ -113,12 +125,14 @@
         }
     }
 
-    /// Returns the load as a fraction of the slots, with penalties for distance and congestion.
+    /// Returns the expected time to completion of one more call, in usual service times beyond the
+    /// first, with a penalty for distance.
     ///
-    /// Calls of this node count in full; reported ones decay with the age of the
-    /// report. The congestion penalty outweighs the distance penalty, since
-    /// waiting at a near member that is full costs more than the longer network
-    /// path to one with free slots.
+    /// At usual speed this is the fraction of the slots in use, with a penalty for congestion. At
+    /// another speed, the service time and the wait are both multiplied. The
+    /// congestion penalty outweighs the distance penalty, since waiting at a near
+    /// member that is full costs more than the longer network path to one with free
+    /// slots.
     fn load(&self, now: Instant) -> f64 {
         let distance_penalty = match (self.same_instance, self.same_data_centre) {
             (true, _) => 0.0,
@@ -127,10 +141,17 @@
         };
         let load = self.slot_load(now);
         let congestion_penalty = CONGESTION_SLOPE * (load - CONGESTION_THRESHOLD).max(0.0);
-        load + congestion_penalty + distance_penalty
+        let wait = load + congestion_penalty;
+        let delay = match self.speed.at(now) {
+            Some(speed) => (1.0 + wait) / speed - 1.0,
+            None => wait,
+        };
+        delay + distance_penalty
     }
 
     /// Returns the load with one more call as a fraction of the slots.
+    ///
+    /// Calls of this node count in full; reported ones decay with the age of the report.
     fn slot_load(&self, now: Instant) -> f64 {
         let age_ms = now
             .saturating_duration_since(self.reported_at)
@@ -156,16 +177,18 @@
     }
 }
 
-/// Picks the least loaded of a few members of one service.
+/// Picks one of a few members of a service for each call.
 ///
 /// It is made for backend servers of unequal speed that are nearly full. The
-/// member with the smallest fraction of its slots in use gets the call, so fast
-/// ones get more calls. Of many members only a few random ones are compared, so
-/// that nodes with the same reports do not all pick the same one. Among them are
-/// always some of this node's data centre, however many there are elsewhere.
+/// member at which the call is expected to complete first gets it, by the fraction
+/// of its slots in use and by its present [`ServerSpeed`]. Of many members only a
+/// few random ones are compared, so that nodes with the same reports do not all pick
+/// the same one. Among them are always some of this node's data centre, however many
+/// there are elsewhere.
 #[derive(Clone, Debug, Default)]
 pub struct LeastLoadedPicker {
     members: Vec<PickerMember>,
+    route_times: RouteTimes,
 }
 
 impl LeastLoadedPicker {
@@ -253,6 +276,9 @@
             member.reported_calls = f64::from(load.in_flight) + f64::from(load.queued);
             member.reported_limit = load.limit;
             member.reported_at = now;
+            if let Some(pace) = load.pace {
+                member.speed.note_pace(pace, now);
+            }
         }
         match result {
             SendResult::Answered => member.consecutive_failures = 0,
@@ -271,6 +297,35 @@
         }
     }
 
+    /// Records the time from sending a call until its complete response, and the pace of the
+    /// member at that time.
+    ///
+    /// Must not be called for errors, which often come at once and would make a failing member
+    /// look fast.
+    pub fn record_response(
+        &mut self,
+        node: NodeId,
+        route: &RouteName,
+        took: Duration,
+        pace: Option<ServerPace>,
+        now: Instant,
+    ) {
+        let found = self.members.iter_mut().find(|member| member.node == node);
+        // The response times of a cold member say nothing of its usual speed.
+        if let Some(member) = found.filter(|member| now >= member.warm_up_until) {
+            let ratio = self.route_times.add(route, took, now);
+            member.speed.note_response(ratio, pace, now);
+        }
+    }
+
+    /// Records a pace that a member reported.
+    pub fn record_pace(&mut self, node: NodeId, pace: ServerPace, now: Instant) {
+        let found = self.members.iter_mut().find(|member| member.node == node);
+        if let Some(member) = found {
+            member.speed.note_pace(pace, now);
+        }
+    }
+
     fn pick_least_loaded(
         &self,
         exclude: &[NodeId],
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,12 +8,14 @@
 mod health;
 mod least_loaded;
 mod member;
+mod server_speed;
 mod traffic;
 mod two_choice;
 
 pub use least_loaded::LeastLoadedPicker;
 pub use least_loaded::PickerMember;
 pub use least_loaded::SendResult;
+pub use server_speed::ServerSpeed;
 pub use traffic::NodePlace;
 pub use traffic::PlannedShare;
 pub use traffic::TrafficCosts;
