Count the capacity of the entry plan in slots of usual speed

A server that becomes slower showed in the plan only through longer service times, averaged over all servers with equal weight, and through refusals; the correction of the capacity made up for the rest.

Now a report's slots and its service times are both multiplied by the speed that the server's pace gives, smoothed with a time constant of 0.3 s. The slots then say what the servers can do now, and the service times what a request needs at usual speed, so the slowdown counts once; the measured utilisation is weighted by the speed and remains the share of the slots in use. A wrong pace cancels out, since it changes both. Without a pace nothing changes.

Replay (crates/admit/tests/entry_load/slow_server.rs): one of three servers becomes 2.5 times slower under twice the load that they can do. With pace the admitted load is within 0.89 to 0.93 of the capacity from 0.7 s on and back at the target of 0.93 after 2.3 s; without, it falls to 0.85 for 1.1 s and is at 0.89 after 4 s.

Ruled out: slots times speed alone, since the service times contain the slowdown already.

The tests that build a ServerCapacity set its new field pace to None.

--- a/crates/admit/src/entry.rs
+++ b/crates/admit/src/entry.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod demand;
 mod fanout;
+mod mean_speed;
 mod plan_gate;
 mod plan_history;
 mod planner;
--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -20,6 +20,7 @@
 use crate::entry::demand::ServiceNeed;
 use crate::entry::demand::sort_by_value;
 use crate::entry::fanout::CallFanout;
+use crate::entry::mean_speed::MeanSpeed;
 use crate::entry::plan_history::LoadRatios;
 use crate::entry::plan_history::PlanHistory;
 use crate::entry::refusals::ServerRefusals;
@@ -56,19 +57,22 @@
     /// Utilisation that the calls of the last window asked for, relative to the slots;
     /// above 1 when some were refused.
     utilisation: f64,
+    /// Speed of the server, by which its slots and its service times are converted to usual ones.
+    speed: MeanSpeed,
     /// Length of the window of the last report.
     window: Duration,
     reported_at: Instant,
 }
 
-/// The service that runs a route and the mean time that a call on it takes there.
+/// The service that runs a route and the mean time that a call on it takes at a server of usual
+/// speed there.
 #[derive(Clone, Debug)]
 struct RouteProfile {
     service: ServiceName,
     service_time_s: f64,
 }
 
-/// Capacity of one service over all its nodes.
+/// Capacity of one service over all its nodes, in slots of servers of usual speed.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServiceCapacity {
     slots: f64,
@@ -103,8 +107,13 @@
         now: Instant,
     ) {
         let window_s = f64::from(work.window_ms.max(1)) / MILLI;
+        let known = self.nodes.remove(&node);
+        let mut speed = known.as_ref().map(|known| known.speed).unwrap_or_default();
+        speed.add(place.pace, Duration::from_secs_f64(window_s));
         for run in work.runs.iter().filter(|run| run.count > 0) {
             let service_time_s = f64::from(run.busy_ms) / f64::from(run.count) / MILLI;
+            // The capacity is reduced by the speed, so the service time must not contain it too.
+            let service_time_s = service_time_s * speed.get();
             let known = self.routes.entry(run.route.clone());
             let known = known.or_insert_with(|| RouteProfile {
                 service: place.service.clone(),
@@ -124,10 +133,7 @@
             .map(|run| f64::from(run.busy_ms) / MILLI)
             .sum();
         let utilisation = busy_s / window_s / f64::from(place.slots.max(1)) * work.demand_ratio();
-        let mut offered = self
-            .nodes
-            .remove(&node)
-            .map_or_else(BTreeMap::new, |known| known.offered);
+        let mut offered = known.map_or_else(BTreeMap::new, |known| known.offered);
         for rate in offered.values_mut() {
             *rate *= RATE_DECAY;
         }
@@ -144,6 +150,7 @@
             place,
             offered,
             utilisation,
+            speed,
             window: Duration::from_millis(u64::from(work.window_ms)),
             reported_at: now,
         };
@@ -297,7 +304,7 @@
         let mut capacities: HashMap<ServiceName, ServiceCapacity> = HashMap::new();
         for state in self.nodes.values() {
             let capacity = capacities.entry(state.place.service.clone()).or_default();
-            let slots = f64::from(state.place.slots);
+            let slots = f64::from(state.place.slots) * state.speed.get();
             capacity.slots += slots;
             capacity.used_slots += slots * state.utilisation;
         }
--- a/crates/admit/tests/entry.rs
+++ b/crates/admit/tests/entry.rs
@@ -111,6 +111,7 @@
             let place = ServerCapacity {
                 service: Arc::from(service),
                 slots,
+                pace: None,
             };
             planner.add_report(node, place, &work, now);
         }
@@ -239,6 +240,7 @@
         let place = ServerCapacity {
             service: Arc::from("quotes"),
             slots: 50,
+            pace: None,
         };
         let now = start + WINDOW * window;
         planner.add_report(1, place, &work, now);
--- a/crates/admit/tests/entry_load/main.rs
+++ b/crates/admit/tests/entry_load/main.rs
@@ -2,5 +2,6 @@
 
 mod leader_change;
 mod refusals;
+mod slow_server;
 mod step;
 mod support;
--- a/crates/admit/tests/entry_load/support.rs
+++ b/crates/admit/tests/entry_load/support.rs
@@ -36,6 +36,7 @@
     ServerCapacity {
         service: Arc::from(service),
         slots,
+        pace: None,
     }
 }
 
--- a/crates/group/src/capacity.rs
+++ b/crates/group/src/capacity.rs
@@ -13,5 +13,6 @@
     ServerCapacity {
         service: record.service.clone(),
         slots: if is_used { record.slots } else { 0 },
+        pace: record.load.pace,
     }
 }
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::context::ServerPace;
 use crate::ids::RouteName;
 use crate::ids::ServiceName;
 
@@ -102,6 +103,8 @@
     pub service: ServiceName,
     /// Calls that it runs concurrently; 0 when it accepts no work.
     pub slots: u32,
+    /// Pace that it last reported; `None` if it reports none or not lately.
+    pub pace: Option<ServerPace>,
 }
 
 /// Share of the requests of one kind that is admitted.
