Keep a twentieth of the slots free at servers that report their pace

A server slows down when more than 0.95 of its slots are in use. The node beside a server that reports its pace now runs at most that many calls on it, and reports this as the limit; servers with fewer than 20 slots and those without a pace are filled as before.

The factor of real servers is not known; what is lost without a slowdown is small against what is lost with one of 10%.

--- a/crates/admit/src/slot_limiter.rs
+++ b/crates/admit/src/slot_limiter.rs
@@ -12,6 +12,11 @@
 
 /// Slots assumed before the backend server announces its own.
 const SLOTS_DEFAULT: u32 = 32;
+/// Fraction of its slots up to which a backend server works at full speed. Beyond it, every call
+/// takes longer; in a model of the queue this costs more than the slots once calls take 7% longer.
+const FULL_SPEED_FRACTION: f64 = 0.95;
+/// Fewest slots of a backend server of which some are kept free. Of fewer, one slot is too much.
+const RESERVE_SLOTS_MIN: u32 = 20;
 /// Fraction of the time to its deadline that a call may wait.
 const WAIT_FRACTION: f64 = 0.3;
 /// Longest wait of any call, in milliseconds.
@@ -74,6 +79,8 @@
 #[derive(Clone, Debug)]
 pub struct SlotLimiter {
     slots: u32,
+    /// Whether the backend server is kept below the load at which it slows down.
+    keeps_full_speed: bool,
     running: u32,
     queue: BTreeMap<QueueKey, QueuedCall>,
     arrivals: u64,
@@ -86,6 +93,7 @@
     fn default() -> Self {
         Self {
             slots: SLOTS_DEFAULT,
+            keeps_full_speed: false,
             running: 0,
             queue: BTreeMap::new(),
             arrivals: 0,
@@ -101,6 +109,27 @@
         self.slots = slots.max(1);
     }
 
+    /// Sets whether the backend server is kept below the load at which it slows down.
+    ///
+    /// Servers that report their pace do; for others no such load is known.
+    pub const fn set_keeps_full_speed(&mut self, keeps_full_speed: bool) {
+        self.keeps_full_speed = keeps_full_speed;
+    }
+
+    /// Returns the number of calls that run at the same time.
+    fn limit(&self) -> u32 {
+        if !self.keeps_full_speed || self.slots < RESERVE_SLOTS_MIN {
+            return self.slots;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a fraction of the slots"
+        )]
+        let limit = (f64::from(self.slots) * FULL_SPEED_FRACTION) as u32;
+        limit
+    }
+
     /// Sets the rate that the backend server tolerates while it is cold; `None` for any rate.
     ///
     /// When there was no limit before, any number of calls may have been sent up to `now`.
@@ -145,7 +174,7 @@
     /// Returns whether calls wait although a slot is free, since the backend server is cold.
     #[must_use]
     pub fn is_paced(&self, now: Instant) -> bool {
-        self.running < self.slots && self.next_start(now) > now
+        self.running < self.limit() && self.next_start(now) > now
     }
 
     /// Returns when the next queued call may start, if only the pace holds it back.
@@ -158,7 +187,7 @@
     /// Returns whether a health check may be sent now without delaying a call, and if so counts
     /// it as sent. It uses no slot of the limiter.
     pub fn try_check(&mut self, now: Instant) -> bool {
-        let is_free = self.running < self.slots && self.queue.is_empty();
+        let is_free = self.running < self.limit() && self.queue.is_empty();
         if !is_free || self.next_start(now) > now {
             return false;
         }
@@ -174,7 +203,7 @@
         time_left: Duration,
         now: Instant,
     ) -> SlotDecision {
-        let is_free = self.running < self.slots && self.queue.is_empty();
+        let is_free = self.running < self.limit() && self.queue.is_empty();
         if is_free && self.next_start(now) <= now {
             self.running += 1;
             self.record_start(now);
@@ -222,7 +251,7 @@
     /// Starts queued calls while slots are free, and refuses those that waited too long.
     pub fn process_queue(&mut self, now: Instant) -> DequeuedCalls {
         let mut dequeued = DequeuedCalls::default();
-        while self.running < self.slots && self.next_start(now) <= now {
+        while self.running < self.limit() && self.next_start(now) <= now {
             let Some((_, call)) = self.queue.pop_first() else {
                 break;
             };
@@ -254,7 +283,7 @@
         ServerLoad {
             in_flight: self.running,
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
-            limit: self.slots,
+            limit: self.limit(),
             pace: None,
         }
     }
@@ -272,7 +301,7 @@
 
     /// Returns the expected wait of the call at a position of the queue, counted from 1.
     fn expected_wait(&self, position: usize, now: Instant) -> Duration {
-        let per_slot_s = self.service_s / f64::from(self.slots);
+        let per_slot_s = self.service_s / f64::from(self.limit());
         let for_slot = Duration::from_secs_f64(per_slot_s * position as f64);
         let pacer = self.pacer.as_ref();
         let for_pace = pacer.map(|pacer| pacer.expected_delay(position - 1, now));
--- a/crates/admit/tests/slot_limiter.rs
+++ b/crates/admit/tests/slot_limiter.rs
@@ -97,3 +97,24 @@
     assert!(f64::from(completed) >= 0.95 * possible, "{completed}");
     assert!(limiter.load().in_flight <= slots);
 }
+
+/// Guards against a server that is filled up to the load at which every call takes longer, and
+/// against a server of few slots that loses one of them.
+#[test]
+fn a_server_that_reports_its_pace_keeps_a_twentieth_of_its_slots_free() {
+    for (slots, keeps, limit) in [
+        (105, true, 99),
+        (105, false, 105),
+        (20, true, 19),
+        (10, true, 10),
+    ] {
+        let mut limiter = SlotLimiter::default();
+        limiter.set_slots(slots);
+        limiter.set_keeps_full_speed(keeps);
+        assert_eq!(limiter.load().limit, limit, "{slots}");
+        let now = Instant::now();
+        let mut offer = |id| limiter.offer(id, CallRank::MAX, Duration::from_secs(5), now);
+        let started = (0..200).filter(|id| offer(*id) == SlotDecision::Run);
+        assert_eq!(started.count(), limit as usize, "{slots}");
+    }
+}
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -223,6 +223,7 @@
     /// record that the node publishes changed, because the backend server is warm by now.
     pub(crate) fn tick(&self, now: Instant) -> bool {
         let is_changed = self.end_cold_period(now);
+        self.update_full_speed(now);
         self.process_queue(now);
         self.pool.close_expired();
         is_changed
--- a/crates/proxy/src/local_server/pace.rs
+++ b/crates/proxy/src/local_server/pace.rs
@@ -63,6 +63,13 @@
         }
     }
 
+    /// Keeps a backend server that reports its pace below the load at which it slows down.
+    pub(super) fn update_full_speed(&self, now: Instant) {
+        let mut state = lock(&self.state);
+        let reports_pace = state.pace.at(now).is_some();
+        state.limiter.set_keeps_full_speed(reports_pace);
+    }
+
     /// Sends each announced pace on a link to another node; never returns.
     pub(crate) async fn send_paces(&self, sender: LinkSender<NodeMessage>) -> Infallible {
         let mut announced = self.announced_pace.subscribe();
