--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod journeys;
 mod kept_connection;
+mod pace;
 mod paused;
 mod peer;
 mod review;
--- a/crates/daemon/tests/fleet/server.rs
+++ b/crates/daemon/tests/fleet/server.rs
@@ -34,6 +34,8 @@
     Holds,
     /// Runs it and responds with a body of this many bytes.
     RespondsAtLength(usize),
+    /// Runs it and responds with a load header that states this pace.
+    ReportsPace(u32),
 }
 
 /// A running fake server; it ends with the test process.
@@ -227,14 +229,21 @@
             ServerBehaviour::Normal
             | ServerBehaviour::Holds
             | ServerBehaviour::Sheds
+            | ServerBehaviour::ReportsPace(_)
             | ServerBehaviour::RespondsWithError => (id, 2),
         };
         let status = match behaviour {
             ServerBehaviour::RespondsWithError => "500 Internal Server Error",
             _ => "200 OK",
         };
+        let load = match behaviour {
+            ServerBehaviour::ReportsPace(percent) => {
+                format!("X-Ragwortplank-Instance-Load: 1, 0, 8, {percent}\r\n")
+            }
+            _ => String::new(),
+        };
         let response = format!(
-            "HTTP/1.1 {status}\r\nX-Ragwortplank-Request-Id: {id}\r\nX-Ragwortplank-Server-Stamp: {}\r\nContent-Length: {length}\r\n\r\n{}",
+            "HTTP/1.1 {status}\r\nX-Ragwortplank-Request-Id: {id}\r\nX-Ragwortplank-Server-Stamp: {}\r\n{load}Content-Length: {length}\r\n\r\n{}",
             self.name,
             match behaviour {
                 ServerBehaviour::RespondsAtLength(length) => "x".repeat(length),
