--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -20,6 +20,7 @@
 use crate::entry::demand::ServiceNeed;
 use crate::entry::demand::sort_by_value;
 use crate::entry::fanout::CallFanout;
+use crate::entry::mean_speed::MeanSpeed;
 use crate::entry::plan_history::LoadRatios;
 use crate::entry::plan_history::PlanHistory;
 use crate::entry::refusals::ServerRefusals;
@@ -40,8 +41,6 @@
 /// Smallest and largest capacity correction.
 const CORRECTION_MIN: f64 = 0.4;
 const CORRECTION_MAX: f64 = 1.5;
-/// Largest ratio of the demand at a service to what it ran, as estimated from refused calls.
-const DEMAND_RATIO_MAX: f64 = 2.5;
 /// Time for which a node's report is used, in milliseconds.
 const REPORT_VALID_MS: u64 = 1_500;
 /// Maximum depth to which the calls below a request are followed.
@@ -58,19 +57,22 @@
     /// Utilisation that the calls of the last window asked for, relative to the slots;
     /// above 1 when some were refused.
     utilisation: f64,
+    /// Speed of the server, by which its slots and its service times are converted to usual ones.
+    speed: MeanSpeed,
     /// Length of the window of the last report.
     window: Duration,
     reported_at: Instant,
 }
 
-/// The service that runs a route and the mean time that a call on it takes there.
+/// The service that runs a route and the mean time that a call on it takes at a server of usual
+/// speed there.
 #[derive(Clone, Debug)]
 struct RouteProfile {
     service: ServiceName,
     service_time_s: f64,
 }
 
-/// Capacity of one service over all its nodes.
+/// Capacity of one service over all its nodes, in slots of servers of usual speed.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServiceCapacity {
     slots: f64,
@@ -105,8 +107,13 @@
         now: Instant,
     ) {
         let window_s = f64::from(work.window_ms.max(1)) / MILLI;
+        let known = self.nodes.remove(&node);
+        let mut speed = known.as_ref().map(|known| known.speed).unwrap_or_default();
+        speed.add(place.pace, Duration::from_secs_f64(window_s));
         for run in work.runs.iter().filter(|run| run.count > 0) {
             let service_time_s = f64::from(run.busy_ms) / f64::from(run.count) / MILLI;
+            // The capacity is reduced by the speed, so the service time must not contain it too.
+            let service_time_s = service_time_s * speed.get();
             let known = self.routes.entry(run.route.clone());
             let known = known.or_insert_with(|| RouteProfile {
                 service: place.service.clone(),
@@ -125,11 +132,8 @@
             .iter()
             .map(|run| f64::from(run.busy_ms) / MILLI)
             .sum();
-        let utilisation = busy_s / window_s / f64::from(place.slots.max(1)) * demand_ratio(work);
-        let mut offered = self
-            .nodes
-            .remove(&node)
-            .map_or_else(BTreeMap::new, |known| known.offered);
+        let utilisation = busy_s / window_s / f64::from(place.slots.max(1)) * work.demand_ratio();
+        let mut offered = known.map_or_else(BTreeMap::new, |known| known.offered);
         for rate in offered.values_mut() {
             *rate *= RATE_DECAY;
         }
@@ -146,6 +150,7 @@
             place,
             offered,
             utilisation,
+            speed,
             window: Duration::from_millis(u64::from(work.window_ms)),
             reported_at: now,
         };
@@ -299,7 +304,7 @@
         let mut capacities: HashMap<ServiceName, ServiceCapacity> = HashMap::new();
         for state in self.nodes.values() {
             let capacity = capacities.entry(state.place.service.clone()).or_default();
-            let slots = f64::from(state.place.slots);
+            let slots = f64::from(state.place.slots) * state.speed.get();
             capacity.slots += slots;
             capacity.used_slots += slots * state.utilisation;
         }
@@ -341,7 +346,8 @@
             let ratio = ratios.get(service).copied().unwrap_or(1.0);
             // The reports of entry nodes and of servers may be a window apart, which makes the
             // ratio of a plan that grows fast too large.
-            let utilisation = (capacity.used_slots / capacity.slots * ratio).min(DEMAND_RATIO_MAX);
+            let utilisation =
+                (capacity.used_slots / capacity.slots * ratio).min(WorkReport::DEMAND_RATIO_MAX);
             let correction = self.corrections.entry(service.clone()).or_insert(1.0);
             let fills_slots =
                 self.bottlenecks.contains(service) && self.refusals.lost_share(service) <= 0.0;
@@ -405,16 +411,6 @@
     }
 }
 
-/// Returns the ratio of the calls that were asked for to the calls that ran.
-///
-/// The number of slots in use does not show it once all are in use: a full service looks the
-/// same under any load.
-fn demand_ratio(work: &WorkReport) -> f64 {
-    let started: u32 = work.runs.iter().map(|run| run.started).sum();
-    let refused_ratio = f64::from(work.refused) / f64::from(started.max(1));
-    (1.0 + refused_ratio).min(DEMAND_RATIO_MAX)
-}
-
 /// Returns the fraction of every kind that is admitted first.
 ///
 /// It is smaller when a service has lost most of its capacity, so that what is left goes to the
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod journeys;
 mod kept_connection;
 mod leader_loss;
+mod pace;
 mod paused;
 mod peer;
 mod review;
