Send fewer calls to servers that fail more of them than their peers

What callers saw: a server that fails a part of its calls, with good health checks, got more calls than its peers. Failed calls end sooner than served ones, so the server was the least loaded of its service.

Cause: the picker knows load and three failures in a row only; with 0.4 of the calls failing three in a row are rare, and a sender makes few calls a second to each server.

Change: the node beside a server measures the share of its calls that failed and sends it with each response; senders add a penalty for what lies above the average of the service, so a failure further down, which all members share, changes nothing. A failing member does not hold a call in its data centre under a traffic plan.

--- a/crates/admit/src/adaptive_limiter.rs
+++ b/crates/admit/src/adaptive_limiter.rs
@@ -13,6 +13,7 @@
 
 use clock::Clock;
 use model::context::CallRank;
+use model::context::FailureShare;
 use model::context::ServerLoad;
 use model::exchange::ServerState;
 use model::ids::Fingerprint;
@@ -174,6 +175,7 @@
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             limit: self.limit.current(),
             pace: None,
+            failing: FailureShare::default(),
         }
     }
 
--- a/crates/admit/src/slot_limiter.rs
+++ b/crates/admit/src/slot_limiter.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use model::context::CallRank;
+use model::context::FailureShare;
 use model::context::ServerLoad;
 
 use crate::ColdPacer;
@@ -256,6 +257,7 @@
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             limit: self.slots,
             pace: None,
+            failing: FailureShare::default(),
         }
     }
 
--- a/crates/control/benches/exchange/nodes.rs
+++ b/crates/control/benches/exchange/nodes.rs
@@ -12,6 +12,7 @@
 
 use clock::SystemClock;
 use limit::TokenHolder;
+use model::context::FailureShare;
 use model::context::ServerLoad;
 use model::exchange::ExchangeReply;
 use model::exchange::ExchangeRequest;
@@ -303,6 +304,7 @@
                 queued: 3,
                 limit: 150,
                 pace: None,
+                failing: FailureShare::default(),
             },
         },
         applied: 0,
--- a/crates/model/src/context.rs
+++ b/crates/model/src/context.rs
@@ -117,6 +117,36 @@
     }
 }
 
+/// Share of its recent calls that a backend server failed or refused, in thousandths.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct FailureShare(u16);
+
+impl FailureShare {
+    /// Share in thousandths of a server that fails every call.
+    pub const WHOLE_MILLI: u16 = 1_000;
+
+    /// Creates a share from thousandths; larger values count as [`Self::WHOLE_MILLI`].
+    #[must_use]
+    pub const fn from_milli(milli: u16) -> Self {
+        if milli > Self::WHOLE_MILLI {
+            return Self(Self::WHOLE_MILLI);
+        }
+        Self(milli)
+    }
+
+    /// Returns the share in thousandths.
+    #[must_use]
+    pub const fn milli(self) -> u16 {
+        self.0
+    }
+
+    /// Returns the share as a fraction between 0 and 1.
+    #[must_use]
+    pub fn fraction(self) -> f64 {
+        f64::from(self.0.min(Self::WHOLE_MILLI)) / f64::from(Self::WHOLE_MILLI)
+    }
+}
+
 /// Load of one backend server as measured by its node.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ServerLoad {
@@ -128,6 +158,8 @@
     pub limit: u32,
     /// Pace that the backend server last reported; `None` if it reports none or not lately.
     pub pace: Option<ServerPace>,
+    /// Share of the recent calls that the backend server failed or refused.
+    pub failing: FailureShare,
 }
 
 /// Feedback that a receiving node sends with each response.
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod evacuation;
 mod exchange;
+mod failures;
 mod health_check;
 mod pace;
 mod slots;
@@ -49,6 +50,7 @@
 use crate::local_server::departures::departure;
 pub use crate::local_server::evacuation::LocalEvacuation;
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
+use crate::local_server::failures::ServerFailures;
 use crate::local_server::pace::LastPace;
 use crate::local_server::slots::SlotResult;
 use crate::open_call::CallProgress;
@@ -86,6 +88,7 @@
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
     crash_watch: CrashWatch,
     pace: LastPace,
+    failures: ServerFailures,
     cold: ColdState,
     /// Running calls, by deadline and a unique number.
     running: BTreeMap<RunningKey, ParentCall>,
@@ -167,6 +170,7 @@
             self.pool.clear();
             state.crash_watch = CrashWatch::default();
             state.pace = LastPace::default();
+            state.failures = ServerFailures::default();
             state.draining = None;
         }
         if new.phase == ServerPhase::Draining {
@@ -294,6 +298,7 @@
             self.assume_cold(proxy);
         }
         drop(running);
+        self.note_outcome(&outcome, &proxy.metrics, proxy.now());
         if is_refused_by_server(&outcome) {
             proxy.work().count_server_refused(&head.route);
         }
@@ -413,6 +418,7 @@
                 .slots
                 .map_or(load.limit, |slots| slots.min(load.limit)),
             pace: self.pace.at(now),
+            failing: self.failures.share(now),
             ..load
         }
     }
--- a/crates/route/benches/pick.rs
+++ b/crates/route/benches/pick.rs
@@ -8,6 +8,7 @@
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
+use model::context::FailureShare;
 use model::context::ServerLoad;
 use model::exchange::MemberRecord;
 use model::exchange::ServerState;
@@ -39,6 +40,7 @@
             queued: 0,
             limit: 100,
             pace: None,
+            failing: FailureShare::default(),
         };
         let latency = Duration::from_millis(5);
         let mut seed = 0;
--- a/crates/route/src/least_loaded.rs
+++ b/crates/route/src/least_loaded.rs
@@ -8,6 +8,9 @@
 use model::ids::NodeId;
 use smallvec::SmallVec;
 
+use crate::failure_penalty::ReportedFailures;
+use crate::failure_penalty::TypicalFailures;
+
 /// Most members that are compared for one call, and most of them in one data centre that is
 /// preferred: this node's, or the one that the traffic plan chose.
 const CANDIDATES_MAX: usize = 5;
@@ -75,6 +78,7 @@
     /// Limit in the last load report; 0 if it had none.
     reported_limit: u32,
     reported_at: Instant,
+    failures: ReportedFailures,
     consecutive_failures: u32,
     skipped_until: Instant,
     busy_until: Instant,
@@ -96,6 +100,7 @@
             reported_calls: 0.0,
             reported_limit: 0,
             reported_at: now,
+            failures: ReportedFailures::default(),
             consecutive_failures: 0,
             skipped_until: now,
             busy_until: now,
@@ -113,13 +118,14 @@
         }
     }
 
-    /// Returns the load as a fraction of the slots, with penalties for distance and congestion.
+    /// Returns the load as a fraction of the slots, with penalties for distance, congestion and
+    /// failed calls.
     ///
     /// Calls of this node count in full; reported ones decay with the age of the
     /// report. The congestion penalty outweighs the distance penalty, since
     /// waiting at a near member that is full costs more than the longer network
     /// path to one with free slots.
-    fn load(&self, now: Instant) -> f64 {
+    fn load(&self, typical: TypicalFailures, now: Instant) -> f64 {
         let distance_penalty = match (self.same_instance, self.same_data_centre) {
             (true, _) => 0.0,
             (false, true) => INSTANCE_PENALTY,
@@ -127,7 +133,8 @@
         };
         let load = self.slot_load(now);
         let congestion_penalty = CONGESTION_SLOPE * (load - CONGESTION_THRESHOLD).max(0.0);
-        load + congestion_penalty + distance_penalty
+        let failure_penalty = self.failures.penalty(typical, now);
+        load + congestion_penalty + distance_penalty + failure_penalty
     }
 
     /// Returns the load with one more call as a fraction of the slots.
@@ -166,6 +173,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LeastLoadedPicker {
     members: Vec<PickerMember>,
+    typical_failures: TypicalFailures,
 }
 
 impl LeastLoadedPicker {
@@ -199,8 +207,9 @@
 
     /// Picks a member in the data centre that the traffic plan chose, the least loaded of a few.
     ///
-    /// Returns `None` if no member there is healthy and has a free slot; the caller then uses
-    /// [`Self::pick`], since no call may fail or wait to save traffic.
+    /// Returns `None` if no member there is healthy and has a free slot, or if they fail so many
+    /// calls that another data centre is better; the caller then uses [`Self::pick`], since no
+    /// call may fail or wait to save traffic.
     pub fn pick_within(
         &mut self,
         data_centre: &str,
@@ -213,11 +222,13 @@
             &*member.data_centre == data_centre
                 && member.is_healthy(now)
                 && member.has_free_slot(now)
+                && member.failures.penalty(self.typical_failures, now) < DATA_CENTRE_PENALTY
                 && !exclude.contains(&member.node)
         });
         let chosen = candidates.take(NEAR_CANDIDATES_MAX).min_by(|&a, &b| {
             let (a, b) = (&self.members[a], &self.members[b]);
-            a.load(now).total_cmp(&b.load(now))
+            let typical = self.typical_failures;
+            a.load(typical, now).total_cmp(&b.load(typical, now))
         })?;
         let member = &mut self.members[chosen];
         member.own_in_flight += 1;
@@ -253,6 +264,8 @@
             member.reported_calls = f64::from(load.in_flight) + f64::from(load.queued);
             member.reported_limit = load.limit;
             member.reported_at = now;
+            member.failures.note(load.failing, now);
+            self.typical_failures.note(load.failing);
         }
         match result {
             SendResult::Answered => member.consecutive_failures = 0,
@@ -290,7 +303,8 @@
         let far = far.take(CANDIDATES_MAX - near.len());
         near.iter().copied().chain(far).min_by(|&a, &b| {
             let (a, b) = (&self.members[a], &self.members[b]);
-            a.load(now).total_cmp(&b.load(now))
+            let typical = self.typical_failures;
+            a.load(typical, now).total_cmp(&b.load(typical, now))
         })
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,6 +5,7 @@
 //! between data centres is planned, [`TrafficPlanner`] decides at the leader how much leaves each of
 //! them, and [`TrafficPlan`] draws the data centre of a call at a node.
 
+mod failure_penalty;
 mod health;
 mod least_loaded;
 mod member;
--- a/crates/route/tests/least_loaded.rs
+++ b/crates/route/tests/least_loaded.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use model::context::FailureShare;
 use model::context::ServerLoad;
 use route::LeastLoadedPicker;
 use route::PickerMember;
@@ -41,6 +42,7 @@
         queued: 5,
         limit: 10,
         pace: None,
+        failing: FailureShare::default(),
     };
     picker.record_result(node, SendResult::Answered, Some(load), now);
     for seed in 0..8 {
@@ -60,6 +62,7 @@
         queued: 0,
         limit: 1,
         pace: None,
+        failing: FailureShare::default(),
     };
     picker.record_result(1, SendResult::Answered, Some(load), now);
     let chosen: Vec<_> = (0..9).map(|seed| picker.pick(&[], seed, now)).collect();
@@ -120,6 +123,7 @@
         queued: 0,
         limit: 100,
         pace: None,
+        failing: FailureShare::default(),
     };
     let chosen = |near: u32, far: u32| {
         let mut picker = picker(now, 2);
--- a/crates/route/tests/traffic.rs
+++ b/crates/route/tests/traffic.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use model::context::FailureShare;
 use model::context::ServerLoad;
 use model::entry::RouteCalls;
 use model::entry::RouteExecutions;
@@ -238,6 +239,7 @@
             queued: 0,
             limit: SLOTS,
             pace: None,
+            failing: FailureShare::default(),
         };
         self.pickers[caller].record_result(site as u64, result, Some(load), now);
     }
--- a/crates/route/tests/two_choice.rs
+++ b/crates/route/tests/two_choice.rs
@@ -5,6 +5,7 @@
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use clock::VirtualClock;
+use model::context::FailureShare;
 use model::context::ServerLoad;
 use model::exchange::MemberRecord;
 use model::exchange::ServerState;
@@ -36,6 +37,7 @@
         queued: 0,
         limit,
         pace: None,
+        failing: FailureShare::default(),
     }
 }
 
