--- a/crates/route/src/least_loaded.rs
+++ b/crates/route/src/least_loaded.rs
@@ -10,6 +10,8 @@
 use model::ids::RouteName;
 use smallvec::SmallVec;
 
+use crate::failure_penalty::ReportedFailures;
+use crate::failure_penalty::TypicalFailures;
 use crate::server_speed::RouteTimes;
 use crate::server_speed::ServerSpeed;
 
@@ -80,6 +82,7 @@
     /// Limit in the last load report; 0 if it had none.
     reported_limit: u32,
     reported_at: Instant,
+    failures: ReportedFailures,
     consecutive_failures: u32,
     skipped_until: Instant,
     busy_until: Instant,
@@ -102,6 +105,7 @@
             reported_calls: 0.0,
             reported_limit: 0,
             reported_at: now,
+            failures: ReportedFailures::default(),
             consecutive_failures: 0,
             skipped_until: now,
             busy_until: now,
@@ -126,14 +130,14 @@
     }
 
     /// Returns the expected time to completion of one more call, in usual service times beyond the
-    /// first, with a penalty for distance.
+    /// first, with penalties for distance and failed calls.
     ///
     /// At usual speed this is the fraction of the slots in use, with a penalty for congestion. At
     /// another speed, the service time and the wait are both multiplied. The
     /// congestion penalty outweighs the distance penalty, since waiting at a near
     /// member that is full costs more than the longer network path to one with free
     /// slots.
-    fn load(&self, now: Instant) -> f64 {
+    fn load(&self, typical: TypicalFailures, now: Instant) -> f64 {
         let distance_penalty = match (self.same_instance, self.same_data_centre) {
             (true, _) => 0.0,
             (false, true) => INSTANCE_PENALTY,
@@ -146,7 +150,8 @@
             Some(speed) => (1.0 + wait) / speed - 1.0,
             None => wait,
         };
-        delay + distance_penalty
+        let failure_penalty = self.failures.penalty(typical, now);
+        delay + distance_penalty + failure_penalty
     }
 
     /// Returns the load with one more call as a fraction of the slots.
@@ -189,6 +194,7 @@
 pub struct LeastLoadedPicker {
     members: Vec<PickerMember>,
     route_times: RouteTimes,
+    typical_failures: TypicalFailures,
 }
 
 impl LeastLoadedPicker {
@@ -222,8 +228,9 @@
 
     /// Picks a member in the data centre that the traffic plan chose, the least loaded of a few.
     ///
-    /// Returns `None` if no member there is healthy and has a free slot; the caller then uses
-    /// [`Self::pick`], since no call may fail or wait to save traffic.
+    /// Returns `None` if no member there is healthy and has a free slot, or if they fail so many
+    /// calls that another data centre is better; the caller then uses [`Self::pick`], since no
+    /// call may fail or wait to save traffic.
     pub fn pick_within(
         &mut self,
         data_centre: &str,
@@ -236,11 +243,13 @@
             &*member.data_centre == data_centre
                 && member.is_healthy(now)
                 && member.has_free_slot(now)
+                && member.failures.penalty(self.typical_failures, now) < DATA_CENTRE_PENALTY
                 && !exclude.contains(&member.node)
         });
         let chosen = candidates.take(NEAR_CANDIDATES_MAX).min_by(|&a, &b| {
             let (a, b) = (&self.members[a], &self.members[b]);
-            a.load(now).total_cmp(&b.load(now))
+            let typical = self.typical_failures;
+            a.load(typical, now).total_cmp(&b.load(typical, now))
         })?;
         let member = &mut self.members[chosen];
         member.own_in_flight += 1;
@@ -279,6 +288,8 @@
             if let Some(pace) = load.pace {
                 member.speed.note_pace(pace, now);
             }
+            member.failures.note(load.failing, now);
+            self.typical_failures.note(load.failing);
         }
         match result {
             SendResult::Answered => member.consecutive_failures = 0,
@@ -345,7 +356,8 @@
         let far = far.take(CANDIDATES_MAX - near.len());
         near.iter().copied().chain(far).min_by(|&a, &b| {
             let (a, b) = (&self.members[a], &self.members[b]);
-            a.load(now).total_cmp(&b.load(now))
+            let typical = self.typical_failures;
+            a.load(typical, now).total_cmp(&b.load(typical, now))
         })
     }
 
