Order the queue beside a server by target latency

Cause: the queue ran calls of equal importance in order of arrival and let each wait for 0.3 of the time to its deadline, 400 ms at most, whatever its target. Calls with a target of 200 or 300 ms waited until it had passed, while their sender could have tried another server.

Change: a call carries the time left to its target (`CallHead::target_left`) and whether its sender tries another server after a refusal (`has_alternative`). Among calls of equal importance the earliest target starts first while it can be met; the others follow by deadline. A call waits for half of the time in which it must start to meet its target while there is another server, and as before at the last one. A call that a server makes inherits the target of its parent, bounded by that of its own route. The queue moves from the limiter to `slot_queue`.

Ruled out: refusing a call at the last server once its target is lost, since a late response is worth more than none; waiting for the whole target at a server, which leaves no time for the next one.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -12,6 +12,7 @@
 mod ranker;
 mod rate;
 mod slot_limiter;
+mod slot_queue;
 mod suspect_registry;
 mod thresholds;
 
@@ -41,6 +42,7 @@
 pub use slot_limiter::DequeuedCalls;
 pub use slot_limiter::SlotDecision;
 pub use slot_limiter::SlotLimiter;
+pub use slot_queue::CallTiming;
 pub use suspect_registry::SuspectRegistry;
 pub use thresholds::ThresholdList;
 pub use thresholds::ThresholdTable;
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -45,6 +45,7 @@
 use crate::ingress::parent_call::check_stop;
 use crate::ingress::parent_call::find_parent_call;
 use crate::ingress::parent_call::may_be_child;
+use crate::ingress::parent_call::target_time;
 use crate::ingress::refusal::BufferedResponse;
 use crate::ingress::refusal::Refusal;
 use crate::ingress::request_body::read_request_body;
@@ -195,6 +196,7 @@
     let forwarded_headers = headers::request_headers(&state.adapter, request.headers());
     let body = read_request_body(state, &table, request.into_body(), deadline).await?;
     check_stop(state, parent.as_ref(), deadline)?;
+    let target_at = target_time(route, parent.as_ref(), started);
     let head = CallHead {
         attempt: metadata.attempt.unwrap_or_default(),
         method,
@@ -206,6 +208,8 @@
         repeated: parent.as_ref().is_some_and(|parent| parent.is_retry),
         rank: parent.map_or_else(|| request_rank(route, team), |parent| parent.rank),
         time_left,
+        target_left: target_at.saturating_duration_since(state.now()),
+        has_alternative: false,
         team: team.map(|team| team.name.clone()),
         caller_service: state.settings.service.clone(),
     };
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -51,6 +51,7 @@
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
 use crate::local_server::pace::LastPace;
 use crate::local_server::slots::SlotResult;
+use crate::local_server::slots::log_slot_refusal;
 use crate::open_call::CallProgress;
 use crate::retry::AttemptOutcome;
 use crate::state::ProxyState;
@@ -83,6 +84,7 @@
     departures: LocalDepartures,
     evacuation: LocalEvacuation,
     limiter: SlotLimiter,
+    demoted_calls: u64,
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
     crash_watch: CrashWatch,
     pace: LastPace,
@@ -97,6 +99,8 @@
     pub(crate) route: RouteName,
     pub(crate) rank: CallRank,
     pub(crate) is_retry: bool,
+    /// When the target latency of the call passes.
+    pub(crate) target_at: Instant,
     fingerprint: Fingerprint,
 }
 
@@ -255,6 +259,7 @@
             Ok(permit) => permit,
             Err(retry_after) => {
                 proxy.work().count_refused();
+                log_slot_refusal(proxy, head, started, retry_after);
                 return AttemptOutcome::Refused {
                     cause: RefusalReason::Overloaded,
                     retry_after,
@@ -277,7 +282,7 @@
         }
         let sent = proxy.now();
         proxy.work().count_started(&head.route);
-        let running = self.register_running(head, fingerprint, sent + left);
+        let running = self.register_running(head, fingerprint, started, sent + left);
         progress.begin_send();
         let exchange = self.send_call(proxy, head, body, &server, left);
         let outcome = timeout(left, exchange)
@@ -329,6 +334,7 @@
         &self,
         head: &CallHead,
         fingerprint: Fingerprint,
+        started: Instant,
         deadline: Instant,
     ) -> RunningCall {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -337,6 +343,7 @@
             route: head.route.clone(),
             rank: head.rank,
             is_retry: head.repeated,
+            target_at: started + head.target_left,
             fingerprint,
         };
         lock(&self.state).running.insert(key, parent);
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -96,6 +96,8 @@
     if state.server.tick(now) {
         state.publish_record();
     }
+    let demoted = state.server.demoted_calls();
+    state.metrics.set("slot-queue-demoted", demoted);
     state.server.check_health(state);
     if let Some(seconds) = state.server.cold_seconds(now) {
         state.metrics.set("server-cold-seconds", seconds);
--- a/crates/proxy/tests/retry_and_lease.rs
+++ b/crates/proxy/tests/retry_and_lease.rs
@@ -13,6 +13,7 @@
 use proxy::AttemptOutcome;
 use proxy::LeasedConfig;
 use proxy::RetryDecision;
+use proxy::decide_after_refusal;
 use proxy::decide_retry;
 
 const REVOCATION_BOUND: Duration = Duration::from_secs(5);
@@ -49,6 +50,26 @@
         .collect()
 }
 
+/// Guards against a call that leaves the queue of the last server that its sender would try.
+#[test]
+fn the_third_refusal_and_one_that_needs_budget_leave_no_other_server() {
+    let mut history = AttemptHistory::default();
+    for expected in [
+        RetryDecision::Retry,
+        RetryDecision::Retry,
+        RetryDecision::Stop,
+    ] {
+        assert_eq!(decide_after_refusal(history, true, 2), expected);
+        history.undelivered += 1;
+    }
+    let delivered = AttemptHistory {
+        delivered: 1,
+        ..AttemptHistory::default()
+    };
+    let decision = decide_after_refusal(delivered, true, 2);
+    assert_eq!(decision, RetryDecision::RetryIfBudget);
+}
+
 #[test]
 fn non_idempotent_call_is_not_retried_once_it_may_have_run_and_attempts_are_limited() {
     let outcomes = outcomes();
