Divide the entry plan by team and data centre, and let bursts pay for themselves

Cause: the plan admitted one fraction of each kind of request everywhere, so a burst of one team or data centre was paid by all, and a burst of an important kind by the less important ones. Equally important kinds were ordered by the slots that they use at all services, also at those with free capacity.

Change: nodes report offered requests by kind and team. The leader keeps the usual rate of each origin (kind, team, data centre; time constant 30 s). After the minimum fraction of every kind, it allocates the usual demand of the kinds in their order, then their bursts. The rate of a kind is divided among its origins max-min fair, weighted by usual rates, with a minimum weight. Equally important kinds are ordered by the part of the scarce services that all calls of a request use. `EntryShare` names team and data centre; a node gets those of its own. Allocation moves from the planner to `entry::allocation`.

Ruled out: a value per cost across route priorities. The configuration says that priority 0 is refused last and gives no figure for the value of a request, and an existing test requires that order.

--- a/crates/admit/src/entry.rs
+++ b/crates/admit/src/entry.rs
@@ -6,8 +6,10 @@
 //! fraction of each kind of request is admitted, the most important kinds first.
 
 mod admission;
+mod allocation;
 mod demand;
 mod fanout;
+mod origins;
 mod plan_gate;
 mod plan_history;
 mod planner;
--- a/crates/admit/src/entry/admission.rs
+++ b/crates/admit/src/entry/admission.rs
@@ -7,6 +7,7 @@
 use model::entry::EntryShare;
 use model::entry::OfferedRequests;
 use model::entry::RequestKind;
+use model::ids::TeamName;
 
 /// Time for which a plan applies unchanged unless a newer one arrives, in milliseconds.
 const PLAN_VALID_MS: u64 = 2_500;
@@ -45,13 +46,15 @@
 pub struct EntryRequest<'a> {
     /// Kind of the request.
     pub kind: &'a RequestKind,
+    /// Team of the caller.
+    pub team: &'a TeamName,
     /// Time until the caller's deadline.
     pub time_left: Duration,
     /// Target latency: the time within which a response is worth most.
     pub target_latency: Duration,
 }
 
-/// Admission state of one kind of request.
+/// Admission state of one kind of request of one team.
 #[derive(Clone, Debug)]
 struct KindState {
     /// Fraction of the requests to admit, between 0 and 1.
@@ -84,7 +87,7 @@
 /// Retry delays are spread evenly, and short enough for a response in time.
 #[derive(Clone, Debug, Default)]
 pub struct EntryAdmission {
-    kinds: HashMap<RequestKind, KindState>,
+    kinds: HashMap<(RequestKind, TeamName), KindState>,
     /// When the last plan arrived.
     plan_received: Option<Instant>,
 }
@@ -94,7 +97,7 @@
     pub fn apply_plan(&mut self, shares: &[EntryShare], now: Instant) {
         self.plan_received = Some(now);
         for share in shares {
-            let kind = self.kind(&share.kind);
+            let kind = self.kind(&share.kind, &share.team);
             kind.admitted = f64::from(share.admitted_milli) / MILLI;
         }
     }
@@ -110,7 +113,7 @@
         now: Instant,
     ) -> EntryDecision {
         let relaxation = self.relaxation(now);
-        let kind = self.kind(request.kind);
+        let kind = self.kind(request.kind, request.team);
         kind.offered += 1;
         kind.time_left_max = kind.time_left_max.max(request.time_left);
         let is_retry = request.time_left < kind.time_left_max.mul_f64(RETRY_BELOW);
@@ -146,18 +149,18 @@
     /// Returns the number of requests of each kind since the last call of this function.
     pub fn take_offered(&mut self) -> Vec<OfferedRequests> {
         let mut offered = Vec::new();
-        for (kind, state) in &mut self.kinds {
+        for ((kind, team), state) in &mut self.kinds {
             let count = std::mem::take(&mut state.offered);
             if count > 0 {
-                let kind = kind.clone();
-                offered.push(OfferedRequests { kind, count });
+                let (kind, team) = (kind.clone(), team.clone());
+                offered.push(OfferedRequests { kind, team, count });
             }
         }
         offered
     }
 
-    fn kind(&mut self, kind: &RequestKind) -> &mut KindState {
-        self.kinds.entry(kind.clone()).or_default()
+    fn kind(&mut self, kind: &RequestKind, team: &TeamName) -> &mut KindState {
+        self.kinds.entry((kind.clone(), team.clone())).or_default()
     }
 }
 
--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -14,12 +14,21 @@
 use model::ids::NodeId;
 use model::ids::RouteName;
 use model::ids::ServiceName;
+use model::ids::TeamName;
 use model::share::to_milli;
 
+use crate::entry::allocation::ServiceRooms;
+use crate::entry::allocation::admit_up_to;
+use crate::entry::allocation::min_fraction;
+use crate::entry::allocation::scarce_rooms;
 use crate::entry::demand::KindDemand;
 use crate::entry::demand::ServiceNeed;
 use crate::entry::demand::sort_by_value;
 use crate::entry::fanout::CallFanout;
+use crate::entry::origins::OriginDemand;
+use crate::entry::origins::RequestOrigin;
+use crate::entry::origins::UsualRates;
+use crate::entry::origins::divide;
 use crate::entry::plan_history::LoadRatios;
 use crate::entry::plan_history::PlanHistory;
 use crate::entry::refusals::ServerRefusals;
@@ -30,11 +39,6 @@
 const RATE_DECAY: f64 = 0.7;
 /// Weight of the newest window in the moving average of service times.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
-/// Fraction of every kind that is admitted before more important kinds are admitted in full,
-/// so that no kind and no team starves.
-const MIN_FRACTION: f64 = 0.15;
-/// Fraction of a service's capacity that these minimum fractions may take together.
-const MIN_FRACTION_CAPACITY: f64 = 0.7;
 /// Change of a service's capacity correction for each second and unit of utilisation error.
 const CORRECTION_PER_S: f64 = 0.8;
 /// Smallest and largest capacity correction.
@@ -53,8 +57,8 @@
 #[derive(Clone, Debug)]
 struct NodeState {
     place: ServerCapacity,
-    /// Requests per second at this entry node, by kind.
-    offered: BTreeMap<RequestKind, f64>,
+    /// Requests per second at this entry node, by kind and team.
+    offered: BTreeMap<(RequestKind, TeamName), f64>,
     /// Utilisation that the calls of the last window asked for, relative to the slots;
     /// above 1 when some were refused.
     utilisation: f64,
@@ -88,6 +92,7 @@
     fanout: CallFanout,
     refusals: ServerRefusals,
     history: PlanHistory,
+    usual_rates: UsualRates,
     /// Factor by which the capacity of each service is corrected.
     corrections: HashMap<ServiceName, f64>,
     /// Services whose capacity limited some kind in the last plan.
@@ -135,7 +140,9 @@
         }
         for kind in &work.offered {
             let rate = f64::from(kind.count) / window_s;
-            let known = offered.entry(kind.kind.clone()).or_default();
+            let known = offered
+                .entry((kind.kind.clone(), kind.team.clone()))
+                .or_default();
             *known = if rate > *known {
                 rate
             } else {
@@ -204,35 +211,44 @@
             .replace(now)
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.refusals.decay(elapsed);
-        let kinds = self.kinds_by_priority();
+        let rates = self.rates_by_origin();
+        self.usual_rates.update(&rates, now);
+        let mut kinds = self.kinds(rates);
         let ratios = self
             .history
             .load_ratios(&kinds, self.effect_delay(now), now);
         self.update_corrections(&capacities, &ratios, elapsed);
         let rooms = self.rooms(&capacities);
+        let scarce = scarce_rooms(&kinds, &rooms);
+        sort_by_value(&mut kinds, &self.refusals, &scarce);
+        let fractions = self.allocate(&kinds, &rooms);
+        let planned = kinds.iter().zip(&fractions);
+        let planned = planned.map(|(demand, fraction)| (demand.kind.clone(), *fraction));
+        self.history.push(planned.collect(), now);
+        let planned = kinds.into_iter().zip(fractions);
+        planned
+            .flat_map(|(demand, fraction)| shares_of(demand, fraction))
+            .collect()
+    }
+
+    /// Returns the fraction of each kind to admit, in the order of the kinds.
+    ///
+    /// Bursts come last, so that their own kinds pay for them.
+    fn allocate(&mut self, kinds: &[KindDemand], rooms: &ServiceRooms) -> Vec<f64> {
         let mut remaining = rooms.clone();
         let mut fractions = vec![0.0; kinds.len()];
-        let minimum = min_fraction(&kinds, &remaining);
-        admit_up_to(minimum, &kinds, &mut fractions, &mut remaining);
-        self.deduct_lost_rooms(&rooms, &mut remaining);
-        self.bottlenecks = admit_up_to(1.0, &kinds, &mut fractions, &mut remaining);
-        let kinds = kinds.into_iter().map(|demand| demand.kind);
-        let planned: Vec<(RequestKind, f64)> = kinds.zip(fractions).collect();
-        self.history.push(planned.iter().cloned().collect(), now);
-        let shares = planned.into_iter();
-        shares
-            .map(|(kind, fraction)| EntryShare {
-                kind,
-                admitted_milli: to_milli(fraction),
-            })
-            .collect()
+        let minimum = min_fraction(kinds, &remaining);
+        admit_up_to(|_| minimum, kinds, &mut fractions, &mut remaining);
+        self.deduct_lost_rooms(rooms, &mut remaining);
+        let regular = KindDemand::regular_fraction;
+        let mut limiting = admit_up_to(regular, kinds, &mut fractions, &mut remaining);
+        limiting.extend(admit_up_to(|_| 1.0, kinds, &mut fractions, &mut remaining));
+        self.bottlenecks = limiting;
+        fractions
     }
 
     /// Returns the slots of each service that the plan may fill.
-    fn rooms(
-        &self,
-        capacities: &HashMap<ServiceName, ServiceCapacity>,
-    ) -> HashMap<ServiceName, f64> {
+    fn rooms(&self, capacities: &HashMap<ServiceName, ServiceCapacity>) -> ServiceRooms {
         let capacities = capacities.iter();
         capacities
             .map(|(service, capacity)| {
@@ -247,11 +263,7 @@
     ///
     /// The minimum fractions come before it, so that no kind starves and the end of the refusals
     /// is noticed also when the servers refused every call.
-    fn deduct_lost_rooms(
-        &self,
-        rooms: &HashMap<ServiceName, f64>,
-        remaining: &mut HashMap<ServiceName, f64>,
-    ) {
+    fn deduct_lost_rooms(&self, rooms: &ServiceRooms, remaining: &mut ServiceRooms) {
         for (service, room) in rooms {
             let lost = room * self.refusals.lost_share(service);
             if let Some(free) = remaining.get_mut(service) {
@@ -279,22 +291,44 @@
             }
             line.push(' ');
         }
-        for KindDemand { kind, rate, needs } in self.kinds_by_priority() {
-            let share = plan.iter().find(|share| share.kind == kind);
-            let part = share.map_or(0, |share| share.admitted_milli);
-            let (route, team) = (&kind.route, kind.team_priority);
-            let _ = write!(line, "{route}/{team}:rate={rate:.0},part={part}");
-            for ServiceNeed {
-                service, slot_s, ..
-            } in needs
-            {
-                let _ = write!(line, ",{service}={slot_s:.3}");
-            }
-            line.push(' ');
+        let mut kinds = self.kinds(self.rates_by_origin());
+        let scarce = scarce_rooms(&kinds, &self.rooms(&self.capacities()));
+        sort_by_value(&mut kinds, &self.refusals, &scarce);
+        for demand in kinds {
+            self.explain_kind(&demand, plan, &mut line);
         }
         line
     }
 
+    /// Adds the inputs of one kind and its admitted fraction; also the part that is no burst and
+    /// the team and data centre that pay most, if not all of it is admitted.
+    fn explain_kind(&self, demand: &KindDemand, plan: &[EntryShare], line: &mut String) {
+        let KindDemand { kind, rate, .. } = demand;
+        let part = to_milli(self.history.latest_fraction(kind));
+        let (route, team) = (&kind.route, kind.team_priority);
+        let _ = write!(line, "{route}/{team}:rate={rate:.0},part={part}");
+        for ServiceNeed {
+            service, slot_s, ..
+        } in &demand.needs
+        {
+            let _ = write!(line, ",{service}={slot_s:.3}");
+        }
+        let shares = plan.iter().filter(|share| share.kind == *kind);
+        let least = shares.min_by_key(|share| share.admitted_milli);
+        if let Some(least) = least.filter(|share| share.admitted_milli < to_milli(1.0)) {
+            let regular = to_milli(demand.regular_fraction());
+            let EntryShare {
+                team, data_centre, ..
+            } = least;
+            let least = least.admitted_milli;
+            let _ = write!(
+                line,
+                ",regular={regular},least={team}@{data_centre}:{least}"
+            );
+        }
+        line.push(' ');
+    }
+
     fn capacities(&self) -> HashMap<ServiceName, ServiceCapacity> {
         let mut capacities: HashMap<ServiceName, ServiceCapacity> = HashMap::new();
         for state in self.nodes.values() {
@@ -354,23 +388,43 @@
         }
     }
 
-    /// Returns the kinds of requests with their rates and needs, in the order of admission.
-    fn kinds_by_priority(&self) -> Vec<KindDemand> {
-        let mut rates: BTreeMap<RequestKind, f64> = BTreeMap::new();
+    /// Returns the offered requests per second, by their origin.
+    fn rates_by_origin(&self) -> BTreeMap<RequestOrigin, f64> {
+        let mut rates: BTreeMap<RequestOrigin, f64> = BTreeMap::new();
         for state in self.nodes.values() {
-            for (kind, rate) in &state.offered {
-                *rates.entry(kind.clone()).or_default() += rate;
+            for ((kind, team), rate) in &state.offered {
+                let origin = RequestOrigin {
+                    kind: kind.clone(),
+                    team: team.clone(),
+                    data_centre: state.place.data_centre.clone(),
+                };
+                *rates.entry(origin).or_default() += rate;
             }
         }
-        let mut kinds: Vec<_> = rates
-            .into_iter()
-            .map(|(kind, rate)| {
-                let needs = self.needs_of(&kind.route);
-                KindDemand { kind, rate, needs }
-            })
-            .collect();
-        sort_by_value(&mut kinds, &self.refusals);
+        rates
+    }
+
+    /// Returns the kinds of requests with their rates and needs.
+    fn kinds(&self, rates: BTreeMap<RequestOrigin, f64>) -> Vec<KindDemand> {
+        let mut kinds: BTreeMap<RequestKind, Vec<OriginDemand>> = BTreeMap::new();
+        for (origin, rate) in rates {
+            let usual = self.usual_rates.usual(&origin);
+            kinds.entry(origin.kind).or_default().push(OriginDemand {
+                team: origin.team,
+                data_centre: origin.data_centre,
+                rate,
+                usual,
+            });
+        }
+        let kinds = kinds.into_iter();
         kinds
+            .map(|(kind, origins)| KindDemand {
+                rate: origins.iter().map(|origin| origin.rate).sum(),
+                needs: self.needs_of(&kind.route),
+                kind,
+                origins,
+            })
+            .collect()
     }
 
     /// Returns what one request on a route needs of each service.
@@ -415,65 +469,20 @@
     (1.0 + refused_ratio).min(DEMAND_RATIO_MAX)
 }
 
-/// Returns the fraction of every kind that is admitted first.
-///
-/// It is smaller when a service has lost most of its capacity, so that what is left goes to the
-/// important kinds.
-fn min_fraction(kinds: &[KindDemand], remaining: &HashMap<ServiceName, f64>) -> f64 {
-    let mut loads: HashMap<&ServiceName, f64> = HashMap::new();
-    for demand in kinds {
-        for need in &demand.needs {
-            *loads.entry(&need.service).or_default() += need.slot_s * demand.rate * MIN_FRACTION;
-        }
-    }
-    let fractions = loads.into_iter().filter_map(|(service, load)| {
-        let capacity = remaining.get(service)?.max(0.0) * MIN_FRACTION_CAPACITY;
-        (load > capacity).then(|| MIN_FRACTION * capacity / load)
-    });
-    fractions.fold(MIN_FRACTION, f64::min)
-}
-
-/// Raises the fractions of the kinds in their order up to `target` where capacity remains, and
-/// returns the services that limited some kind.
-fn admit_up_to(
-    target: f64,
-    kinds: &[KindDemand],
-    fractions: &mut [f64],
-    remaining: &mut HashMap<ServiceName, f64>,
-) -> Vec<ServiceName> {
-    let mut limiting = Vec::new();
-    for (demand, admitted) in kinds.iter().zip(fractions) {
-        let wanted = target - *admitted;
-        let (fraction, bottlenecks) = fitting_fraction(wanted, demand, remaining);
-        *admitted += fraction;
-        limiting.extend(bottlenecks);
-        for need in &demand.needs {
-            if let Some(free) = remaining.get_mut(&need.service) {
-                *free -= need.slot_s * demand.rate * fraction;
-            }
-        }
-    }
-    limiting
-}
-
-/// Returns the fraction of a kind that fits into the remaining capacity, and the services that
-/// limit it.
-fn fitting_fraction(
-    wanted: f64,
-    demand: &KindDemand,
-    remaining: &HashMap<ServiceName, f64>,
-) -> (f64, Vec<ServiceName>) {
-    let mut fraction = wanted;
-    let mut bottlenecks = Vec::new();
-    for need in &demand.needs {
-        let Some(capacity) = remaining.get(&need.service) else {
-            continue;
-        };
-        let load = need.slot_s * demand.rate;
-        if load * wanted > *capacity && load > 0.0 {
-            fraction = fraction.min(capacity.max(0.0) / load);
-            bottlenecks.push(need.service.clone());
-        }
-    }
-    (fraction, bottlenecks)
+/// Divides the admitted fraction of a kind among the teams and data centres that it comes from.
+fn shares_of(demand: KindDemand, fraction: f64) -> impl Iterator<Item = EntryShare> {
+    let KindDemand {
+        kind,
+        rate,
+        origins,
+        ..
+    } = demand;
+    let fractions = divide(rate * fraction, &origins);
+    let shares = origins.into_iter().zip(fractions);
+    shares.map(move |(origin, fraction)| EntryShare {
+        kind: kind.clone(),
+        team: origin.team,
+        data_centre: origin.data_centre,
+        admitted_milli: to_milli(fraction),
+    })
 }
--- a/crates/admit/tests/entry.rs
+++ b/crates/admit/tests/entry.rs
@@ -16,7 +16,9 @@
 use model::entry::ServerCapacity;
 use model::entry::WorkReport;
 use model::ids::RouteName;
+use model::ids::TeamName;
 
+const TEAM: &str = "team";
 const WINDOW: Duration = Duration::from_millis(300);
 
 fn kind(route: &str, route_order: u8, team_order: u8) -> RequestKind {
@@ -99,6 +101,7 @@
                 window_ms: 300,
                 offered: offered
                     .map(|(kind, rate)| OfferedRequests {
+                        team: Arc::from(TEAM),
                         kind: kind.clone(),
                         count: count(*rate),
                     })
@@ -109,6 +112,7 @@
                 refused: 0,
             };
             let place = ServerCapacity {
+                data_centre: Arc::from("a"),
                 service: Arc::from(service),
                 slots,
             };
@@ -228,6 +232,7 @@
         let work = WorkReport {
             window_ms: 300,
             offered: vec![OfferedRequests {
+                team: Arc::from(TEAM),
                 kind: kind("quote", 2, 0),
                 count: 120,
             }],
@@ -237,6 +242,7 @@
             refused,
         };
         let place = ServerCapacity {
+            data_centre: Arc::from("a"),
             service: Arc::from("quotes"),
             slots: 50,
         };
@@ -251,6 +257,8 @@
 fn with_plan(part_milli: u16, now: Instant) -> EntryAdmission {
     let mut admission = EntryAdmission::default();
     let share = EntryShare {
+        team: Arc::from(TEAM),
+        data_centre: Arc::from("a"),
         kind: kind("quote", 2, 0),
         admitted_milli: part_milli,
     };
@@ -262,8 +270,10 @@
 /// fractions of new requests and of retries that were admitted.
 fn offer(admission: &mut EntryAdmission, now: Instant) -> (f64, f64) {
     let kind = kind("quote", 2, 0);
+    let team = TeamName::from(TEAM);
     let request = |time_left_ms| EntryRequest {
         kind: &kind,
+        team: &team,
         time_left: Duration::from_millis(time_left_ms),
         target_latency: Duration::from_millis(1500),
     };
@@ -305,8 +315,10 @@
 fn the_retry_delay_leaves_time_for_a_response_within_the_target_latency() {
     let now = Instant::now();
     let kind = kind("quote", 2, 0);
+    let team = TeamName::from(TEAM);
     let request = EntryRequest {
         kind: &kind,
+        team: &team,
         time_left: Duration::from_secs(5),
         target_latency: Duration::from_millis(1500),
     };
@@ -325,8 +337,10 @@
 fn all_requests_are_admitted_without_a_plan_or_when_it_is_fully_relaxed() {
     let now = Instant::now();
     let kind = kind("quote", 2, 0);
+    let team = TeamName::from(TEAM);
     let request = EntryRequest {
         kind: &kind,
+        team: &team,
         time_left: Duration::from_secs(5),
         target_latency: Duration::from_millis(1500),
     };
--- a/crates/admit/tests/entry_load/main.rs
+++ b/crates/admit/tests/entry_load/main.rs
@@ -1,6 +1,7 @@
 //! Replays of load on the entry plan, on virtual time.
 
 mod leader_change;
+mod origins;
 mod refusals;
 mod step;
 mod support;
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -256,6 +256,7 @@
     };
     let request = EntryRequest {
         kind: &kind,
+        team: &team.name,
         time_left: metadata.deadline.unwrap_or(route.timeout),
         target_latency: route.target_latency,
     };
