Serve returning requests first within the plan, and let them return when there is capacity

Cause: nodes learned the share of retries from a moving average over 50 requests, so under a plan below 1 retries were admitted beside the planned part of new requests for seconds. Refused requests were told to return before 0.6 of their target however many others were, so most of them were refused again.

Change: each request adds the planned fraction to a credit and each admitted one uses 1 of it; retries may overdraw it a little, so they come first and the sum stays that of the plan. `return_schedule` spreads the returns over the time in which the admitted rate serves them, leaving a part for new requests. The admission check of a request moves to `ingress::admission`.

Ruled out: a delay up to the deadline for all, which makes every response late while the overload lasts.

--- a/crates/admit/src/entry.rs
+++ b/crates/admit/src/entry.rs
@@ -14,6 +14,7 @@
 mod plan_history;
 mod planner;
 mod refusals;
+mod return_schedule;
 
 pub use admission::EntryAdmission;
 pub use admission::EntryDecision;
--- a/crates/admit/src/entry/admission.rs
+++ b/crates/admit/src/entry/admission.rs
@@ -9,6 +9,8 @@
 use model::entry::RequestKind;
 use model::ids::TeamName;
 
+use crate::entry::return_schedule::ReturnSchedule;
+
 /// Time for which a plan applies unchanged unless a newer one arrives, in milliseconds.
 const PLAN_VALID_MS: u64 = 2_500;
 /// Time after that over which the fractions of an old plan rise to full admission, in
@@ -20,12 +22,9 @@
 /// Time to the deadline, relative to the longest seen for the kind, below which a request
 /// counts as a retry.
 const RETRY_BELOW: f64 = 0.97;
-/// Weight of the newest request in the moving average of the share of retries.
-const RETRY_WEIGHT: f64 = 0.02;
-/// Shortest and longest retry delay, relative to the target latency, or to the time to the
-/// deadline if that is shorter.
-const RETRY_DELAY_MIN: f64 = 0.15;
-const RETRY_DELAY_MAX: f64 = 0.6;
+/// Requests of a kind that may be admitted ahead of its fraction because they are retries,
+/// relative to that fraction; new requests make up for them.
+const RETRY_CREDIT: f64 = 4.0;
 /// Thousandths of a whole.
 const MILLI: f64 = 1000.0;
 
@@ -63,8 +62,9 @@
     offered: u32,
     /// Longest time to the deadline seen; a retry has less.
     time_left_max: Duration,
-    /// Moving average of the share of retries among the requests.
-    retries: f64,
+    /// Requests that the plan has admitted so far, less those that were admitted.
+    credit: f64,
+    returns: ReturnSchedule,
 }
 
 impl Default for KindState {
@@ -73,18 +73,20 @@
             admitted: 1.0,
             offered: 0,
             time_left_max: Duration::ZERO,
-            retries: 0.0,
+            credit: 0.0,
+            returns: ReturnSchedule::default(),
         }
     }
 }
 
-/// Admits requests at random, with the probabilities of the leader's plan.
+/// Admits the fractions of the leader's plan.
 ///
 /// Load pattern: refused callers retry within their deadline while new requests
 /// arrive. Retries are admitted first, so that a caller who was told to wait is not
 /// refused again in favour of a new one. Without a plan, everything is admitted; the last
 /// plan stays in force when the leader changes in a burst, and is relaxed when none follows.
-/// Retry delays are spread evenly, and short enough for a response in time.
+/// Retry delays are spread evenly over the time in which there is capacity for the retries, and
+/// are short enough for a response in time while there are few of them.
 #[derive(Clone, Debug, Default)]
 pub struct EntryAdmission {
     kinds: HashMap<(RequestKind, TeamName), KindState>,
@@ -116,18 +118,30 @@
         let kind = self.kind(request.kind, request.team);
         kind.offered += 1;
         kind.time_left_max = kind.time_left_max.max(request.time_left);
-        let is_retry = request.time_left < kind.time_left_max.mul_f64(RETRY_BELOW);
-        let sample = f64::from(u8::from(is_retry));
-        kind.retries += RETRY_WEIGHT * (sample - kind.retries);
-        if random.0 < kind.admission_probability(is_retry, relaxation) {
+        let is_retry = kind.is_retry(request.time_left);
+        if kind.admits(is_retry, relaxation, random.0) {
+            kind.returns.record_admitted(now);
             return EntryDecision::Admit;
         }
-        let delay = RETRY_DELAY_MIN + (RETRY_DELAY_MAX - RETRY_DELAY_MIN) * random.1;
+        let EntryRequest {
+            time_left,
+            target_latency,
+            ..
+        } = request;
+        let returns = &mut kind.returns;
         EntryDecision::Refuse {
-            retry_after: request.target_latency.min(request.time_left).mul_f64(delay),
+            retry_after: returns.schedule(target_latency, time_left, random.1, now),
         }
     }
 
+    /// Returns whether a request is a retry of one that was refused, by the time to its deadline.
+    #[must_use]
+    pub fn is_retry(&self, request: EntryRequest<'_>) -> bool {
+        let key = (request.kind.clone(), request.team.clone());
+        let kind = self.kinds.get(&key);
+        kind.is_some_and(|kind| kind.is_retry(request.time_left))
+    }
+
     /// Returns whether an old plan is in force because no newer one arrived in time.
     #[must_use]
     pub fn is_plan_old(&self, now: Instant) -> bool {
@@ -165,23 +179,27 @@
 }
 
 impl KindState {
-    /// Returns the probability of admission.
+    fn is_retry(&self, time_left: Duration) -> bool {
+        time_left < self.time_left_max.mul_f64(RETRY_BELOW)
+    }
+
+    /// Decides whether to admit a request, with a random number in `0..1`.
     ///
-    /// Weighted by their shares, the probabilities of retries and of new requests add up to
-    /// the admitted fraction of the plan, raised to full admission by `relaxation`.
-    fn admission_probability(&self, is_retry: bool, relaxation: f64) -> f64 {
+    /// Each request adds the fraction of the plan, raised to full admission by `relaxation`, to
+    /// the credit, and each admitted one uses 1 of it. Retries may overdraw it, so that they come
+    /// first as soon as there are any, and the sum stays that of the plan.
+    fn admits(&mut self, is_retry: bool, relaxation: f64, random: f64) -> bool {
         if relaxation >= 1.0 {
-            return 1.0;
+            self.credit = 0.0;
+            return true;
         }
         let admitted = self.admitted + (1.0 - self.admitted) * relaxation;
-        let retries = self.retries.clamp(0.0, 1.0);
-        if is_retry {
-            return if retries <= admitted {
-                1.0
-            } else {
-                admitted / retries
-            };
+        self.credit += admitted;
+        let overdraft = f64::from(u8::from(is_retry)) * RETRY_CREDIT * admitted;
+        let is_admitted = random < self.credit + overdraft;
+        if is_admitted {
+            self.credit -= 1.0;
         }
-        ((admitted - retries) / (1.0 - retries).max(0.01)).clamp(0.0, 1.0)
+        is_admitted
     }
 }
--- a/crates/admit/tests/entry_load/main.rs
+++ b/crates/admit/tests/entry_load/main.rs
@@ -3,5 +3,6 @@
 mod leader_change;
 mod origins;
 mod refusals;
+mod returns;
 mod step;
 mod support;
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -1,5 +1,6 @@
 //! HTTP server for requests of callers, and for calls that the local backend server makes.
 
+mod admission;
 mod answer_writer;
 mod connection;
 mod outcome;
@@ -15,8 +16,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use admit::EntryDecision;
-use admit::EntryRequest;
 use bytes::Bytes;
 use clock::Clock;
 use fleet::CallHead;
@@ -33,12 +32,12 @@
 use http::header;
 use hyper::body::Body;
 use model::context::CallRank;
-use model::entry::RequestKind;
 use model::ids::ServiceName;
 use tokio::net::TcpListener;
 
 use crate::forward::forward;
 use crate::headers;
+use crate::ingress::admission::check_admission;
 use crate::ingress::connection::serve_connection;
 use crate::ingress::outcome::build_response;
 use crate::ingress::outcome::log_outcome;
@@ -49,7 +48,6 @@
 use crate::ingress::refusal::BufferedResponse;
 use crate::ingress::refusal::Refusal;
 use crate::ingress::request_body::read_request_body;
-use crate::ingress::token::take_token;
 use crate::open_call::OpenCall;
 use crate::state::ProxyState;
 
@@ -174,15 +172,12 @@
     };
     call.set_route(&route.name);
     let team = authenticate(&table, route, metadata.key.as_deref())?;
-    if let Some(team) = team {
-        if !state.stop.takes_calls(started) {
-            return Err(Refusal::stopping());
-        }
-        take_token(state, route, team).await?;
+    if team.is_some() && !state.stop.takes_calls(started) {
+        return Err(Refusal::stopping());
     }
     let parent = match team {
         Some(team) => {
-            check_admission(state, route, team, &metadata)?;
+            check_admission(state, route, team, &metadata).await?;
             None
         }
         None => find_parent_call(state, route, &metadata, started),
@@ -241,38 +236,6 @@
     })
 }
 
-/// Admits a caller's request by the leader's admission plan, or refuses it with a delay after
-/// which to retry.
-fn check_admission<C: Clock, A: ProtocolAdapter>(
-    state: &ProxyState<C, A>,
-    route: &RouteEntry,
-    team: &TeamEntry,
-    metadata: &RequestMetadata,
-) -> Result<(), Refusal> {
-    let kind = RequestKind {
-        route_priority: route.priority,
-        team_priority: team.priority,
-        route: route.name.clone(),
-    };
-    let request = EntryRequest {
-        kind: &kind,
-        team: &team.name,
-        time_left: metadata.deadline.unwrap_or(route.timeout),
-        target_latency: route.target_latency,
-    };
-    let draws = (rand::random(), rand::random());
-    let decision = state.admission().decide(request, draws, state.now());
-    let EntryDecision::Refuse { retry_after } = decision else {
-        return Ok(());
-    };
-    state.quota().return_token(&team.name, state.now());
-    Err(Refusal {
-        retry_after: Some(retry_after),
-        team: Some(team.name.clone()),
-        ..Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "turned-away")
-    })
-}
-
 fn check_head_size(table: &RouteTable, headers: &HeaderMap) -> Result<(), Refusal> {
     let length = |(name, value): (&http::HeaderName, &HeaderValue)| {
         name.as_str().len() + value.len() + ": \r\n".len()
