--- a/crates/admit/src/entry.rs
+++ b/crates/admit/src/entry.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod allocation;
 mod demand;
+mod division;
 mod fanout;
 mod origins;
 mod plan_gate;
--- a/crates/admit/src/entry/admission.rs
+++ b/crates/admit/src/entry/admission.rs
@@ -53,28 +53,34 @@
     pub target_latency: Duration,
 }
 
-/// Admission state of one kind of request of one team.
-#[derive(Clone, Debug)]
-struct KindState {
+/// Fraction of the requests to admit, and how much of it has been used.
+#[derive(Clone, Copy, Debug)]
+struct AdmissionCredit {
     /// Fraction of the requests to admit, between 0 and 1.
     admitted: f64,
-    /// Requests since the last report.
-    offered: u32,
-    /// Longest time to the deadline seen; a retry has less.
-    time_left_max: Duration,
     /// Requests that the plan has admitted so far, less those that were admitted.
     credit: f64,
+}
+
+/// Admission state of one kind of request.
+#[derive(Clone, Debug, Default)]
+struct KindState {
+    /// Teams for which the plan names a fraction.
+    teams: HashMap<TeamName, AdmissionCredit>,
+    /// All other teams.
+    others: AdmissionCredit,
+    /// Requests of each team since the last report.
+    offered: HashMap<TeamName, u32>,
+    /// Longest time to the deadline seen; a retry has less.
+    time_left_max: Duration,
     returns: ReturnSchedule,
 }
 
-impl Default for KindState {
+impl Default for AdmissionCredit {
     fn default() -> Self {
         Self {
             admitted: 1.0,
-            offered: 0,
-            time_left_max: Duration::ZERO,
             credit: 0.0,
-            returns: ReturnSchedule::default(),
         }
     }
 }
@@ -89,7 +95,7 @@
 /// are short enough for a response in time while there are few of them.
 #[derive(Clone, Debug, Default)]
 pub struct EntryAdmission {
-    kinds: HashMap<(RequestKind, TeamName), KindState>,
+    kinds: HashMap<RequestKind, KindState>,
     /// When the last plan arrived.
     plan_received: Option<Instant>,
 }
@@ -98,9 +104,21 @@
     /// Applies a new plan.
     pub fn apply_plan(&mut self, shares: &[EntryShare], now: Instant) {
         self.plan_received = Some(now);
+        let mut teams: HashMap<RequestKind, HashMap<TeamName, AdmissionCredit>> = HashMap::new();
         for share in shares {
-            let kind = self.kind(&share.kind, &share.team);
-            kind.admitted = f64::from(share.admitted_milli) / MILLI;
+            let admitted = f64::from(share.admitted_milli) / MILLI;
+            let kind = self.kind(&share.kind);
+            let Some(team) = &share.team else {
+                kind.others.admitted = admitted;
+                continue;
+            };
+            let known = kind.teams.get(team).copied().unwrap_or_default();
+            let credit = AdmissionCredit { admitted, ..known };
+            let teams = teams.entry(share.kind.clone()).or_default();
+            teams.insert(team.clone(), credit);
+        }
+        for (kind, state) in &mut self.kinds {
+            state.teams = teams.remove(kind).unwrap_or_default();
         }
     }
 
@@ -115,11 +133,14 @@
         now: Instant,
     ) -> EntryDecision {
         let relaxation = self.relaxation(now);
-        let kind = self.kind(request.kind, request.team);
-        kind.offered += 1;
+        let kind = self.kind(request.kind);
+        kind.count_offered(request.team);
         kind.time_left_max = kind.time_left_max.max(request.time_left);
         let is_retry = kind.is_retry(request.time_left);
-        if kind.admits(is_retry, relaxation, random.0) {
+        if kind
+            .credit(request.team)
+            .admits(is_retry, relaxation, random.0)
+        {
             kind.returns.record_admitted(now);
             return EntryDecision::Admit;
         }
@@ -137,8 +158,7 @@
     /// Returns whether a request is a retry of one that was refused, by the time to its deadline.
     #[must_use]
     pub fn is_retry(&self, request: EntryRequest<'_>) -> bool {
-        let key = (request.kind.clone(), request.team.clone());
-        let kind = self.kinds.get(&key);
+        let kind = self.kinds.get(request.kind);
         kind.is_some_and(|kind| kind.is_retry(request.time_left))
     }
 
@@ -163,18 +183,17 @@
     /// Returns the number of requests of each kind since the last call of this function.
     pub fn take_offered(&mut self) -> Vec<OfferedRequests> {
         let mut offered = Vec::new();
-        for ((kind, team), state) in &mut self.kinds {
-            let count = std::mem::take(&mut state.offered);
-            if count > 0 {
-                let (kind, team) = (kind.clone(), team.clone());
+        for (kind, state) in &mut self.kinds {
+            for (team, count) in state.offered.drain() {
+                let kind = kind.clone();
                 offered.push(OfferedRequests { kind, team, count });
             }
         }
         offered
     }
 
-    fn kind(&mut self, kind: &RequestKind, team: &TeamName) -> &mut KindState {
-        self.kinds.entry((kind.clone(), team.clone())).or_default()
+    fn kind(&mut self, kind: &RequestKind) -> &mut KindState {
+        self.kinds.entry(kind.clone()).or_default()
     }
 }
 
@@ -183,6 +202,20 @@
         time_left < self.time_left_max.mul_f64(RETRY_BELOW)
     }
 
+    fn count_offered(&mut self, team: &TeamName) {
+        if let Some(count) = self.offered.get_mut(team) {
+            *count += 1;
+        } else {
+            self.offered.insert(team.clone(), 1);
+        }
+    }
+
+    fn credit(&mut self, team: &TeamName) -> &mut AdmissionCredit {
+        self.teams.get_mut(team).unwrap_or(&mut self.others)
+    }
+}
+
+impl AdmissionCredit {
     /// Decides whether to admit a request, with a random number in `0..1`.
     ///
     /// Each request adds the fraction of the plan, raised to full admission by `relaxation`, to
--- a/crates/admit/src/entry/demand.rs
+++ b/crates/admit/src/entry/demand.rs
@@ -6,8 +6,7 @@
 use model::ids::ServiceName;
 
 use crate::entry::allocation::ServiceRooms;
-use crate::entry::origins::OriginDemand;
-use crate::entry::origins::regular_fraction;
+use crate::entry::division::KindOrigins;
 use crate::entry::refusals::ServerRefusals;
 
 /// Ratio of the success probabilities that weighs as much as one step of route priority.
@@ -36,8 +35,8 @@
     /// Offered requests per second.
     pub(super) rate: f64,
     pub(super) needs: Vec<ServiceNeed>,
-    /// Where the requests come from; their rates add up to `rate`.
-    pub(super) origins: Vec<OriginDemand>,
+    /// Where the requests come from.
+    pub(super) origins: KindOrigins,
 }
 
 impl KindDemand {
@@ -58,7 +57,7 @@
 
     /// Returns the fraction of the requests that is not a burst.
     pub(super) fn regular_fraction(&self) -> f64 {
-        regular_fraction(&self.origins)
+        self.origins.regular_fraction()
     }
 
     /// Returns the fraction of the scarce rooms that the calls of one request use together.
--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -11,10 +11,10 @@
 use model::entry::RequestKind;
 use model::entry::ServerCapacity;
 use model::entry::WorkReport;
+use model::ids::DataCentreName;
 use model::ids::NodeId;
 use model::ids::RouteName;
 use model::ids::ServiceName;
-use model::ids::TeamName;
 use model::share::to_milli;
 
 use crate::entry::allocation::ServiceRooms;
@@ -24,11 +24,10 @@
 use crate::entry::demand::KindDemand;
 use crate::entry::demand::ServiceNeed;
 use crate::entry::demand::sort_by_value;
+use crate::entry::division::KindOrigins;
 use crate::entry::fanout::CallFanout;
-use crate::entry::origins::OriginDemand;
+use crate::entry::origins::OriginRates;
 use crate::entry::origins::RequestOrigin;
-use crate::entry::origins::UsualRates;
-use crate::entry::origins::divide;
 use crate::entry::plan_history::LoadRatios;
 use crate::entry::plan_history::PlanHistory;
 use crate::entry::refusals::ServerRefusals;
@@ -57,8 +56,8 @@
 #[derive(Clone, Debug)]
 struct NodeState {
     place: ServerCapacity,
-    /// Requests per second at this entry node, by kind and team.
-    offered: BTreeMap<(RequestKind, TeamName), f64>,
+    /// Requests per second at this entry node, by kind.
+    offered: BTreeMap<RequestKind, f64>,
     /// Utilisation that the calls of the last window asked for, relative to the slots;
     /// above 1 when some were refused.
     utilisation: f64,
@@ -92,7 +91,7 @@
     fanout: CallFanout,
     refusals: ServerRefusals,
     history: PlanHistory,
-    usual_rates: UsualRates,
+    origins: OriginRates,
     /// Factor by which the capacity of each service is corrected.
     corrections: HashMap<ServiceName, f64>,
     /// Services whose capacity limited some kind in the last plan.
@@ -138,11 +137,9 @@
         for rate in offered.values_mut() {
             *rate *= RATE_DECAY;
         }
-        for kind in &work.offered {
-            let rate = f64::from(kind.count) / window_s;
-            let known = offered
-                .entry((kind.kind.clone(), kind.team.clone()))
-                .or_default();
+        for (kind, rate) in self.count_offered(&place.data_centre, work, now) {
+            let rate = rate / window_s;
+            let known = offered.entry(kind).or_default();
             *known = if rate > *known {
                 rate
             } else {
@@ -168,6 +165,26 @@
             .count()
     }
 
+    /// Counts the offered requests of the origins; returns those of each kind.
+    fn count_offered(
+        &mut self,
+        data_centre: &DataCentreName,
+        work: &WorkReport,
+        now: Instant,
+    ) -> BTreeMap<RequestKind, f64> {
+        let mut counts: BTreeMap<RequestKind, f64> = BTreeMap::new();
+        for offered in &work.offered {
+            *counts.entry(offered.kind.clone()).or_default() += f64::from(offered.count);
+            let origin = RequestOrigin {
+                kind: offered.kind.clone(),
+                data_centre: data_centre.clone(),
+                team: offered.team.clone(),
+            };
+            self.origins.add(origin, offered.count, now);
+        }
+        counts
+    }
+
     /// Counts the calls that callers asked for, and those that the node's server refused.
     fn note_refusals(&mut self, service: &ServiceName, work: &WorkReport) {
         for run in &work.runs {
@@ -211,9 +228,8 @@
             .replace(now)
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.refusals.decay(elapsed);
-        let rates = self.rates_by_origin();
-        self.usual_rates.update(&rates, now);
-        let mut kinds = self.kinds(rates);
+        self.origins.update(now);
+        let mut kinds = self.kinds();
         let ratios = self
             .history
             .load_ratios(&kinds, self.effect_delay(now), now);
@@ -225,9 +241,9 @@
         let planned = kinds.iter().zip(&fractions);
         let planned = planned.map(|(demand, fraction)| (demand.kind.clone(), *fraction));
         self.history.push(planned.collect(), now);
-        let planned = kinds.into_iter().zip(fractions);
+        let planned = kinds.iter().zip(fractions);
         planned
-            .flat_map(|(demand, fraction)| shares_of(demand, fraction))
+            .flat_map(|(demand, fraction)| demand.origins.shares(&demand.kind, fraction))
             .collect()
     }
 
@@ -291,7 +307,7 @@
             }
             line.push(' ');
         }
-        let mut kinds = self.kinds(self.rates_by_origin());
+        let mut kinds = self.kinds();
         let scarce = scarce_rooms(&kinds, &self.rooms(&self.capacities()));
         sort_by_value(&mut kinds, &self.refusals, &scarce);
         for demand in kinds {
@@ -317,10 +333,8 @@
         let least = shares.min_by_key(|share| share.admitted_milli);
         if let Some(least) = least.filter(|share| share.admitted_milli < to_milli(1.0)) {
             let regular = to_milli(demand.regular_fraction());
-            let EntryShare {
-                team, data_centre, ..
-            } = least;
-            let least = least.admitted_milli;
+            let team = least.team.as_deref().unwrap_or("*");
+            let (data_centre, least) = (&least.data_centre, least.admitted_milli);
             let _ = write!(
                 line,
                 ",regular={regular},least={team}@{data_centre}:{least}"
@@ -388,38 +402,21 @@
         }
     }
 
-    /// Returns the offered requests per second, by their origin.
-    fn rates_by_origin(&self) -> BTreeMap<RequestOrigin, f64> {
-        let mut rates: BTreeMap<RequestOrigin, f64> = BTreeMap::new();
-        for state in self.nodes.values() {
-            for ((kind, team), rate) in &state.offered {
-                let origin = RequestOrigin {
-                    kind: kind.clone(),
-                    team: team.clone(),
-                    data_centre: state.place.data_centre.clone(),
-                };
-                *rates.entry(origin).or_default() += rate;
-            }
+    /// Returns the kinds of requests with their rates, needs and origins.
+    fn kinds(&self) -> Vec<KindDemand> {
+        let mut kinds: BTreeMap<RequestKind, (f64, KindOrigins)> = BTreeMap::new();
+        for (kind, rate) in self.nodes.values().flat_map(|state| &state.offered) {
+            kinds.entry(kind.clone()).or_default().0 += rate;
         }
-        rates
-    }
-
-    /// Returns the kinds of requests with their rates and needs.
-    fn kinds(&self, rates: BTreeMap<RequestOrigin, f64>) -> Vec<KindDemand> {
-        let mut kinds: BTreeMap<RequestKind, Vec<OriginDemand>> = BTreeMap::new();
-        for (origin, rate) in rates {
-            let usual = self.usual_rates.usual(&origin);
-            kinds.entry(origin.kind).or_default().push(OriginDemand {
-                team: origin.team,
-                data_centre: origin.data_centre,
-                rate,
-                usual,
-            });
+        for (origin, rate) in self.origins.rates() {
+            if let Some((_, origins)) = kinds.get_mut(&origin.kind) {
+                origins.add(&origin.data_centre, &origin.team, rate);
+            }
         }
         let kinds = kinds.into_iter();
         kinds
-            .map(|(kind, origins)| KindDemand {
-                rate: origins.iter().map(|origin| origin.rate).sum(),
+            .map(|(kind, (rate, origins))| KindDemand {
+                rate,
                 needs: self.needs_of(&kind.route),
                 kind,
                 origins,
@@ -468,21 +465,3 @@
     let refused_ratio = f64::from(work.refused) / f64::from(started.max(1));
     (1.0 + refused_ratio).min(DEMAND_RATIO_MAX)
 }
-
-/// Divides the admitted fraction of a kind among the teams and data centres that it comes from.
-fn shares_of(demand: KindDemand, fraction: f64) -> impl Iterator<Item = EntryShare> {
-    let KindDemand {
-        kind,
-        rate,
-        origins,
-        ..
-    } = demand;
-    let fractions = divide(rate * fraction, &origins);
-    let shares = origins.into_iter().zip(fractions);
-    shares.map(move |(origin, fraction)| EntryShare {
-        kind: kind.clone(),
-        team: origin.team,
-        data_centre: origin.data_centre,
-        admitted_milli: to_milli(fraction),
-    })
-}
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -93,13 +93,13 @@
     pub slots: u32,
 }
 
-/// Share of the requests of one kind and team that is admitted in one data centre.
+/// Share of the requests of one kind that is admitted in one data centre.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EntryShare {
     /// The kind.
     pub kind: RequestKind,
-    /// The team.
-    pub team: TeamName,
+    /// The team; `None` for all that no other share names.
+    pub team: Option<TeamName>,
     /// Data centre of the entry nodes to which the share applies.
     pub data_centre: DataCentreName,
     /// Admitted share, in thousandths.
