--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -13,6 +13,7 @@
 mod ranker;
 mod rate;
 mod slot_limiter;
+mod slot_queue;
 mod suspect_registry;
 mod thresholds;
 
@@ -43,6 +44,7 @@
 pub use slot_limiter::DequeuedCalls;
 pub use slot_limiter::SlotDecision;
 pub use slot_limiter::SlotLimiter;
+pub use slot_queue::CallTiming;
 pub use suspect_registry::SuspectRegistry;
 pub use thresholds::ThresholdList;
 pub use thresholds::ThresholdTable;
