--- a/crates/admit/src/slot_limiter.rs
+++ b/crates/admit/src/slot_limiter.rs
@@ -166,6 +166,18 @@
         true
     }
 
+    /// Runs a call that may not wait, or refuses it when it would have to.
+    pub fn offer_at_once(&mut self, now: Instant) -> SlotDecision {
+        let is_free = self.running < self.slots && self.queue.is_empty();
+        if is_free && self.next_start(now) <= now {
+            self.running += 1;
+            self.record_start(now);
+            return SlotDecision::Run;
+        }
+        let retry_after = self.retry_after(now);
+        SlotDecision::Refuse { retry_after }
+    }
+
     /// Runs, queues or refuses a call with `time_left` until its deadline.
     pub fn offer(
         &mut self,
@@ -174,11 +186,9 @@
         time_left: Duration,
         now: Instant,
     ) -> SlotDecision {
-        let is_free = self.running < self.slots && self.queue.is_empty();
-        if is_free && self.next_start(now) <= now {
-            self.running += 1;
-            self.record_start(now);
-            return SlotDecision::Run;
+        let at_once = self.offer_at_once(now);
+        if at_once == SlotDecision::Run {
+            return at_once;
         }
         let key = QueueKey {
             inverse_importance: u8::MAX - rank.importance(),
