Refuse a call at once at a full server while its sender knows of a free slot

Cause: a call bound to a full server waits for up to 0.3 of its time there before its sender tries another one.

Change: CallHead says whether the call may wait; the node beside a full server answers with the new refusal Full otherwise, and the sender chooses again, at most twice before the call may wait. These refusals are counted apart from others, cost no retry budget and are no unmet demand. Bodies of more than 64 KB may always wait, since a refusal would cost their transfer. Metrics late-binding and attempt-refused full, log line call-placed-again.

Result: with one of two servers full, calls of a caller run at the other one without a wait; that test fails with may_wait set for all calls. With the nodes beside both full servers frozen, none of 20 unsafe calls runs twice or is reported as not run though it ran.

Ruled out: forwarding by the receiving node.

--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod journeys;
 mod kept_connection;
+mod late_binding;
 mod paused;
 mod peer;
 mod review;
--- a/crates/daemon/tests/fleet/peer.rs
+++ b/crates/daemon/tests/fleet/peer.rs
@@ -72,6 +72,7 @@
             repeated: false,
             rank: CallRank::MAX,
             time_left: self.time_left,
+            may_wait: true,
             team: None,
             caller_service: Arc::from("stock"),
         };
--- a/crates/fleet/src/node_message.rs
+++ b/crates/fleet/src/node_message.rs
@@ -42,6 +42,9 @@
     pub rank: CallRank,
     /// Time left until the caller's deadline.
     pub time_left: Duration,
+    /// Whether the call may wait for a slot of the backend server; otherwise its node refuses it
+    /// at once as [`RefusalReason::Full`] when none is free.
+    pub may_wait: bool,
     /// Team whose key authenticated the request.
     pub team: Option<TeamName>,
     /// Service of the node that forwards the call.
@@ -101,6 +104,9 @@
     /// The data centre of the backend server is evacuated.
     #[display("evacuated")]
     Evacuated,
+    /// No slot is free, and the call may not wait for one.
+    #[display("full")]
+    Full,
 }
 
 impl RefusalReason {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -13,10 +13,14 @@
 use model::ids::DataCentreName;
 use model::ids::NodeId;
 use model::ids::ServiceName;
+use route::CallPlacement;
 use route::SendResult;
-use smallvec::SmallVec;
+use route::WaitRule;
 
+use crate::late_binding::is_full;
+use crate::late_binding::report_end;
 use crate::open_call::CallProgress;
+use crate::peers::BODY_CHUNK_BYTES;
 use crate::retry::AttemptHistory;
 use crate::retry::AttemptOutcome;
 use crate::retry::RetryDecision;
@@ -46,7 +50,20 @@
     attempts_allowed: u32,
     deadline: Instant,
 ) -> ForwardOutcome {
-    let mut tried: SmallVec<[NodeId; 4]> = SmallVec::new();
+    let limits = (attempts_allowed, deadline);
+    let outcome = try_members(state, &mut head, body, progress, limits).await;
+    report_end(state, &head, &outcome);
+    outcome
+}
+
+async fn try_members<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    head: &mut CallHead,
+    body: Bytes,
+    progress: &CallProgress,
+    (attempts_allowed, deadline): (u32, Instant),
+) -> ForwardOutcome {
+    let mut placement = CallPlacement::default();
     let mut outcome = ForwardOutcome {
         last_attempt: AttemptOutcome::Refused {
             cause: RefusalReason::NoServer,
@@ -64,42 +81,44 @@
     loop {
         let now = state.now();
         head.time_left = deadline.saturating_duration_since(now);
-        let chosen = state
+        let placed = state
             .nodes()
-            .pick(&head.service, drawn.as_ref(), &tried, now);
-        let Some(chosen) = chosen else {
+            .place(&head.service, drawn.as_ref(), &placement, now);
+        let Some((chosen, wait_rule)) = placed else {
             return outcome;
         };
+        // The whole body of a refused call would have crossed the network in vain.
+        head.may_wait = wait_rule == WaitRule::MayWait || body.len() > BODY_CHUNK_BYTES;
         if let Some(relation) = chosen.relation {
             state.metrics.count("attempt-placed", &relation.to_string());
         }
-        tried.push(chosen.node);
         let attempt = PendingAttempt {
             state,
-            head: &head,
+            head,
             node: chosen.node,
             is_pending: true,
         };
         let (attempt_outcome, load) = if chosen.node == state.node {
             let attempt_outcome = state
                 .server
-                .run_call(state, &head, body.clone(), progress)
+                .run_call(state, head, body.clone(), progress)
                 .await;
             (attempt_outcome, Some(state.server.load(state.now())))
         } else {
             let address = chosen.address;
             state
                 .peers
-                .send_call(address, &head, body.clone(), progress)
+                .send_call(address, head, body.clone(), progress)
                 .await
         };
         attempt.finish(&attempt_outcome, load);
         count_attempt(state, &attempt_outcome);
+        placement.record(chosen.node, is_full(&attempt_outcome));
         outcome.history.record(&attempt_outcome);
         progress.resolve(outcome.history.may_have_run);
         outcome.last_attempt = attempt_outcome;
         outcome.last_node = Some(chosen.node);
-        if !may_retry(state, &head, &outcome, attempts_allowed, deadline) {
+        if !may_retry(state, head, &outcome, attempts_allowed, deadline) {
             return outcome;
         }
         head.repeated |= outcome.history.delivered > 0;
@@ -150,6 +169,8 @@
     }
     match decide_retry(outcome.history, head.idempotent, attempts_allowed) {
         RetryDecision::Retry => true,
+        // The retry that a full server refused is paid for, and has not reached a server.
+        RetryDecision::RetryIfBudget if is_full(&outcome.last_attempt) => true,
         RetryDecision::RetryIfBudget => state.spend_retry_budget(&head.service),
         RetryDecision::Stop => false,
     }
@@ -200,7 +221,9 @@
     match outcome {
         AttemptOutcome::Answered { .. } => SendResult::Answered,
         AttemptOutcome::Refused { cause, .. } => match cause {
-            RefusalReason::Overloaded | RefusalReason::ServerRefused => SendResult::Refused,
+            RefusalReason::Overloaded | RefusalReason::ServerRefused | RefusalReason::Full => {
+                SendResult::Refused
+            }
             RefusalReason::Draining
             | RefusalReason::NoServer
             | RefusalReason::ConnectFailed
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -206,6 +206,7 @@
         repeated: parent.as_ref().is_some_and(|parent| parent.is_retry),
         rank: parent.map_or_else(|| request_rank(route, team), |parent| parent.rank),
         time_left,
+        may_wait: true,
         team: team.map(|team| team.name.clone()),
         caller_service: state.settings.service.clone(),
     };
--- a/crates/proxy/src/local_server/slots.rs
+++ b/crates/proxy/src/local_server/slots.rs
@@ -33,12 +33,16 @@
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (waiter, is_paced) = {
             let mut state = lock(&self.state);
-            let decision = state.limiter.offer(id, head.rank, head.time_left, now);
+            let decision = if head.may_wait {
+                state.limiter.offer(id, head.rank, head.time_left, now)
+            } else {
+                state.limiter.offer_at_once(now)
+            };
             let is_paced = state.limiter.is_paced(now);
             match decision {
                 SlotDecision::Run => return Ok(self.new_permit()),
                 SlotDecision::Refuse { retry_after } => {
-                    if is_paced {
+                    if is_paced && head.may_wait {
                         metrics.count(COLD_PACE, "refused");
                     }
                     return Err(retry_after);
--- a/crates/proxy/tests/retry_and_lease.rs
+++ b/crates/proxy/tests/retry_and_lease.rs
@@ -23,6 +23,7 @@
         RefusalReason::Draining,
         RefusalReason::ServerRefused,
         RefusalReason::ConnectFailed,
+        RefusalReason::Full,
     ];
     let failures = [
         FailureReason::ConnectionLost,
