Close stalled connections to a server, and count abandoned calls

Cause: a connection on which the server will never answer was noticed only at the deadline of its call and could be used again after it. Calls cancelled by their caller freed their slot although the server may still run them.

Change: the node beside the server checks every 50 ms for stalled connections. An idempotent call ends there as FailureReason::Stalled (new on the wire), is not blamed on the server (SendResult::Cancelled) and is retried within the budget and the deadline. Any other call, and every eighth idempotent one, waits on; its connection is not pooled again. Stalled and cancelled calls occupy slots until their deadline or until the load header shows fewer calls, and the published load offers the rest. Cancelled ones count only at servers that sent the header within 5 s, so that no capacity is lost at servers without it. A node that starts assumes earlier calls in half of the slots of its server until the first responses.

The stand-in server of the process tests learns to fall silent; one process test.

Ruled out: a wait for four responses without a header before the assumption on earlier calls ends: it failed stop::a_request_that_waits_for_a_slot_at_the_end_of_a_stop_gets_not_run, whose server answers fewer. One response suffices, as servers that report their load do so with each.

--- a/crates/admit/src/abandoned_calls.rs
+++ b/crates/admit/src/abandoned_calls.rs
@@ -41,8 +41,6 @@
     /// for.
     reports: u32,
     most_running: usize,
-    /// Responses without a report since the last one with a report.
-    unreported: u32,
 }
 
 impl AbandonedCalls {
@@ -84,7 +82,6 @@
     /// `in_flight` calls have neither been answered nor given up.
     pub fn note_report(&mut self, reported: u32, in_flight: u32, now: Instant) {
         self.reported_at = Some(now);
-        self.unreported = 0;
         let running = reported.saturating_sub(in_flight) as usize;
         self.most_running = self.most_running.max(running);
         self.reports += 1;
@@ -97,14 +94,14 @@
         self.most_running = 0;
     }
 
-    /// Applies a response without a load report. A server that reports nothing is not assumed to
-    /// run calls of an earlier process any longer.
+    /// Applies a response without a load report.
+    ///
+    /// A server that reports its load does so with each response. One that does not is not assumed
+    /// to run calls of an earlier process any longer, since nothing would show that it has ended
+    /// them.
     pub fn note_unreported(&mut self) {
-        self.unreported = self.unreported.saturating_add(1);
-        if self.unreported == REPORTS_MIN {
-            self.calls
-                .retain(|call| call.reason != AbandonReason::EarlierProcess);
-        }
+        self.calls
+            .retain(|call| call.reason != AbandonReason::EarlierProcess);
     }
 
     /// Returns how many calls the server may still run.
--- a/crates/admit/src/stall_detector.rs
+++ b/crates/admit/src/stall_detector.rs
@@ -217,6 +217,7 @@
 
     fn is_stalled(&self, call: &WatchedCall, now: Instant) -> bool {
         let silence = self.progress.saturating_sub(call.progress_mark);
+        let silence = silence.min(now.saturating_duration_since(call.silent_since));
         if call.children > 0 || self.overdue_after(now).is_none_or(|limit| silence < limit) {
             return false;
         }
--- a/crates/daemon/tests/servers/main.rs
+++ b/crates/daemon/tests/servers/main.rs
@@ -11,5 +11,6 @@
 mod odd_entries;
 mod raw_server;
 mod refusals;
+mod stalled;
 #[path = "../shared/wait.rs"]
 mod wait;
--- a/crates/daemon/tests/servers/raw_server.rs
+++ b/crates/daemon/tests/servers/raw_server.rs
@@ -34,6 +34,7 @@
     opened: usize,
     closed: usize,
     late_faults: usize,
+    closed_silent: bool,
 }
 
 /// A running server; it ends with the test process.
@@ -79,6 +80,19 @@
         self.is_deaf.store(true, Ordering::Relaxed);
     }
 
+    /// Answers nothing on this connection any more, and waits until the node closes it.
+    pub(crate) fn fall_silent(&self, stream: &mut TcpStream) -> bool {
+        let mut buffer = [0; 4096];
+        while stream.read(&mut buffer).is_ok_and(|count| count > 0) {}
+        self.record.lock().unwrap().closed_silent = true;
+        false
+    }
+
+    /// Returns whether the node has closed a connection on which this server had fallen silent.
+    pub(crate) fn has_closed_silent(&self) -> bool {
+        self.record.lock().unwrap().closed_silent
+    }
+
     /// Runs the request and answers it.
     pub(crate) fn answer_soundly(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
         self.execute(request);
--- a/crates/fleet/src/node_message.rs
+++ b/crates/fleet/src/node_message.rs
@@ -126,6 +126,9 @@
     /// The connection to the node beside the backend server was lost.
     #[display("link-lost")]
     LinkLost,
+    /// The connection to the backend server stalled; other calls were answered meanwhile.
+    #[display("stalled")]
+    Stalled,
 }
 
 /// Status and headers of a backend server's response.
--- a/crates/proxy/src/announce.rs
+++ b/crates/proxy/src/announce.rs
@@ -32,6 +32,8 @@
 const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
 /// Timeout for request heads, in seconds.
 const HEAD_TIMEOUT_S: u64 = 5;
+/// Longest time for which a call may run while the configuration is not known.
+const UNKNOWN_TIMEOUT: Duration = Duration::from_secs(30);
 
 type BufferedResponse = Response<Full<Bytes>>;
 
@@ -110,7 +112,10 @@
         server: server.clone(),
         started_by_ms: announcement.started_at_ms,
     });
-    match state.server.apply_announcement(announcement, state.now()) {
+    let now = state.now();
+    let earlier_until = now + longest_timeout(state);
+    let server_state = &state.server;
+    match server_state.apply_announcement(announcement, earlier_until, now) {
         AnnouncementEffect::WrongService => {
             warn!(event = "announcement-refused", server = %server, reason = "other service");
             let reason = state.adapter.error_body("another service runs here");
@@ -128,6 +133,14 @@
     }
 }
 
+/// Returns the longest time for which a call may run by the configuration.
+fn longest_timeout<C: Clock, A: ProtocolAdapter>(state: &ProxyState<C, A>) -> Duration {
+    let table = state.route_table();
+    let routes = table.iter().flat_map(|(table, _)| &table.config().routes);
+    let longest = routes.map(|route| route.timeout).max();
+    longest.unwrap_or(UNKNOWN_TIMEOUT)
+}
+
 async fn handle_leave<C: Clock, A: ProtocolAdapter>(
     state: &ProxyState<C, A>,
     server: &ServerName,
--- a/crates/proxy/src/connection_pool.rs
+++ b/crates/proxy/src/connection_pool.rs
@@ -114,14 +114,16 @@
     /// Sends a request on an idle connection, or on a new one.
     ///
     /// If an idle connection turns out to be closed before anything was sent, the next one is
-    /// tried.
+    /// tried. `begin` is called whenever the request is about to be written.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         mut request: Request<RequestBody>,
+        begin: impl Fn(),
     ) -> Result<(Response<Incoming>, ServerConnection), SendError> {
         while let Some(mut connection) = self.take_idle() {
             connection.allowance.begin_response();
+            begin();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -132,6 +134,7 @@
         }
         let mut connection = connect(address).await?;
         connection.allowance.begin_response();
+        begin();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -208,7 +208,8 @@
             RefusalReason::TooLate | RefusalReason::Quarantined => SendResult::Cancelled,
         },
         AttemptOutcome::Failed { cause } => match cause {
-            FailureReason::Timeout => SendResult::Cancelled,
+            // The load that comes with a stalled call shows what the member can still run.
+            FailureReason::Timeout | FailureReason::Stalled => SendResult::Cancelled,
             FailureReason::LinkLost => SendResult::Unreachable,
             FailureReason::ConnectionLost | FailureReason::BadResponse => SendResult::Failed,
         },
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -191,6 +191,9 @@
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = started + time_left;
     check_stop(state, parent.as_ref(), deadline)?;
+    let _child = parent
+        .as_ref()
+        .map(|parent| state.server.begin_child(parent, state.clock.clone()));
     let method = request.method().as_str().to_owned();
     let forwarded_headers = headers::request_headers(&state.adapter, request.headers());
     let body = read_request_body(state, &table, request.into_body(), deadline).await?;
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -9,6 +9,7 @@
 mod health_check;
 mod pace;
 mod slots;
+mod stall_watch;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -21,6 +22,7 @@
 use std::time::Instant;
 
 use admit::SlotLimiter;
+use admit::StallDetector;
 use bytes::Bytes;
 use clock::Clock;
 use fleet::CallHead;
@@ -38,7 +40,6 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio::time::timeout;
 
 use crate::connection_pool::ConnectionPool;
 use crate::crash_probe::probe_after_lost_connection;
@@ -51,6 +52,7 @@
 pub(crate) use crate::local_server::exchange::MAX_RESPONSE_BYTES;
 use crate::local_server::pace::LastPace;
 use crate::local_server::slots::SlotResult;
+use crate::local_server::stall_watch::SentCall;
 use crate::open_call::CallProgress;
 use crate::retry::AttemptOutcome;
 use crate::state::ProxyState;
@@ -84,6 +86,9 @@
     evacuation: LocalEvacuation,
     limiter: SlotLimiter,
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
+    stalls: StallDetector,
+    /// Calls that were sent and have not ended, by number.
+    sent: HashMap<u64, Arc<SentCall>>,
     crash_watch: CrashWatch,
     pace: LastPace,
     cold: ColdState,
@@ -98,6 +103,8 @@
     pub(crate) rank: CallRank,
     pub(crate) is_retry: bool,
     fingerprint: Fingerprint,
+    /// Number of the running call.
+    call: u64,
 }
 
 /// Handle to the local backend server; clones share its state.
@@ -138,10 +145,12 @@
 
     /// Applies an announcement of the backend server.
     ///
-    /// One of a process that has left names no server to use, however late it arrives.
+    /// One of a process that has left names no server to use, however late it arrives. Until
+    /// `earlier_until`, the server may run calls of an earlier process of this node.
     pub(crate) fn apply_announcement(
         &self,
         new: ServerAnnouncement,
+        earlier_until: Instant,
         now: Instant,
     ) -> AnnouncementEffect {
         if new.service != self.service {
@@ -167,6 +176,8 @@
             self.pool.clear();
             state.crash_watch = CrashWatch::default();
             state.pace = LastPace::default();
+            state.stalls.reset();
+            state.limiter.forget_abandoned();
             state.draining = None;
         }
         if new.phase == ServerPhase::Draining {
@@ -181,6 +192,9 @@
         let is_different = is_different(state.announcement.as_ref(), &new);
         let warm_up_left = new.warm_up_left;
         state.limiter.set_slots(new.slots);
+        if is_first {
+            state.limiter.assume_earlier_calls(earlier_until);
+        }
         state.announcement = Some(new);
         state.apply_cold_left(warm_up_left, "announcement", now);
         let is_changed = is_different || state.published_slots() != slots_before;
@@ -251,7 +265,7 @@
                 };
             }
         };
-        let permit = match self.acquire_slot(head, &proxy.metrics, started).await {
+        let mut permit = match self.acquire_slot(head, &proxy.metrics, started).await {
             Ok(permit) => permit,
             Err(retry_after) => {
                 proxy.work().count_refused();
@@ -277,14 +291,12 @@
         }
         let sent = proxy.now();
         proxy.work().count_started(&head.route);
-        let running = self.register_running(head, fingerprint, sent + left);
+        let call = permit.begin(&head.route, sent + left);
+        let running = self.register_running(head, fingerprint, &call);
         progress.begin_send();
-        let exchange = self.send_call(proxy, head, body, &server, left);
-        let outcome = timeout(left, exchange)
-            .await
-            .unwrap_or(AttemptOutcome::Failed {
-                cause: FailureReason::Timeout,
-            });
+        let outcome = self
+            .run_sent(proxy, head, body, &server, (&call, left))
+            .await;
         let service_time = proxy.now().saturating_duration_since(sent);
         let is_answered = matches!(outcome, AttemptOutcome::Answered { .. });
         if is_connection_lost(&outcome) {
@@ -329,15 +341,16 @@
         &self,
         head: &CallHead,
         fingerprint: Fingerprint,
-        deadline: Instant,
+        call: &SentCall,
     ) -> RunningCall {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let key = (deadline, id);
+        let key = (call.deadline, id);
         let parent = ParentCall {
             route: head.route.clone(),
             rank: head.rank,
             is_retry: head.repeated,
             fingerprint,
+            call: call.id,
         };
         lock(&self.state).running.insert(key, parent);
         RunningCall {
--- a/crates/proxy/src/local_server/exchange.rs
+++ b/crates/proxy/src/local_server/exchange.rs
@@ -28,6 +28,7 @@
 use crate::headers;
 use crate::local_server::LocalServer;
 use crate::local_server::UNAVAILABLE_RETRY_AFTER;
+use crate::local_server::stall_watch::SentCall;
 use crate::retry::AttemptOutcome;
 use crate::state::ProxyState;
 
@@ -42,7 +43,7 @@
         head: &CallHead,
         body: Bytes,
         server: &ServerAnnouncement,
-        left: Duration,
+        (sent, left): (&SentCall, Duration),
     ) -> AttemptOutcome {
         let Some(request) = build_request(proxy, head, body, &server.server, left) else {
             return AttemptOutcome::Refused {
@@ -51,9 +52,12 @@
             };
         };
         let address = proxy.settings.server_address;
-        match self.pool.send(address, request).await {
+        let begin = || self.note_sent(sent, proxy.now());
+        match self.pool.send(address, request, begin).await {
             Ok((response, connection)) => {
-                self.read_response(proxy, head, response, connection).await
+                self.note_progress(sent, proxy.now());
+                self.read_response(proxy, head, response, connection, sent)
+                    .await
             }
             Err(SendError::NotSent) => AttemptOutcome::Refused {
                 cause: RefusalReason::ConnectFailed,
@@ -77,6 +81,7 @@
         head: &CallHead,
         response: Response<Incoming>,
         connection: ServerConnection,
+        sent: &SentCall,
     ) -> AttemptOutcome {
         let (parts, body) = response.into_parts();
         let metadata = proxy.adapter.response_metadata(&parts.headers);
@@ -94,9 +99,15 @@
         self.note_reported_load(metadata.load, proxy.now());
         let buffer = proxy.answer_memory.buffer(MAX_RESPONSE_BYTES);
         let allowance = connection.allowance();
-        let collected = read_body(body, buffer, |length| allowance.note_progress(length)).await;
+        let note_chunk = |length| {
+            allowance.note_progress(length);
+            self.note_progress(sent, proxy.now());
+        };
+        let collected = read_body(body, buffer, note_chunk).await;
+        // Nothing that is sent on a connection after a stalled call may ever be answered.
+        let may_reuse = !sent.is_stalled();
         if claim == ResponseClaim::Refusal {
-            if collected.is_ok() && metadata.attempt.is_some() {
+            if may_reuse && collected.is_ok() && metadata.attempt.is_some() {
                 self.pool.put_back(connection);
             }
             let cause = if parts.status == StatusCode::MISDIRECTED_REQUEST {
@@ -111,7 +122,9 @@
         }
         match collected {
             Ok(body) => {
-                self.pool.put_back(connection);
+                if may_reuse {
+                    self.pool.put_back(connection);
+                }
                 let head = ResponseHead {
                     status: parts.status.as_u16(),
                     headers: headers::response_headers(&parts.headers),
--- a/crates/proxy/src/local_server/health_check.rs
+++ b/crates/proxy/src/local_server/health_check.rs
@@ -64,7 +64,9 @@
         target: &CheckTarget,
     ) -> Option<Duration> {
         let request = build_check(proxy)?;
-        let sent = self.pool.send(proxy.settings.server_address, request);
+        let sent = self
+            .pool
+            .send(proxy.settings.server_address, request, || ());
         let (response, connection) = sent.await.ok()?;
         let (parts, body) = response.into_parts();
         let metadata = proxy.adapter.response_metadata(&parts.headers);
--- a/crates/proxy/src/local_server/pace.rs
+++ b/crates/proxy/src/local_server/pace.rs
@@ -1,4 +1,4 @@
-//! The pace that the backend server reports with its answers.
+//! The load and pace that the backend server reports with its answers.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -31,8 +31,13 @@
 impl LocalServer {
     /// Notes the load that the backend server reported with an answer.
     pub(super) fn note_reported_load(&self, load: Option<ServerLoad>, now: Instant) {
+        let mut state = lock(&self.state);
         if let Some(pace) = load.and_then(|load| load.pace) {
-            lock(&self.state).pace.report = Some((pace, now));
+            state.pace.report = Some((pace, now));
         }
+        let calls = load.map(|load| load.in_flight.saturating_add(load.queued));
+        let changes = state.limiter.note_report(calls, now);
+        drop(state);
+        self.notify_waiters(changes);
     }
 }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -96,6 +96,7 @@
     if state.server.tick(now) {
         state.publish_record();
     }
+    state.server.check_stalls(state);
     state.server.check_health(state);
     if let Some(seconds) = state.server.cold_seconds(now) {
         state.metrics.set("server-cold-seconds", seconds);
--- a/crates/proxy/tests/retry_and_lease.rs
+++ b/crates/proxy/tests/retry_and_lease.rs
@@ -29,6 +29,7 @@
         FailureReason::BadResponse,
         FailureReason::Timeout,
         FailureReason::LinkLost,
+        FailureReason::Stalled,
     ];
     let refused = refusals.map(|cause| AttemptOutcome::Refused {
         cause,
