--- a/crates/admit/src/slot_limiter.rs
+++ b/crates/admit/src/slot_limiter.rs
@@ -1,5 +1,7 @@
 //! Concurrency limiter for a backend server that announces how many calls it runs at once.
 
+mod occupancy;
+
 use std::time::Duration;
 use std::time::Instant;
 
@@ -7,6 +9,7 @@
 use model::context::FailureShare;
 use model::context::ServerLoad;
 
+use crate::AbandonedCalls;
 use crate::ColdPacer;
 use crate::PaceLimit;
 use crate::slot_queue::CallTiming;
@@ -59,6 +62,9 @@
 /// refused at once, and one that waits leaves the queue early enough for another server to
 /// meet its target.
 ///
+/// Calls that were given up while the server may still run them occupy slots until the server
+/// reports otherwise or their deadline is over; see [`AbandonedCalls`].
+///
 /// A backend server that is cold gets its calls from a [`ColdPacer`] besides: a
 /// call that exceeds the pace waits or is refused as if no slot were free.
 #[derive(Clone, Debug)]
@@ -67,6 +73,7 @@
     /// Whether the backend server is kept below the load at which it slows down.
     keeps_full_speed: bool,
     running: u32,
+    abandoned: AbandonedCalls,
     queue: SlotQueue,
     service_s: f64,
     /// Only for a backend server whose service limits the rate while it is cold.
@@ -79,6 +86,7 @@
             slots: SLOTS_DEFAULT,
             keeps_full_speed: false,
             running: 0,
+            abandoned: AbandonedCalls::default(),
             queue: SlotQueue::default(),
             service_s: 0.0,
             pacer: None,
@@ -157,7 +165,7 @@
     /// Returns whether calls wait although a slot is free, since the backend server is cold.
     #[must_use]
     pub fn is_paced(&self, now: Instant) -> bool {
-        self.running < self.limit() && self.next_start(now) > now
+        self.running < self.open_slots() && self.next_start(now) > now
     }
 
     /// Returns when the next queued call may start, if only the pace holds it back.
@@ -170,7 +178,7 @@
     /// Returns whether a health check may be sent now without delaying a call, and if so counts
     /// it as sent. It uses no slot of the limiter.
     pub fn try_check(&mut self, now: Instant) -> bool {
-        let is_free = self.running < self.limit() && self.queue.is_empty();
+        let is_free = self.running < self.open_slots() && self.queue.is_empty();
         if !is_free || self.next_start(now) > now {
             return false;
         }
@@ -180,7 +188,7 @@
 
     /// Runs a call that may not wait, or refuses it when it would have to.
     pub fn offer_at_once(&mut self, now: Instant) -> SlotDecision {
-        let is_free = self.running < self.limit() && self.queue.is_empty();
+        let is_free = self.running < self.open_slots() && self.queue.is_empty();
         if is_free && self.next_start(now) <= now {
             self.running += 1;
             self.record_start(now);
@@ -237,13 +245,14 @@
 
     /// Starts queued calls while slots are free, and refuses those that waited too long.
     pub fn process_queue(&mut self, now: Instant) -> DequeuedCalls {
+        self.abandoned.expire(now);
         let service = Duration::from_secs_f64(self.service_s);
         let expired = self.queue.take_expired(now);
         let mut dequeued = DequeuedCalls {
             demoted: self.queue.demote_late(service, now),
             ..DequeuedCalls::default()
         };
-        while self.running < self.limit() && self.next_start(now) <= now {
+        while self.running < self.open_slots() && self.next_start(now) <= now {
             let Some(id) = self.queue.pop_first() else {
                 break;
             };
@@ -263,7 +272,7 @@
         ServerLoad {
             in_flight: self.running,
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
-            limit: self.limit(),
+            limit: self.open_slots(),
             pace: None,
             failing: FailureShare::default(),
         }
@@ -282,7 +291,7 @@
 
     /// Returns the expected wait of the call at a position of the queue, counted from 1.
     fn expected_wait(&self, position: usize, now: Instant) -> Duration {
-        let per_slot_s = self.service_s / f64::from(self.limit());
+        let per_slot_s = self.service_s / f64::from(self.open_slots());
         let for_slot = Duration::from_secs_f64(per_slot_s * position as f64);
         let pacer = self.pacer.as_ref();
         let for_pace = pacer.map(|pacer| pacer.expected_delay(position - 1, now));
--- a/crates/proxy/src/local_server/pace.rs
+++ b/crates/proxy/src/local_server/pace.rs
@@ -1,4 +1,5 @@
-//! The pace that the backend server reports with its responses, and when other nodes are told.
+//! The load and pace that the backend server reports with its responses, and when other nodes are
+//! told of the pace.
 
 use std::convert::Infallible;
 use std::time::Duration;
@@ -45,9 +46,17 @@
         metrics: &ProcessMetrics,
         now: Instant,
     ) {
-        let Some(pace) = load.and_then(|load| load.pace) else {
-            return;
-        };
+        let mut state = lock(&self.state);
+        let calls = load.map(|load| load.in_flight.saturating_add(load.queued));
+        let changes = state.limiter.note_report(calls, now);
+        drop(state);
+        self.notify_waiters(changes);
+        if let Some(pace) = load.and_then(|load| load.pace) {
+            self.note_pace(pace, metrics, now);
+        }
+    }
+
+    fn note_pace(&self, pace: ServerPace, metrics: &ProcessMetrics, now: Instant) {
         let mut state = lock(&self.state);
         state.pace.report = Some((pace, now));
         let decision = state.pace.news.decide(pace, now);
