--- a/crates/admit/src/slot_limiter.rs
+++ b/crates/admit/src/slot_limiter.rs
@@ -186,18 +186,6 @@
         true
     }
 
-    /// Runs a call that may not wait, or refuses it when it would have to.
-    pub fn offer_at_once(&mut self, now: Instant) -> SlotDecision {
-        let is_free = self.running < self.open_slots() && self.queue.is_empty();
-        if is_free && self.next_start(now) <= now {
-            self.running += 1;
-            self.record_start(now);
-            return SlotDecision::Run;
-        }
-        let retry_after = self.retry_after(now);
-        SlotDecision::Refuse { retry_after }
-    }
-
     /// Runs, queues or refuses a call.
     pub fn offer(
         &mut self,
@@ -206,9 +194,11 @@
         timing: CallTiming,
         now: Instant,
     ) -> SlotDecision {
-        let at_once = self.offer_at_once(now);
-        if at_once == SlotDecision::Run {
-            return at_once;
+        let is_free = self.running < self.open_slots() && self.queue.is_empty();
+        if is_free && self.next_start(now) <= now {
+            self.running += 1;
+            self.record_start(now);
+            return SlotDecision::Run;
         }
         let service = Duration::from_secs_f64(self.service_s);
         let (on_time, behind) = self.queue.places(rank.importance(), timing, service, now);
--- a/crates/daemon/tests/fleet/main.rs
+++ b/crates/daemon/tests/fleet/main.rs
@@ -10,7 +10,6 @@
 mod http;
 mod journeys;
 mod kept_connection;
-mod late_binding;
 mod leader_loss;
 mod pace;
 mod paused;
--- a/crates/daemon/tests/fleet/peer.rs
+++ b/crates/daemon/tests/fleet/peer.rs
@@ -74,7 +74,6 @@
             time_left: self.time_left,
             target_left: self.time_left,
             has_alternative: false,
-            may_wait: true,
             team: None,
             caller_service: Arc::from("stock"),
         };
--- a/crates/daemon/tests/fleet/server.rs
+++ b/crates/daemon/tests/fleet/server.rs
@@ -120,14 +120,6 @@
         executed.last().map(|(_, arrived)| *arrived)
     }
 
-    /// Returns how often a request with this id was run, or has begun to.
-    pub(crate) fn run_count(&self, id: &str) -> usize {
-        let executed = self.executed.lock().unwrap();
-        let has_id =
-            |head: &str| header(head, "x-ragwortplank-request-id").is_some_and(|it| it == id);
-        executed.iter().filter(|(head, _)| has_id(head)).count()
-    }
-
     /// Returns the time that the node gave this server for a request.
     pub(crate) fn time_given(&self, id: &str) -> Option<Duration> {
         let left = header(&self.arrival_of(id)?.0, "x-ragwortplank-deadline-ms")?;
--- a/crates/fleet/src/node_message.rs
+++ b/crates/fleet/src/node_message.rs
@@ -47,9 +47,6 @@
     pub target_left: Duration,
     /// Whether the sender tries another server if this attempt is refused before it reaches one.
     pub has_alternative: bool,
-    /// Whether the call may wait for a slot of the backend server; otherwise its node refuses it
-    /// at once as [`RefusalReason::Full`] when none is free.
-    pub may_wait: bool,
     /// Team whose key authenticated the request.
     pub team: Option<TeamName>,
     /// Service of the node that forwards the call.
@@ -109,9 +106,6 @@
     /// The data centre of the backend server is evacuated.
     #[display("evacuated")]
     Evacuated,
-    /// No slot is free, and the call may not wait for one.
-    #[display("full")]
-    Full,
 }
 
 impl RefusalReason {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -13,14 +13,10 @@
 use model::ids::DataCentreName;
 use model::ids::NodeId;
 use model::ids::ServiceName;
-use route::CallPlacement;
 use route::SendResult;
-use route::WaitRule;
+use smallvec::SmallVec;
 
-use crate::late_binding::is_full;
-use crate::late_binding::report_end;
 use crate::open_call::CallProgress;
-use crate::peers::BODY_CHUNK_BYTES;
 use crate::retry::AttemptHistory;
 use crate::retry::AttemptOutcome;
 use crate::retry::RetryDecision;
@@ -53,20 +49,7 @@
     attempts_allowed: u32,
     deadline: Instant,
 ) -> ForwardOutcome {
-    let limits = (attempts_allowed, deadline);
-    let outcome = try_members(state, &mut head, body, progress, limits).await;
-    report_end(state, &head, &outcome);
-    outcome
-}
-
-async fn try_members<C: Clock, A: ProtocolAdapter>(
-    state: &ProxyState<C, A>,
-    head: &mut CallHead,
-    body: Bytes,
-    progress: &CallProgress,
-    (attempts_allowed, deadline): (u32, Instant),
-) -> ForwardOutcome {
-    let mut placement = CallPlacement::default();
+    let mut tried: SmallVec<[NodeId; 4]> = SmallVec::new();
     let mut outcome = ForwardOutcome {
         last_attempt: AttemptOutcome::Refused {
             cause: RefusalReason::NoServer,
@@ -86,24 +69,22 @@
         let now = state.now();
         head.target_left = target_at.saturating_duration_since(now);
         head.time_left = deadline.saturating_duration_since(now);
-        let placed = state
+        let chosen = state
             .nodes()
-            .place(&head.service, drawn.as_ref(), &placement, now);
-        let Some((chosen, wait_rule)) = placed else {
+            .pick(&head.service, drawn.as_ref(), &tried, now);
+        let Some(chosen) = chosen else {
             return outcome;
         };
-        // The whole body of a refused call would have crossed the network in vain.
-        head.may_wait = wait_rule == WaitRule::MayWait || body.len() > BODY_CHUNK_BYTES;
         if let Some(relation) = chosen.relation {
             state.metrics.count("attempt-placed", &relation.to_string());
         }
-        let tried = placement.tried_with(chosen.node);
+        tried.push(chosen.node);
         head.has_alternative = state.nodes().has_other(&head.service, &tried)
             && decide_after_refusal(outcome.history, head.idempotent, attempts_allowed)
                 == RetryDecision::Retry;
         let attempt = PendingAttempt {
             state,
-            head,
+            head: &head,
             node: chosen.node,
             began: now,
             is_pending: true,
@@ -111,24 +92,23 @@
         let (attempt_outcome, load) = if chosen.node == state.node {
             let attempt_outcome = state
                 .server
-                .run_call(state, head, body.clone(), progress)
+                .run_call(state, &head, body.clone(), progress)
                 .await;
             (attempt_outcome, Some(state.server.load(state.now())))
         } else {
             let address = chosen.address;
             state
                 .peers
-                .send_call(address, head, body.clone(), progress)
+                .send_call(address, &head, body.clone(), progress)
                 .await
         };
         attempt.finish(&attempt_outcome, load);
         count_attempt(state, &attempt_outcome);
-        placement.record(chosen.node, is_full(&attempt_outcome));
         outcome.history.record(&attempt_outcome);
         progress.resolve(outcome.history.may_have_run);
         outcome.last_attempt = attempt_outcome;
         outcome.last_node = Some(chosen.node);
-        if !may_retry(state, head, &outcome, attempts_allowed, deadline) {
+        if !may_retry(state, &head, &outcome, attempts_allowed, deadline) {
             return outcome;
         }
         head.repeated |= outcome.history.delivered > 0;
@@ -179,8 +159,6 @@
     }
     match decide_retry(outcome.history, head.idempotent, attempts_allowed) {
         RetryDecision::Retry => true,
-        // The retry that a full server refused is paid for, and has not reached a server.
-        RetryDecision::RetryIfBudget if is_full(&outcome.last_attempt) => true,
         RetryDecision::RetryIfBudget => state.spend_retry_budget(&head.service),
         RetryDecision::Stop => false,
     }
@@ -244,9 +222,7 @@
     match outcome {
         AttemptOutcome::Answered { .. } => SendResult::Answered,
         AttemptOutcome::Refused { cause, .. } => match cause {
-            RefusalReason::Overloaded | RefusalReason::ServerRefused | RefusalReason::Full => {
-                SendResult::Refused
-            }
+            RefusalReason::Overloaded | RefusalReason::ServerRefused => SendResult::Refused,
             RefusalReason::Draining
             | RefusalReason::NoServer
             | RefusalReason::ConnectFailed
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -208,7 +208,6 @@
         time_left,
         target_left: target_at.saturating_duration_since(state.now()),
         has_alternative: false,
-        may_wait: true,
         team: team.map(|team| team.name.clone()),
         caller_service: state.settings.service.clone(),
     };
--- a/crates/proxy/src/ingress/outcome.rs
+++ b/crates/proxy/src/ingress/outcome.rs
@@ -88,7 +88,6 @@
         cause,
         arrivals = outcome.history.delivered,
         refusals = outcome.history.undelivered,
-        full = outcome.history.full,
         node = outcome.last_node,
         config = table.version(),
         held_ms,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,7 +16,6 @@
 mod forward;
 mod headers;
 mod ingress;
-mod late_binding;
 mod leased_config;
 mod local_server;
 mod memory_budget;
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -45,7 +45,6 @@
 
 use crate::connection_pool::ConnectionPool;
 use crate::crash_probe::probe_after_lost_connection;
-use crate::late_binding::LATE_BINDING;
 use crate::local_server::cold::ColdState;
 pub(crate) use crate::local_server::crash_watch::CrashSign;
 use crate::local_server::crash_watch::CrashWatch;
@@ -281,7 +280,14 @@
         };
         let mut permit = match self.acquire_slot(head, &proxy.metrics, started).await {
             Ok(permit) => permit,
-            Err(retry_after) => return refuse_for_slot(proxy, head, started, retry_after),
+            Err(retry_after) => {
+                proxy.work().count_refused();
+                log_slot_refusal(proxy, head, started, retry_after);
+                return AttemptOutcome::Refused {
+                    cause: RefusalReason::Overloaded,
+                    retry_after,
+                };
+            }
         };
         // The call may have waited for longer than calls in flight are run.
         if self.is_evacuated(proxy.now()) {
@@ -398,24 +404,6 @@
     }
 }
 
-/// Refuses a call that got no slot; one that may not wait goes elsewhere and is no unmet demand.
-fn refuse_for_slot<C: Clock, A: ProtocolAdapter>(
-    proxy: &ProxyState<C, A>,
-    head: &CallHead,
-    started: Instant,
-    retry_after: Duration,
-) -> AttemptOutcome {
-    let cause = if head.may_wait {
-        proxy.work().count_refused();
-        log_slot_refusal(proxy, head, started, retry_after);
-        RefusalReason::Overloaded
-    } else {
-        proxy.metrics.count(LATE_BINDING, "refused-here");
-        RefusalReason::Full
-    };
-    AttemptOutcome::Refused { cause, retry_after }
-}
-
 const fn is_connection_lost(outcome: &AttemptOutcome) -> bool {
     matches!(
         outcome,
--- a/crates/proxy/src/local_server/slots.rs
+++ b/crates/proxy/src/local_server/slots.rs
@@ -43,24 +43,18 @@
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (waiter, is_paced) = {
             let mut state = lock(&self.state);
-            let decision = if head.may_wait {
-                let timing = CallTiming {
-                    time_left: head.time_left,
-                    target_left: head.target_left,
-                    has_alternative: head.has_alternative,
-                };
-                state.limiter.offer(id, head.rank, timing, now)
-            } else {
-                state.limiter.offer_at_once(now)
+            let timing = CallTiming {
+                time_left: head.time_left,
+                target_left: head.target_left,
+                has_alternative: head.has_alternative,
             };
+            let decision = state.limiter.offer(id, head.rank, timing, now);
             let is_paced = state.limiter.is_paced(now);
             match decision {
                 SlotDecision::Run => return Ok(self.new_permit(id)),
                 SlotDecision::Refuse { retry_after } => {
-                    if head.may_wait {
-                        metrics.count(SLOT_QUEUE, "refused-at-once");
-                    }
-                    if is_paced && head.may_wait {
+                    metrics.count(SLOT_QUEUE, "refused-at-once");
+                    if is_paced {
                         metrics.count(COLD_PACE, "refused");
                     }
                     return Err(retry_after);
--- a/crates/proxy/src/node_table.rs
+++ b/crates/proxy/src/node_table.rs
@@ -16,13 +16,10 @@
 use model::ids::RouteName;
 use model::ids::ServiceName;
 use model::traffic::TrafficShare;
-use route::CallPlacement;
 use route::LeastLoadedPicker;
 use route::PickerMember;
 use route::SendResult;
 use route::TrafficPlan;
-use route::WaitRule;
-use smallvec::SmallVec;
 use tracing::info;
 
 /// A node chosen for a call.
@@ -255,22 +252,6 @@
         members.any(|member| member.accepts_calls && !exclude.contains(&member.node))
     }
 
-    /// Chooses a node for the next attempt of a call, as [`Self::pick`] does, and decides whether
-    /// the call may wait for a slot there.
-    pub fn place(
-        &mut self,
-        service: &str,
-        drawn: Option<&DataCentreName>,
-        placement: &CallPlacement,
-        now: Instant,
-    ) -> Option<(ChosenNode, WaitRule)> {
-        let picker = self.pickers.get(service)?;
-        let exclude: SmallVec<[NodeId; 4]> = placement.excluded(picker, now).into();
-        let chosen = self.pick(service, drawn, &exclude, now)?;
-        let picker = self.pickers.get(service)?;
-        Some((chosen, placement.wait_rule(chosen.node, picker, now)))
-    }
-
     fn relation(&self, chosen: &DataCentreName, drawn: &DataCentreName) -> PlaceRelation {
         if *chosen == self.data_centre {
             PlaceRelation::Same
--- a/crates/proxy/src/retry.rs
+++ b/crates/proxy/src/retry.rs
@@ -8,7 +8,6 @@
 use fleet::FailureReason;
 use fleet::RefusalReason;
 use fleet::ResponseHead;
-use route::FULL_REFUSALS_MAX;
 
 /// Outcome of one attempt to run a call on a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -41,11 +40,8 @@
     pub delivered: u32,
     /// Whether a backend server may have run the call.
     pub may_have_run: bool,
-    /// Attempts that were refused before they reached a backend server, without those in `full`.
+    /// Attempts that were refused before they reached a backend server.
     pub undelivered: u32,
-    /// Attempts that a full member refused at once, since another one was known to have a free
-    /// slot.
-    pub full: u32,
 }
 
 impl AttemptHistory {
@@ -53,10 +49,6 @@
     pub const fn record(&mut self, outcome: &AttemptOutcome) {
         match outcome {
             AttemptOutcome::Refused { cause, .. } if cause.reached_server() => self.delivered += 1,
-            AttemptOutcome::Refused {
-                cause: RefusalReason::Full,
-                ..
-            } => self.full += 1,
             AttemptOutcome::Refused { .. } => self.undelivered += 1,
             AttemptOutcome::Answered { .. } | AttemptOutcome::Failed { .. } => {
                 self.delivered += 1;
@@ -94,9 +86,7 @@
     if history.may_have_run && !idempotent {
         return RetryDecision::Stop;
     }
-    // After so many refusals at once a call may wait, so that only a faulty node sends another.
-    let is_refused = history.undelivered >= MAX_UNDELIVERED || history.full > FULL_REFUSALS_MAX;
-    if is_refused || history.delivered >= attempts_allowed {
+    if history.delivered >= attempts_allowed || history.undelivered >= MAX_UNDELIVERED {
         return RetryDecision::Stop;
     }
     if history.delivered > 0 {
--- a/crates/proxy/tests/retry_and_lease.rs
+++ b/crates/proxy/tests/retry_and_lease.rs
@@ -24,7 +24,6 @@
         RefusalReason::Draining,
         RefusalReason::ServerRefused,
         RefusalReason::ConnectFailed,
-        RefusalReason::Full,
     ];
     let failures = [
         FailureReason::ConnectionLost,
--- a/crates/route/src/least_loaded.rs
+++ b/crates/route/src/least_loaded.rs
@@ -173,11 +173,11 @@
     }
 
     /// Returns whether one more call gets a slot without waiting.
-    pub(crate) fn has_free_slot(&self, now: Instant) -> bool {
+    fn has_free_slot(&self, now: Instant) -> bool {
         self.slot_load(now) <= 1.0
     }
 
-    pub(crate) fn is_healthy(&self, now: Instant) -> bool {
+    fn is_healthy(&self, now: Instant) -> bool {
         self.accepts_calls && now >= self.skipped_until && now >= self.busy_until
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,7 +5,6 @@
 //! between data centres is planned, [`TrafficPlanner`] decides at the leader how much leaves each of
 //! them, and [`TrafficPlan`] draws the data centre of a call at a node.
 
-mod call_placement;
 mod failure_penalty;
 mod health;
 mod least_loaded;
@@ -14,9 +13,6 @@
 mod traffic;
 mod two_choice;
 
-pub use call_placement::CallPlacement;
-pub use call_placement::FULL_REFUSALS_MAX;
-pub use call_placement::WaitRule;
 pub use least_loaded::LeastLoadedPicker;
 pub use least_loaded::PickerMember;
 pub use least_loaded::SendResult;
