--- a/crates/admit/src/entry.rs
+++ b/crates/admit/src/entry.rs
@@ -6,17 +6,13 @@
 //! fraction of each kind of request is admitted, the most important kinds first.
 
 mod admission;
-mod allocation;
 mod demand;
-mod division;
 mod fanout;
 mod mean_speed;
-mod origins;
 mod plan_gate;
 mod plan_history;
 mod planner;
 mod refusals;
-mod return_schedule;
 
 pub use admission::EntryAdmission;
 pub use admission::EntryDecision;
--- a/crates/admit/src/entry/admission.rs
+++ b/crates/admit/src/entry/admission.rs
@@ -7,9 +7,6 @@
 use model::entry::EntryShare;
 use model::entry::OfferedRequests;
 use model::entry::RequestKind;
-use model::ids::TeamName;
-
-use crate::entry::return_schedule::ReturnSchedule;
 
 /// Time for which a plan applies unchanged unless a newer one arrives, in milliseconds.
 const PLAN_VALID_MS: u64 = 2_500;
@@ -22,9 +19,12 @@
 /// Time to the deadline, relative to the longest seen for the kind, below which a request
 /// counts as a retry.
 const RETRY_BELOW: f64 = 0.97;
-/// Requests of a kind that may be admitted ahead of its fraction because they are retries,
-/// relative to that fraction; new requests make up for them.
-const RETRY_CREDIT: f64 = 4.0;
+/// Weight of the newest request in the moving average of the share of retries.
+const RETRY_WEIGHT: f64 = 0.02;
+/// Shortest and longest retry delay, relative to the target latency, or to the time to the
+/// deadline if that is shorter.
+const RETRY_DELAY_MIN: f64 = 0.15;
+const RETRY_DELAY_MAX: f64 = 0.6;
 /// Thousandths of a whole.
 const MILLI: f64 = 1000.0;
 
@@ -45,54 +45,43 @@
 pub struct EntryRequest<'a> {
     /// Kind of the request.
     pub kind: &'a RequestKind,
-    /// Team of the caller.
-    pub team: &'a TeamName,
     /// Time until the caller's deadline.
     pub time_left: Duration,
     /// Target latency: the time within which a response is worth most.
     pub target_latency: Duration,
 }
 
-/// Fraction of the requests to admit, and how much of it has been used.
-#[derive(Clone, Copy, Debug)]
-struct AdmissionCredit {
-    /// Fraction of the requests to admit, between 0 and 1.
-    admitted: f64,
-    /// Requests that the plan has admitted so far, less those that were admitted.
-    credit: f64,
-}
-
 /// Admission state of one kind of request.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct KindState {
-    /// Teams for which the plan names a fraction.
-    teams: HashMap<TeamName, AdmissionCredit>,
-    /// All other teams.
-    others: AdmissionCredit,
-    /// Requests of each team since the last report.
-    offered: HashMap<TeamName, u32>,
+    /// Fraction of the requests to admit, between 0 and 1.
+    admitted: f64,
+    /// Requests since the last report.
+    offered: u32,
     /// Longest time to the deadline seen; a retry has less.
     time_left_max: Duration,
-    returns: ReturnSchedule,
+    /// Moving average of the share of retries among the requests.
+    retries: f64,
 }
 
-impl Default for AdmissionCredit {
+impl Default for KindState {
     fn default() -> Self {
         Self {
             admitted: 1.0,
-            credit: 0.0,
+            offered: 0,
+            time_left_max: Duration::ZERO,
+            retries: 0.0,
         }
     }
 }
 
-/// Admits the fractions of the leader's plan.
+/// Admits requests at random, with the probabilities of the leader's plan.
 ///
 /// Load pattern: refused callers retry within their deadline while new requests
 /// arrive. Retries are admitted first, so that a caller who was told to wait is not
 /// refused again in favour of a new one. Without a plan, everything is admitted; the last
 /// plan stays in force when the leader changes in a burst, and is relaxed when none follows.
-/// Retry delays are spread evenly over the time in which there is capacity for the retries, and
-/// are short enough for a response in time while there are few of them.
+/// Retry delays are spread evenly, and short enough for a response in time.
 #[derive(Clone, Debug, Default)]
 pub struct EntryAdmission {
     kinds: HashMap<RequestKind, KindState>,
@@ -104,21 +93,9 @@
     /// Applies a new plan.
     pub fn apply_plan(&mut self, shares: &[EntryShare], now: Instant) {
         self.plan_received = Some(now);
-        let mut teams: HashMap<RequestKind, HashMap<TeamName, AdmissionCredit>> = HashMap::new();
         for share in shares {
-            let admitted = f64::from(share.admitted_milli) / MILLI;
             let kind = self.kind(&share.kind);
-            let Some(team) = &share.team else {
-                kind.others.admitted = admitted;
-                continue;
-            };
-            let known = kind.teams.get(team).copied().unwrap_or_default();
-            let credit = AdmissionCredit { admitted, ..known };
-            let teams = teams.entry(share.kind.clone()).or_default();
-            teams.insert(team.clone(), credit);
-        }
-        for (kind, state) in &mut self.kinds {
-            state.teams = teams.remove(kind).unwrap_or_default();
+            kind.admitted = f64::from(share.admitted_milli) / MILLI;
         }
     }
 
@@ -134,34 +111,20 @@
     ) -> EntryDecision {
         let relaxation = self.relaxation(now);
         let kind = self.kind(request.kind);
-        kind.count_offered(request.team);
+        kind.offered += 1;
         kind.time_left_max = kind.time_left_max.max(request.time_left);
-        let is_retry = kind.is_retry(request.time_left);
-        if kind
-            .credit(request.team)
-            .admits(is_retry, relaxation, random.0)
-        {
-            kind.returns.record_admitted(now);
+        let is_retry = request.time_left < kind.time_left_max.mul_f64(RETRY_BELOW);
+        let sample = f64::from(u8::from(is_retry));
+        kind.retries += RETRY_WEIGHT * (sample - kind.retries);
+        if random.0 < kind.admission_probability(is_retry, relaxation) {
             return EntryDecision::Admit;
         }
-        let EntryRequest {
-            time_left,
-            target_latency,
-            ..
-        } = request;
-        let returns = &mut kind.returns;
+        let delay = RETRY_DELAY_MIN + (RETRY_DELAY_MAX - RETRY_DELAY_MIN) * random.1;
         EntryDecision::Refuse {
-            retry_after: returns.schedule(target_latency, time_left, random.1, now),
+            retry_after: request.target_latency.min(request.time_left).mul_f64(delay),
         }
     }
 
-    /// Returns whether a request is a retry of one that was refused, by the time to its deadline.
-    #[must_use]
-    pub fn is_retry(&self, request: EntryRequest<'_>) -> bool {
-        let kind = self.kinds.get(request.kind);
-        kind.is_some_and(|kind| kind.is_retry(request.time_left))
-    }
-
     /// Returns whether an old plan is in force because no newer one arrived in time.
     #[must_use]
     pub fn is_plan_old(&self, now: Instant) -> bool {
@@ -184,9 +147,10 @@
     pub fn take_offered(&mut self) -> Vec<OfferedRequests> {
         let mut offered = Vec::new();
         for (kind, state) in &mut self.kinds {
-            for (team, count) in state.offered.drain() {
+            let count = std::mem::take(&mut state.offered);
+            if count > 0 {
                 let kind = kind.clone();
-                offered.push(OfferedRequests { kind, team, count });
+                offered.push(OfferedRequests { kind, count });
             }
         }
         offered
@@ -198,41 +162,23 @@
 }
 
 impl KindState {
-    fn is_retry(&self, time_left: Duration) -> bool {
-        time_left < self.time_left_max.mul_f64(RETRY_BELOW)
-    }
-
-    fn count_offered(&mut self, team: &TeamName) {
-        if let Some(count) = self.offered.get_mut(team) {
-            *count += 1;
-        } else {
-            self.offered.insert(team.clone(), 1);
-        }
-    }
-
-    fn credit(&mut self, team: &TeamName) -> &mut AdmissionCredit {
-        self.teams.get_mut(team).unwrap_or(&mut self.others)
-    }
-}
-
-impl AdmissionCredit {
-    /// Decides whether to admit a request, with a random number in `0..1`.
+    /// Returns the probability of admission.
     ///
-    /// Each request adds the fraction of the plan, raised to full admission by `relaxation`, to
-    /// the credit, and each admitted one uses 1 of it. Retries may overdraw it, so that they come
-    /// first as soon as there are any, and the sum stays that of the plan.
-    fn admits(&mut self, is_retry: bool, relaxation: f64, random: f64) -> bool {
+    /// Weighted by their shares, the probabilities of retries and of new requests add up to
+    /// the admitted fraction of the plan, raised to full admission by `relaxation`.
+    fn admission_probability(&self, is_retry: bool, relaxation: f64) -> f64 {
         if relaxation >= 1.0 {
-            self.credit = 0.0;
-            return true;
+            return 1.0;
         }
         let admitted = self.admitted + (1.0 - self.admitted) * relaxation;
-        self.credit += admitted;
-        let overdraft = f64::from(u8::from(is_retry)) * RETRY_CREDIT * admitted;
-        let is_admitted = random < self.credit + overdraft;
-        if is_admitted {
-            self.credit -= 1.0;
+        let retries = self.retries.clamp(0.0, 1.0);
+        if is_retry {
+            return if retries <= admitted {
+                1.0
+            } else {
+                admitted / retries
+            };
         }
-        is_admitted
+        ((admitted - retries) / (1.0 - retries).max(0.01)).clamp(0.0, 1.0)
     }
 }
--- a/crates/admit/src/entry/demand.rs
+++ b/crates/admit/src/entry/demand.rs
@@ -5,16 +5,12 @@
 use model::entry::RequestKind;
 use model::ids::ServiceName;
 
-use crate::entry::allocation::ServiceRooms;
-use crate::entry::division::KindOrigins;
 use crate::entry::refusals::ServerRefusals;
 
 /// Ratio of the success probabilities that weighs as much as one step of route priority.
 ///
 /// A kind goes behind the next lower priority when its requests succeed less than half as often.
 const SUCCESS_PER_PRIORITY: f64 = 2.0;
-/// Smallest room of a service that is told apart, in slots.
-const SLOT_MIN: f64 = 1.0;
 /// Smallest probability of success that is told apart.
 const SUCCESS_MIN: f64 = 1e-6;
 
@@ -35,8 +31,6 @@
     /// Offered requests per second.
     pub(super) rate: f64,
     pub(super) needs: Vec<ServiceNeed>,
-    /// Where the requests come from.
-    pub(super) origins: KindOrigins,
 }
 
 impl KindDemand {
@@ -55,49 +49,26 @@
         f64::from(self.kind.route_priority) + lowered.max(0.0)
     }
 
-    /// Returns the fraction of the requests that is not a burst.
-    pub(super) fn regular_fraction(&self) -> f64 {
-        self.origins.regular_fraction()
-    }
-
-    /// Returns the fraction of the scarce rooms that the calls of one request use together.
-    fn scarce_cost(&self, scarce: &ServiceRooms) -> f64 {
-        let needs = self.needs.iter();
-        let costs = needs.filter_map(|need| {
-            let room = scarce.get(&need.service)?;
-            Some(need.slot_s / room.max(SLOT_MIN))
-        });
-        costs.sum()
-    }
-
     fn total_slot_s(&self) -> f64 {
         self.needs.iter().map(|need| need.slot_s).sum()
     }
 
     /// Compares two kinds, the one admitted first being the lesser.
-    fn compare(&self, other: &Self, refusals: &ServerRefusals, scarce: &ServiceRooms) -> Ordering {
+    fn compare(&self, other: &Self, refusals: &ServerRefusals) -> Ordering {
         let priority = self.effective_priority(refusals);
         priority
             .total_cmp(&other.effective_priority(refusals))
             .then(self.kind.team_priority.cmp(&other.kind.team_priority))
-            .then(
-                self.scarce_cost(scarce)
-                    .total_cmp(&other.scarce_cost(scarce)),
-            )
             .then(self.total_slot_s().total_cmp(&other.total_slot_s()))
     }
 }
 
-/// Sorts kinds into the order of admission: the most valuable first; among equals, the one whose
-/// calls use the least of the services with `scarce` room.
+/// Sorts kinds into the order of admission: the most valuable first, the cheapest first among
+/// equals.
 ///
 /// The value of a request is the priority of its route. Where servers refuse calls, it is weighed
 /// by the probability that the request succeeds, so that kinds with many calls on such a service
 /// are cut before kinds with one.
-pub(super) fn sort_by_value(
-    kinds: &mut [KindDemand],
-    refusals: &ServerRefusals,
-    scarce: &ServiceRooms,
-) {
-    kinds.sort_by(|a, b| a.compare(b, refusals, scarce));
+pub(super) fn sort_by_value(kinds: &mut [KindDemand], refusals: &ServerRefusals) {
+    kinds.sort_by(|a, b| a.compare(b, refusals));
 }
--- a/crates/admit/src/entry/planner.rs
+++ b/crates/admit/src/entry/planner.rs
@@ -11,24 +11,16 @@
 use model::entry::RequestKind;
 use model::entry::ServerCapacity;
 use model::entry::WorkReport;
-use model::ids::DataCentreName;
 use model::ids::NodeId;
 use model::ids::RouteName;
 use model::ids::ServiceName;
 use model::share::to_milli;
 
-use crate::entry::allocation::ServiceRooms;
-use crate::entry::allocation::admit_up_to;
-use crate::entry::allocation::min_fraction;
-use crate::entry::allocation::scarce_rooms;
 use crate::entry::demand::KindDemand;
 use crate::entry::demand::ServiceNeed;
 use crate::entry::demand::sort_by_value;
-use crate::entry::division::KindOrigins;
 use crate::entry::fanout::CallFanout;
 use crate::entry::mean_speed::MeanSpeed;
-use crate::entry::origins::OriginRates;
-use crate::entry::origins::RequestOrigin;
 use crate::entry::plan_history::LoadRatios;
 use crate::entry::plan_history::PlanHistory;
 use crate::entry::refusals::ServerRefusals;
@@ -39,6 +31,11 @@
 const RATE_DECAY: f64 = 0.7;
 /// Weight of the newest window in the moving average of service times.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
+/// Fraction of every kind that is admitted before more important kinds are admitted in full,
+/// so that no kind and no team starves.
+const MIN_FRACTION: f64 = 0.15;
+/// Fraction of a service's capacity that these minimum fractions may take together.
+const MIN_FRACTION_CAPACITY: f64 = 0.7;
 /// Change of a service's capacity correction for each second and unit of utilisation error.
 const CORRECTION_PER_S: f64 = 0.8;
 /// Smallest and largest capacity correction.
@@ -93,7 +90,6 @@
     fanout: CallFanout,
     refusals: ServerRefusals,
     history: PlanHistory,
-    origins: OriginRates,
     /// Factor by which the capacity of each service is corrected.
     corrections: HashMap<ServiceName, f64>,
     /// Services whose capacity limited some kind in the last plan.
@@ -141,9 +137,9 @@
         for rate in offered.values_mut() {
             *rate *= RATE_DECAY;
         }
-        for (kind, rate) in self.count_offered(&place.data_centre, work, now) {
-            let rate = rate / window_s;
-            let known = offered.entry(kind).or_default();
+        for kind in &work.offered {
+            let rate = f64::from(kind.count) / window_s;
+            let known = offered.entry(kind.kind.clone()).or_default();
             *known = if rate > *known {
                 rate
             } else {
@@ -170,26 +166,6 @@
             .count()
     }
 
-    /// Counts the offered requests of the origins; returns those of each kind.
-    fn count_offered(
-        &mut self,
-        data_centre: &DataCentreName,
-        work: &WorkReport,
-        now: Instant,
-    ) -> BTreeMap<RequestKind, f64> {
-        let mut counts: BTreeMap<RequestKind, f64> = BTreeMap::new();
-        for offered in &work.offered {
-            *counts.entry(offered.kind.clone()).or_default() += f64::from(offered.count);
-            let origin = RequestOrigin {
-                kind: offered.kind.clone(),
-                data_centre: data_centre.clone(),
-                team: offered.team.clone(),
-            };
-            self.origins.add(origin, offered.count, now);
-        }
-        counts
-    }
-
     /// Counts the calls that callers asked for, and those that the node's server refused.
     fn note_refusals(&mut self, service: &ServiceName, work: &WorkReport) {
         for run in &work.runs {
@@ -233,43 +209,35 @@
             .replace(now)
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.refusals.decay(elapsed);
-        self.origins.update(now);
-        let mut kinds = self.kinds();
+        let kinds = self.kinds_by_priority();
         let ratios = self
             .history
             .load_ratios(&kinds, self.effect_delay(now), now);
         self.update_corrections(&capacities, &ratios, elapsed);
         let rooms = self.rooms(&capacities);
-        let scarce = scarce_rooms(&kinds, &rooms);
-        sort_by_value(&mut kinds, &self.refusals, &scarce);
-        let fractions = self.allocate(&kinds, &rooms);
-        let planned = kinds.iter().zip(&fractions);
-        let planned = planned.map(|(demand, fraction)| (demand.kind.clone(), *fraction));
-        self.history.push(planned.collect(), now);
-        let planned = kinds.iter().zip(fractions);
-        planned
-            .flat_map(|(demand, fraction)| demand.origins.shares(&demand.kind, fraction))
-            .collect()
-    }
-
-    /// Returns the fraction of each kind to admit, in the order of the kinds.
-    ///
-    /// Bursts come last, so that their own kinds pay for them.
-    fn allocate(&mut self, kinds: &[KindDemand], rooms: &ServiceRooms) -> Vec<f64> {
         let mut remaining = rooms.clone();
         let mut fractions = vec![0.0; kinds.len()];
-        let minimum = min_fraction(kinds, &remaining);
-        admit_up_to(|_| minimum, kinds, &mut fractions, &mut remaining);
-        self.deduct_lost_rooms(rooms, &mut remaining);
-        let regular = KindDemand::regular_fraction;
-        let mut limiting = admit_up_to(regular, kinds, &mut fractions, &mut remaining);
-        limiting.extend(admit_up_to(|_| 1.0, kinds, &mut fractions, &mut remaining));
-        self.bottlenecks = limiting;
-        fractions
+        let minimum = min_fraction(&kinds, &remaining);
+        admit_up_to(minimum, &kinds, &mut fractions, &mut remaining);
+        self.deduct_lost_rooms(&rooms, &mut remaining);
+        self.bottlenecks = admit_up_to(1.0, &kinds, &mut fractions, &mut remaining);
+        let kinds = kinds.into_iter().map(|demand| demand.kind);
+        let planned: Vec<(RequestKind, f64)> = kinds.zip(fractions).collect();
+        self.history.push(planned.iter().cloned().collect(), now);
+        let shares = planned.into_iter();
+        shares
+            .map(|(kind, fraction)| EntryShare {
+                kind,
+                admitted_milli: to_milli(fraction),
+            })
+            .collect()
     }
 
     /// Returns the slots of each service that the plan may fill.
-    fn rooms(&self, capacities: &HashMap<ServiceName, ServiceCapacity>) -> ServiceRooms {
+    fn rooms(
+        &self,
+        capacities: &HashMap<ServiceName, ServiceCapacity>,
+    ) -> HashMap<ServiceName, f64> {
         let capacities = capacities.iter();
         capacities
             .map(|(service, capacity)| {
@@ -284,7 +252,11 @@
     ///
     /// The minimum fractions come before it, so that no kind starves and the end of the refusals
     /// is noticed also when the servers refused every call.
-    fn deduct_lost_rooms(&self, rooms: &ServiceRooms, remaining: &mut ServiceRooms) {
+    fn deduct_lost_rooms(
+        &self,
+        rooms: &HashMap<ServiceName, f64>,
+        remaining: &mut HashMap<ServiceName, f64>,
+    ) {
         for (service, room) in rooms {
             let lost = room * self.refusals.lost_share(service);
             if let Some(free) = remaining.get_mut(service) {
@@ -312,42 +284,22 @@
             }
             line.push(' ');
         }
-        let mut kinds = self.kinds();
-        let scarce = scarce_rooms(&kinds, &self.rooms(&self.capacities()));
-        sort_by_value(&mut kinds, &self.refusals, &scarce);
-        for demand in kinds {
-            self.explain_kind(&demand, plan, &mut line);
+        for KindDemand { kind, rate, needs } in self.kinds_by_priority() {
+            let share = plan.iter().find(|share| share.kind == kind);
+            let part = share.map_or(0, |share| share.admitted_milli);
+            let (route, team) = (&kind.route, kind.team_priority);
+            let _ = write!(line, "{route}/{team}:rate={rate:.0},part={part}");
+            for ServiceNeed {
+                service, slot_s, ..
+            } in needs
+            {
+                let _ = write!(line, ",{service}={slot_s:.3}");
+            }
+            line.push(' ');
         }
         line
     }
 
-    /// Adds the inputs of one kind and its admitted fraction; also the part that is no burst and
-    /// the team and data centre that pay most, if not all of it is admitted.
-    fn explain_kind(&self, demand: &KindDemand, plan: &[EntryShare], line: &mut String) {
-        let KindDemand { kind, rate, .. } = demand;
-        let part = to_milli(self.history.latest_fraction(kind));
-        let (route, team) = (&kind.route, kind.team_priority);
-        let _ = write!(line, "{route}/{team}:rate={rate:.0},part={part}");
-        for ServiceNeed {
-            service, slot_s, ..
-        } in &demand.needs
-        {
-            let _ = write!(line, ",{service}={slot_s:.3}");
-        }
-        let shares = plan.iter().filter(|share| share.kind == *kind);
-        let least = shares.min_by_key(|share| share.admitted_milli);
-        if let Some(least) = least.filter(|share| share.admitted_milli < to_milli(1.0)) {
-            let regular = to_milli(demand.regular_fraction());
-            let team = least.team.as_deref().unwrap_or("*");
-            let (data_centre, least) = (&least.data_centre, least.admitted_milli);
-            let _ = write!(
-                line,
-                ",regular={regular},least={team}@{data_centre}:{least}"
-            );
-        }
-        line.push(' ');
-    }
-
     fn capacities(&self) -> HashMap<ServiceName, ServiceCapacity> {
         let mut capacities: HashMap<ServiceName, ServiceCapacity> = HashMap::new();
         for state in self.nodes.values() {
@@ -408,26 +360,23 @@
         }
     }
 
-    /// Returns the kinds of requests with their rates, needs and origins.
-    fn kinds(&self) -> Vec<KindDemand> {
-        let mut kinds: BTreeMap<RequestKind, (f64, KindOrigins)> = BTreeMap::new();
-        for (kind, rate) in self.nodes.values().flat_map(|state| &state.offered) {
-            kinds.entry(kind.clone()).or_default().0 += rate;
-        }
-        for (origin, rate) in self.origins.rates() {
-            if let Some((_, origins)) = kinds.get_mut(&origin.kind) {
-                origins.add(&origin.data_centre, &origin.team, rate);
+    /// Returns the kinds of requests with their rates and needs, in the order of admission.
+    fn kinds_by_priority(&self) -> Vec<KindDemand> {
+        let mut rates: BTreeMap<RequestKind, f64> = BTreeMap::new();
+        for state in self.nodes.values() {
+            for (kind, rate) in &state.offered {
+                *rates.entry(kind.clone()).or_default() += rate;
             }
         }
-        let kinds = kinds.into_iter();
-        kinds
-            .map(|(kind, (rate, origins))| KindDemand {
-                rate,
-                needs: self.needs_of(&kind.route),
-                kind,
-                origins,
+        let mut kinds: Vec<_> = rates
+            .into_iter()
+            .map(|(kind, rate)| {
+                let needs = self.needs_of(&kind.route);
+                KindDemand { kind, rate, needs }
             })
-            .collect()
+            .collect();
+        sort_by_value(&mut kinds, &self.refusals);
+        kinds
     }
 
     /// Returns what one request on a route needs of each service.
@@ -461,3 +410,66 @@
             .collect()
     }
 }
+
+/// Returns the fraction of every kind that is admitted first.
+///
+/// It is smaller when a service has lost most of its capacity, so that what is left goes to the
+/// important kinds.
+fn min_fraction(kinds: &[KindDemand], remaining: &HashMap<ServiceName, f64>) -> f64 {
+    let mut loads: HashMap<&ServiceName, f64> = HashMap::new();
+    for demand in kinds {
+        for need in &demand.needs {
+            *loads.entry(&need.service).or_default() += need.slot_s * demand.rate * MIN_FRACTION;
+        }
+    }
+    let fractions = loads.into_iter().filter_map(|(service, load)| {
+        let capacity = remaining.get(service)?.max(0.0) * MIN_FRACTION_CAPACITY;
+        (load > capacity).then(|| MIN_FRACTION * capacity / load)
+    });
+    fractions.fold(MIN_FRACTION, f64::min)
+}
+
+/// Raises the fractions of the kinds in their order up to `target` where capacity remains, and
+/// returns the services that limited some kind.
+fn admit_up_to(
+    target: f64,
+    kinds: &[KindDemand],
+    fractions: &mut [f64],
+    remaining: &mut HashMap<ServiceName, f64>,
+) -> Vec<ServiceName> {
+    let mut limiting = Vec::new();
+    for (demand, admitted) in kinds.iter().zip(fractions) {
+        let wanted = target - *admitted;
+        let (fraction, bottlenecks) = fitting_fraction(wanted, demand, remaining);
+        *admitted += fraction;
+        limiting.extend(bottlenecks);
+        for need in &demand.needs {
+            if let Some(free) = remaining.get_mut(&need.service) {
+                *free -= need.slot_s * demand.rate * fraction;
+            }
+        }
+    }
+    limiting
+}
+
+/// Returns the fraction of a kind that fits into the remaining capacity, and the services that
+/// limit it.
+fn fitting_fraction(
+    wanted: f64,
+    demand: &KindDemand,
+    remaining: &HashMap<ServiceName, f64>,
+) -> (f64, Vec<ServiceName>) {
+    let mut fraction = wanted;
+    let mut bottlenecks = Vec::new();
+    for need in &demand.needs {
+        let Some(capacity) = remaining.get(&need.service) else {
+            continue;
+        };
+        let load = need.slot_s * demand.rate;
+        if load * wanted > *capacity && load > 0.0 {
+            fraction = fraction.min(capacity.max(0.0) / load);
+            bottlenecks.push(need.service.clone());
+        }
+    }
+    (fraction, bottlenecks)
+}
--- a/crates/admit/src/slot_limiter.rs
+++ b/crates/admit/src/slot_limiter.rs
@@ -2,6 +2,7 @@
 
 mod occupancy;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,8 +13,6 @@
 use crate::AbandonedCalls;
 use crate::ColdPacer;
 use crate::PaceLimit;
-use crate::slot_queue::CallTiming;
-use crate::slot_queue::SlotQueue;
 
 /// Slots assumed before the backend server announces its own.
 const SLOTS_DEFAULT: u32 = 32;
@@ -22,6 +21,10 @@
 const FULL_SPEED_FRACTION: f64 = 0.95;
 /// Fewest slots of a backend server of which some are kept free. Of fewer, one slot is too much.
 const RESERVE_SLOTS_MIN: u32 = 20;
+/// Fraction of the time to its deadline that a call may wait.
+const WAIT_FRACTION: f64 = 0.3;
+/// Longest wait of any call, in milliseconds.
+const WAIT_MAX_MS: u64 = 400;
 /// Weight of the newest service time in the moving average.
 const SERVICE_WEIGHT: f64 = 0.05;
 /// Shortest and longest retry delay returned to refused callers, in milliseconds.
@@ -49,18 +52,31 @@
     pub started: Vec<u64>,
     /// Refused calls, each with the delay after which a slot may be free.
     pub refused: Vec<(u64, Duration)>,
-    /// Number of calls that stay in the queue, but behind those that can meet their target.
-    pub demoted: usize,
+}
+
+/// A queued call.
+#[derive(Clone, Copy, Debug)]
+struct QueuedCall {
+    id: u64,
+    /// Time at which the call is refused if it has not started.
+    wait_until: Instant,
+}
+
+/// Sort key of the queue: the most important calls first, in order of arrival among equals.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct QueueKey {
+    /// The complement of the importance, so that the most important calls sort first.
+    inverse_importance: u8,
+    arrival: u64,
 }
 
 /// Concurrency limiter for one backend server with a known number of slots.
 ///
 /// Load pattern: more calls than slots for several seconds. As many calls run as
 /// there are slots, so that the backend server itself queues and sheds nothing.
-/// The rest wait here by importance, among equals by target latency; a call that can no
-/// longer meet its target goes behind those that can. A call that would start too late is
-/// refused at once, and one that waits leaves the queue early enough for another server to
-/// meet its target.
+/// The rest wait here in a priority queue, for a limited part of the time to their
+/// deadline. A call that would start too late is refused at once, early enough for
+/// the caller to try elsewhere.
 ///
 /// Calls that were given up while the server may still run them occupy slots until the server
 /// reports otherwise or their deadline is over; see [`AbandonedCalls`].
@@ -74,7 +90,8 @@
     keeps_full_speed: bool,
     running: u32,
     abandoned: AbandonedCalls,
-    queue: SlotQueue,
+    queue: BTreeMap<QueueKey, QueuedCall>,
+    arrivals: u64,
     service_s: f64,
     /// Only for a backend server whose service limits the rate while it is cold.
     pacer: Option<ColdPacer>,
@@ -87,7 +104,8 @@
             keeps_full_speed: false,
             running: 0,
             abandoned: AbandonedCalls::default(),
-            queue: SlotQueue::default(),
+            queue: BTreeMap::new(),
+            arrivals: 0,
             service_s: 0.0,
             pacer: None,
         }
@@ -186,12 +204,12 @@
         true
     }
 
-    /// Runs, queues or refuses a call.
+    /// Runs, queues or refuses a call with `time_left` until its deadline.
     pub fn offer(
         &mut self,
         id: u64,
         rank: CallRank,
-        timing: CallTiming,
+        time_left: Duration,
         now: Instant,
     ) -> SlotDecision {
         let is_free = self.running < self.open_slots() && self.queue.is_empty();
@@ -200,17 +218,23 @@
             self.record_start(now);
             return SlotDecision::Run;
         }
-        let service = Duration::from_secs_f64(self.service_s);
-        let (on_time, behind) = self.queue.places(rank.importance(), timing, service, now);
-        for place in on_time.into_iter().chain(behind) {
-            let position = self.queue.ahead(&place) + 1;
-            if place.allows(self.expected_wait(position, now)) {
-                self.queue.insert(id, place);
-                return SlotDecision::Wait;
-            }
+        let key = QueueKey {
+            inverse_importance: u8::MAX - rank.importance(),
+            arrival: self.arrivals,
+        };
+        let max_wait = time_left
+            .mul_f64(WAIT_FRACTION)
+            .min(Duration::from_millis(WAIT_MAX_MS));
+        let ahead = self.queue.range(..key).count();
+        let wait = self.expected_wait(ahead + 1, now);
+        if wait > max_wait {
+            let retry_after = self.retry_after(now);
+            return SlotDecision::Refuse { retry_after };
         }
-        let retry_after = self.retry_after(now);
-        SlotDecision::Refuse { retry_after }
+        self.arrivals += 1;
+        let wait_until = now + max_wait;
+        self.queue.insert(key, QueuedCall { id, wait_until });
+        SlotDecision::Wait
     }
 
     /// Ends a running call and starts queued ones; `service` is the service time of a call that
@@ -230,29 +254,36 @@
 
     /// Removes a queued call that was cancelled.
     pub fn cancel_queued(&mut self, id: u64) {
-        self.queue.remove(id);
+        self.queue.retain(|_, call| call.id != id);
     }
 
     /// Starts queued calls while slots are free, and refuses those that waited too long.
     pub fn process_queue(&mut self, now: Instant) -> DequeuedCalls {
         self.abandoned.expire(now);
-        let service = Duration::from_secs_f64(self.service_s);
-        let expired = self.queue.take_expired(now);
-        let mut dequeued = DequeuedCalls {
-            demoted: self.queue.demote_late(service, now),
-            ..DequeuedCalls::default()
-        };
+        let mut dequeued = DequeuedCalls::default();
         while self.running < self.open_slots() && self.next_start(now) <= now {
-            let Some(id) = self.queue.pop_first() else {
+            let Some((_, call)) = self.queue.pop_first() else {
                 break;
             };
+            if now >= call.wait_until {
+                dequeued.refused.push((call.id, self.retry_after(now)));
+                continue;
+            }
             self.running += 1;
             self.record_start(now);
-            dequeued.started.push(id);
+            dequeued.started.push(call.id);
+        }
+        let expired: Vec<QueueKey> = self
+            .queue
+            .iter()
+            .filter(|(_, call)| now >= call.wait_until)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in expired {
+            if let Some(call) = self.queue.remove(&key) {
+                dequeued.refused.push((call.id, self.retry_after(now)));
+            }
         }
-        let retry_after = self.retry_after(now);
-        let refused = expired.into_iter();
-        dequeued.refused = refused.map(|id| (id, retry_after)).collect();
         dequeued
     }
 
--- a/crates/admit/tests/abandoned_calls.rs
+++ b/crates/admit/tests/abandoned_calls.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use admit::AbandonReason;
-use admit::CallTiming;
 use admit::SlotDecision;
 use admit::SlotLimiter;
 use model::context::CallRank;
@@ -17,12 +16,7 @@
     let mut limiter = SlotLimiter::default();
     limiter.set_slots(SLOTS);
     for id in 0..u64::from(SLOTS) {
-        let timing = CallTiming {
-            time_left: 900 * MS,
-            target_left: 900 * MS,
-            has_alternative: false,
-        };
-        let decision = limiter.offer(id, CallRank::new(1, 0, 0), timing, now);
+        let decision = limiter.offer(id, CallRank::new(1, 0, 0), 900 * MS, now);
         assert_eq!(decision, SlotDecision::Run);
     }
     limiter.note_report(Some(SLOTS), now);
--- a/crates/admit/tests/cold_pacer.rs
+++ b/crates/admit/tests/cold_pacer.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use admit::CallTiming;
 use admit::ColdPacer;
 use admit::PaceLimit;
 use admit::SlotDecision;
@@ -34,12 +33,7 @@
 }
 
 fn offer(limiter: &mut SlotLimiter, id: u64, now: Instant) -> SlotDecision {
-    let timing = CallTiming {
-        time_left: 5 * SECOND,
-        target_left: 5 * SECOND,
-        has_alternative: false,
-    };
-    limiter.offer(id, CallRank::new(1, 0, 0), timing, now)
+    limiter.offer(id, CallRank::new(1, 0, 0), 5 * SECOND, now)
 }
 
 /// Returns the most times within one second.
--- a/crates/admit/tests/entry.rs
+++ b/crates/admit/tests/entry.rs
@@ -16,9 +16,7 @@
 use model::entry::ServerCapacity;
 use model::entry::WorkReport;
 use model::ids::RouteName;
-use model::ids::TeamName;
 
-const TEAM: &str = "team";
 const WINDOW: Duration = Duration::from_millis(300);
 
 fn kind(route: &str, route_order: u8, team_order: u8) -> RequestKind {
@@ -101,7 +99,6 @@
                 window_ms: 300,
                 offered: offered
                     .map(|(kind, rate)| OfferedRequests {
-                        team: Arc::from(TEAM),
                         kind: kind.clone(),
                         count: count(*rate),
                     })
@@ -112,7 +109,6 @@
                 refused: 0,
             };
             let place = ServerCapacity {
-                data_centre: Arc::from("a"),
                 service: Arc::from(service),
                 slots,
                 pace: None,
@@ -233,7 +229,6 @@
         let work = WorkReport {
             window_ms: 300,
             offered: vec![OfferedRequests {
-                team: Arc::from(TEAM),
                 kind: kind("quote", 2, 0),
                 count: 120,
             }],
@@ -243,7 +238,6 @@
             refused,
         };
         let place = ServerCapacity {
-            data_centre: Arc::from("a"),
             service: Arc::from("quotes"),
             slots: 50,
             pace: None,
@@ -259,8 +253,6 @@
 fn with_plan(part_milli: u16, now: Instant) -> EntryAdmission {
     let mut admission = EntryAdmission::default();
     let share = EntryShare {
-        team: None,
-        data_centre: Arc::from("a"),
         kind: kind("quote", 2, 0),
         admitted_milli: part_milli,
     };
@@ -272,10 +264,8 @@
 /// fractions of new requests and of retries that were admitted.
 fn offer(admission: &mut EntryAdmission, now: Instant) -> (f64, f64) {
     let kind = kind("quote", 2, 0);
-    let team = TeamName::from(TEAM);
     let request = |time_left_ms| EntryRequest {
         kind: &kind,
-        team: &team,
         time_left: Duration::from_millis(time_left_ms),
         target_latency: Duration::from_millis(1500),
     };
@@ -317,10 +307,8 @@
 fn the_retry_delay_leaves_time_for_a_response_within_the_target_latency() {
     let now = Instant::now();
     let kind = kind("quote", 2, 0);
-    let team = TeamName::from(TEAM);
     let request = EntryRequest {
         kind: &kind,
-        team: &team,
         time_left: Duration::from_secs(5),
         target_latency: Duration::from_millis(1500),
     };
@@ -339,10 +327,8 @@
 fn all_requests_are_admitted_without_a_plan_or_when_it_is_fully_relaxed() {
     let now = Instant::now();
     let kind = kind("quote", 2, 0);
-    let team = TeamName::from(TEAM);
     let request = EntryRequest {
         kind: &kind,
-        team: &team,
         time_left: Duration::from_secs(5),
         target_latency: Duration::from_millis(1500),
     };
--- a/crates/admit/tests/entry_load/leader_change.rs
+++ b/crates/admit/tests/entry_load/leader_change.rs
@@ -1,6 +1,5 @@
 //! The leader changes in the middle of a burst, over 59 nodes.
 
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,9 +11,7 @@
 use admit::PlanInputs;
 use model::entry::EntryShare;
 use model::entry::WorkReport;
-use model::ids::TeamName;
 
-use crate::support::TEAM;
 use crate::support::WINDOW_MS;
 use crate::support::offer;
 use crate::support::place;
@@ -111,16 +108,12 @@
 fn an_old_plan_is_kept_and_relaxed_evenly() {
     let start = Instant::now();
     let kind = offer("quote", 2, BURST).kind;
-    let team = TeamName::from(TEAM);
     let request = EntryRequest {
         kind: &kind,
-        team: &team,
         time_left: Duration::from_secs(5),
         target_latency: Duration::from_millis(1500),
     };
     let share = EntryShare {
-        team: None,
-        data_centre: Arc::from("a"),
         kind: kind.clone(),
         admitted_milli: 400,
     };
--- a/crates/admit/tests/entry_load/support.rs
+++ b/crates/admit/tests/entry_load/support.rs
@@ -8,8 +8,6 @@
 use model::entry::ServerCapacity;
 use model::ids::RouteName;
 
-/// Team of all requests that name no other.
-pub(crate) const TEAM: &str = "team";
 /// Length of the window of a report, in milliseconds.
 pub(crate) const WINDOW_MS: u32 = 300;
 
@@ -20,11 +18,7 @@
         route: RouteName::from(route),
     };
     let count = whole(count);
-    OfferedRequests {
-        kind,
-        team: Arc::from(TEAM),
-        count,
-    }
+    OfferedRequests { kind, count }
 }
 
 /// Calls of which some were refused by the server and the others took `busy_ms` each.
@@ -40,7 +34,6 @@
 
 pub(crate) fn place(service: &str, slots: u32) -> ServerCapacity {
     ServerCapacity {
-        data_centre: Arc::from("a"),
         service: Arc::from(service),
         slots,
         pace: None,
--- a/crates/admit/tests/slot_limiter.rs
+++ b/crates/admit/tests/slot_limiter.rs
@@ -5,22 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use admit::CallTiming;
 use admit::SlotDecision;
 use admit::SlotLimiter;
 use model::context::CallRank;
 
 const MS: Duration = Duration::from_millis(1);
 
-/// Timing of a call with a target of 500 ms and no other server.
-fn left(time_left: Duration) -> CallTiming {
-    CallTiming {
-        time_left,
-        target_left: 500 * MS,
-        has_alternative: false,
-    }
-}
-
 fn rank(importance: u8) -> CallRank {
     CallRank::new(importance, 0, 0)
 }
@@ -30,18 +20,9 @@
     let mut limiter = SlotLimiter::default();
     limiter.set_slots(2);
     let now = Instant::now();
-    assert_eq!(
-        limiter.offer(1, rank(1), left(500 * MS), now),
-        SlotDecision::Run
-    );
-    assert_eq!(
-        limiter.offer(2, rank(1), left(500 * MS), now),
-        SlotDecision::Run
-    );
-    assert_eq!(
-        limiter.offer(3, rank(1), left(500 * MS), now),
-        SlotDecision::Wait
-    );
+    assert_eq!(limiter.offer(1, rank(1), 500 * MS, now), SlotDecision::Run);
+    assert_eq!(limiter.offer(2, rank(1), 500 * MS, now), SlotDecision::Run);
+    assert_eq!(limiter.offer(3, rank(1), 500 * MS, now), SlotDecision::Wait);
     let dequeued = limiter.finish(Some(30 * MS), now + 30 * MS);
     assert_eq!(dequeued.started, [3]);
 }
@@ -51,9 +32,9 @@
     let mut limiter = SlotLimiter::default();
     limiter.set_slots(1);
     let now = Instant::now();
-    limiter.offer(1, rank(1), left(500 * MS), now);
-    limiter.offer(2, rank(1), left(500 * MS), now);
-    limiter.offer(3, rank(9), left(500 * MS), now);
+    limiter.offer(1, rank(1), 500 * MS, now);
+    limiter.offer(2, rank(1), 500 * MS, now);
+    limiter.offer(3, rank(9), 500 * MS, now);
     assert_eq!(limiter.finish(None, now).started, [3]);
     assert_eq!(limiter.finish(None, now).started, [2]);
 }
@@ -63,8 +44,8 @@
     let mut limiter = SlotLimiter::default();
     limiter.set_slots(1);
     let now = Instant::now();
-    limiter.offer(1, rank(1), left(500 * MS), now);
-    limiter.offer(2, rank(1), left(100 * MS), now);
+    limiter.offer(1, rank(1), 500 * MS, now);
+    limiter.offer(2, rank(1), 100 * MS, now);
     let dequeued = limiter.finish(Some(400 * MS), now + 400 * MS);
     assert!(dequeued.started.is_empty());
     assert_eq!(dequeued.refused[0].0, 2);
@@ -75,17 +56,14 @@
     let mut limiter = SlotLimiter::default();
     limiter.set_slots(1);
     let now = Instant::now();
-    limiter.offer(0, rank(1), left(500 * MS), now);
+    limiter.offer(0, rank(1), 500 * MS, now);
     limiter.finish(Some(100 * MS), now);
-    limiter.offer(1, rank(1), left(500 * MS), now);
-    limiter.offer(2, rank(1), left(600 * MS), now);
-    let refused = limiter.offer(3, rank(1), left(500 * MS), now);
+    limiter.offer(1, rank(1), 500 * MS, now);
+    limiter.offer(2, rank(1), 600 * MS, now);
+    let refused = limiter.offer(3, rank(1), 500 * MS, now);
     assert!(matches!(refused, SlotDecision::Refuse { .. }));
     // A call of a higher rank than all queued ones is first in the queue.
-    assert_eq!(
-        limiter.offer(4, rank(2), left(500 * MS), now),
-        SlotDecision::Wait
-    );
+    assert_eq!(limiter.offer(4, rank(2), 500 * MS, now), SlotDecision::Wait);
 }
 
 /// Load pattern: twice as many calls as the slots can serve. The slots must stay busy without
@@ -110,7 +88,7 @@
         }
         for _ in 0..2 {
             offered += 1;
-            if limiter.offer(offered, rank(1), left(700 * MS), now) == SlotDecision::Run {
+            if limiter.offer(offered, rank(1), 700 * MS, now) == SlotDecision::Run {
                 ends.push(Reverse(now + service));
             }
         }
@@ -135,7 +113,7 @@
         limiter.set_keeps_full_speed(keeps);
         assert_eq!(limiter.load().limit, limit, "{slots}");
         let now = Instant::now();
-        let mut offer = |id| limiter.offer(id, CallRank::MAX, left(Duration::from_secs(5)), now);
+        let mut offer = |id| limiter.offer(id, CallRank::MAX, Duration::from_secs(5), now);
         let started = (0..200).filter(|id| offer(*id) == SlotDecision::Run);
         assert_eq!(started.count(), limit as usize, "{slots}");
     }
--- a/crates/daemon/tests/fleet/peer.rs
+++ b/crates/daemon/tests/fleet/peer.rs
@@ -72,8 +72,6 @@
             repeated: false,
             rank: CallRank::MAX,
             time_left: self.time_left,
-            target_left: self.time_left,
-            has_alternative: false,
             team: None,
             caller_service: Arc::from("stock"),
         };
--- a/crates/fleet/src/node_message.rs
+++ b/crates/fleet/src/node_message.rs
@@ -43,10 +43,6 @@
     pub rank: CallRank,
     /// Time left until the caller's deadline.
     pub time_left: Duration,
-    /// Time left until the target latency of the call; zero once that has passed.
-    pub target_left: Duration,
-    /// Whether the sender tries another server if this attempt is refused before it reaches one.
-    pub has_alternative: bool,
     /// Team whose key authenticated the request.
     pub team: Option<TeamName>,
     /// Service of the node that forwards the call.
--- a/crates/group/src/capacity.rs
+++ b/crates/group/src/capacity.rs
@@ -11,7 +11,6 @@
     let is_evacuated = evacuations.contains(&record.data_centre);
     let is_used = record.accepts_calls && !is_evacuated;
     ServerCapacity {
-        data_centre: record.data_centre.clone(),
         service: record.service.clone(),
         slots: if is_used { record.slots } else { 0 },
         pace: record.load.pace,
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -277,11 +277,7 @@
             (knows_all, shares, plan, traffic_shares)
         });
         if let Some((knows_all, shares, entry_shares, traffic_shares)) = granted {
-            if let Some(mut entry_shares) = entry_shares {
-                let reduced = entry_shares.iter().filter(|share| share.is_reduced());
-                let reduced = reduced.count() as u64;
-                self.state.metrics.set("entry-shares-reduced", reduced);
-                entry_shares.retain(|share| share.data_centre == request.data_centre);
+            if let Some(entry_shares) = entry_shares {
                 self.reply(ControlReply::EntryShares(entry_shares));
             }
             if let Some(shares) = traffic_shares {
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -4,10 +4,8 @@
 use serde::Serialize;
 
 use crate::context::ServerPace;
-use crate::ids::DataCentreName;
 use crate::ids::RouteName;
 use crate::ids::ServiceName;
-use crate::ids::TeamName;
 
 /// Requests that are admitted or refused alike; sorted with the kind refused last first.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
@@ -20,13 +18,11 @@
     pub route: RouteName,
 }
 
-/// Number of requests of one kind that callers of one team sent to one node.
+/// Number of requests of one kind that callers sent to one node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OfferedRequests {
     /// The kind.
     pub kind: RequestKind,
-    /// The team.
-    pub team: TeamName,
     /// Requests received in the window, admitted or not.
     pub count: u32,
 }
@@ -100,11 +96,9 @@
     }
 }
 
-/// Capacity of the backend server that a report comes from, and where it is.
+/// Capacity of the backend server that a report comes from.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerCapacity {
-    /// Data centre of the node.
-    pub data_centre: DataCentreName,
     /// Service of the backend server.
     pub service: ServiceName,
     /// Calls that it runs concurrently; 0 when it accepts no work.
@@ -113,23 +107,11 @@
     pub pace: Option<ServerPace>,
 }
 
-/// Share of the requests of one kind that is admitted in one data centre.
+/// Share of the requests of one kind that is admitted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EntryShare {
     /// The kind.
     pub kind: RequestKind,
-    /// The team; `None` for all that no other share names.
-    pub team: Option<TeamName>,
-    /// Data centre of the entry nodes to which the share applies.
-    pub data_centre: DataCentreName,
     /// Admitted share, in thousandths.
     pub admitted_milli: u16,
 }
-
-impl EntryShare {
-    /// Returns whether some of the requests are refused.
-    #[must_use]
-    pub const fn is_reduced(&self) -> bool {
-        self.admitted_milli < 1000
-    }
-}
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -20,7 +20,6 @@
 use crate::retry::AttemptHistory;
 use crate::retry::AttemptOutcome;
 use crate::retry::RetryDecision;
-use crate::retry::decide_after_refusal;
 use crate::retry::decide_retry;
 use crate::state::ProxyState;
 
@@ -64,10 +63,8 @@
         state.spend_retry_budget(&head.service);
     }
     let drawn = draw_data_centre(state, &head.service);
-    let target_at = state.now() + head.target_left;
     loop {
         let now = state.now();
-        head.target_left = target_at.saturating_duration_since(now);
         head.time_left = deadline.saturating_duration_since(now);
         let chosen = state
             .nodes()
@@ -79,9 +76,6 @@
             state.metrics.count("attempt-placed", &relation.to_string());
         }
         tried.push(chosen.node);
-        head.has_alternative = state.nodes().has_other(&head.service, &tried)
-            && decide_after_refusal(outcome.history, head.idempotent, attempts_allowed)
-                == RetryDecision::Retry;
         let attempt = PendingAttempt {
             state,
             head: &head,
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -1,6 +1,5 @@
 //! HTTP server for requests of callers, and for calls that the local backend server makes.
 
-mod admission;
 mod answer_writer;
 mod connection;
 mod outcome;
@@ -16,6 +15,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use admit::EntryDecision;
+use admit::EntryRequest;
 use bytes::Bytes;
 use clock::Clock;
 use fleet::CallHead;
@@ -32,22 +33,22 @@
 use http::header;
 use hyper::body::Body;
 use model::context::CallRank;
+use model::entry::RequestKind;
 use model::ids::ServiceName;
 use tokio::net::TcpListener;
 
 use crate::forward::forward;
 use crate::headers;
-use crate::ingress::admission::check_admission;
 use crate::ingress::connection::serve_connection;
 use crate::ingress::outcome::build_response;
 use crate::ingress::outcome::log_outcome;
 use crate::ingress::parent_call::check_stop;
 use crate::ingress::parent_call::find_parent_call;
 use crate::ingress::parent_call::may_be_child;
-use crate::ingress::parent_call::target_time;
 use crate::ingress::refusal::BufferedResponse;
 use crate::ingress::refusal::Refusal;
 use crate::ingress::request_body::read_request_body;
+use crate::ingress::token::take_token;
 use crate::open_call::OpenCall;
 use crate::state::ProxyState;
 
@@ -172,12 +173,15 @@
     };
     call.set_route(&route.name);
     let team = authenticate(&table, route, metadata.key.as_deref())?;
-    if team.is_some() && !state.stop.takes_calls(started) {
-        return Err(Refusal::stopping());
+    if let Some(team) = team {
+        if !state.stop.takes_calls(started) {
+            return Err(Refusal::stopping());
+        }
+        take_token(state, route, team).await?;
     }
     let parent = match team {
         Some(team) => {
-            check_admission(state, route, team, &metadata).await?;
+            check_admission(state, route, team, &metadata)?;
             None
         }
         None => find_parent_call(state, route, &metadata, started),
@@ -194,7 +198,6 @@
     let forwarded_headers = headers::request_headers(&state.adapter, request.headers());
     let body = read_request_body(state, &table, request.into_body(), deadline).await?;
     check_stop(state, parent.as_ref(), deadline)?;
-    let target_at = target_time(route, parent.as_ref(), started);
     let head = CallHead {
         attempt: metadata.attempt.unwrap_or_default(),
         method,
@@ -206,8 +209,6 @@
         repeated: parent.as_ref().is_some_and(|parent| parent.is_retry),
         rank: parent.map_or_else(|| request_rank(route, team), |parent| parent.rank),
         time_left,
-        target_left: target_at.saturating_duration_since(state.now()),
-        has_alternative: false,
         team: team.map(|team| team.name.clone()),
         caller_service: state.settings.service.clone(),
     };
@@ -239,6 +240,37 @@
     })
 }
 
+/// Admits a caller's request by the leader's admission plan, or refuses it with a delay after
+/// which to retry.
+fn check_admission<C: Clock, A: ProtocolAdapter>(
+    state: &ProxyState<C, A>,
+    route: &RouteEntry,
+    team: &TeamEntry,
+    metadata: &RequestMetadata,
+) -> Result<(), Refusal> {
+    let kind = RequestKind {
+        route_priority: route.priority,
+        team_priority: team.priority,
+        route: route.name.clone(),
+    };
+    let request = EntryRequest {
+        kind: &kind,
+        time_left: metadata.deadline.unwrap_or(route.timeout),
+        target_latency: route.target_latency,
+    };
+    let draws = (rand::random(), rand::random());
+    let decision = state.admission().decide(request, draws, state.now());
+    let EntryDecision::Refuse { retry_after } = decision else {
+        return Ok(());
+    };
+    state.quota().return_token(&team.name, state.now());
+    Err(Refusal {
+        retry_after: Some(retry_after),
+        team: Some(team.name.clone()),
+        ..Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "turned-away")
+    })
+}
+
 fn check_head_size(table: &RouteTable, headers: &HeaderMap) -> Result<(), Refusal> {
     let length = |(name, value): (&http::HeaderName, &HeaderValue)| {
         name.as_str().len() + value.len() + ": \r\n".len()
--- a/crates/proxy/src/ingress/parent_call.rs
+++ b/crates/proxy/src/ingress/parent_call.rs
@@ -61,14 +61,3 @@
     }
     parent
 }
-
-/// Returns when the target latency of a request passes: that of its route, or that of the call
-/// that caused it if this is earlier.
-pub(super) fn target_time(
-    route: &RouteEntry,
-    parent: Option<&ParentCall>,
-    started: Instant,
-) -> Instant {
-    let own = started + route.target_latency;
-    parent.map_or(own, |parent| parent.target_at.min(own))
-}
--- a/crates/proxy/src/ingress/token.rs
+++ b/crates/proxy/src/ingress/token.rs
@@ -27,7 +27,6 @@
     state: &ProxyState<C, A>,
     route: &RouteEntry,
     team: &TeamEntry,
-    is_retry: bool,
 ) -> Result<(), Refusal> {
     let now = state.now();
     let waiter = {
@@ -38,12 +37,7 @@
         if !quota.has_shares() {
             return Err(no_token("no-share", team));
         }
-        let mut queue = state.token_queue();
-        if is_retry {
-            queue.enqueue_first(&team.name, now)
-        } else {
-            queue.enqueue(&team.name, now)
-        }
+        state.token_queue().enqueue(&team.name, now)
     };
     let Some(waiter) = waiter else {
         return Err(over_quota(state, team));
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -47,7 +47,6 @@
 pub use crate::retry::AttemptHistory;
 pub use crate::retry::AttemptOutcome;
 pub use crate::retry::RetryDecision;
-pub use crate::retry::decide_after_refusal;
 pub use crate::retry::decide_retry;
 pub use crate::run::run;
 pub use crate::stop_schedule::StopPhase;
--- a/crates/proxy/src/local_server.rs
+++ b/crates/proxy/src/local_server.rs
@@ -55,7 +55,6 @@
 use crate::local_server::failures::ServerFailures;
 use crate::local_server::pace::LastPace;
 use crate::local_server::slots::SlotResult;
-use crate::local_server::slots::log_slot_refusal;
 use crate::local_server::stall_watch::SentCall;
 use crate::open_call::CallProgress;
 use crate::retry::AttemptOutcome;
@@ -89,7 +88,6 @@
     departures: LocalDepartures,
     evacuation: LocalEvacuation,
     limiter: SlotLimiter,
-    demoted_calls: u64,
     waiting: HashMap<u64, oneshot::Sender<SlotResult>>,
     stalls: StallDetector,
     /// Calls that were sent and have not ended, by number.
@@ -108,8 +106,6 @@
     pub(crate) route: RouteName,
     pub(crate) rank: CallRank,
     pub(crate) is_retry: bool,
-    /// When the target latency of the call passes.
-    pub(crate) target_at: Instant,
     fingerprint: Fingerprint,
     /// Number of the running call.
     call: u64,
@@ -282,7 +278,6 @@
             Ok(permit) => permit,
             Err(retry_after) => {
                 proxy.work().count_refused();
-                log_slot_refusal(proxy, head, started, retry_after);
                 return AttemptOutcome::Refused {
                     cause: RefusalReason::Overloaded,
                     retry_after,
@@ -306,7 +301,7 @@
         let sent = proxy.now();
         proxy.work().count_started(&head.route);
         let call = permit.begin(&head.route, sent + left);
-        let running = self.register_running(head, fingerprint, started, &call);
+        let running = self.register_running(head, fingerprint, &call);
         progress.begin_send();
         let outcome = self
             .run_sent(proxy, head, body, &server, (&call, left))
@@ -356,7 +351,6 @@
         &self,
         head: &CallHead,
         fingerprint: Fingerprint,
-        started: Instant,
         call: &SentCall,
     ) -> RunningCall {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -365,7 +359,6 @@
             route: head.route.clone(),
             rank: head.rank,
             is_retry: head.repeated,
-            target_at: started + head.target_left,
             fingerprint,
             call: call.id,
         };
--- a/crates/proxy/src/local_server/slots.rs
+++ b/crates/proxy/src/local_server/slots.rs
@@ -6,12 +6,10 @@
 use std::time::Instant;
 
 use admit::AbandonReason;
-use admit::CallTiming;
 use admit::DequeuedCalls;
 use admit::SlotDecision;
 use clock::Clock;
 use fleet::CallHead;
-use fleet::ProtocolAdapter;
 use metrics::ProcessMetrics;
 use model::ids::RouteName;
 use tokio::sync::oneshot;
@@ -21,13 +19,10 @@
 use crate::local_server::LocalServerState;
 use crate::local_server::UNAVAILABLE_RETRY_AFTER;
 use crate::local_server::stall_watch::SentCall;
-use crate::state::ProxyState;
 use crate::state::lock;
 
 /// Kind of the metrics on calls that the pace of a cold backend server held back.
 const COLD_PACE: &str = "cold-pace";
-/// Kind of the metrics on calls that found no free slot.
-const SLOT_QUEUE: &str = "slot-queue";
 
 /// A slot, or the delay after which one may be free.
 pub(super) type SlotResult = Result<SlotPermit, Duration>;
@@ -43,17 +38,11 @@
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (waiter, is_paced) = {
             let mut state = lock(&self.state);
-            let timing = CallTiming {
-                time_left: head.time_left,
-                target_left: head.target_left,
-                has_alternative: head.has_alternative,
-            };
-            let decision = state.limiter.offer(id, head.rank, timing, now);
+            let decision = state.limiter.offer(id, head.rank, head.time_left, now);
             let is_paced = state.limiter.is_paced(now);
             match decision {
                 SlotDecision::Run => return Ok(self.new_permit(id)),
                 SlotDecision::Refuse { retry_after } => {
-                    metrics.count(SLOT_QUEUE, "refused-at-once");
                     if is_paced {
                         metrics.count(COLD_PACE, "refused");
                     }
@@ -74,12 +63,6 @@
         let outcome = waiter.await;
         drop(queued);
         let outcome = outcome.unwrap_or(Err(UNAVAILABLE_RETRY_AFTER));
-        let detail = if outcome.is_ok() {
-            "started"
-        } else {
-            "refused"
-        };
-        metrics.count(SLOT_QUEUE, detail);
         if is_paced && outcome.is_err() {
             metrics.count(COLD_PACE, "refused");
         }
@@ -123,11 +106,6 @@
         is_paced
     }
 
-    /// Returns the number of calls that could not meet their target any more while they waited.
-    pub(crate) fn demoted_calls(&self) -> u64 {
-        lock(&self.state).demoted_calls
-    }
-
     fn new_permit(&self, id: u64) -> SlotPermit {
         SlotPermit {
             server: self.clone(),
@@ -139,9 +117,6 @@
 
     /// Hands the started and refused calls their outcome.
     pub(super) fn notify_waiters(&self, changes: DequeuedCalls) {
-        if changes.demoted > 0 {
-            lock(&self.state).demoted_calls += changes.demoted as u64;
-        }
         let mut outcomes: Vec<(u64, SlotResult)> = Vec::new();
         for id in changes.started {
             outcomes.push((id, Ok(self.new_permit(id))));
@@ -191,28 +166,6 @@
     }
 }
 
-/// Logs that a call of another node or of a caller got no slot in time.
-pub(super) fn log_slot_refusal<C: Clock, A: ProtocolAdapter>(
-    proxy: &ProxyState<C, A>,
-    head: &CallHead,
-    started: Instant,
-    retry_after: Duration,
-) {
-    if !proxy.may_log_request() {
-        return;
-    }
-    let waited = proxy.now().saturating_duration_since(started);
-    tracing::info!(
-        event = "slot-refused",
-        request = %head.attempt,
-        route = %head.route,
-        waited_ms = waited.as_millis(),
-        target_left_ms = head.target_left.saturating_sub(waited).as_millis(),
-        has_alternative = head.has_alternative,
-        retry_after_ms = retry_after.as_millis(),
-    );
-}
-
 /// A call that waits for a slot; leaves the queue on drop.
 struct QueuedCall<'a> {
     server: &'a LocalServer,
--- a/crates/proxy/src/node_table.rs
+++ b/crates/proxy/src/node_table.rs
@@ -244,14 +244,6 @@
         })
     }
 
-    /// Returns whether calls may be sent to a server of `service` that is not excluded.
-    #[must_use]
-    pub fn has_other(&self, service: &str, exclude: &[NodeId]) -> bool {
-        let members = self.pickers.get(service).map(LeastLoadedPicker::members);
-        let mut members = members.into_iter().flatten();
-        members.any(|member| member.accepts_calls && !exclude.contains(&member.node))
-    }
-
     fn relation(&self, chosen: &DataCentreName, drawn: &DataCentreName) -> PlaceRelation {
         if *chosen == self.data_centre {
             PlaceRelation::Same
--- a/crates/proxy/src/retry.rs
+++ b/crates/proxy/src/retry.rs
@@ -94,18 +94,3 @@
     }
     RetryDecision::Retry
 }
-
-/// Decides whether a call would be retried if the attempt that follows `history` were refused
-/// before it reached a backend server.
-#[must_use]
-pub const fn decide_after_refusal(
-    history: AttemptHistory,
-    idempotent: bool,
-    attempts_allowed: u32,
-) -> RetryDecision {
-    let refused = AttemptHistory {
-        undelivered: history.undelivered + 1,
-        ..history
-    };
-    decide_retry(refused, idempotent, attempts_allowed)
-}
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -98,8 +98,6 @@
     if state.server.tick(now) {
         state.publish_record();
     }
-    let demoted = state.server.demoted_calls();
-    state.metrics.set("slot-queue-demoted", demoted);
     state.server.check_stalls(state);
     state.server.check_health(state);
     if let Some(seconds) = state.server.cold_seconds(now) {
--- a/crates/proxy/src/token_wait_queue.rs
+++ b/crates/proxy/src/token_wait_queue.rs
@@ -60,31 +60,15 @@
         team: &TeamName,
         now: Instant,
     ) -> Option<oneshot::Receiver<TokenGranted>> {
-        let queue = self.open_queue(team, now)?;
+        let queue = self.teams.entry(team.clone()).or_default();
+        if queue.exhausted_until.is_some_and(|until| now < until) {
+            return None;
+        }
         let (sender, waiter) = oneshot::channel();
         queue.waiters.push_back(sender);
         Some(waiter)
     }
 
-    /// Queues a request that returned after a refusal, before all others of its team; returns
-    /// `None` as [`Self::enqueue`] does.
-    pub fn enqueue_first(
-        &mut self,
-        team: &TeamName,
-        now: Instant,
-    ) -> Option<oneshot::Receiver<TokenGranted>> {
-        let queue = self.open_queue(team, now)?;
-        let (sender, waiter) = oneshot::channel();
-        queue.waiters.push_front(sender);
-        Some(waiter)
-    }
-
-    fn open_queue(&mut self, team: &TeamName, now: Instant) -> Option<&mut TeamQueue> {
-        let queue = self.teams.entry(team.clone()).or_default();
-        let is_exhausted = queue.exhausted_until.is_some_and(|until| now < until);
-        (!is_exhausted).then_some(queue)
-    }
-
     /// Returns the tokens to request now, or `None` while a token request is in flight or no
     /// request waits.
     ///
--- a/crates/proxy/tests/retry_and_lease.rs
+++ b/crates/proxy/tests/retry_and_lease.rs
@@ -13,7 +13,6 @@
 use proxy::AttemptOutcome;
 use proxy::LeasedConfig;
 use proxy::RetryDecision;
-use proxy::decide_after_refusal;
 use proxy::decide_retry;
 
 const REVOCATION_BOUND: Duration = Duration::from_secs(5);
@@ -51,20 +50,6 @@
         .collect()
 }
 
-/// Guards against a call that leaves the queue of the last server that its sender would try.
-#[test]
-fn the_third_refusal_leaves_no_other_server() {
-    let mut history = AttemptHistory::default();
-    for expected in [
-        RetryDecision::Retry,
-        RetryDecision::Retry,
-        RetryDecision::Stop,
-    ] {
-        assert_eq!(decide_after_refusal(history, true, 2), expected);
-        history.undelivered += 1;
-    }
-}
-
 #[test]
 fn non_idempotent_call_is_not_retried_once_it_may_have_run_and_attempts_are_limited() {
     let outcomes = outcomes();
--- a/crates/proxy/tests/token_wait_queue.rs
+++ b/crates/proxy/tests/token_wait_queue.rs
@@ -42,20 +42,6 @@
     drop(late);
 }
 
-/// Guards against a request that returns after a refusal and is refused again for a new one.
-#[test]
-fn a_returning_request_gets_the_first_token() {
-    let now = Instant::now();
-    let team = TeamName::from("north");
-    let mut queue = TokenWaitQueue::default();
-    let mut new = queue.enqueue(&team, now).unwrap();
-    let mut returning = queue.enqueue_first(&team, now).unwrap();
-    queue.next_request(|_| 0, now).unwrap();
-    queue.distribute(lent(&team, 1), now);
-    assert_eq!(returning.try_recv(), Ok(true));
-    assert_eq!(new.try_recv(), Ok(false));
-}
-
 /// Load pattern: one team sends many times its rate.
 #[test]
 fn requests_of_an_exhausted_team_are_refused_at_once_until_a_delay_has_passed() {
