--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,7 +1,6 @@
 """A control instance that was out of contact while another one was replaced never comes back."""
 
 import asyncio
-import json
 import os
 import pathlib
 import shutil
@@ -12,7 +11,7 @@
 sys.path.insert(0, str(HERE.parent / "kit-2"))
 sys.dont_write_bytecode = True
 
-from deployment import Deployment, Operator, Record, call_once, document, route, until
+from deployment import Deployment, Operator, Record, document, read_all, route, until
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED, PLANNED, SPARE = 0, 4, 5          # a frozen seed, the replaced machine, its successor
@@ -28,22 +27,6 @@
     return document(version, base, routes, ["work"], [{"name": "t", "apiKeys": ["k"]}])
 
 
-async def read(deployment, number):
-    """Reads the desired state at one control instance; returns its version, or the failure."""
-    address = deployment.operators(number)
-    try:
-        answer = await call_once(address, "GET", "/v1/config", {"Host": "control"}, b"", 1.5)
-    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
-        return type(error).__name__
-    if answer.status != 200:
-        return answer.status
-    return f"version {json.loads(answer.body)['version']}"
-
-
-async def read_all(deployment, numbers):
-    return await asyncio.gather(*[read(deployment, number) for number in numbers])
-
-
 async def play(record, deployment):
     operator = Operator(deployment, record)
     for number in range(5):
@@ -61,9 +44,7 @@
         deployment.control[SEED].signal(signal.SIGSTOP)
     await asyncio.sleep(2.5)
     record.write("planned: a successor of", PLANNED, "starts at a new address")
-    deployment.control_count = 6
-    deployment.control.append(None)
-    deployment.start_control(SPARE)
+    assert deployment.add_control() == SPARE
     await asyncio.sleep(FREEZE_S - 2.5)
     deployment.control[SEED].signal(signal.SIGCONT)
     if TROUBLE:
--- a/review/kit-2/deployment.py
+++ b/review/kit-2/deployment.py
@@ -145,6 +145,7 @@
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.port = random.randint(22000, 30000)
         self.control_count = control
+        self.seeds = list(range(min(3, control)))   # what the platform writes into new settings
         self.control = [None] * control
         self.nodes = [None] * len(services)
         roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
@@ -173,7 +174,7 @@
         return self.control_ip(number), self.port
 
     def values(self, name, ip, bootstrap):
-        seeds = [f"{self.control_ip(n)}:{self.port}" for n in range(min(3, self.control_count))]
+        seeds = [f"{self.control_ip(n)}:{self.port}" for n in self.seeds]
         return {
             "nodeName": name, "zone": "a", "ip": ip, "zones": {"a": "r"}, "seedAddrs": seeds,
             "internalPortRange": [self.port + 20, self.port + 35], "bootstrap": bootstrap,
@@ -202,6 +203,13 @@
         values["dataDir"] = str(data)
         self.control[number] = self.start("control", name, values)
 
+    def add_control(self):
+        """Starts one more control instance at a new address, with an empty disk."""
+        self.control.append(None)
+        self.control_count += 1
+        self.start_control(self.control_count - 1)
+        return self.control_count - 1
+
     def start_node(self, number):
         name = f"node-{number}"
         values = self.values(name, self.node_ip(number), False)
@@ -310,7 +318,9 @@
         until = time.monotonic() + seconds
         number = 0
         while time.monotonic() < until:
-            address = self.deployment.operators(number % self.deployment.control_count)
+            numbers = [n for n, process in enumerate(self.deployment.control)
+                       if process is not None and process.child.poll() is None]
+            address = self.deployment.operators(numbers[number % len(numbers)])
             number += 1
             for _ in range(3):
                 try:
@@ -363,6 +373,22 @@
         return None
 
 
+async def read_version(deployment, number):
+    """Reads the desired state at one control instance; returns its version, or the failure."""
+    address = deployment.operators(number)
+    try:
+        answer = await call_once(address, "GET", "/v1/config", {"Host": "control"}, b"", 1.5)
+    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
+        return type(error).__name__
+    if answer.status != 200:
+        return answer.status
+    return f"version {json.loads(answer.body)['version']}"
+
+
+async def read_all(deployment, numbers):
+    return await asyncio.gather(*[read_version(deployment, number) for number in numbers])
+
+
 def route(name, prefix, kind, service, timeout=5000, aim=1500, priority=1, attempts=2,
           anonymous=False):
     return {"name": name, "host": "shop.example", "pathPrefix": prefix, "routeType": kind,
@@ -377,3 +403,106 @@
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": 3000,
                        "idleTimeout": 15000},
             "tenants": tenants}
+
+
+class Server:
+    """A server that follows the pages: one request at a time on a connection, queue and slots."""
+
+    def __init__(self, record, name, service, slots=100, work=0.02):
+        self.record, self.name, self.service = record, name, service
+        self.slots, self.work = slots, work
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.running = 0
+        self.runs = []            # (seconds, request id, method, path, headers, body length)
+        self.listener = None
+
+    async def start(self, address):
+        self.listener = await asyncio.start_server(self.serve, *address, limit=1 << 20,
+                                                   backlog=1024)
+
+    async def stop(self):
+        self.listener.close()
+
+    async def respond(self, first, headers, body):
+        """Returns status, headers and body of the answer."""
+        await asyncio.sleep(self.work)
+        return 200, {}, b"done"
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                first, headers = await read_head(reader)
+                body = await read_body(reader, headers)
+                await self.handle(first, headers, body, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            writer.close()
+
+    async def handle(self, first, headers, body, writer):
+        method, path, _ = first.split(" ")
+        request = headers.get("x-ragwortplank-request-id", "-")
+        expected = headers.get("x-ragwortplank-expect-instance", self.name)
+        if path == "/health":
+            return await self.write(writer, 200, {"X-Ragwortplank-Instance-Id": self.name}, b"")
+        if expected != self.name:
+            self.record.write("server", self.name, "refuses 421", request)
+            return await self.write(writer, 421, {"X-Ragwortplank-Request-Id": request,
+                                                  "X-Ragwortplank-Not-Executed": "1"}, b"")
+        self.running += 1
+        self.runs.append((self.record.now(), request, method, path, headers, len(body)))
+        try:
+            status, more, answer = await self.respond(first, headers, body)
+            load = f"{self.running},0,{self.slots}"
+        finally:
+            self.running -= 1
+        await self.write(writer, status, {
+            "X-Ragwortplank-Request-Id": request,
+            "X-Ragwortplank-Server-Stamp": f"{self.name}.{len(self.runs)}",
+            "X-Ragwortplank-Instance-Load": load, **more}, answer)
+
+    async def write(self, writer, status, headers, body):
+        lines = [f"HTTP/1.1 {status} X"] + [f"{n}: {v}" for n, v in headers.items()]
+        lines.append(f"Content-Length: {len(body)}")
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
+        await writer.drain()
+
+
+class Mesh:
+    """A deployment that serves: control instances, a node beside each server, heartbeats."""
+
+    def __init__(self, record, services, make_server=Server, **options):
+        self.record = record
+        self.deployment = Deployment(record, services, **options)
+        self.operator = Operator(self.deployment, record)
+        self.make_server = make_server
+        self.servers = []
+        self.beats = []
+
+    async def start(self, desired):
+        deployment = self.deployment
+        deployment.start_all()
+        for number, service in enumerate(deployment.services):
+            server = self.make_server(self.record, f"i-{number}", service)
+            await server.start(deployment.server(number))
+            self.servers.append(server)
+            self.beats.append(asyncio.create_task(self.keep_beating(number)))
+        if await self.operator.put(desired) != 200:
+            raise RuntimeError("the first desired state is not accepted")
+        for number in range(len(deployment.services)):
+            await until("the nodes are ready", lambda: is_ready(deployment, number))
+        await asyncio.sleep(3.2)
+
+    async def keep_beating(self, number):
+        server = self.servers[number]
+        while True:
+            server.sequence += 1
+            await beat(self.deployment, number, server.name, server.service, "ready",
+                       server.sequence, server.born, server.slots)
+            await asyncio.sleep(1.5)
+
+    def end(self):
+        for task in self.beats:
+            task.cancel()
+        self.deployment.end()
