--- a/review/kit-2/deployment.py
+++ b/review/kit-2/deployment.py
@@ -435,7 +435,8 @@
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 await self.handle(first, headers, body, writer)
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError,
+                asyncio.CancelledError):
             pass
         finally:
             writer.close()
