Keep that a folder was refused when its process ends

What callers would see: two groups in role `control`, one of them with an empty state.

Cause: a first member whose disk was lost is refused by the others and ends with `OtherFolder`. Its new folder kept no trace of that, so when started again it asked anew. Once all first members had lost their disks one after another, each long since replaced, three refused folders registered each other. Class: a refusal that binds is forgotten with the process that heard it, and a group forms with less than what was agreed.

Change: the folder is marked durably as refused; a replica that opens it ends at once, and registers nobody. In role `group` the instance then joins under its next identity, whose directory is new.

Test: `group::first_members_that_were_refused_form_no_second_group` failed before: instances 1 and 2, both refused, had `registered: true` in a group with 3.

Not mended: disks of all first members lost at the same time, in a group that has grown to seven and so bears three losses. Nothing tells those instances from a first start; role `group` has the setting `first-start` for it, role `control` has none.

--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -106,7 +106,13 @@
         clock: C,
         stop: CancellationToken,
     ) -> Self {
-        let RecoveredState { identity, state } = recovered;
+        let RecoveredState {
+            identity,
+            refused,
+            state,
+        } = recovered;
+        let instance = config.instance;
+        let fatal_error = refused.then_some(ReplicaError::OtherFolder { instance });
         let raft = RaftCore::new(
             config.instance,
             identity.member_folder(),
@@ -127,7 +133,7 @@
             commit_index: raft_status.commit_index,
             applied_index: 0,
             snapshot_index: raft_status.snapshot_index,
-            fatal_error: None,
+            fatal_error: fatal_error.clone(),
         });
         Self {
             registration: FolderRegistration::new(&identity, clock.now()),
@@ -145,7 +151,7 @@
             applied: 0,
             applied_bytes: 0,
             transfer_deadline: None,
-            fatal_error: None,
+            fatal_error,
             config,
         }
     }
@@ -250,6 +256,10 @@
     fn fail(&mut self, error: ReplicaError) {
         if self.fatal_error.is_none() {
             tracing::error!(event = "replica-fault", instance = self.config.instance, fault = %error);
+            if matches!(error, ReplicaError::OtherFolder { .. }) {
+                // Whoever refused the folder may be gone when it is started again.
+                self.send_storage_job(StorageJob::MarkRefused);
+            }
             self.fatal_error = Some(error);
         }
     }
--- a/crates/replica/src/storage/folder.rs
+++ b/crates/replica/src/storage/folder.rs
@@ -18,6 +18,9 @@
 /// Name of the folder of log segments.
 const LOG_FOLDER: &str = "log";
 
+/// Name of the file that marks a folder as refused by the group.
+const REFUSED_FILE: &str = "refused";
+
 /// Name of the folder of snapshots.
 const SNAPSHOT_FOLDER: &str = "snapshot";
 
@@ -26,6 +29,8 @@
 pub(super) struct DataFolder {
     pub(super) root: PathBuf,
     pub(super) identity: FolderIdentity,
+    /// Whether a member has refused the folder; no instance may start with it again.
+    pub(super) refused: bool,
     _lock: File,
 }
 
@@ -47,13 +52,21 @@
             Some(identity) => check_instance(&root, identity, config)?,
             None => create_identity(&root, config)?,
         };
+        let refused_path = refused_file(&root);
+        let refused = refused_path.try_exists();
         Ok(Self {
+            refused: refused.map_err(StorageError::io(&refused_path))?,
             root,
             identity,
             _lock: lock,
         })
     }
 
+    /// Marks the folder durably as refused.
+    pub(super) fn mark_refused(&self) -> Result<(), StorageError> {
+        files::replace_file(&refused_file(&self.root), &[])
+    }
+
     pub(super) fn log_path(&self) -> PathBuf {
         log_folder(&self.root)
     }
@@ -71,6 +84,10 @@
     root.join(SNAPSHOT_FOLDER)
 }
 
+fn refused_file(root: &Path) -> PathBuf {
+    root.join(REFUSED_FILE)
+}
+
 fn lock(root: &Path) -> Result<File, StorageError> {
     let path = root.join(LOCK_FILE);
     let file = File::create(&path).map_err(StorageError::io(&path))?;
--- a/crates/replica/src/storage/store.rs
+++ b/crates/replica/src/storage/store.rs
@@ -39,6 +39,8 @@
 pub struct RecoveredState {
     /// Identity of the folder.
     pub identity: FolderIdentity,
+    /// Whether a member has refused the folder, so that its instance must not start.
+    pub refused: bool,
     /// State of Raft.
     pub state: DurableState,
 }
@@ -98,6 +100,7 @@
         let writer = SegmentWriter::create(&folder.log_path(), number, &records)?;
         let recovered = RecoveredState {
             identity: folder.identity.clone(),
+            refused: folder.refused,
             state: DurableState {
                 initial_membership: folder.identity.initial_membership.clone(),
                 term: replay.term,
@@ -183,6 +186,17 @@
         Ok(())
     }
 
+    /// Marks the folder durably as refused by the group.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk does.
+    pub fn mark_refused(&mut self) -> Result<(), StorageError> {
+        self.folder.mark_refused()?;
+        self.folder.refused = true;
+        Ok(())
+    }
+
     /// Starts a new segment, which repeats the vote so that older ones may be removed.
     fn rotate(&mut self) -> Result<(), StorageError> {
         let number = self.writer.segment.number + 1;
--- a/crates/replica/src/storage/worker.rs
+++ b/crates/replica/src/storage/worker.rs
@@ -32,6 +32,8 @@
     },
     /// Replaces the identity.
     SaveIdentity(FolderIdentity),
+    /// Marks the folder as refused by the group.
+    MarkRefused,
     /// A snapshot of the instance's own state up to this index is on disk.
     SnapshotSaved(LogIndex),
 }
@@ -125,6 +127,7 @@
                     self.store.save_identity(identity.clone())?;
                     (self.report)(StorageReport::IdentitySaved(identity));
                 }
+                StorageJob::MarkRefused => self.store.mark_refused()?,
                 StorageJob::SnapshotSaved(index) => self.store.remove_segments_through(index)?,
             }
         }
--- a/crates/replica/tests/group.rs
+++ b/crates/replica/tests/group.rs
@@ -9,6 +9,7 @@
 use replica::MemberChange;
 use replica::ProposeError;
 use replica::ReplicaError;
+use replica::ReplicaStatus;
 use replica::ReplicatedState;
 
 use crate::support::TestGroup;
@@ -173,6 +174,53 @@
     });
 }
 
+// Guards against first members that lose their disks one after another and form a second group:
+// each was refused, and forgot it when its process ended.
+#[test]
+fn first_members_that_were_refused_form_no_second_group() {
+    run_with_timeout(async {
+        let mut group = TestGroup::new(&[1, 2, 3]);
+        group.start_all();
+        group.propose(b"kept").await;
+        for member in [1, 2, 3] {
+            group.wait(member, |status| status.registered).await;
+        }
+        for successor in [4, 5, 6] {
+            group.start_joining(successor);
+            let is_voter = |status: &ReplicaStatus| status.role != MemberRole::Learner;
+            group.wait(successor, is_voter).await;
+        }
+        for lost in [1, 2, 3] {
+            group.stop(lost).await;
+            group.change_members(MemberChange::Remove(lost)).await;
+            group.propose(b"after the replacement").await;
+            group.wipe(lost);
+            group.start(lost);
+            if lost != 3 {
+                let is_refused = |status: &ReplicaStatus| status.fatal_error.is_some();
+                group.wait(lost, is_refused).await;
+                group.stop(lost).await;
+            }
+        }
+        // The last one asks two that were refused before, and no member of the group.
+        group.start(1);
+        group.start(2);
+        for refused in [1, 2] {
+            let has_decided =
+                |status: &ReplicaStatus| status.registered || status.fatal_error.is_some();
+            group.wait(refused, has_decided).await;
+            let status = group.handle(refused).status();
+            let is_refused = matches!(status.fatal_error, Some(ReplicaError::OtherFolder { .. }));
+            assert!(is_refused && !status.registered, "{status:?}");
+        }
+        assert!(!group.handle(3).status().registered);
+        for id in [4, 5, 6] {
+            group.handle(id).read_index().await.expect("a quorum");
+        }
+        group.stop_all().await;
+    });
+}
+
 #[test]
 fn group_survives_a_second_failure_just_after_a_replacement() {
     run_with_timeout(async {
