Renew no lease for a control group older than the configuration known

Cause: `LeasedConfig::renew` refused only a version above the node's own. A group that names a lower one has not the log that the node's configuration came from, and renewed the lease all the same.

Why this works: what a group has committed it keeps, and a leader names a version only after a quorum has confirmed it and everything committed before is applied.

Test: `retry_and_lease::lease_is_not_renewed_by_an_older_control_group` failed before.

--- a/crates/proxy/src/leased_config.rs
+++ b/crates/proxy/src/leased_config.rs
@@ -48,9 +48,11 @@
     /// Renews the lease after a reply that named `version` as the current one; `sent_at` is when
     /// the report was sent.
     ///
-    /// Returns whether the lease was renewed. It is not while this node lacks that version.
+    /// Returns whether the lease was renewed. It is not while this node lacks that version, nor by
+    /// a control group that lacks the version of this node: what a group has committed it keeps, so
+    /// that is another group, or one that has not applied its own log yet.
     pub fn renew(&mut self, version: ConfigVersion, sent_at: Instant) -> bool {
-        if version > self.version() {
+        if version != self.version() {
             return false;
         }
         let end = sent_at + self.lease_length;
--- a/crates/proxy/tests/retry_and_lease.rs
+++ b/crates/proxy/tests/retry_and_lease.rs
@@ -144,6 +144,18 @@
     assert!(!config.is_leased(sent_at));
 }
 
+// Guards against nodes that stay with a control group older than the one they know, such as one
+// that removed instances formed anew: it would renew their leases for withdrawn keys for good.
+#[test]
+fn lease_is_not_renewed_by_an_older_control_group() {
+    let sent_at = Instant::now();
+    let mut config = LeasedConfig::new(REVOCATION_BOUND);
+    config.apply(fleet_config(7));
+    assert!(!config.renew(0, sent_at));
+    assert!(!config.renew(6, sent_at));
+    assert!(!config.is_leased(sent_at));
+}
+
 #[test]
 fn late_reply_does_not_shorten_the_lease() {
     let sent_at = Instant::now();
