Let only a confirmed leader say who the members of control are

What callers would see: a node without a lease though its control group is whole.

Cause: a node replaced the members that it knew by what any instance named, also one that was removed and knows only members that are gone, and by what the leader of an older group named. Class: a node takes an older control plane for its own.

Change: only a leader whose lease counts sets the members. The list has a module of its own.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 use tracing::info;
 
+use crate::control_instances::ControlInstances;
 use crate::state::ProxyState;
 
 /// Interval between reports, in milliseconds.
@@ -34,17 +35,18 @@
 const RECONNECT_DELAY_MS: u64 = 120;
 /// Most reports without a reply that are remembered.
 const MAX_PENDING_REPORTS: usize = 16;
-/// Most control instances that are remembered.
-const MAX_KNOWN_INSTANCES: usize = 16;
 
 /// Keeps a session with the leader of the control group; never returns.
 pub(crate) async fn run<C: Clock, A: ProtocolAdapter>(
     state: ProxyState<C, A>,
     seeds: watch::Receiver<Vec<SocketAddr>>,
 ) {
-    let mut instances = ControlInstances::new(state.settings.control_port, seeds);
+    let port = state.settings.control_port;
+    let mut instances = ControlInstances::new(rand::random::<u8>().into());
     loop {
-        let address = instances.next();
+        let seeds = seeds.borrow().clone();
+        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+        let address = instances.next(&seeds.collect::<Vec<_>>());
         let opened = link::connect(address, Duration::from_millis(CONNECT_TIMEOUT_MS)).await;
         let opened = opened.and_then(link::open::<ControlMessage, ControlMessage>);
         match opened {
@@ -67,49 +69,6 @@
     }
 }
 
-/// Control instances to connect to: the leader if known, otherwise all in turn.
-struct ControlInstances {
-    port: u16,
-    seeds: watch::Receiver<Vec<SocketAddr>>,
-    known: Vec<SocketAddr>,
-    /// The leader that the last instance named, if it has not been tried since.
-    leader: Option<SocketAddr>,
-    next_index: usize,
-}
-
-impl ControlInstances {
-    fn new(port: u16, seeds: watch::Receiver<Vec<SocketAddr>>) -> Self {
-        Self {
-            port,
-            seeds,
-            known: Vec::new(),
-            leader: None,
-            next_index: rand::random::<u8>().into(),
-        }
-    }
-
-    /// Returns the instance to try next: the leader if one was named, otherwise the next in turn.
-    fn next(&mut self) -> SocketAddr {
-        if let Some(leader) = self.leader.take() {
-            return leader;
-        }
-        self.next_index += 1;
-        let seeds = self.seeds.borrow();
-        let seeds = seeds
-            .iter()
-            .map(|seed| SocketAddr::new(seed.ip(), self.port));
-        let all: Vec<SocketAddr> = self.known.iter().copied().chain(seeds).collect();
-        all[self.next_index % all.len()]
-    }
-
-    fn update(&mut self, instances: Vec<SocketAddr>) {
-        if !instances.is_empty() {
-            self.known = instances;
-            self.known.truncate(MAX_KNOWN_INSTANCES);
-        }
-    }
-}
-
 /// A connection to one control instance.
 struct ControlSession<'a, C: Clock, A: ProtocolAdapter> {
     state: &'a ProxyState<C, A>,
@@ -224,8 +183,8 @@
         let now = self.state.now();
         match reply {
             ControlReply::NotLeader { leader, instances } => {
-                self.instances.update(instances);
-                self.instances.leader = leader.filter(|leader| *leader != address);
+                let leader = leader.filter(|leader| *leader != address);
+                self.instances.suggest(leader, instances);
                 return false;
             }
             ControlReply::LeaseRenewed {
@@ -233,8 +192,7 @@
                 version,
                 instances,
             } => {
-                self.instances.update(instances);
-                self.renew(number, version, address);
+                self.renew(number, version, instances, address);
             }
             ControlReply::Config(notice) => self.apply(notice.config),
             ControlReply::Nodes {
@@ -321,7 +279,22 @@
         );
     }
 
-    fn renew(&mut self, number: u64, version: u64, address: SocketAddr) {
+    /// Renews the lease, unless the instance belongs to a control group older than the one that
+    /// this node knows: that one is left when its answers do not count as such for long enough.
+    fn renew(
+        &mut self,
+        number: u64,
+        version: u64,
+        instances: Vec<SocketAddr>,
+        address: SocketAddr,
+    ) {
+        let own_version = self.state.config().version();
+        if version < own_version {
+            self.state.metrics.count("lease", "outdated");
+            info!(event = "control-outdated", peer = %address, config = own_version, offered = version);
+            return;
+        }
+        self.instances.set_members(instances);
         let position = self
             .pending_reports
             .iter()
