--- a/crates/limit/src/bucket.rs
+++ b/crates/limit/src/bucket.rs
@@ -1,21 +1,41 @@
 //! Token bucket for one node's share of a team's rate limit.
 
-use std::time::Duration;
 use std::time::Instant;
 
+use crate::borrowed_tokens::BorrowedTokens;
+
 /// Thousandths of a request in one request.
 const MILLI_PER_REQUEST: f64 = 1000.0;
-/// Time for which a token borrowed from the leader may be used, in milliseconds.
-const BORROWED_LIFETIME_MS: u64 = 300;
 /// Seconds of average demand for which tokens are fetched in advance.
 const PREFETCH_S: f64 = 0.1;
 /// Weight of the newest sample in the moving average of the demand.
 const DEMAND_WEIGHT: f64 = 0.3;
 
+/// A token that was taken for a request.
+///
+/// It can be returned only once, since [`TokenBucket::return_token`] consumes it.
+#[derive(Debug, Eq, PartialEq)]
+pub struct TakenToken {
+    /// When a borrowed token expires; `None` for one of the node's share.
+    borrowed_until: Option<Instant>,
+}
+
+impl TakenToken {
+    /// Returns a token that was borrowed at `now` for a request that waits.
+    #[must_use]
+    pub fn borrowed(now: Instant) -> Self {
+        Self {
+            borrowed_until: Some(BorrowedTokens::expiry(now)),
+        }
+    }
+}
+
 /// Token bucket that refills at the share of a team's rate granted to this node.
 ///
 /// Tokens borrowed from the leader's pool are kept separately and expire after a
-/// short time. The bucket starts empty, since a node that restarted may have
+/// short time. A token that is returned goes back to where it was taken: into the
+/// bucket up to its capacity, or among the borrowed ones until it would have
+/// expired there. The bucket starts empty, since a node that restarted may have
 /// spent a burst just before.
 #[derive(Clone, Debug)]
 pub struct TokenBucket {
@@ -24,8 +44,7 @@
     depth_s: f64,
     tokens: f64,
     updated: Instant,
-    borrowed_tokens: u32,
-    borrowed_until: Instant,
+    borrowed: BorrowedTokens,
     average_demand_per_s: f64,
     requests: u32,
     sample_start: Instant,
@@ -40,8 +59,7 @@
             depth_s: 1.0,
             tokens: 0.0,
             updated: now,
-            borrowed_tokens: 0,
-            borrowed_until: now,
+            borrowed: BorrowedTokens::default(),
             average_demand_per_s: 0.0,
             requests: 0,
             sample_start: now,
@@ -62,40 +80,42 @@
         self.share_milli
     }
 
-    /// Takes a token for a new request; returns whether one was available.
-    pub fn take(&mut self, now: Instant) -> bool {
+    /// Takes a token for a new request, if one is available.
+    pub fn take(&mut self, now: Instant) -> Option<TakenToken> {
         self.requests += 1;
         self.retry_take(now)
     }
 
     /// Adds tokens borrowed from the leader's pool.
     pub fn add_borrowed_tokens(&mut self, tokens: u32, now: Instant) {
-        if now >= self.borrowed_until {
-            self.borrowed_tokens = 0;
-        }
-        self.borrowed_tokens += tokens;
-        self.borrowed_until = now + Duration::from_millis(BORROWED_LIFETIME_MS);
+        self.borrowed.add(tokens, BorrowedTokens::expiry(now), now);
     }
 
-    /// Takes a token for a request that [`Self::take`] has already counted.
-    ///
-    /// Returns whether one was available.
-    pub fn retry_take(&mut self, now: Instant) -> bool {
+    /// Takes a token for a request that [`Self::take`] has already counted, if one is available.
+    pub fn retry_take(&mut self, now: Instant) -> Option<TakenToken> {
         self.refill(now);
         if self.tokens >= 1.0 {
             self.tokens -= 1.0;
-            return true;
-        }
-        if self.borrowed_tokens > 0 && now < self.borrowed_until {
-            self.borrowed_tokens -= 1;
-            return true;
+            let borrowed_until = None;
+            return Some(TakenToken { borrowed_until });
         }
-        false
+        let until = self.borrowed.take(now)?;
+        let borrowed_until = Some(until);
+        Some(TakenToken { borrowed_until })
     }
 
     /// Returns a token that was taken but not used.
-    pub fn return_token(&mut self, now: Instant) {
-        self.add_borrowed_tokens(1, now);
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a token that was returned must not be returned again"
+    )]
+    pub fn return_token(&mut self, token: TakenToken, now: Instant) {
+        if let Some(until) = token.borrowed_until {
+            self.borrowed.add(1, until, now);
+        } else {
+            self.refill(now);
+            self.tokens = (self.tokens + 1.0).min(self.capacity());
+        }
     }
 
     /// Returns how many tokens to borrow beyond those needed now.
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod allowance;
 mod arrival_rate;
+mod borrowed_tokens;
 mod bucket;
 mod budget;
 mod holder;
@@ -18,6 +19,7 @@
 
 pub use allowance::AllowanceShare;
 pub use allowance::RetryAllowance;
+pub use bucket::TakenToken;
 pub use bucket::TokenBucket;
 pub use budget::RetryBudget;
 pub use holder::GrantOutcome;
--- a/crates/limit/tests/rate_allocator.rs
+++ b/crates/limit/tests/rate_allocator.rs
@@ -197,13 +197,13 @@
             continue;
         }
         let bucket = &mut buckets[usize::try_from((random >> 33) % nodes).unwrap()];
-        let mut is_admitted = bucket.take(now);
+        let mut is_admitted = bucket.take(now).is_some();
         if !is_admitted {
             bucket.add_borrowed_tokens(
                 allocator.lend_tokens(&team, 1 + bucket.prefetch_tokens(), now),
                 now,
             );
-            is_admitted = bucket.retry_take(now);
+            is_admitted = bucket.retry_take(now).is_some();
         }
         if step >= 5_000 {
             requests += 1;
@@ -232,13 +232,13 @@
                     }
                 }
                 for _ in 0..source.int_in_range(0..=3_u32)? {
-                    let mut is_admitted = bucket.take(now);
+                    let mut is_admitted = bucket.take(now).is_some();
                     if !is_admitted {
                         bucket.add_borrowed_tokens(
                             allocator.lend_tokens(&team, 1 + bucket.prefetch_tokens(), now),
                             now,
                         );
-                        is_admitted = bucket.retry_take(now);
+                        is_admitted = bucket.retry_take(now).is_some();
                     }
                     if is_admitted {
                         admitted.push(now);
@@ -273,7 +273,7 @@
     let full_at = start + Duration::from_secs(3);
     let passed = (0..5000).filter(|step| {
         let now = full_at + Duration::from_millis(*step);
-        bucket.take(now)
+        bucket.take(now).is_some()
     });
     assert!((110..=120).contains(&passed.count()));
 }
@@ -293,7 +293,7 @@
             bucket = TokenBucket::new(now);
             bucket.set_share(20_000, 1.0, now);
         }
-        passed += u32::from(bucket.take(now));
+        passed += u32::from(bucket.take(now).is_some());
     }
     assert!(passed <= 120, "{passed}");
 }
@@ -303,10 +303,10 @@
     let start = Instant::now();
     let mut bucket = TokenBucket::new(start);
     bucket.set_share(2_000, 0.5, start);
-    assert!(!bucket.take(start));
+    assert!(bucket.take(start).is_none());
     let later = start + Duration::from_millis(500);
-    assert!(bucket.take(later));
-    assert!(!bucket.take(later));
+    assert!(bucket.take(later).is_some());
+    assert!(bucket.take(later).is_none());
 }
 
 #[test]
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -32,6 +32,7 @@
 use http::StatusCode;
 use http::header;
 use hyper::body::Body;
+use limit::TakenToken;
 use model::context::CallRank;
 use model::entry::RequestKind;
 use model::ids::ServiceName;
@@ -173,15 +174,13 @@
     };
     call.set_route(&route.name);
     let team = authenticate(&table, route, metadata.key.as_deref())?;
-    if let Some(team) = team {
-        if !state.stop.takes_calls(started) {
-            return Err(Refusal::stopping());
-        }
-        take_token(state, route, team).await?;
-    }
     let parent = match team {
         Some(team) => {
-            check_admission(state, route, team, &metadata)?;
+            if !state.stop.takes_calls(started) {
+                return Err(Refusal::stopping());
+            }
+            let token = take_token(state, route, team).await?;
+            check_admission(state, route, team, &metadata, token)?;
             None
         }
         None => find_parent_call(state, route, &metadata, started),
@@ -241,12 +240,13 @@
 }
 
 /// Admits a caller's request by the leader's admission plan, or refuses it with a delay after
-/// which to retry.
+/// which to retry and returns its token.
 fn check_admission<C: Clock, A: ProtocolAdapter>(
     state: &ProxyState<C, A>,
     route: &RouteEntry,
     team: &TeamEntry,
     metadata: &RequestMetadata,
+    token: Option<TakenToken>,
 ) -> Result<(), Refusal> {
     let kind = RequestKind {
         route_priority: route.priority,
@@ -263,7 +263,9 @@
     let EntryDecision::Refuse { retry_after } = decision else {
         return Ok(());
     };
-    state.quota().return_token(&team.name, state.now());
+    if let Some(token) = token {
+        state.quota().return_token(&team.name, token, state.now());
+    }
     Err(Refusal {
         retry_after: Some(retry_after),
         team: Some(team.name.clone()),
--- a/crates/proxy/src/ingress/token.rs
+++ b/crates/proxy/src/ingress/token.rs
@@ -7,9 +7,11 @@
 use fleet::RouteEntry;
 use fleet::TeamEntry;
 use http::StatusCode;
+use limit::TakenToken;
 use tokio::time::timeout;
 
 use crate::ingress::refusal::Refusal;
+use crate::quota::TokenOutcome;
 use crate::state::ProxyState;
 
 /// Retry-after delay when no leader lends tokens, in milliseconds. An election and finding the
@@ -23,16 +25,20 @@
 const MAX_TOKEN_WAIT_FRACTION: f64 = 0.12;
 
 /// Takes a token of the team's bucket here, or waits for one from the leader if it is empty.
+///
+/// Returns the token, or `None` for a team without a limit.
 pub(super) async fn take_token<C: Clock, A: ProtocolAdapter>(
     state: &ProxyState<C, A>,
     route: &RouteEntry,
     team: &TeamEntry,
-) -> Result<(), Refusal> {
+) -> Result<Option<TakenToken>, Refusal> {
     let now = state.now();
     let waiter = {
         let mut quota = state.quota();
-        if quota.take_token(&team.name, now) {
-            return Ok(());
+        match quota.take_token(&team.name, now) {
+            TokenOutcome::Unlimited => return Ok(None),
+            TokenOutcome::Taken(token) => return Ok(Some(token)),
+            TokenOutcome::Missing => {}
         }
         if !quota.has_shares() {
             return Err(no_token("no-share", team));
@@ -46,8 +52,8 @@
     let limit = Duration::from_millis(MAX_TOKEN_WAIT_MS)
         .min(route.target_latency.mul_f64(MAX_TOKEN_WAIT_FRACTION));
     match timeout(limit, waiter).await {
-        Ok(Ok(true)) => Ok(()),
-        Ok(Ok(false)) => Err(over_quota(state, team)),
+        Ok(Ok(Some(token))) => Ok(Some(token)),
+        Ok(Ok(None)) => Err(over_quota(state, team)),
         Ok(Err(_)) | Err(_) => Err(no_token("no-token", team)),
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -53,5 +53,5 @@
 pub use crate::run::run;
 pub use crate::stop_schedule::StopPhase;
 pub use crate::stop_schedule::StopSchedule;
-pub use crate::token_wait_queue::TokenGranted;
+pub use crate::token_wait_queue::GrantedToken;
 pub use crate::token_wait_queue::TokenWaitQueue;
--- a/crates/proxy/src/quota.rs
+++ b/crates/proxy/src/quota.rs
@@ -7,6 +7,7 @@
 use fleet::TeamDemand;
 use fleet::TeamEntry;
 use fleet::TeamShare;
+use limit::TakenToken;
 use limit::TokenBucket;
 use model::ids::TeamName;
 
@@ -22,6 +23,17 @@
     burst_s: f64,
 }
 
+/// What a request gets that asks for a token.
+#[derive(Debug)]
+pub(crate) enum TokenOutcome {
+    /// The team has no limit.
+    Unlimited,
+    /// A token was taken.
+    Taken(TakenToken),
+    /// There is no token now.
+    Missing,
+}
+
 /// Token buckets of the teams that have a rate limit.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct QuotaTable {
@@ -54,10 +66,15 @@
         }
     }
 
-    /// Takes a token for a request; returns whether there was one, or the team has no limit.
-    pub(crate) fn take_token(&mut self, team: &TeamName, now: Instant) -> bool {
-        let quota = self.teams.get_mut(team);
-        quota.is_none_or(|quota| quota.bucket.take(now))
+    /// Takes a token for a request of a team.
+    pub(crate) fn take_token(&mut self, team: &TeamName, now: Instant) -> TokenOutcome {
+        let Some(quota) = self.teams.get_mut(team) else {
+            return TokenOutcome::Unlimited;
+        };
+        quota
+            .bucket
+            .take(now)
+            .map_or(TokenOutcome::Missing, TokenOutcome::Taken)
     }
 
     /// Returns whether the leader has assigned shares to this node, or no team has a limit.
@@ -90,9 +107,9 @@
     }
 
     /// Returns the token of a request that was not admitted after all.
-    pub(crate) fn return_token(&mut self, team: &TeamName, now: Instant) {
+    pub(crate) fn return_token(&mut self, team: &TeamName, token: TakenToken, now: Instant) {
         if let Some(quota) = self.teams.get_mut(team) {
-            quota.bucket.return_token(now);
+            quota.bucket.return_token(token, now);
         }
     }
 
--- a/crates/proxy/src/token_wait_queue.rs
+++ b/crates/proxy/src/token_wait_queue.rs
@@ -7,6 +7,7 @@
 
 use fleet::LentTokens;
 use fleet::TeamTokens;
+use limit::TakenToken;
 use model::ids::TeamName;
 use tokio::sync::oneshot;
 
@@ -18,12 +19,12 @@
 /// be within its limit, in milliseconds.
 const PARTIAL_RETRY_MS: u64 = 30;
 
-/// Whether a waiting request was granted a token.
-pub type TokenGranted = bool;
+/// The token that a waiting request was granted; `None` if its team has used up its rate.
+pub type GrantedToken = Option<TakenToken>;
 
 #[derive(Debug, Default)]
 struct TeamQueue {
-    waiters: VecDeque<oneshot::Sender<TokenGranted>>,
+    waiters: VecDeque<oneshot::Sender<GrantedToken>>,
     /// Tokens in the last token request.
     requested: u32,
     exhausted_until: Option<Instant>,
@@ -36,7 +37,7 @@
         self.exhausted_until = Some(now + Duration::from_millis(EXHAUSTED_MS));
         for waiter in self.waiters.drain(..) {
             // Sending fails when the request was cancelled meanwhile, and is not needed then.
-            let _ = waiter.send(false);
+            let _ = waiter.send(None);
         }
     }
 }
@@ -59,7 +60,7 @@
         &mut self,
         team: &TeamName,
         now: Instant,
-    ) -> Option<oneshot::Receiver<TokenGranted>> {
+    ) -> Option<oneshot::Receiver<GrantedToken>> {
         let queue = self.teams.entry(team.clone()).or_default();
         if queue.exhausted_until.is_some_and(|until| now < until) {
             return None;
@@ -131,7 +132,7 @@
                 && let Some(waiter) = queue.waiters.pop_front()
             {
                 // When a request was cancelled meanwhile, the next one gets its token.
-                borrowed.tokens -= u32::from(waiter.send(true).is_ok());
+                borrowed.tokens -= u32::from(waiter.send(Some(TakenToken::borrowed(now))).is_ok());
             }
             if is_exhausted {
                 queue.refuse_all(now);
--- a/crates/proxy/tests/token_wait_queue.rs
+++ b/crates/proxy/tests/token_wait_queue.rs
@@ -5,6 +5,7 @@
 
 use fleet::LentTokens;
 use fleet::TeamTokens;
+use limit::TakenToken;
 use model::ids::TeamName;
 use proxy::TokenWaitQueue;
 
@@ -35,7 +36,7 @@
     assert_eq!(queue.distribute(lent(&team, 5), now), tokens(&team, 1));
     waiters.push(late);
     for waiter in &mut waiters {
-        assert_eq!(waiter.try_recv(), Ok(true));
+        assert_eq!(waiter.try_recv(), Ok(Some(TakenToken::borrowed(now))));
     }
     late = queue.enqueue(&team, now).unwrap();
     assert_eq!(queue.next_request(|_| 0, now), Some(tokens(&team, 1)));
@@ -52,8 +53,8 @@
     let mut second = queue.enqueue(&team, now).unwrap();
     queue.next_request(|_| 0, now).unwrap();
     assert!(queue.distribute(lent(&team, 1), now).is_empty());
-    assert_eq!(first.try_recv(), Ok(true));
-    assert_eq!(second.try_recv(), Ok(false));
+    assert_eq!(first.try_recv(), Ok(Some(TakenToken::borrowed(now))));
+    assert_eq!(second.try_recv(), Ok(None));
     assert!(queue.enqueue(&team, now).is_none());
     let later = now + Duration::from_millis(150);
     let third = queue.enqueue(&team, later);
@@ -71,7 +72,7 @@
     queue.next_request(|_| 0, now).unwrap();
     drop(first);
     queue.distribute(lent(&team, 1), now);
-    assert_eq!(second.try_recv(), Ok(true));
+    assert_eq!(second.try_recv(), Ok(Some(TakenToken::borrowed(now))));
 }
 
 #[test]
@@ -107,7 +108,7 @@
         ..lent(&team, 1)
     };
     assert!(queue.distribute(partial, now).is_empty());
-    assert_eq!(first.try_recv(), Ok(true));
+    assert_eq!(first.try_recv(), Ok(Some(TakenToken::borrowed(now))));
     assert!(second.try_recv().is_err());
     assert!(queue.enqueue(&team, now).is_some());
     assert_eq!(queue.next_request(|_| 0, now), None);
