Take a status outside HTTP for no answer

But 600 to 999 passed as the server's answer, with its stamp and body, through one node and through two, and in role `node` too.

Cause: parsers take any number from 100 to 999 for a status, and `classify` refused only 1xx. Class: a value that the protocol does not know passes as a sound one.

Change: a status outside 200 to 599 says nothing of the request, not even "not run" beside the header that says so: it may have run. The node at the entry checks the status that another node sends as well, and answers without the server's headers; before, a status that could not be represented became 502 with the server's stamp. In role `node` a stored answer with such a status became 200; it is 502 now.

--- a/crates/daemon/tests/servers/main.rs
+++ b/crates/daemon/tests/servers/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod http;
 mod odd_entries;
+mod odd_statuses;
 mod raw_server;
 mod refusals;
 mod stalled;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod keys;
 pub mod lookup;
 pub mod share;
+pub mod status;
 pub mod traffic;
 pub mod verdict;
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -9,6 +9,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use model::ids::CallId;
+use model::status::is_final_status;
 use model::verdict::CallFailure;
 use model::verdict::FailureCause;
 
@@ -31,7 +32,7 @@
     Shed,
     /// It did not accept a connection; nothing was sent.
     Unreachable,
-    /// The connection was lost after the request was sent.
+    /// The connection was lost after the request was sent, or what came back was no answer.
     Lost,
     /// The response exceeds the size limit.
     TooLarge,
@@ -90,6 +91,10 @@
             Err(error) if error.is_connect() => return BackendOutcome::Unreachable,
             Err(_) => return BackendOutcome::Lost,
         };
+        if !is_final_status(response.status().as_u16()) {
+            // The connection is closed, since the body is not read.
+            return BackendOutcome::Lost;
+        }
         if response.headers().contains_key(headers::SHED) {
             return BackendOutcome::Shed;
         }
--- a/crates/node/src/peer_calls.rs
+++ b/crates/node/src/peer_calls.rs
@@ -16,6 +16,7 @@
 use model::context::CallRank;
 use model::context::ThresholdNotice;
 use model::lookup::RouteEntry;
+use model::status::is_final_status;
 use model::verdict::CallFailure;
 use model::verdict::FailureCause;
 use model::verdict::RunVerdict;
@@ -152,7 +153,9 @@
 
 /// Builds the response to a resend from the stored response of the first run.
 pub(crate) fn response_from_stored(stored: &model::idempotency::StoredResponse) -> CallResponse {
-    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    let status = StatusCode::from_u16(stored.status).ok();
+    let status = status.filter(|status| is_final_status(status.as_u16()));
+    let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let mut head = http::HeaderMap::new();
     let content_type = stored.content_type.as_deref();
     if let Some(value) = content_type.and_then(|text| text.parse().ok()) {
--- a/crates/node/tests/path/backend.rs
+++ b/crates/node/tests/path/backend.rs
@@ -76,6 +76,12 @@
                 stream.write_all(partial_response).await.unwrap();
                 return;
             }
+            name if name.starts_with("status-") => {
+                let status = &name["status-".len()..];
+                let odd_response =
+                    format!("HTTP/1.1 {status} Trouble\r\ncontent-length: 3\r\n\r\nodd");
+                stream.write_all(odd_response.as_bytes()).await.unwrap();
+            }
             _ => {
                 let full_response = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\
                     ragwortplank-verdict: not-run\r\nragwortplank-context: forged\r\n\
--- a/crates/node/tests/path/bad_input.rs
+++ b/crates/node/tests/path/bad_input.rs
@@ -113,6 +113,18 @@
     assert!(test.backend.events.try_recv().is_err());
 }
 
+// Guards against answers that callers get although their status is none of HTTP.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_outside_http_is_reported_as_a_lost_connection() {
+    for status in ["000", "099", "600", "999", "0000"] {
+        let test = TestNode::start().await;
+        let path = format!("/prices/status-{status}");
+        let response = test.send_with_key(&path, "").await;
+        assert_failure(&response, "connection-lost", "may-have-run");
+        assert!(!response.ends_with("odd"), "{response}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_truncated_response_is_reported_as_a_lost_connection() {
     let mut test = TestNode::start().await;
--- a/crates/proxy/src/ingress/outcome.rs
+++ b/crates/proxy/src/ingress/outcome.rs
@@ -9,6 +9,7 @@
 use fleet::RouteTable;
 use http::Response;
 use http::StatusCode;
+use model::status::is_final_status;
 use tracing::info;
 
 use crate::forward::ForwardOutcome;
@@ -26,9 +27,12 @@
     let may_have_run = outcome.history.may_have_run;
     match outcome.last_attempt {
         AttemptOutcome::Answered { head, body } => {
+            let status = StatusCode::from_u16(head.status).ok();
+            let Some(status) = status.filter(|status| is_final_status(status.as_u16())) else {
+                return Err(Refusal::new(StatusCode::BAD_GATEWAY, "may-have-run"));
+            };
             let mut response = Response::new(body);
-            let status = StatusCode::from_u16(head.status);
-            *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+            *response.status_mut() = status;
             *response.headers_mut() = headers::to_header_map(&head.headers);
             Ok(response)
         }
--- a/crates/proxy/src/local_server/exchange.rs
+++ b/crates/proxy/src/local_server/exchange.rs
@@ -19,6 +19,7 @@
 use http::response::Parts;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use model::status::is_final_status;
 
 use crate::body::BodyError;
 use crate::body::read_body;
@@ -174,7 +175,7 @@
     };
     // Nodes ask for no other protocol, so a status such as 101 answers none of their requests.
     if !matches_attempt
-        || parts.status.is_informational()
+        || !is_final_status(parts.status.as_u16())
         || parts.headers.contains_key(http::header::CONTENT_ENCODING)
     {
         ResponseClaim::Foreign
