Ask all known instances for the members of the group, and prefer what a quorum confirmed

Cause: a joining instance took the first answer that named anybody, also that of an instance which was cut off or removed and knows only members that are gone. Each query was waited for in turn, up to 1.2 s for each address that is gone.

Change: all are asked at the same time. A confirmed answer decides; without one, all members that anybody named are asked to let it join. The look whether an identity was removed asks the same way. Discovery has a module of its own, out of run.rs.

Test: `discovery::an_answer_without_a_quorum_hides_no_member` (new function; the first answer hid the others before).

--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -4,6 +4,7 @@
 //! changes.
 
 mod capacity;
+mod discovery;
 mod identity;
 mod operators;
 mod peer_links;
@@ -18,6 +19,8 @@
 mod traffic;
 
 pub use crate::capacity::server_capacity;
+pub use crate::discovery::MembersAnswer;
+pub use crate::discovery::choose_members;
 pub use crate::identity::instance_id;
 pub use crate::identity::instance_ip;
 pub use crate::registry::NodeChanges;
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -6,7 +6,6 @@
 use anyhow::Context;
 use clock::Clock;
 use fleet::ConfigStore;
-use fleet::ControlMessage;
 use fleet::ProtocolAdapter;
 use fleet::StoreEntry;
 use metrics::ProcessMetrics;
@@ -29,6 +28,7 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::discovery;
 use crate::operators;
 use crate::session;
 use crate::start::DataDirectory;
@@ -50,8 +50,6 @@
 const MAINTENANCE_INTERVAL_MS: u64 = 100;
 /// Delay before a retry after a failure, in milliseconds.
 const RETRY_DELAY_MS: u64 = 250;
-/// Timeout for querying another instance for the members of the group, in milliseconds.
-const MEMBERS_QUERY_TIMEOUT_MS: u64 = 1_200;
 /// Timeout for replicating the list of nodes, in milliseconds.
 const PROPOSE_TIMEOUT_MS: u64 = 1_000;
 /// Time that a stopping instance has to write out what is queued on its links, in milliseconds.
@@ -235,7 +233,7 @@
     let log_path = directory.log_path();
     let has_log = log_path.try_exists().context("looking for the log")?;
     let initial_members = if joins && (must_query || !has_log) {
-        let Some(members) = find_group(state).await else {
+        let Some(members) = discovery::find_group(state).await else {
             return Ok(ReplicaExit::Stopped);
         };
         members
@@ -313,7 +311,7 @@
             >= Duration::from_millis(NO_LEADER_MS)
         {
             leader_seen_at = now;
-            if is_member && is_removed(state, own).await {
+            if is_member && discovery::is_removed(state, own).await {
                 warn!(event = "identity-expelled", instance = own);
                 return ReplicaExit::Rejoin;
             }
@@ -336,63 +334,6 @@
     }
 }
 
-/// Queries the seeds until one returns the members of the group; `None` if asked to stop meanwhile.
-async fn find_group<C: Clock>(state: &GroupState<C>) -> Option<Vec<InstanceId>> {
-    loop {
-        for seed in state.seeds() {
-            if seed.ip() == state.settings.own_address {
-                continue;
-            }
-            let address = SocketAddr::new(seed.ip(), state.settings.link_port);
-            if let Some((members, _)) = query_members(address).await
-                && !members.is_empty()
-            {
-                info!(event = "group-found", seed = %address, members = members.len());
-                return Some(members);
-            }
-        }
-        tokio::select! {
-            () = state.replica_stop.cancelled() => return None,
-            () = sleep(Duration::from_millis(RETRY_DELAY_MS)) => {}
-        }
-    }
-}
-
-/// Returns whether a quorum confirms that `own` is not a member of the group.
-async fn is_removed<C: Clock>(state: &GroupState<C>, own: InstanceId) -> bool {
-    let mut addresses = state.instances();
-    let seeds = state.seeds().into_iter();
-    addresses.extend(seeds.map(|seed| SocketAddr::new(seed.ip(), state.settings.link_port)));
-    for address in addresses {
-        if address.ip() == state.settings.own_address {
-            continue;
-        }
-        if let Some((members, true)) = query_members(address).await {
-            return !members.contains(&own);
-        }
-    }
-    false
-}
-
-/// Queries one instance for the members of the group, and whether a quorum confirmed them.
-async fn query_members(address: SocketAddr) -> Option<(Vec<InstanceId>, bool)> {
-    let time_limit = Duration::from_millis(MEMBERS_QUERY_TIMEOUT_MS);
-    let query = async {
-        let stream = link::connect(address, time_limit).await.ok()?;
-        let opened = link::open::<ControlMessage, ControlMessage>(stream).ok()?;
-        let (sender, mut receiver) = opened;
-        sender.send(&ControlMessage::QueryMembers);
-        match receiver.next().await? {
-            ControlMessage::Members {
-                instances,
-                confirmed,
-            } => Some((instances, confirmed)),
-            _ => None,
-        }
-    };
-    timeout(time_limit, query).await.ok().flatten()
-}
-
 /// Periodically checks connections, nodes and members.
 async fn run_maintenance<C: Clock>(state: GroupState<C>) {
     let mut period = interval(Duration::from_millis(MAINTENANCE_INTERVAL_MS));
