--- a/crates/daemon/tests/control/control_group.rs
+++ b/crates/daemon/tests/control/control_group.rs
@@ -19,8 +19,8 @@
 use crate::http;
 use crate::wait::eventually;
 
-/// Number of instances whose addresses the settings name.
-const SEED_COUNT: u8 = 3;
+/// Instances whose addresses the settings name at first.
+const FIRST_SEEDS: [u8; 3] = [0, 1, 2];
 /// Guarantees in the settings of all instances.
 const BOUNDS: &str = "[bounds]\ntolerated-losses = 2\nlease-ms = 5000\ndrain-ms = 2000\ngrace-s = 6\ncontact-ms = 3000\nattempt-window-s = 10\nattempt-ratio = 0.2\nattempt-slack = 49\nquota-window-s = 5\nquota-overage = 0.1\nquota-slack = 20\n";
 
@@ -29,6 +29,8 @@
     directory: TempDir,
     subnet: ReservedSubnet,
     instances: Vec<Option<Child>>,
+    /// Instances whose addresses the settings of the next start name.
+    pub(crate) seeds: [u8; 3],
 }
 
 impl ControlGroup {
@@ -38,6 +40,7 @@
             directory: TempDir::new().unwrap(),
             subnet: ReservedSubnet::take(),
             instances: (0..size).map(|_| None).collect(),
+            seeds: FIRST_SEEDS,
         };
         for number in 0..started {
             group.start_instance(number, true);
@@ -46,7 +49,9 @@
     }
 
     pub(crate) fn start_instance(&mut self, number: u8, first_start: bool) {
-        let seeds: Vec<String> = (0..SEED_COUNT)
+        let seeds: Vec<String> = self
+            .seeds
+            .into_iter()
             .map(|seed| format!("\"{}\"", self.address(seed, 0)))
             .collect();
         let settings = format!(
--- a/crates/group/src/discovery.rs
+++ b/crates/group/src/discovery.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 use tracing::info;
 
+use crate::identity::instance_ip;
 use crate::state::GroupState;
 
 /// Timeout for querying another instance for the members of the group, in milliseconds.
@@ -45,9 +46,14 @@
 }
 
 /// Queries other instances until one names members of the group; `None` if asked to stop meanwhile.
-pub(crate) async fn find_group<C: Clock>(state: &GroupState<C>) -> Option<Vec<InstanceId>> {
+///
+/// Beside the seeds, those that this instance knew earlier are asked.
+pub(crate) async fn find_group<C: Clock>(
+    state: &GroupState<C>,
+    known_members: &[InstanceId],
+) -> Option<Vec<InstanceId>> {
     loop {
-        let answers = query_all(&other_instances(state)).await;
+        let answers = query_all(&other_instances(state, known_members)).await;
         let members = choose_members(&answers);
         if !members.is_empty() {
             let confirmed = answers.iter().any(|answer| answer.confirmed);
@@ -69,18 +75,23 @@
 
 /// Returns whether a quorum confirms that `own` is not a member of the group.
 pub(crate) async fn is_removed<C: Clock>(state: &GroupState<C>, own: InstanceId) -> bool {
-    let answers = query_all(&other_instances(state)).await;
+    let answers = query_all(&other_instances(state, &state.members())).await;
     let confirmed = answers.iter().find(|answer| answer.confirmed);
     confirmed.is_some_and(|answer| !answer.members.contains(&own))
 }
 
-/// Returns where the members that this instance knows and the seeds listen, each once.
-fn other_instances<C: Clock>(state: &GroupState<C>) -> BTreeSet<SocketAddr> {
-    let seeds = state.seeds().into_iter();
-    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), state.settings.link_port));
-    let known = state.instances().into_iter().chain(seeds);
+/// Returns where members and the seeds listen, each once and without this instance.
+fn other_instances<C: Clock>(
+    state: &GroupState<C>,
+    members: &[InstanceId],
+) -> BTreeSet<SocketAddr> {
+    let members = members.iter().map(|member| instance_ip(*member));
+    let seeds = state.seeds().into_iter().map(|seed| seed.ip());
     let own = state.settings.own_address;
-    known.filter(|address| address.ip() != own).collect()
+    let others = members.chain(seeds).filter(|ip| *ip != own);
+    others
+        .map(|ip| SocketAddr::new(ip, state.settings.link_port))
+        .collect()
 }
 
 /// Queries instances at the same time, until one has confirmed members or all have answered or
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -139,10 +139,12 @@
     let mut must_query = false;
     // Only the first identity that this process uses may be one that forms the group.
     let mut may_form = state.settings.first_start;
+    let mut known_members = Vec::new();
     loop {
         let exit = match load_or_create_plan(state, &directory, may_form) {
             Ok(plan) => {
                 may_form = false;
+                known_members.clone_from(&plan.known_members);
                 match run_replica_once(state, &directory, &plan, must_query).await {
                     Ok(exit) => exit,
                     Err(error) => {
@@ -156,6 +158,10 @@
                 ReplicaExit::Reopen
             }
         };
+        let members = state.members();
+        if !members.is_empty() {
+            known_members = members;
+        }
         state.set_replica(None);
         must_query = matches!(exit, ReplicaExit::QueryMembers);
         match exit {
@@ -163,7 +169,7 @@
             ReplicaExit::Reopen | ReplicaExit::QueryMembers => {}
             ReplicaExit::Rejoin => {
                 // Without a new plan, the old identity starts and is removed again.
-                if let Err(error) = choose_next_identity(state, &directory) {
+                if let Err(error) = choose_next_identity(state, &directory, &known_members) {
                     warn!(event = "identity-not-replaced", error = %format!("{error:#}"));
                 }
             }
@@ -201,12 +207,15 @@
 
 /// Gives up an identity that the group has removed, and its log, for a new one that joins.
 ///
-/// However the deployment was started, the group exists: the new identity never forms one.
+/// However the deployment was started, the group exists: the new identity never forms one. It asks
+/// `known_members` for the group, beside the seeds.
 fn choose_next_identity<C: Clock>(
     state: &GroupState<C>,
     directory: &DataDirectory<'_>,
+    known_members: &[InstanceId],
 ) -> anyhow::Result<()> {
     let plan = StartPlan::joining(state.settings.own_address, rand::random());
+    let plan = plan.with_known_members(known_members.to_vec());
     let replaced = directory.replace_plan(&plan);
     replaced.context("replacing the plan")?;
     log_chosen(&plan);
@@ -233,7 +242,7 @@
     let log_path = directory.log_path();
     let has_log = log_path.try_exists().context("looking for the log")?;
     let initial_members = if joins && (must_query || !has_log) {
-        let Some(members) = discovery::find_group(state).await else {
+        let Some(members) = discovery::find_group(state, &plan.known_members).await else {
             return Ok(ReplicaExit::Stopped);
         };
         members
--- a/crates/group/src/start.rs
+++ b/crates/group/src/start.rs
@@ -23,13 +23,25 @@
 /// Name of the directory of the replicated log.
 const LOG_DIRECTORY: &str = "log";
 
+/// Most members that a plan remembers.
+const MAX_KNOWN_MEMBERS: usize = 16;
+
 /// Identity under which an instance starts, and the members of the group if it forms one.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StartPlan {
     /// Identity of the instance in the group.
     pub instance: InstanceId,
     /// Initial members of a newly formed group; empty for an instance that joins an existing one.
     pub initial_members: Vec<InstanceId>,
+    /// Members that the instance knew under an earlier identity, to be asked for the group.
+    pub known_members: Vec<InstanceId>,
+}
+
+/// The part of a plan that every version of the file has; the known members follow it.
+#[derive(Debug, Serialize, Deserialize)]
+struct PlanHead {
+    instance: InstanceId,
+    initial_members: Vec<InstanceId>,
 }
 
 impl StartPlan {
@@ -47,6 +59,7 @@
             return Self {
                 instance: instance_id(settings.own_address, 0),
                 initial_members: seed_ips.into_iter().map(|ip| instance_id(ip, 0)).collect(),
+                known_members: Vec::new(),
             };
         }
         Self::joining(settings.own_address, directory_id)
@@ -61,8 +74,42 @@
         Self {
             instance: instance_id(address, directory_id.max(1)),
             initial_members: Vec::new(),
+            known_members: Vec::new(),
         }
     }
+
+    /// Remembers members that the instance knows, beside the seeds of its settings, which may all
+    /// have been replaced.
+    #[must_use]
+    pub fn with_known_members(mut self, mut members: Vec<InstanceId>) -> Self {
+        members.truncate(MAX_KNOWN_MEMBERS);
+        self.known_members = members;
+        self
+    }
+
+    fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let head = PlanHead {
+            instance: self.instance,
+            initial_members: self.initial_members.clone(),
+        };
+        let mut content = postcard::to_stdvec(&head)?;
+        content.extend(postcard::to_stdvec(&self.known_members)?);
+        Ok(content)
+    }
+
+    fn decode(content: &[u8]) -> Result<Self, postcard::Error> {
+        let (head, rest) = postcard::take_from_bytes::<PlanHead>(content)?;
+        let known_members = if rest.is_empty() {
+            Vec::new()
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        Ok(Self {
+            instance: head.instance,
+            initial_members: head.initial_members,
+            known_members,
+        })
+    }
 }
 
 /// Data directory with the start plan, which keeps the identity across restarts, and the log.
@@ -102,7 +149,7 @@
             }
             content => content?,
         };
-        match postcard::from_bytes(&content) {
+        match StartPlan::decode(&content) {
             Ok(plan) => Ok(Some(plan)),
             // A log is created only once the plan is durable.
             Err(error) if self.log_path().try_exists()? => {
@@ -125,7 +172,7 @@
     }
 
     fn write_plan(&self, plan: &StartPlan, name: &str) -> io::Result<()> {
-        let content = postcard::to_stdvec(plan).map_err(io::Error::other)?;
+        let content = plan.encode().map_err(io::Error::other)?;
         let temporary = self.path.join("start.new");
         let mut file = File::create(&temporary)?;
         file.write_all(&content)?;
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -285,14 +285,19 @@
         self.status().and_then(|status| status.leader)
     }
 
-    /// Returns the addresses of all members of the group.
-    pub(crate) fn instances(&self) -> Vec<SocketAddr> {
+    /// Returns the identities of all members of the group.
+    pub(crate) fn members(&self) -> Vec<InstanceId> {
         let status = self.status();
         let members = status.map(|status| status.membership.members().to_vec());
-        let members = members.unwrap_or_default();
+        let members = members.unwrap_or_default().into_iter();
+        members.map(|member| member.instance).collect()
+    }
+
+    /// Returns the addresses of all members of the group.
+    pub(crate) fn instances(&self) -> Vec<SocketAddr> {
+        let members = self.members().into_iter();
         members
-            .iter()
-            .map(|member| self.peer_links.address(member.instance))
+            .map(|member| self.peer_links.address(member))
             .collect()
     }
 
--- a/crates/group/tests/start.rs
+++ b/crates/group/tests/start.rs
@@ -96,6 +96,29 @@
     assert!(!data_directory.log_path().exists());
 }
 
+// Guards against a removed instance that forgets the members with its log when it is restarted.
+#[test]
+fn members_that_were_known_survive_a_restart_and_are_bounded() {
+    let directory = TempDir::new().unwrap();
+    let data_directory = DataDirectory::new(directory.path()).unwrap();
+    let known: Vec<_> = (1..=200).map(|last| instance_id(ip(last), 3)).collect();
+    let plan = StartPlan::joining(ip(1), 7).with_known_members(known.clone());
+    assert_eq!(plan.known_members, known[..16]);
+    data_directory.replace_plan(&plan).unwrap();
+    assert_eq!(data_directory.load_plan().unwrap(), Some(plan));
+}
+
+#[test]
+fn a_plan_without_known_members_is_read() {
+    let directory = TempDir::new().unwrap();
+    let data_directory = DataDirectory::new(directory.path()).unwrap();
+    let written_before = postcard::to_stdvec(&(9_u64, vec![8_u64, 9])).unwrap();
+    std::fs::write(directory.path().join("start"), written_before).unwrap();
+    let plan = data_directory.load_plan().unwrap().unwrap();
+    assert_eq!((plan.instance, plan.initial_members), (9, vec![8, 9]));
+    assert!(plan.known_members.is_empty());
+}
+
 #[test]
 fn an_incomplete_plan_counts_as_missing() {
     let directory = TempDir::new().unwrap();
