Share the slack of retries among the nodes that are known now

What callers would see: a service gets more repeats than its bound (BUDGET) after all nodes were killed and started again.

Cause: a node's part of the slack was computed once, when the first request to the service came, from the nodes that it knew then. One that starts beside a new leader knows hardly any, and kept that part.

Change: the part follows the number of known nodes, and what was saved up shrinks with it.

--- a/crates/limit/src/service_budget.rs
+++ b/crates/limit/src/service_budget.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug)]
 pub struct ServiceRetryBudget {
     ratio: f64,
+    slack: f64,
+    window: Duration,
     cap: f64,
     balance: f64,
     refill_per_s: f64,
@@ -30,15 +32,28 @@
     /// per `window`.
     #[must_use]
     pub fn new(ratio: f64, slack: f64, window: Duration, nodes: usize, now: Instant) -> Self {
-        let own_slack = slack * SLACK_FRACTION / nodes.max(1) as f64;
-        let cap = (own_slack / 2.0).max(BALANCE_CAP_MIN);
-        Self {
+        let mut budget = Self {
             ratio: ratio * RATIO_FRACTION,
-            cap,
-            balance: cap,
-            refill_per_s: own_slack / 2.0 / window.as_secs_f64().max(1.0),
+            slack,
+            window,
+            cap: 0.0,
+            balance: 0.0,
+            refill_per_s: 0.0,
             updated: now,
-        }
+        };
+        budget.set_nodes(nodes, now);
+        budget.balance = budget.cap;
+        budget
+    }
+
+    /// Sets the number of nodes that share the slack; what this node may have saved up shrinks with
+    /// its part.
+    pub fn set_nodes(&mut self, nodes: usize, now: Instant) {
+        self.refill(now);
+        let own_slack = self.slack * SLACK_FRACTION / nodes.max(1) as f64;
+        self.cap = (own_slack / 2.0).max(BALANCE_CAP_MIN);
+        self.refill_per_s = own_slack / 2.0 / self.window.as_secs_f64().max(1.0);
+        self.balance = self.balance.min(self.cap);
     }
 
     /// Credits the budget for a first attempt.
@@ -48,13 +63,17 @@
 
     /// Spends one retry; returns whether the budget allowed it.
     pub fn spend(&mut self, now: Instant) -> bool {
-        let elapsed_s = now.saturating_duration_since(self.updated).as_secs_f64();
-        self.updated = now;
-        self.balance = (self.balance + elapsed_s * self.refill_per_s).min(self.cap);
+        self.refill(now);
         if self.balance < 1.0 {
             return false;
         }
         self.balance -= 1.0;
         true
     }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed_s = now.saturating_duration_since(self.updated).as_secs_f64();
+        self.updated = now;
+        self.balance = (self.balance + elapsed_s * self.refill_per_s).min(self.cap);
+    }
 }
--- a/crates/limit/tests/rate_allocator.rs
+++ b/crates/limit/tests/rate_allocator.rs
@@ -551,3 +551,30 @@
     assert!(!allocator.shows_use(&other, later + LEASE / 2));
     assert!(allocator.shows_use(&other, later + LEASE));
 }
+
+// Guards against nodes that keep a retry budget from a time at which they knew hardly any other
+// node, as all do that restart together: their budgets added up to many times the slack.
+#[test]
+fn retries_stay_within_the_slack_when_the_other_nodes_become_known_later() {
+    let start = Instant::now();
+    let window = Duration::from_secs(10);
+    let (ratio, slack, nodes) = (0.2, 49.0, 15);
+    let mut budgets: Vec<ServiceRetryBudget> = (0..nodes)
+        .map(|_| ServiceRetryBudget::new(ratio, slack, window, 1, start))
+        .collect();
+    for budget in &mut budgets {
+        budget.set_nodes(nodes, start);
+    }
+    let requests = 1_000;
+    let mut retries = 0;
+    for number in 0..requests {
+        let now = start + window * number / requests;
+        let budget = &mut budgets[number as usize % nodes];
+        budget.earn();
+        retries += u32::from(budget.spend(now));
+    }
+    assert!(
+        f64::from(retries) <= ratio * f64::from(requests) + slack,
+        "{retries}"
+    );
+}
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -290,6 +290,8 @@
                 now,
             )
         });
+        // More nodes may be known by now than when the budget was made.
+        budget.set_nodes(nodes, now);
         operation(budget, now)
     }
 
