Drop tokens that arrive long after they were requested

Cause: a loan's 300 ms counted from its arrival, however long it had been on its way, while the leader counts tokens as spent when it lends them.

Change: a request for tokens names its time on the node's clock, which the answer repeats; tokens older than 1 s are dropped and requested again, and requests that wait go on waiting. Within 1 s nothing changes, so a slow link costs no tokens. Nodes and control of different builds do not mix, as before.

Test: `token_wait_queue::tokens_that_arrive_late_are_not_used_and_requested_again` (new function) fails where late loans are kept.

--- a/crates/fleet/src/control_message.rs
+++ b/crates/fleet/src/control_message.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes and control instances, and among control instances.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use model::entry::EntryShare;
@@ -132,7 +133,12 @@
     /// missing, the node has none and gets none.
     RateShares(Vec<TeamShare>),
     /// Tokens lent in reply to [`ControlMessage::BorrowTokens`].
-    Tokens(LentTokens),
+    Tokens {
+        /// The time that the request named.
+        requested_at: Duration,
+        /// The tokens.
+        lent: LentTokens,
+    },
     /// Servers beside the node that have left, as a quorum has recorded them.
     Departures(DepartureList),
     /// Data centres to whose backend servers nothing may be sent; sent as soon as they change, and
@@ -175,7 +181,12 @@
     /// Periodic report of a node.
     Report(Box<NodeReport>),
     /// A node whose requests wait for tokens of their teams asks to borrow some.
-    BorrowTokens(Vec<TeamTokens>),
+    BorrowTokens {
+        /// Time of the request on the node's clock; the answer repeats it.
+        requested_at: Duration,
+        /// The tokens.
+        tokens: Vec<TeamTokens>,
+    },
     /// A control instance asks for the members of the group.
     QueryMembers,
     /// Answers [`Self::QueryMembers`].
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -144,7 +144,10 @@
             }
             ControlMessage::QueryMembers => self.reply_members(),
             ControlMessage::Report(report) => self.handle_report(*report),
-            ControlMessage::BorrowTokens(requested) => self.lend_tokens(requested),
+            ControlMessage::BorrowTokens {
+                requested_at,
+                tokens,
+            } => self.lend_tokens(requested_at, tokens),
             ControlMessage::Members { .. } | ControlMessage::Reply(_) => {
                 tracing::warn!(event = "message-unexpected", peer = %self.peer);
             }
@@ -314,14 +317,15 @@
 
     /// Lends tokens once a quorum has confirmed the leader, so that no two leaders lend at the
     /// same time.
-    fn lend_tokens(&self, requested: Vec<TeamTokens>) {
+    fn lend_tokens(&self, requested_at: Duration, requested: Vec<TeamTokens>) {
         let (state, sender) = (self.state.clone(), self.sender.clone());
         tokio::spawn(async move {
             if !state.confirm_leader().await {
                 return;
             }
             if let Some(lent) = state.lend_tokens(requested) {
-                sender.send(&ControlMessage::Reply(Box::new(ControlReply::Tokens(lent))));
+                let reply = ControlReply::Tokens { requested_at, lent };
+                sender.send(&ControlMessage::Reply(Box::new(reply)));
             }
         });
     }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -23,6 +23,7 @@
 
 use crate::control_instances::ControlInstances;
 use crate::state::ProxyState;
+use crate::token_wait_queue::drop_late_loan;
 
 /// Interval between reports, in milliseconds.
 const REPORT_PERIOD_MS: u64 = 300;
@@ -55,6 +56,7 @@
                     state: &state,
                     instances: &mut instances,
                     sender,
+                    opened_at: state.now(),
                     report_number: 0,
                     pending_reports: VecDeque::new(),
                     has_renewed_lease: false,
@@ -74,6 +76,7 @@
     state: &'a ProxyState<C, A>,
     instances: &'a mut ControlInstances,
     sender: LinkSender<ControlMessage>,
+    opened_at: Instant,
     report_number: u64,
     /// Numbers of the reports without a reply, and when each was sent.
     pending_reports: VecDeque<(u64, Instant)>,
@@ -172,8 +175,12 @@
             .token_queue()
             .next_request(|team| quota.prefetch_tokens(team), now);
         drop(quota);
-        if let Some(requested) = requested {
-            self.sender.send(&ControlMessage::BorrowTokens(requested));
+        if let Some(tokens) = requested {
+            let requested_at = now.saturating_duration_since(self.opened_at);
+            self.sender.send(&ControlMessage::BorrowTokens {
+                requested_at,
+                tokens,
+            });
         }
     }
 
@@ -218,7 +225,9 @@
                 tracing::debug!(event = "shares-given", shares = ?shares);
                 self.state.quota().apply_shares(&shares, now);
             }
-            ControlReply::Tokens(borrowed) => {
+            ControlReply::Tokens { requested_at, lent } => {
+                let since_opened = now.saturating_duration_since(self.opened_at);
+                let borrowed = drop_late_loan(lent, since_opened.saturating_sub(requested_at));
                 let unused = self.state.token_queue().distribute(borrowed, now);
                 let mut quota = self.state.quota();
                 for unused in unused {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -55,3 +55,4 @@
 pub use crate::stop_schedule::StopSchedule;
 pub use crate::token_wait_queue::GrantedToken;
 pub use crate::token_wait_queue::TokenWaitQueue;
+pub use crate::token_wait_queue::drop_late_loan;
--- a/crates/proxy/src/token_wait_queue.rs
+++ b/crates/proxy/src/token_wait_queue.rs
@@ -18,6 +18,8 @@
 /// Time after which tokens are requested again from a leader that lent fewer although the team may
 /// be within its limit, in milliseconds.
 const PARTIAL_RETRY_MS: u64 = 30;
+/// Longest time from a token request to its answer in which the tokens are of use, in milliseconds.
+const MAX_LOAN_AGE_MS: u64 = 1_000;
 
 /// The token that a waiting request was granted; `None` if its team has used up its rate.
 pub type GrantedToken = Option<TakenToken>;
@@ -149,3 +151,18 @@
         self.requested_until = None;
     }
 }
+
+/// Returns a loan without its tokens if it was requested too long ago.
+///
+/// The leader counts tokens as spent when it lends them. At a node that was frozen or cut off they
+/// would come on top of what is lent seconds later. Requests that wait go on waiting.
+#[must_use]
+pub fn drop_late_loan(mut borrowed: LentTokens, age: Duration) -> LentTokens {
+    if age > Duration::from_millis(MAX_LOAN_AGE_MS) {
+        borrowed.up_to_limit = false;
+        for team in &mut borrowed.tokens {
+            team.tokens = 0;
+        }
+    }
+    borrowed
+}
--- a/crates/proxy/tests/token_wait_queue.rs
+++ b/crates/proxy/tests/token_wait_queue.rs
@@ -8,6 +8,7 @@
 use limit::TakenToken;
 use model::ids::TeamName;
 use proxy::TokenWaitQueue;
+use proxy::drop_late_loan;
 
 fn tokens(team: &TeamName, tokens: u32) -> Vec<TeamTokens> {
     vec![TeamTokens {
@@ -140,3 +141,22 @@
     drop(waiter);
     assert_eq!(queue.next_request_delay(now), None);
 }
+
+// Guards against loans that a frozen node gets seconds later, on top of what is lent by then.
+#[test]
+fn tokens_that_arrive_late_are_not_used_and_requested_again() {
+    let now = Instant::now();
+    let team = TeamName::from("north");
+    let mut queue = TokenWaitQueue::default();
+    let mut waiter = queue.enqueue(&team, now).unwrap();
+    queue.next_request(|_| 4, now).unwrap();
+    let later = now + Duration::from_secs(5);
+    let late = drop_late_loan(lent(&team, 5), later - now);
+    assert!(queue.distribute(late, later).is_empty());
+    assert!(waiter.try_recv().is_err());
+    let delay = queue.next_request_delay(later).unwrap();
+    assert!(delay < Duration::from_millis(100), "{delay:?}");
+    let in_time = Duration::from_millis(200);
+    let loan = drop_late_loan(lent(&team, 5), in_time);
+    assert_eq!(queue.distribute(loan, later), tokens(&team, 4));
+}
