--- a/crates/daemon/tests/servers/cluster.rs
+++ b/crates/daemon/tests/servers/cluster.rs
@@ -246,6 +246,11 @@
 
     /// Returns the largest resident size that a node has had, in MiB.
     pub(crate) fn peak_memory_mib(&self, node: u8) -> u64 {
+        self.memory_kib(node, "VmHWM:") / 1024
+    }
+
+    /// Returns a figure of a node's memory that the kernel keeps, in KiB.
+    pub(crate) fn memory_kib(&self, node: u8, field: &str) -> u64 {
         let name = format!("node-{node}");
         let (_, child) = self
             .children
@@ -253,12 +258,8 @@
             .find(|(known, _)| *known == name)
             .unwrap();
         let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
-        let line = status
-            .lines()
-            .find(|line| line.starts_with("VmHWM:"))
-            .unwrap();
-        let kib: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
-        kib / 1024
+        let line = status.lines().find(|line| line.starts_with(field)).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 
     /// Returns what a process has logged.
--- a/crates/daemon/tests/servers/main.rs
+++ b/crates/daemon/tests/servers/main.rs
@@ -8,6 +8,7 @@
 mod cut_answers;
 mod endless;
 mod http;
+mod kept_uploads;
 mod odd_entries;
 mod odd_statuses;
 mod raw_server;
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -5,6 +5,7 @@
 mod outcome;
 mod parent_call;
 mod pipeline;
+mod prefixed_reader;
 mod refusal;
 mod request_body;
 mod request_parser;
--- a/crates/proxy/src/ingress/connection.rs
+++ b/crates/proxy/src/ingress/connection.rs
@@ -1,7 +1,6 @@
 //! A connection of a caller or of the local backend server, until its last answer is written.
 
 use std::convert::Infallible;
-use std::io::Cursor;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,13 +17,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 use crate::ingress::answer_request;
 use crate::ingress::open_request;
 use crate::ingress::pipeline::HandedOver;
 use crate::ingress::pipeline::serve_pipelined;
+use crate::ingress::prefixed_reader::PrefixedReader;
 use crate::ingress::refusal::BufferedResponse;
 use crate::open_call::OpenCall;
 use crate::state::ProxyState;
@@ -91,8 +90,8 @@
     rest: HandedOver,
     head_timeout: Duration,
 ) {
-    let input = Cursor::new(rest.input.freeze());
-    let stream = tokio::io::join(input.chain(rest.reader), rest.writer);
+    let reader = PrefixedReader::new(rest.input, rest.reader);
+    let stream = tokio::io::join(reader, rest.writer);
     let last = LastCall::new();
     let service = service_fn(|request| {
         let open = open_request(state, request, state.now());
