--- a/crates/daemon/tests/servers/odd_statuses.rs
+++ b/crates/daemon/tests/servers/odd_statuses.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 
 use crate::cluster::TestCluster;
+use crate::raw_server::RawServer;
 
 /// One server for each service, so that a request to `orders` takes one node or two.
 const SERVICES: [&str; 2] = ["orders", "stock"];
@@ -42,19 +43,21 @@
 fn answer_oddly(cluster: &TestCluster, status: &'static str, kind: AnswerKind) {
     cluster.servers[0].set_script(move |server, stream, request| {
         server.execute(request);
-        let mut head = format!(
-            "HTTP/1.1 {status} Trouble\r\nX-Ragwortplank-Request-Id: {}\r\nContent-Length: 4\r\n",
+        let stamp = if kind.has_stamp {
+            format!("X-Ragwortplank-Server-Stamp: {}\r\n", server.name)
+        } else {
+            String::new()
+        };
+        let claim = if kind.is_refusal {
+            "X-Ragwortplank-Not-Executed: 1\r\n"
+        } else {
+            ""
+        };
+        let answer = format!(
+            "HTTP/1.1 {status} Trouble\r\nX-Ragwortplank-Request-Id: {}\r\nContent-Length: 4\r\n{stamp}{claim}\r\nodd!",
             request.id
         );
-        if kind.has_stamp {
-            head += &format!("X-Ragwortplank-Server-Stamp: {}\r\n", server.name);
-        }
-        if kind.is_refusal {
-            head += "X-Ragwortplank-Not-Executed: 1\r\n";
-        }
-        stream
-            .write_all(format!("{head}\r\nodd!").as_bytes())
-            .is_ok()
+        stream.write_all(answer.as_bytes()).is_ok()
     });
 }
 
@@ -82,7 +85,7 @@
             }
         }
     }
-    cluster.servers[0].set_script(|server, stream, request| server.answer_soundly(stream, request));
+    cluster.servers[0].set_script(RawServer::answer_soundly);
     cluster.await_serving();
     cluster.assert_running();
 }
