Let two pairs of tests share what they wrote twice

The state machine without a state of the registration and idle tests of `replica`, and the loop of failing requests of the two tests on the retry budget of a service.

--- a/crates/limit/tests/rate_allocator.rs
+++ b/crates/limit/tests/rate_allocator.rs
@@ -309,6 +309,24 @@
     assert!(bucket.take(later).is_none());
 }
 
+/// Spreads requests that all fail over nodes and a window; returns how many retries are allowed.
+fn failing_retries(
+    budgets: &mut [ServiceRetryBudget],
+    requests: u32,
+    start: Instant,
+    window: Duration,
+) -> u32 {
+    let nodes = budgets.len();
+    let mut retries = 0;
+    for number in 0..requests {
+        let now = start + window * number / requests;
+        let budget = &mut budgets[number as usize % nodes];
+        budget.earn();
+        retries += u32::from(budget.spend(now));
+    }
+    retries
+}
+
 #[test]
 fn retries_stay_within_the_ratio_when_everything_fails() {
     let start = Instant::now();
@@ -318,13 +336,7 @@
         .map(|_| ServiceRetryBudget::new(ratio, slack, window, nodes, start))
         .collect();
     let requests = 6_000;
-    let mut retries = 0;
-    for number in 0..requests {
-        let now = start + window * number / requests;
-        let budget = &mut budgets[number as usize % nodes];
-        budget.earn();
-        retries += u32::from(budget.spend(now));
-    }
+    let retries = failing_retries(&mut budgets, requests, start, window);
     assert!(f64::from(retries) <= ratio * f64::from(requests) + slack);
     assert!(retries > 500);
 }
@@ -566,13 +578,7 @@
         budget.set_nodes(nodes, start);
     }
     let requests = 1_000;
-    let mut retries = 0;
-    for number in 0..requests {
-        let now = start + window * number / requests;
-        let budget = &mut budgets[number as usize % nodes];
-        budget.earn();
-        retries += u32::from(budget.spend(now));
-    }
+    let retries = failing_retries(&mut budgets, requests, start, window);
     assert!(
         f64::from(retries) <= ratio * f64::from(requests) + slack,
         "{retries}"
--- a/crates/replica/tests/idle.rs
+++ b/crates/replica/tests/idle.rs
@@ -1,5 +1,8 @@
 //! How often a replica takes a turn while it waits for the other first members.
 
+#[path = "support/no_state.rs"]
+mod no_state;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -10,16 +13,16 @@
 use clock::Clock;
 use clock::SystemClock;
 use replica::InstanceId;
-use replica::LogIndex;
 use replica::PeerLink;
 use replica::ReplicaConfig;
 use replica::ReplicaHandle;
-use replica::StateMachine;
 use tempfile::TempDir;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio_util::sync::CancellationToken;
 
+use crate::no_state::NoState;
+
 /// Longest election timeout of the replica; it passes long before the first request is repeated.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(20);
 /// Requests to be registered during which the readings of the clock are counted.
@@ -44,23 +47,6 @@
     }
 }
 
-/// State machine without a state.
-struct NoState;
-
-impl StateMachine for NoState {
-    type Output = ();
-
-    fn apply(&mut self, _index: LogIndex, _entry: &[u8]) {}
-
-    fn snapshot(&self) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn restore(&mut self, _snapshot: &[u8]) -> anyhow::Result<()> {
-        Ok(())
-    }
-}
-
 /// Reports what is sent to member 2, and delivers nothing.
 #[derive(Clone, Debug)]
 struct ReportingLink {
--- a/crates/replica/tests/registration.rs
+++ b/crates/replica/tests/registration.rs
@@ -1,5 +1,8 @@
 //! Registration of first members, with messages that are delivered one by one.
 
+#[path = "support/no_state.rs"]
+mod no_state;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -7,40 +10,23 @@
 
 use clock::SystemClock;
 use replica::InstanceId;
-use replica::LogIndex;
 use replica::PeerLink;
 use replica::ReplicaConfig;
 use replica::ReplicaHandle;
 use replica::ReplicatedState;
-use replica::StateMachine;
 use replica::storage::LogStore;
 use replica::storage::StoreConfig;
 use tempfile::TempDir;
 use tokio_util::sync::CancellationToken;
 
+use crate::no_state::NoState;
+
 /// Interval between two polls of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Second byte of a request to register a folder, and of the response.
 const REQUEST_KIND: u8 = 1;
 const REPLY_KIND: u8 = 2;
 
-/// State machine without a state.
-struct NoState;
-
-impl StateMachine for NoState {
-    type Output = ();
-
-    fn apply(&mut self, _index: LogIndex, _entry: &[u8]) {}
-
-    fn snapshot(&self) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn restore(&mut self, _snapshot: &[u8]) -> anyhow::Result<()> {
-        Ok(())
-    }
-}
-
 /// A message that was sent and not delivered.
 #[derive(Clone, Debug)]
 struct SentMessage {
