Review case 13: keep to the dose of the site file, 0.3 of the clients leave

The first form let all clients of the script leave; the site file's largest dose is a share of 0.3 within 1500 ms.

--- a/review/13/play.py
+++ b/review/13/play.py
@@ -14,19 +14,20 @@
                         put_config, read_answer)
 
 TROUBLE = sys.argv[1:] != ["off"]   # run.sh says "on" or "off"
-CLIENTS = 40                        # at each of two nodes
+CLIENTS = 60                        # at each of two nodes
+SHARE = 0.3                         # of the clients leave
 UPLOAD_BYTES = 60_000               # the mean of document-upload
 AHEAD = 3                           # safe requests behind the upload
 DEADLINE_MS = 5000
-LEAVE_AFTER_S = 1.0                 # after the answer to the upload
+LEAVE_AFTER_S = 0.8                 # after the answer to the upload
 BOUND_S = 0.5                       # "over half a second later"
 FEW = 5
 LIMIT_S = 110.0                     # the whole run
 WORK_S = {"upload": 0.22, "safe": 2.0}
 
 
-async def client(deployment, node, requests, left, sent):
-    """Uploads, sends safe requests ahead of the answer, and leaves before they are answered."""
+async def client(deployment, node, leaves, requests, left, sent):
+    """Uploads, and sends safe requests ahead of the answer; may leave before they are answered."""
     reader, writer = await asyncio.open_connection(node.ip, deployment.caller_port)
     ids = []
     for position in range(1 + AHEAD):
@@ -45,7 +46,7 @@
         sent[request] = time.monotonic()
     await writer.drain()
     answers = [(await asyncio.wait_for(read_answer(reader), 6))[0]]
-    if TROUBLE:
+    if leaves:
         await asyncio.sleep(LEAVE_AFTER_S)
         writer.close()
         await writer.wait_closed()
@@ -86,8 +87,9 @@
         raise CannotRun("the first desired state was not accepted")
     await await_ready(deployment)
     await asyncio.sleep(3)
-    answers = await asyncio.gather(*(client(deployment, node, requests, left, sent)
-                                     for node in deployment.nodes[:2] for _ in range(CLIENTS)))
+    answers = await asyncio.gather(*(
+        client(deployment, node, TROUBLE and number < SHARE * CLIENTS, requests, left, sent)
+        for node in deployment.nodes[:2] for number in range(CLIENTS)))
     counts = {}
     for one in answers:
         for position, status in enumerate(one):
