--- a/crates/daemon/tests/servers/main.rs
+++ b/crates/daemon/tests/servers/main.rs
@@ -14,5 +14,6 @@
 mod raw_server;
 mod refusals;
 mod stalled;
+mod uploads_ahead;
 #[path = "../shared/wait.rs"]
 mod wait;
--- a/crates/proxy/src/ingress.rs
+++ b/crates/proxy/src/ingress.rs
@@ -2,6 +2,7 @@
 
 mod answer_writer;
 mod connection;
+mod incoming_body;
 mod outcome;
 mod parent_call;
 mod pipeline;
--- a/crates/proxy/src/ingress/answer_writer.rs
+++ b/crates/proxy/src/ingress/answer_writer.rs
@@ -19,10 +19,19 @@
 /// Bytes that are reserved for a head, so that most are written without growing.
 const HEAD_RESERVE_BYTES: usize = 512;
 
+/// Asks a caller for the body that it holds back.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Marks the answer to a request that wants the head alone.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HeadOnly;
+
 /// What is left to write of one answer.
 #[derive(Debug, Default)]
 pub(super) struct AnswerWriter {
     parts: VecDeque<Bytes>,
+    /// Whether one of the parts ends an answer.
+    has_answer: bool,
 }
 
 impl AnswerWriter {
@@ -31,12 +40,21 @@
         self.parts.is_empty()
     }
 
+    /// Returns whether an answer has been written since the last call, and nothing is left.
+    pub(super) fn take_finished_answer(&mut self) -> bool {
+        self.is_empty() && std::mem::take(&mut self.has_answer)
+    }
+
     /// Begins to write an answer; the one before it must be written.
     pub(super) fn begin(&mut self, answer: BufferedResponse, closes: bool) {
+        self.has_answer = true;
         let (head, body) = answer.into_parts();
         let mut text = BytesMut::with_capacity(HEAD_RESERVE_BYTES);
-        write_head(&mut text, head.status, &head.headers, body.len(), closes);
-        if has_no_body(head.status) {
+        let is_head_only = head.extensions.get::<HeadOnly>().is_some();
+        let announced = announced_bytes(&head.headers).filter(|_| is_head_only);
+        let body_bytes = announced.unwrap_or(body.len() as u64);
+        write_head(&mut text, head.status, &head.headers, body_bytes, closes);
+        if is_head_only || has_no_body(head.status) {
             self.parts.push_back(text.freeze());
         } else if body.len() <= JOINED_BODY_BYTES {
             text.extend_from_slice(&body);
@@ -47,6 +65,11 @@
         }
     }
 
+    /// Asks the caller for the body that it holds back, behind what is being written.
+    pub(super) fn ask_for_body(&mut self) {
+        self.parts.push_back(Bytes::from_static(CONTINUE));
+    }
+
     /// Writes a part; may be cancelled, in which case nothing is lost.
     ///
     /// # Errors
@@ -66,6 +89,16 @@
     }
 }
 
+/// Returns the length that the headers of an answer give for its body.
+fn announced_bytes(headers: &HeaderMap) -> Option<u64> {
+    headers
+        .get(header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
 /// Returns whether answers of this status end with their head.
 fn has_no_body(status: StatusCode) -> bool {
     let is_bare = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
@@ -77,7 +110,7 @@
     text: &mut BytesMut,
     status: StatusCode,
     headers: &HeaderMap,
-    body_bytes: usize,
+    body_bytes: u64,
     closes: bool,
 ) {
     text.extend_from_slice(b"HTTP/1.1 ");
--- a/crates/proxy/src/ingress/connection.rs
+++ b/crates/proxy/src/ingress/connection.rs
@@ -80,12 +80,15 @@
         limits.head_timeout.max(limits.idle_timeout)
     });
     if let Some(rest) = serve_pipelined(&state, stream, head_timeout).await {
-        serve_in_turn(&state, rest, head_timeout).await;
+        serve_last(&state, rest, head_timeout).await;
     }
 }
 
-/// Serves the rest of a connection one request after the other, in every form that HTTP allows.
-async fn serve_in_turn<C: Clock, A: ProtocolAdapter>(
+/// Serves the next request of a connection, in any form that HTTP allows, and closes it.
+///
+/// The HTTP library sees neither that a caller leaves nor when a request arrived while others of
+/// the connection wait, so nothing may wait behind this one.
+async fn serve_last<C: Clock, A: ProtocolAdapter>(
     state: &ProxyState<C, A>,
     rest: HandedOver,
     head_timeout: Duration,
@@ -105,6 +108,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
         .max_buf_size(MAX_HEAD_BUFFER_BYTES)
+        .keep_alive(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let ended = tokio::select! {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,7 +7,9 @@
 
 mod announce;
 mod answer_queue;
+mod arrival_times;
 mod body;
+mod body_decoder;
 mod bounded_stream;
 mod connection_pool;
 mod control;
@@ -38,6 +40,11 @@
 pub use crate::answer_queue::AnswerQueue;
 pub use crate::answer_queue::ReadyAnswer;
 pub use crate::answer_queue::RequestTicket;
+pub use crate::arrival_times::ArrivalTimes;
+pub use crate::body_decoder::BodyDecoder;
+pub use crate::body_decoder::BodyFraming;
+pub use crate::body_decoder::DecodedPart;
+pub use crate::body_decoder::MalformedBody;
 pub use crate::control_instances::ControlInstances;
 pub use crate::leased_config::LeasedConfig;
 pub use crate::local_server::LocalEvacuation;
