Say so at once when a disk is lost, and let an instance that knows of its removal rejoin

Cause: an instance answered for a lost identity only with a running replica, which it starts once it has found its group.

Fix: the identity is answered for as soon as it is durably chosen. An instance whose log says that it was removed asks whether that is confirmed, whatever leader it knew.

--- a/crates/group/src/peer_links.rs
+++ b/crates/group/src/peer_links.rs
@@ -44,7 +44,8 @@
 
 #[derive(Debug, Default)]
 struct PeerLinksState {
-    own: InstanceId,
+    /// Identity of this instance, once it has durably chosen one.
+    own: Option<InstanceId>,
     peers: HashMap<InstanceId, PeerState>,
     /// Since when each member has been silent.
     silent_since: HashMap<InstanceId, SilenceStart>,
@@ -80,7 +81,12 @@
 
     /// Sets the identity under which messages are sent.
     pub(crate) fn set_own(&self, own: InstanceId) {
-        self.lock().own = own;
+        self.lock().own = Some(own);
+    }
+
+    /// Returns the identity under which messages are sent; `None` until it is chosen.
+    pub(crate) fn own(&self) -> Option<InstanceId> {
+        self.lock().own
     }
 
     /// Returns the address at which an instance listens for connections.
@@ -120,9 +126,10 @@
     /// Tells all connected instances that this one stops.
     pub(crate) fn announce_leaving(&self) {
         let state = self.lock();
-        let leaving = ControlMessage::Leaving {
-            instance: state.own,
+        let Some(instance) = state.own else {
+            return;
         };
+        let leaving = ControlMessage::Leaving { instance };
         for peer in state.peers.values() {
             if let PeerState::Open(sender) = peer {
                 sender.send(&leaving);
@@ -260,7 +267,9 @@
     fn send(&self, to: InstanceId, message: Vec<u8>) {
         let now = self.clock.now();
         let mut state = self.lock();
-        let from = state.own;
+        let Some(from) = state.own else {
+            return;
+        };
         let retry_delay = Duration::from_millis(RECONNECT_DELAY_MS);
         match state.peers.get(&to) {
             Some(PeerState::Open(sender)) if !sender.is_closed() => {
--- a/crates/group/src/run.rs
+++ b/crates/group/src/run.rs
@@ -322,18 +322,21 @@
             state.metrics.set("term", current.term);
             state.notify_sessions();
         }
+        // A removed instance may know of its removal, and hears the leader no more after that.
+        let is_removed = current.membership.has_removed(own);
         let is_member = current.membership.member(own).is_some();
-        if current.leader.is_some() || current.role == MemberRole::Leader {
+        let has_leader = current.leader.is_some() || current.role == MemberRole::Leader;
+        if has_leader && !is_removed {
             leader_seen_at = now;
         } else if now.saturating_duration_since(leader_seen_at)
             >= Duration::from_millis(NO_LEADER_MS)
         {
             leader_seen_at = now;
-            if is_member && discovery::is_removed(state, own).await {
+            if (is_member || is_removed) && discovery::is_removed(state, own).await {
                 warn!(event = "identity-expelled", instance = own);
                 return ReplicaExit::Rejoin;
             }
-            if !is_member {
+            if !is_member && !is_removed {
                 // The members that earlier queries found, if any, may all be gone by now.
                 return ReplicaExit::QueryMembers;
             }
--- a/crates/group/src/session.rs
+++ b/crates/group/src/session.rs
@@ -17,6 +17,7 @@
 use link::LinkSender;
 use model::ids::ConfigVersion;
 use model::ids::DataCentreName;
+use model::ids::InstanceId;
 use model::ids::NodeId;
 use model::ids::TeamName;
 use quorum::MemberRole;
@@ -136,17 +137,7 @@
         match message {
             ControlMessage::Replica { from, to, body } => {
                 self.state.peer_links.record_heard(from);
-                let Some(replica) = self.state.replica() else {
-                    return;
-                };
-                let running = replica.status().instance;
-                if running == to {
-                    replica.receive(from, body.to_vec());
-                } else {
-                    let intended = to;
-                    self.sender
-                        .send(&ControlMessage::OtherIdentity { intended, running });
-                }
+                self.pass_on(from, to, &body);
             }
             ControlMessage::Leaving { instance } => self.state.peer_links.record_leaving(instance),
             ControlMessage::QueryMembers => self.reply_members(),
@@ -163,6 +154,25 @@
         }
     }
 
+    /// Passes a message on to the replica, or answers that the member it is for is gone.
+    ///
+    /// An instance that has lost its disk says so even before it has found its group.
+    fn pass_on(&self, from: InstanceId, to: InstanceId, body: &[u8]) {
+        let Some(running) = self.state.peer_links.own() else {
+            return;
+        };
+        if running != to {
+            let intended = to;
+            self.sender
+                .send(&ControlMessage::OtherIdentity { intended, running });
+            return;
+        }
+        let replica = self.state.replica();
+        if let Some(replica) = replica.filter(|replica| replica.status().instance == to) {
+            replica.receive(from, body.to_vec());
+        }
+    }
+
     fn reply_members(&self) {
         let (state, sender) = (self.state.clone(), self.sender.clone());
         tokio::spawn(async move {
--- a/crates/quorum/src/membership.rs
+++ b/crates/quorum/src/membership.rs
@@ -116,6 +116,12 @@
             .find(|member| member.instance == instance)
     }
 
+    /// Returns whether the instance was a member and has been removed.
+    #[must_use]
+    pub fn has_removed(&self, instance: InstanceId) -> bool {
+        self.removed.contains(&instance)
+    }
+
     /// Returns the IDs of the voters.
     pub fn voters(&self) -> impl Iterator<Item = InstanceId> + '_ {
         self.members
