--- a/crates/quorum/src/core/snapshots.rs
+++ b/crates/quorum/src/core/snapshots.rs
@@ -21,6 +21,8 @@
 pub(super) struct SnapshotProgress {
     /// Index of the snapshot that is being sent, 0 before the first chunk.
     index: LogIndex,
+    /// Length of that snapshot, in bytes; a later one may be shorter.
+    length: u64,
     /// Bytes that the member has acknowledged.
     received: u64,
 }
@@ -60,8 +62,11 @@
             return;
         };
         if progress.index != snapshot.last_included.index {
-            progress.index = snapshot.last_included.index;
-            progress.received = 0;
+            *progress = SnapshotProgress {
+                index: snapshot.last_included.index,
+                length: snapshot.state.len() as u64,
+                received: 0,
+            };
         }
         let length = snapshot.state.len();
         let start = usize::try_from(progress.received)
@@ -85,10 +90,6 @@
         received: u64,
         now: Instant,
     ) {
-        let length = self
-            .log
-            .snapshot()
-            .map_or(0, |snapshot| snapshot.state.len() as u64);
         let last = self.log.last().index;
         let Some(peer) = self
             .leader_state()
@@ -103,7 +104,7 @@
         if progress.index != index || index > last {
             return;
         }
-        if received >= length {
+        if received >= progress.length {
             peer.snapshot = None;
             peer.matched = peer.matched.max(index);
             peer.next = peer.matched + 1;
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -283,3 +283,67 @@
     advance(&mut group);
     assert!(group.history.acknowledged > acknowledged);
 }
+
+/// Returns whether the leader sends chunks of its snapshot to `to` within a few heartbeats.
+fn sends_chunks(group: &mut SimGroup, to: InstanceId) -> bool {
+    let mut has_sent = false;
+    for _ in 0..60 {
+        group.advance(Duration::from_millis(5));
+        for id in group.ids() {
+            group.sync(id, usize::MAX);
+        }
+        for message in std::mem::take(&mut group.in_flight) {
+            let is_chunk = matches!(message.outgoing.message.body, MessageBody::Snapshot { .. });
+            if is_chunk && message.outgoing.to == to {
+                has_sent = true;
+            } else {
+                group.deliver(message);
+            }
+        }
+    }
+    has_sent
+}
+
+/// A member has a part of one snapshot when the leader takes the next, which is no longer than that
+/// part; it must not count as having the next one.
+#[test]
+fn a_part_of_an_earlier_snapshot_is_not_taken_for_a_shorter_later_one() {
+    let mut group = SimGroup::new(&[1, 2, 3], 4, 13);
+    recover(&mut group);
+    let leader = group.leader().expect("a leader");
+    let mut ids = group.ids().into_iter();
+    let lagging = ids.find(|&id| id != leader).expect("a follower");
+    group.cut_links.insert((leader, lagging));
+    for command in 0..40 {
+        group.propose(leader, command);
+    }
+    for _ in 0..20 {
+        step_all(&mut group);
+    }
+    group.compact(leader);
+    group.cut_links.clear();
+    let first = next_snapshot_chunk(&mut group, lagging);
+    // The reply to the first chunk arrives once the next snapshot has been taken.
+    group.deliver(first);
+    group.sync(lagging, usize::MAX);
+    let replies = std::mem::take(&mut group.in_flight);
+    group.cut_links.insert((leader, lagging));
+    group.propose(leader, 1);
+    for _ in 0..20 {
+        step_all(&mut group);
+    }
+    let applied = group.members[&leader].state_machine.applied;
+    group.with_core(leader, |core, _| {
+        core.compact(applied, Bytes::from_static(b"x"))
+    });
+    group.cut_links.clear();
+    for reply in replies {
+        group.deliver(reply);
+    }
+    let applied = group.members[&lagging].state_machine.applied;
+    assert!(applied < 40, "the transfer is not done");
+    assert!(
+        sends_chunks(&mut group, lagging),
+        "the next snapshot is sent"
+    );
+}
