Count a departure as replaced only once a spare could vote, in the search of replacements

Both now ask whether there was room for one more spare, as docs/QUORUM.md states the limit. A semicolon that the linter asks for.

--- a/crates/group/tests/support/machines.rs
+++ b/crates/group/tests/support/machines.rs
@@ -203,11 +203,8 @@
             return;
         }
         self.note("remove", position);
-        if let Some(successor) = self.waiting_successor() {
-            successor.is_spare = false;
-        } else {
-            self.unreplaced += 1;
-        }
+        self.unreplaced += 1;
+        self.note_replacements();
         let machine = &mut self.machines[position];
         machine.state = MachineState::Gone;
         self.group.lose(machine.instance);
@@ -218,11 +215,14 @@
         if !machine.is_present() || machine.is_spare {
             return false;
         }
-        let unnoticed = self.unnoticed_departures();
+        let is_replaced = self.has_room() && self.waiting_successor().is_some();
+        is_replaced || self.may_lose(position) && self.unnoticed_departures() == 0
+    }
+
+    /// Returns whether a learner that has had its time votes by now.
+    fn has_room(&self) -> bool {
         let had_time = self.group.now >= self.room_since + PROMOTION_TIME;
-        let has_room = had_time && unnoticed < self.tolerated;
-        let is_replaced = has_room && self.waiting_successor().is_some();
-        is_replaced || self.may_lose(position) && unnoticed == 0
+        had_time && self.unnoticed_departures() < self.tolerated
     }
 
     /// Returns the number of machines that are gone and still vote.
@@ -450,7 +450,7 @@
 
     /// Lets successors that have had their time make good a machine that is gone.
     fn note_replacements(&mut self) {
-        while self.unreplaced > 0 {
+        while self.unreplaced > 0 && self.has_room() {
             let Some(successor) = self.waiting_successor() else {
                 return;
             };
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -334,7 +334,7 @@
     }
     let applied = group.members[&leader].state_machine.applied;
     group.with_core(leader, |core, _| {
-        core.compact(applied, Bytes::from_static(b"x"))
+        core.compact(applied, Bytes::from_static(b"x"));
     });
     group.cut_links.clear();
     for reply in replies {
