--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -75,19 +75,27 @@
     assert_ne!(role, Some(MemberRole::Leader));
 }
 
+/// Delivers messages for a step, until one with a snapshot chunk for `to`; returns that one.
+fn step_to_snapshot_chunk(group: &mut SimGroup, to: InstanceId) -> Option<SimMessage> {
+    group.advance(Duration::from_millis(5));
+    for id in group.ids() {
+        group.sync(id, usize::MAX);
+    }
+    for message in std::mem::take(&mut group.in_flight) {
+        let is_chunk = matches!(message.outgoing.message.body, MessageBody::Snapshot { .. });
+        if is_chunk && message.outgoing.to == to {
+            return Some(message);
+        }
+        group.deliver(message);
+    }
+    None
+}
+
 /// Delivers messages until one with a snapshot chunk for `to` is in flight, and returns that one.
 fn next_snapshot_chunk(group: &mut SimGroup, to: InstanceId) -> SimMessage {
     loop {
-        group.advance(Duration::from_millis(5));
-        for id in group.ids() {
-            group.sync(id, usize::MAX);
-        }
-        for message in std::mem::take(&mut group.in_flight) {
-            let is_chunk = matches!(message.outgoing.message.body, MessageBody::Snapshot { .. });
-            if is_chunk && message.outgoing.to == to {
-                return message;
-            }
-            group.deliver(message);
+        if let Some(chunk) = step_to_snapshot_chunk(group, to) {
+            return chunk;
         }
     }
 }
@@ -284,24 +292,9 @@
     assert!(group.history.acknowledged > acknowledged);
 }
 
-/// Returns whether the leader sends chunks of its snapshot to `to` within a few heartbeats.
-fn sends_chunks(group: &mut SimGroup, to: InstanceId) -> bool {
-    let mut has_sent = false;
-    for _ in 0..60 {
-        group.advance(Duration::from_millis(5));
-        for id in group.ids() {
-            group.sync(id, usize::MAX);
-        }
-        for message in std::mem::take(&mut group.in_flight) {
-            let is_chunk = matches!(message.outgoing.message.body, MessageBody::Snapshot { .. });
-            if is_chunk && message.outgoing.to == to {
-                has_sent = true;
-            } else {
-                group.deliver(message);
-            }
-        }
-    }
-    has_sent
+/// Returns whether the leader sends a chunk of its snapshot to `to` within a few heartbeats.
+fn sends_chunk(group: &mut SimGroup, to: InstanceId) -> bool {
+    (0..60).any(|_| step_to_snapshot_chunk(group, to).is_some())
 }
 
 /// A member has a part of one snapshot when the leader takes the next, which is no longer than that
@@ -343,7 +336,7 @@
     let applied = group.members[&lagging].state_machine.applied;
     assert!(applied < 40, "the transfer is not done");
     assert!(
-        sends_chunks(&mut group, lagging),
+        sends_chunk(&mut group, lagging),
         "the next snapshot is sent"
     );
 }
