Count the outgoing membership only where a lost voter may be left out

What operators would see: with a lost voter being removed, another one stopped; the group elected no leader any more, though three of the four remaining places ran before.

Cause: since every change of voters needed a quorum of the membership before it until it was committed, so a removal that was appended still waited for the voter that was lost. That is needed only beside spare voters, where one membership may leave a lost voter out that the other one counts; without spares any two majorities of memberships that differ in one voter overlap, as before.

The new test a_removal_that_is_appended_holds_... failed before and needs no luck.

A leader also no longer counts two memberships of the same voters on each acknowledgement.

--- a/crates/quorum/src/core/members.rs
+++ b/crates/quorum/src/core/members.rs
@@ -18,8 +18,8 @@
 impl RaftCore {
     /// Appends a membership change, which is in force as soon as it is appended.
     ///
-    /// If it changes the voters, the membership before it counts as well until the change is
-    /// committed and [settled](Self::settle_membership).
+    /// Beside spare voters, the membership before it counts as well until the change is committed
+    /// and [settled](Self::settle_membership).
     ///
     /// # Errors
     ///
@@ -46,7 +46,10 @@
             self.check_caught_up(instance, now)?;
         }
         let heard = |voter| self.heard_recently(voter, now);
-        if !state.terms.has_quorum(&membership, heard) || !self.has_quorum(&state.terms, heard) {
+        let stays = self.counts_beside(self.log.membership(), &membership);
+        let has_quorum = state.terms.has_quorum(&membership, heard)
+            && (!stays || self.has_quorum(&state.terms, heard));
+        if !has_quorum {
             return Err(MemberChangeError::NoQuorum);
         }
         self.append_as_leader(vec![EntryPayload::Members(membership)]);
@@ -95,7 +98,7 @@
     pub(super) fn settle_membership(&mut self, now: Instant) {
         let is_committed = self.commit_index >= self.log.membership_index();
         let is_leader = matches!(self.role, RoleState::Leader(_));
-        if !is_leader || !is_committed || self.log.outgoing_membership().is_none() {
+        if !is_leader || !is_committed || self.outgoing_membership().is_none() {
             return;
         }
         let membership = self.log.membership().clone();
@@ -106,7 +109,7 @@
 
     /// Returns the members of all memberships in force but this one.
     pub(super) fn followed_members(&self) -> BTreeSet<InstanceId> {
-        let memberships = [Some(self.log.membership()), self.log.outgoing_membership()];
+        let memberships = [Some(self.log.membership()), self.outgoing_membership()];
         let members = memberships.into_iter().flatten();
         let members = members.flat_map(Membership::members);
         let instances = members.map(|member| member.instance);
--- a/crates/quorum/src/core/quorums.rs
+++ b/crates/quorum/src/core/quorums.rs
@@ -28,10 +28,41 @@
     }
 
     fn is_voter_in_force(&self, instance: InstanceId) -> bool {
-        let mut memberships = self.log.memberships_in_force();
+        let mut memberships = self.memberships_in_force();
         memberships.any(|membership| membership.is_voter(instance))
     }
 
+    /// Returns the memberships of which each must have a quorum of its own: the latest, and the
+    /// outgoing one.
+    ///
+    /// A membership without voters, which only an instance that has not joined yet has, does not
+    /// count.
+    fn memberships_in_force(&self) -> impl Iterator<Item = &Membership> + Clone {
+        let outgoing = self.outgoing_membership().into_iter();
+        let memberships = outgoing.chain([self.log.membership()]);
+        memberships.filter(|membership| membership.voters().next().is_some())
+    }
+
+    /// Returns the membership before the latest, if it still counts.
+    ///
+    /// It does until the latest, once committed, is in the log a second time.
+    pub(super) fn outgoing_membership(&self) -> Option<&Membership> {
+        let earlier = self.log.earlier_membership()?;
+        self.counts_beside(earlier, self.log.membership())
+            .then_some(earlier)
+    }
+
+    /// Returns whether a membership counts beside the one after it, until that one is settled.
+    ///
+    /// Quorums of two memberships that differ in one voter overlap, unless one of them has a spare
+    /// and so leaves a lost voter out that the other one counts.
+    pub(super) fn counts_beside(&self, membership: &Membership, next: &Membership) -> bool {
+        let rule = self.config.quorum_rule;
+        let mut voters = [membership, next].map(|membership| membership.voters().count());
+        voters.sort_unstable();
+        voters[0] > 0 && rule.spares(voters[1]) > 0
+    }
+
     /// Returns the terms on which an election that begins now counts.
     pub(super) fn terms_of_next_election(&self) -> QuorumTerms {
         QuorumTerms {
@@ -47,7 +78,7 @@
         terms: &QuorumTerms,
         agrees: impl Fn(InstanceId) -> bool,
     ) -> bool {
-        let mut memberships = self.log.memberships_in_force().peekable();
+        let mut memberships = self.memberships_in_force().peekable();
         memberships.peek().is_some()
             && memberships.all(|membership| terms.has_quorum(membership, &agrees))
     }
@@ -58,7 +89,7 @@
         let RoleState::Leader(state) = &self.role else {
             return None;
         };
-        let memberships = self.log.memberships_in_force();
+        let memberships = self.memberships_in_force();
         let reached = |membership: &Membership| state.terms.quorum_value(membership, &value);
         // `None` is less than any value: no quorum of one membership is none of both.
         memberships.map(reached).min().flatten()
@@ -66,7 +97,7 @@
 
     /// Returns the voters of all memberships in force but this member.
     pub(super) fn other_voters(&self) -> BTreeSet<InstanceId> {
-        let memberships = self.log.memberships_in_force();
+        let memberships = self.memberships_in_force();
         let voters = memberships.flat_map(Membership::voters);
         voters.filter(|&voter| voter != self.id).collect()
     }
--- a/crates/quorum/src/core/status.rs
+++ b/crates/quorum/src/core/status.rs
@@ -64,7 +64,7 @@
             leader: self.leader,
             membership: self.log.membership().clone(),
             membership_index: self.log.membership_index(),
-            outgoing_membership: self.log.outgoing_membership().cloned(),
+            outgoing_membership: self.outgoing_membership().cloned(),
             lost_voters: self.lost_voters_in_force().collect(),
             commit_index: self.commit_index,
             last_index: self.log.last().index,
--- a/crates/quorum/src/entry_log.rs
+++ b/crates/quorum/src/entry_log.rs
@@ -143,25 +143,12 @@
         self.latest_membership().index
     }
 
-    /// Returns the memberships of which each must have a quorum of its own: the latest, and the one
-    /// before it.
+    /// Returns the membership before the latest, if its voters differ.
     ///
-    /// The one before is committed, since a leader begins no change of members before that. It
-    /// counts until the latest, once committed, is in the log a second time. Memberships without
-    /// voters, which only an instance that has not joined yet has, do not count.
-    pub(crate) fn memberships_in_force(&self) -> impl Iterator<Item = &Membership> + Clone {
-        let first = self.memberships.len().saturating_sub(2);
-        let latest = self.memberships[first..].iter();
-        latest
-            .map(|logged| &logged.membership)
-            .filter(|membership| membership.voters().next().is_some())
-    }
-
-    /// Returns the membership before the latest, if its voters differ and still count.
-    pub(crate) fn outgoing_membership(&self) -> Option<&Membership> {
-        let latest = self.membership();
-        self.memberships_in_force()
-            .find(|membership| !membership.has_voters_of(latest))
+    /// It is committed, since a leader begins no change of members before that.
+    pub(crate) fn earlier_membership(&self) -> Option<&Membership> {
+        let earlier = &self.memberships.iter().rev().nth(1)?.membership;
+        (!earlier.has_voters_of(self.membership())).then_some(earlier)
     }
 
     /// Returns the membership that was in force at `index`.
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use quorum::AppendOutcome;
 use quorum::InstanceId;
 use quorum::MemberChange;
 use quorum::MemberRole;
@@ -340,3 +341,98 @@
         "the next snapshot is sent"
     );
 }
+
+/// Guards against a group that is stuck since a lost voter is being removed when another one stops:
+/// where no voter may be left out of a count, a change of the voters is in force as it is appended.
+#[test]
+fn a_removal_that_is_appended_holds_although_another_voter_is_lost_before_it_is_committed() {
+    for rule in [QuorumRule::Majority, QuorumRule::Tolerating(2)] {
+        let mut group = SimGroup::with_rule(rule, &[1, 2, 3, 4], MAX_MESSAGE_BYTES, 5);
+        recover(&mut group);
+        let leader = group.leader().expect("a leader");
+        let followers: Vec<InstanceId> =
+            group.ids().into_iter().filter(|&id| id != leader).collect();
+        group.lose(followers[0]);
+        let removal = MemberChange::Remove(followers[0]);
+        let appended = group.with_core(leader, |core, now| core.change_members(removal, now));
+        assert!(
+            appended.is_some_and(|appended| appended.is_ok()),
+            "{rule:?}"
+        );
+        group.in_flight.clear();
+        group.lose(followers[1]);
+        let acknowledged = group.history.acknowledged;
+        for _ in 0..400 {
+            step_all(&mut group);
+            if let Some(leader) = group.leader() {
+                group.propose(leader, 1);
+            }
+        }
+        assert!(group.history.acknowledged > acknowledged, "{rule:?}");
+    }
+}
+
+/// A paused leader learns of a loss that happened in its own term: the lost voter has elected another
+/// leader before, so that what the paused one counts without it was never committed.
+#[test]
+fn a_loss_that_a_leader_learns_of_in_its_term_is_not_left_out_of_its_counts() {
+    let rule = QuorumRule::Tolerating(1);
+    let mut group = SimGroup::with_rule(rule, &[1, 2, 3, 4], MAX_MESSAGE_BYTES, 21);
+    recover(&mut group);
+    let paused = group.leader().expect("a leader");
+    let followers: Vec<InstanceId> = group.ids().into_iter().filter(|&id| id != paused).collect();
+    let [stored, voted, elected] = followers[..] else {
+        panic!("three followers");
+    };
+    // Only one follower gets the leader's entry.
+    for other in [voted, elected] {
+        group.cut_links.insert((paused, other));
+        group.cut_links.insert((other, paused));
+    }
+    group.propose(paused, 7);
+    let answer = loop {
+        sync_and_deliver_all(&mut group);
+        let mut messages = group.in_flight.iter();
+        if let Some(answer) = messages.find(|message| stores_all_of(&group, message, paused)) {
+            break answer.clone();
+        }
+        group.advance(Duration::from_millis(1));
+    };
+    group.paused.insert(paused);
+    group.lose(stored);
+    for id in [voted, elected] {
+        group.report_lost(id, stored);
+    }
+    let is_elected = |group: &SimGroup| {
+        let leader = group.leader();
+        leader.is_some_and(|leader| leader != paused)
+    };
+    while !is_elected(&group) {
+        step_all(&mut group);
+    }
+    let committed = group.history.committed();
+    for _ in 0..20 {
+        step_all(&mut group);
+    }
+    assert!(
+        group.history.committed() > committed,
+        "the next leader commits"
+    );
+    let next = group.leader().expect("a leader");
+    let lost = if next == voted { elected } else { voted };
+    group.lose(lost);
+    group.paused.clear();
+    group.report_lost(paused, lost);
+    group.deliver(answer);
+    let term = |group: &SimGroup| group.members[&paused].core.as_ref().map(RaftCore::term);
+    assert!(term(&group) < group.members[&next].core.as_ref().map(RaftCore::term));
+}
+
+/// Returns whether a message tells a leader that its sender has all of the leader's entries.
+fn stores_all_of(group: &SimGroup, message: &SimMessage, leader: InstanceId) -> bool {
+    let core = group.members[&leader].core.as_ref().expect("it runs");
+    let all = AppendOutcome::Matched(core.status().last_index);
+    let body = &message.outgoing.message.body;
+    message.outgoing.to == leader
+        && matches!(body, MessageBody::AppendReply { outcome, .. } if *outcome == all)
+}
